--- /dev/null
+++ b/internal/core/ports/endpoint.go
@@ -0,0 +1,82 @@
+package ports
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Request is one request as it is sent to an endpoint.
+type Request struct {
+	ID      string
+	Service string
+	Kind    string // media type of the body
+	Body    []byte
+	// Timeout is what remains until the caller's deadline.
+	Timeout time.Duration
+}
+
+// Answer is a verified answer of an endpoint. Body must be closed. A read of Body
+// returns a *BrokenError if the answer turns out to be truncated or corrupt; the
+// last block is returned only after the digest of the whole body was verified.
+type Answer struct {
+	Status int
+	Kind   string
+	// Length is the length of the body in bytes, -1 if it is not declared.
+	Length int64
+	Header http.Header
+	Body   io.ReadCloser
+	// Whole holds the verified body if it was small enough to be buffered.
+	Whole []byte
+	// Leaving is set if the endpoint announced that it takes no new work.
+	Leaving bool
+}
+
+// Endpoint sends requests to executors.
+type Endpoint interface {
+	// Call makes one attempt. It returns a *NotSentError, a *RefusedError or a
+	// *BrokenError.
+	Call(ctx context.Context, addr string, r Request) (*Answer, error)
+	// Probe checks that an executor answers and says whether it is leaving.
+	Probe(ctx context.Context, addr string) (leaving bool, err error)
+}
+
+// NotSentError says that no byte of the request reached the endpoint.
+type NotSentError struct {
+	Addr  string
+	Cause error
+}
+
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("request not sent to %s: %v", e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// RefusedError says that the endpoint refused the request without running it.
+type RefusedError struct {
+	Addr string
+	// Reason is the endpoint's word for the refusal: slots, leaving or service.
+	Reason string
+}
+
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("endpoint %s refused the request: %s", e.Addr, e.Reason)
+}
+
+// BrokenError says that the request was sent and that no whole answer to it was
+// received, so that it may have run.
+type BrokenError struct {
+	Addr  string
+	Cause error
+}
+
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("no whole answer from endpoint %s: %v", e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/core/ports/log.go
@@ -0,0 +1,49 @@
+// Package ports declares the interfaces through which the system reaches the
+// platform and the endpoints, and the typed errors that they return.
+package ports
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+var (
+	// ErrLog is the class of failures of the platform's log. After such a failure of
+	// Append the record may or may not be in the log.
+	ErrLog = errs.Class("log unavailable")
+	// ErrThrottled is the class of appends that the log refused because of its rate
+	// limit. The record is not in the log.
+	ErrThrottled = errs.Class("log throttled")
+	// ErrRetention is the class of reads from an offset that is no longer retained.
+	ErrRetention = errs.Class("offset not retained")
+)
+
+// Item is one record of a stream.
+type Item struct {
+	// Offset is the position in the stream. The first record has offset 1.
+	Offset uint64
+	// Data is the encoded record.
+	Data []byte
+}
+
+// Batch is the answer to a read.
+type Batch struct {
+	Items []Item
+	// First is the lowest offset that is still retained, 1 for an empty stream.
+	First uint64
+	// Next is the offset that the next appended record will have.
+	Next uint64
+}
+
+// Log is the platform's append-only log service.
+type Log interface {
+	// Append adds a record to the end of a stream and returns its offset. It returns
+	// an ErrThrottled if the record was refused and an ErrLog if the outcome is unknown.
+	Append(ctx context.Context, stream string, data []byte) (uint64, error)
+	// Read returns up to limit records from an offset. If there are none it waits up
+	// to the given time for one. It returns an ErrRetention if the offset is lower
+	// than the first one retained, and an ErrLog if the log can't be reached.
+	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error)
+}
