--- /dev/null
+++ b/internal/setup/config/config_test.go
@@ -0,0 +1,53 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+)
+
+// Guards against an annotated example that drifts from the schema.
+func TestExampleLoads(t *testing.T) {
+	cfg, err := Load(filepath.Join("..", "..", "..", "docs", "example.jsonc"))
+	assert.NilError(t, err)
+	assert.Equal(t, cfg.Name, "entry-1")
+	assert.Equal(t, cfg.Limits.Queue, 5*time.Second)
+	want := Default()
+	assert.Equal(t, cfg.Limits, want.Limits)
+	assert.Equal(t, cfg.Stop, want.Stop)
+}
+
+// Guards against problems that are lost, misplaced or reported one at a time.
+func TestProblemsAreReportedTogether(t *testing.T) {
+	path := filepath.Join("_fixtures", "faulty.jsonc")
+	_, err := Load(path)
+	want, readErr := os.ReadFile(filepath.Join("_fixtures", "faulty.txt"))
+	assert.NilError(t, readErr)
+	assert.Error(t, err, string(want[:len(want)-1]))
+}
+
+// Guards against a syntax error without a position.
+func TestSyntaxErrorHasPosition(t *testing.T) {
+	_, err := Parse("x.jsonc", []byte("{\n  \"name\": \n}"))
+	var problems Problems
+	assert.Assert(t, errors.As(err, &problems))
+	assert.Assert(t, is.Len(problems, 1))
+	assert.Equal(t, problems[0].Line, 3)
+}
+
+// Guards against input that makes the parser panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"name":"a","listen":{"callers":1},}`))
+	f.Add([]byte(`[{]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Parse("f", data)
+		if err != nil {
+			assert.Assert(t, err.Error() != "")
+		}
+	})
+}
