flow/route: choose endpoints, eject failing ones, limit retries

Each entry needs to choose an endpoint per attempt without a scan of the pool, and a target that fails everything at once looks idle and fast, so it would attract work.

--- /dev/null
+++ b/internal/flow/route/budget_test.go
@@ -0,0 +1,72 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// outage offers one request a millisecond to a pool that fails every attempt, with
+// up to three retries each, and returns the attempts per request offered, over the
+// whole minute and in the worst 10 s.
+func outage(allow func(now time.Duration) bool, offer func(now time.Duration)) (mean, worst float64) {
+	var at []int
+	total := 0
+	for ms := range 60000 {
+		now := time.Duration(ms) * time.Millisecond
+		offer(now)
+		n := 1
+		for n < 4 && allow(now) {
+			n++
+		}
+		total += n
+		at = append(at, total)
+		if ms >= 10000 {
+			worst = max(worst, float64(total-at[ms-10000])/10000)
+		}
+	}
+	return float64(total) / 60000, worst
+}
+
+// Guards against retries that multiply the load of a pool in an outage.
+func TestOutageLoad(t *testing.T) {
+	var b Budget
+	mean, worst := outage(b.Allow, b.Offer)
+	assert.Assert(t, mean <= 1.1 && worst <= 1.1, "mean %.3f, worst 10 s %.3f", mean, worst)
+	always := func(time.Duration) bool { return true }
+	naive, _ := outage(always, func(time.Duration) {})
+	assert.Equal(t, naive, 4.0)
+	t.Logf("attempts per request: budget mean %.3f, worst 10 s %.3f; unlimited %.3f", mean, worst, naive)
+}
+
+// Guards against bucket arithmetic that allows more than the share of any window
+// that ends at a retry, by comparison with a list of all times.
+func TestBudgetWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		var offers, retries []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			for range rapid.IntRange(0, 60).Draw(t, "offers") {
+				b.Offer(now)
+				offers = append(offers, now)
+			}
+			for b.Allow(now) {
+				retries = append(retries, now)
+				most := max(within(offers, now)/10, retryFloor)
+				assert.Assert(t, within(retries, now) <= most)
+			}
+		}
+	})
+}
+
+func within(times []time.Duration, now time.Duration) int {
+	n := 0
+	for _, x := range times {
+		n += count(x > now-10*time.Second)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/flow/route/route_test.go
@@ -0,0 +1,243 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const slots = 8
+
+func targets(n int) []Target {
+	ts := make([]Target, n)
+	for i := range ts {
+		ts[i] = Target{
+			Name:   fmt.Sprintf("i%d", i),
+			Rack:   fmt.Sprintf("r%d", i/4),
+			Centre: fmt.Sprintf("c%d", i%3),
+			Slots:  slots,
+		}
+	}
+	return ts
+}
+
+func whole(n int) *Router {
+	r := New("c0", WithWholeSlots())
+	r.Set(0, targets(n))
+	return r
+}
+
+// naive is the plain version of which targets may take work: it looks at every
+// target each time and keeps no lists or sums.
+type naive struct {
+	listed, leaving, blocked map[string]bool
+	limit, flight            map[string]int
+}
+
+func newNaive() *naive {
+	return &naive{map[string]bool{}, map[string]bool{}, map[string]bool{}, map[string]int{}, map[string]int{}}
+}
+
+func (m *naive) room(r *Router, name string) int {
+	if !m.listed[name] || m.leaving[name] || m.blocked[name] || r.IsEjected(name) {
+		return 0
+	}
+	s := min(slots, m.limit[name])
+	if r.node(name).trial > 0 {
+		s = min(s, 1)
+	}
+	return max(s-m.flight[name], 0)
+}
+
+// Guards against work sent to leaving, blocked, ejected or full targets, against
+// lists and sums that differ from a full count, and against more than half of a pool
+// being ejected, over random histories.
+func TestDifferential(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New("c0", WithSeed(rapid.Uint64().Draw(t, "seed")))
+		m := newNaive()
+		all := targets(6)
+		now := time.Duration(0)
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			name := fmt.Sprintf("i%d", rapid.IntRange(0, 5).Draw(t, "target"))
+			now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				n := rapid.IntRange(0, 6).Draw(t, "listed")
+				r.Set(now, all[:n])
+				clear(m.listed)
+				for _, x := range all[:n] {
+					m.listed[x.Name] = true
+				}
+			case 1:
+				m.limit[name] = rapid.IntRange(0, 10).Draw(t, "limit")
+				r.SetLimit(name, m.limit[name])
+			case 2:
+				m.blocked[name] = !m.blocked[name]
+				if m.blocked[name] {
+					r.Block(name)
+				} else {
+					r.Unblock(name)
+				}
+			case 3:
+				m.leaving[name] = !m.leaving[name]
+				if m.leaving[name] {
+					r.Leaving(now, name)
+				} else {
+					r.Returned(name)
+				}
+			case 4, 5, 6:
+				pickBoth(t, r, m, now, name)
+			case 7, 8:
+				o := Outcome(rapid.IntRange(0, 5).Draw(t, "outcome"))
+				r.Done(now, name, o, time.Millisecond)
+				m.flight[name] = max(m.flight[name]-1, 0)
+			case 9:
+				for _, p := range r.Probes(now) {
+					r.Probed(now, p.Name, rapid.Bool().Draw(t, "ok"))
+				}
+			}
+			compare(t, r, m)
+		}
+	})
+}
+
+func pickBoth(t *rapid.T, r *Router, m *naive, now time.Duration, avoid string) {
+	var free, tried int
+	for i := range 6 {
+		name := fmt.Sprintf("i%d", i)
+		if name == avoid {
+			tried = m.room(r, name)
+			continue
+		}
+		free += m.room(r, name)
+	}
+	got, err := r.Pick(now, []string{avoid})
+	if free > 0 {
+		assert.NilError(t, err)
+		assert.Assert(t, got.Name != avoid && m.room(r, got.Name) > 0, got.Name)
+		m.flight[got.Name]++
+		return
+	}
+	var none *NoTargetError
+	assert.Assert(t, errors.As(err, &none))
+	assert.Equal(t, none.Reason == Tried, tried > 0)
+	assert.Equal(t, none.Reason == Empty, len(m.listed) == 0)
+}
+
+func compare(t *rapid.T, r *Router, m *naive) {
+	var room, able, ejected int
+	for i := range 6 {
+		name := fmt.Sprintf("i%d", i)
+		room += m.room(r, name)
+		assert.Equal(t, r.InFlight(name), m.flight[name])
+		assert.Equal(t, r.IsLeaving(name), m.leaving[name])
+		if m.listed[name] && !m.leaving[name] && !m.blocked[name] {
+			able++
+			ejected += count(r.IsEjected(name))
+		}
+	}
+	assert.Equal(t, r.Free(), room)
+	assert.Assert(t, 2*ejected <= able, "%d of %d ejected", ejected, able)
+}
+
+// drive sends requests in a closed loop of the given width and returns the attempts
+// and failures by target; fails says which targets fail, at once.
+func drive(r *Router, n, width int, fails func(name string) bool) (tried, failed map[string]int) {
+	tried, failed = map[string]int{}, map[string]int{}
+	var busy []string
+	rnd := rand.New(rand.NewPCG(7, 7))
+	for i := range n {
+		now := time.Duration(i) * 5 * time.Millisecond
+		for _, p := range r.Probes(now) {
+			r.Probed(now, p.Name, true)
+		}
+		if len(busy) == width {
+			k := rnd.IntN(len(busy))
+			r.Done(now, busy[k], Answered, 200*time.Millisecond)
+			busy[k] = busy[width-1]
+			busy = busy[:width-1]
+		}
+		t, err := r.Pick(now, nil)
+		if err != nil {
+			continue
+		}
+		tried[t.Name]++
+		if fails(t.Name) {
+			failed[t.Name]++
+			r.Done(now, t.Name, Failed, time.Millisecond)
+			continue
+		}
+		busy = append(busy, t.Name)
+	}
+	return tried, failed
+}
+
+// Guards against a target that fails everything at once and so always looks idle and
+// fast: it must not attract work, even though its probes succeed.
+func TestFailFast(t *testing.T) {
+	tried, _ := drive(whole(50), 20000, 40, func(n string) bool { return n == "i0" })
+	assert.Assert(t, tried["i0"] <= 20, "%d of 20000 attempts", tried["i0"])
+}
+
+// Guards against a correlated failure ejecting a whole pool, and against a failed
+// data centre keeping its share of the work.
+func TestCorrelated(t *testing.T) {
+	r := whole(12)
+	_, failed := drive(r, 2000, 8, func(string) bool { return true })
+	out := 0
+	for name := range failed {
+		out += count(r.IsEjected(name))
+	}
+	assert.Equal(t, out, 6)
+	r = whole(12)
+	tried, failed := drive(r, 4000, 20, func(n string) bool { return n == "i0" || n == "i3" || n == "i6" || n == "i9" })
+	bad := failed["i0"] + failed["i3"] + failed["i6"] + failed["i9"]
+	assert.Assert(t, bad <= 60, "%d of 4000 failed: %v", bad, tried)
+}
+
+// Guards against new work at a leaving target that is listed again, and against lost
+// counts of requests in flight, on which drain acknowledgements rely.
+func TestLeavingStays(t *testing.T) {
+	r := whole(1)
+	_, err := r.Pick(0, nil)
+	assert.NilError(t, err)
+	r.Leaving(0, "i0")
+	r.Set(0, nil)
+	assert.Equal(t, r.InFlight("i0"), 1)
+	r.Done(time.Second, "i0", Answered, time.Second)
+	r.Set(time.Second, targets(1))
+	_, err = r.Pick(time.Second, nil)
+	assert.Error(t, err, errUnusable.Error())
+	r.Returned("i0")
+	_, err = r.Pick(time.Second, nil)
+	assert.NilError(t, err)
+}
+
+func benchmark(b *testing.B, n int) {
+	r := whole(n)
+	now := time.Duration(0)
+	for range 4 * n {
+		t, _ := r.Pick(now, nil)
+		r.Done(now, t.Name, Answered, 200*time.Millisecond)
+		r.Pick(now, nil)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		t, err := r.Pick(now, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Done(now, t.Name, Answered, 200*time.Millisecond)
+	}
+}
+
+func BenchmarkPick10(b *testing.B)   { benchmark(b, 10) }
+func BenchmarkPick50(b *testing.B)   { benchmark(b, 50) }
+func BenchmarkPick1500(b *testing.B) { benchmark(b, 1500) }
