--- /dev/null
+++ b/internal/fleet/state/instances.go
@@ -0,0 +1,230 @@
+package state
+
+import (
+	"chervilgauge.example/chervilgauge/internal/fleet/budget"
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// Phase is the phase of an instance.
+type Phase uint8
+
+// Phases of an instance.
+const (
+	// Serving instances take work.
+	Serving Phase = iota + 1
+	// Draining instances take no new work and may have work in flight.
+	Draining
+	// Drained instances have no work. An instance that was moved stays drained until
+	// it is known to be up in its new pool.
+	Drained
+	// Restarting instances were ordered to reboot.
+	Restarting
+)
+
+// String returns the name of the phase.
+func (p Phase) String() string {
+	names := [...]string{"none", "serving", "draining", "drained", "restarting"}
+	if int(p) < len(names) {
+		return names[p]
+	}
+	return "unknown"
+}
+
+// Health is what is positively known about an instance.
+type Health uint8
+
+// Health of an instance.
+const (
+	Unknown Health = iota
+	Up
+	Down
+)
+
+// String returns the name of the health.
+func (h Health) String() string {
+	names := [...]string{"unknown", "up", "down"}
+	if int(h) < len(names) {
+		return names[h]
+	}
+	return "unknown"
+}
+
+// Instance is a registered instance.
+type Instance struct {
+	Name string
+	// Version is the offset of the last put, drain, move, return or cancellation.
+	// Health does not change it, because the frequent observations would make
+	// operators' changes conflict.
+	Version uint64
+	// Addr is the IP address and port of the endpoint.
+	Addr   string
+	Pool   string
+	Rack   string
+	Centre string
+	Slots  uint32
+	Conns  uint32
+	Phase  Phase
+	Health Health
+	// Boot is the newest known boot number, 0 if none is known.
+	Boot uint64
+	// Grant is the drain in progress, nil if there is none.
+	Grant *Grant
+}
+
+// Available says whether the instance serves and is known to be up.
+func (i *Instance) Available() bool { return i.Phase == Serving && i.Health == Up }
+
+// Arriving says whether the instance was moved and is not known to be up yet.
+func (i *Instance) Arriving() bool { return i.Grant != nil && i.Grant.Moved }
+
+// WithHealth returns the instance with an observation of its health.
+func (i *Instance) WithHealth(h Health, boot uint64) *Instance {
+	n := *i
+	n.Health, n.Boot = h, boot
+	return &n
+}
+
+// WithPhase returns the instance in a phase under a grant, nil for none.
+func (i *Instance) WithPhase(p Phase, g *Grant) *Instance {
+	n := *i
+	n.Phase, n.Grant = p, g
+	return &n
+}
+
+// WithVersion returns the instance with a version.
+func (i *Instance) WithVersion(version uint64) *Instance {
+	n := *i
+	n.Version = version
+	return &n
+}
+
+// WithPool returns the instance in another pool.
+func (i *Instance) WithPool(pool string) *Instance {
+	n := *i
+	n.Pool = pool
+	return &n
+}
+
+func (i *Instance) code(c *coder) {
+	c.str(&i.Name)
+	c.u64(&i.Version)
+	c.str(&i.Addr)
+	c.str(&i.Pool)
+	c.str(&i.Rack)
+	c.str(&i.Centre)
+	c.u32(&i.Slots)
+	c.u32(&i.Conns)
+	number(c, &i.Phase)
+	number(c, &i.Health)
+	c.u64(&i.Boot)
+	has := i.Grant != nil
+	c.flag(&has)
+	if !has {
+		return
+	}
+	if c.decode {
+		i.Grant = &Grant{}
+	}
+	i.Grant.code(c)
+}
+
+// count returns the contribution of the instance to the counts of its scopes.
+func (i *Instance) count() budget.Count {
+	n := budget.Count{Size: 1}
+	if i.Available() {
+		n.Available = 1
+	}
+	if i.Arriving() {
+		n.Arriving = 1
+	}
+	return n
+}
+
+func (s *State) instance(offset uint64, r *recpb.Instance) Verdict {
+	if !named(r.GetName()) {
+		return malformed
+	}
+	old, ok := s.instances.get(r.GetName())
+	var current uint64
+	if ok {
+		current = old.Version
+	}
+	if v, ok := base(r.GetEdit(), current); !ok {
+		return v
+	}
+	if r.GetEdit().GetRemove() {
+		return s.removeInstance(old)
+	}
+	if r.GetAddr() == "" {
+		return malformed
+	}
+	if _, ok := s.pools.get(r.GetPool()); !ok {
+		return refused(NotFound)
+	}
+	n := &Instance{
+		Name: r.GetName(), Version: offset, Addr: r.GetAddr(), Pool: r.GetPool(), Rack: r.GetRack(),
+		Centre: r.GetCentre(), Slots: r.GetSlots(), Conns: r.GetConns(), Phase: Serving,
+	}
+	if ok {
+		return s.replaceInstance(old, n)
+	}
+	s.setInstance(n)
+	return accepted
+}
+
+// replaceInstance refuses to change the place or the address of an available
+// instance, because the new address has unknown health: the change would take the
+// instance out without regard to the budget.
+func (s *State) replaceInstance(old, n *Instance) Verdict {
+	if old.Pool != n.Pool {
+		return refused(PoolFixed)
+	}
+	if old.Grant != nil {
+		return refused(Busy)
+	}
+	if old.Addr == n.Addr && old.Rack == n.Rack && old.Centre == n.Centre {
+		s.setInstance(n.WithHealth(old.Health, old.Boot))
+		return accepted
+	}
+	if old.Available() {
+		return refused(NotDrained)
+	}
+	s.setInstance(n)
+	return accepted
+}
+
+// removeInstance refuses to remove an instance that is available or may have work
+// in flight under a drain. It must be drained or known not to be up.
+func (s *State) removeInstance(old *Instance) Verdict {
+	if old == nil {
+		return refused(NotFound)
+	}
+	if old.Available() || old.Phase == Draining {
+		return refused(NotDrained)
+	}
+	s.instances = s.instances.unset(old.Name)
+	return accepted
+}
+
+func (s *State) setInstance(i *Instance) { s.instances = s.instances.set(i.Name, i) }
+
+func (s *State) health(offset uint64, r *recpb.Health) Verdict {
+	i, ok := s.instances.get(r.GetName())
+	if !ok {
+		return refused(NotFound)
+	}
+	// The instance list lags, so that an older boot number is an older observation.
+	if r.GetBoot() < i.Boot {
+		return refused(OldBoot)
+	}
+	h := Down
+	if r.GetUp() {
+		h = Up
+	}
+	n := i.WithHealth(h, r.GetBoot())
+	if h == Up && n.Arriving() {
+		n = n.WithPhase(Serving, nil).WithVersion(offset)
+	}
+	s.setInstance(n)
+	return accepted
+}
