Add the request path from admission to the answer

Calls are queued, non-idempotent ids are claimed, attempts are retried only where nothing ran or the request is idempotent, and the view lease is checked right before each send.

--- /dev/null
+++ b/internal/serve/caller/caller.go
@@ -0,0 +1,102 @@
+// Package caller serves callers over HTTP: it parses requests and writes answers.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.opentelemetry.io/otel/trace"
+
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+	watch "chervilgauge.example/chervilgauge/internal/watch/trace"
+)
+
+// Err is the class of failures of the callers' listener.
+var Err = errs.Class("callers")
+
+// Runner runs calls to their end.
+type Runner interface {
+	Run(ctx context.Context, c *flows.Call) flows.Result
+}
+
+// Limits bounds what one caller can use.
+type Limits struct {
+	// Body is the largest request body in bytes.
+	Body int64
+	// Run is the longest time from a request's arrival to its answer.
+	Run time.Duration
+	// Header is the longest time to receive a request's header.
+	Header time.Duration
+}
+
+// Server is the callers' listener.
+type Server struct {
+	srv  *http.Server
+	done chan error
+}
+
+type handler struct {
+	runner Runner
+	limits Limits
+	wall   func() time.Time
+}
+
+// idleTimeout closes keep-alive connections of callers that send nothing.
+const idleTimeout = 90 * time.Second
+
+// Serve starts to serve callers.
+func Serve(lis net.Listener, r Runner, l Limits, wall func() time.Time, p trace.TracerProvider) *Server {
+	e := echo.New()
+	h := &handler{runner: r, limits: l, wall: wall}
+	e.HTTPErrorHandler = notFound
+	e.POST("/v1/call/:service", h.call)
+	srv := &http.Server{
+		Handler:           traced(e, p),
+		ReadHeaderTimeout: l.Header,
+		ReadTimeout:       l.Run,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	s := &Server{srv: srv, done: make(chan error, 1)}
+	go func() { s.done <- srv.Serve(lis) }()
+	return s
+}
+
+// maxHeader bounds a request's header in bytes.
+const maxHeader = 16 << 10
+
+func traced(h http.Handler, p trace.TracerProvider) http.Handler {
+	return otelhttp.NewHandler(h, "call",
+		otelhttp.WithTracerProvider(p),
+		otelhttp.WithPropagators(watch.Propagator()))
+}
+
+// Close stops accepting, finishes the requests in flight and closes the idle
+// connections. At the end of the context the remaining connections are cut. It
+// returns an Err.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.srv.Shutdown(ctx)
+	if err != nil {
+		err = errs.Combine(err, s.srv.Close())
+	}
+	<-s.done
+	return Err.Wrap(err)
+}
+
+// KeepAlive says whether connections are kept open after an answer. It is turned
+// off while the entry stops, so that callers connect elsewhere.
+func (s *Server) KeepAlive(on bool) { s.srv.SetKeepAlivesEnabled(on) }
+
+func (h *handler) call(c echo.Context) error {
+	call, bad := h.parse(c)
+	if bad != nil {
+		return refuse(c, bad.status, bad.reason, 0)
+	}
+	c.Response().Header().Set(headerID, call.Text)
+	return write(c, h.runner.Run(c.Request().Context(), call))
+}
--- /dev/null
+++ b/internal/serve/caller/write.go
@@ -0,0 +1,113 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+)
+
+// headerOutcome tells what became of a call; docs/api.md lists the values.
+const headerOutcome = "Outcome"
+
+// headerStatus carries the endpoint's status of a failed call.
+const headerStatus = "Endpoint-Status"
+
+// Values of the Outcome header.
+const (
+	outcomeAnswered = "answered"
+	outcomeFailed   = "failed"
+	outcomeNotRun   = "not-run"
+	outcomeUnknown  = "unknown"
+)
+
+// write tells the caller the result.
+func write(c echo.Context, r flows.Result) error {
+	switch r := r.(type) {
+	case flows.Answered:
+		return relay(c, r, r.Status, outcomeAnswered)
+	case flows.Failed:
+		c.Response().Header().Set(headerStatus, strconv.Itoa(r.Status))
+		return relay(c, r.Answered, http.StatusBadGateway, outcomeFailed)
+	case flows.NotRun:
+		return refuse(c, statusOf(r.Reason), r.Reason, r.After)
+	case flows.Unknown:
+		return problem(c, http.StatusGatewayTimeout, outcomeUnknown, r.Reason, 0)
+	}
+	return nil
+}
+
+func statusOf(r flows.Reason) int {
+	switch r {
+	case flows.UnknownService:
+		return http.StatusNotFound
+	case flows.WrongPool:
+		return http.StatusConflict
+	case flows.Busy:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func refuse(c echo.Context, status int, reason flows.Reason, after time.Duration) error {
+	return problem(c, status, outcomeNotRun, reason, after)
+}
+
+func problem(c echo.Context, status int, outcome string, reason flows.Reason, after time.Duration) error {
+	head := c.Response().Header()
+	head.Set(headerOutcome, outcome)
+	if after > 0 {
+		seconds := (after + time.Second - 1) / time.Second
+		head.Set(echo.HeaderRetryAfter, strconv.Itoa(int(seconds)))
+	}
+	return c.JSON(status, struct {
+		Outcome string       `json:"outcome"`
+		Reason  flows.Reason `json:"reason"`
+		After   int64        `json:"after,omitempty"` // milliseconds
+	}{outcome, reason, after.Milliseconds()})
+}
+
+// relay writes an answer of the endpoint. A streamed answer that turns out not to
+// be whole aborts the connection, so that the caller's HTTP client sees a truncated
+// body.
+func relay(c echo.Context, a flows.Answered, status int, outcome string) error {
+	head := c.Response().Header()
+	head.Set(headerOutcome, outcome)
+	head.Set(echo.HeaderContentType, a.Kind)
+	if a.Length >= 0 {
+		head.Set(echo.HeaderContentLength, strconv.FormatInt(a.Length, 10))
+	}
+	c.Response().WriteHeader(status)
+	if a.Body == nil {
+		_, err := c.Response().Write(a.Whole)
+		return abort(err)
+	}
+	_, err := io.Copy(c.Response(), a.Body)
+	return abort(errors.Join(err, a.Body.Close()))
+}
+
+func abort(err error) error {
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// notFound answers paths and methods that are not part of the interface. Any other
+// error says nothing about whether the call ran.
+func notFound(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var he *echo.HTTPError
+	if errors.As(err, &he) && he.Code < http.StatusInternalServerError {
+		_ = problem(c, he.Code, outcomeNotRun, "no-such-path", 0)
+		return
+	}
+	_ = problem(c, http.StatusInternalServerError, outcomeUnknown, "internal", 0)
+}
--- /dev/null
+++ b/internal/serve/flows/engine.go
@@ -0,0 +1,220 @@
+package flows
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/flow/admit"
+	"chervilgauge.example/chervilgauge/internal/flow/claim"
+	"chervilgauge.example/chervilgauge/internal/flow/route"
+)
+
+// Gate says whether this entry's view is confirmed, so that it may send work now.
+type Gate interface {
+	MaySend() bool
+}
+
+// Parts are what an engine works with.
+type Parts struct {
+	Clock    clock.Clock
+	Endpoint ports.Endpoint
+	Gate     Gate
+	Claims   Claims
+	Attempts *claim.Attempts
+	Scope    tally.Scope
+	Tracer   trace.Tracer
+	// Centre is the data centre of the entry.
+	Centre string
+	// Leaving is told the name of an instance that an answer showed to be leaving.
+	Leaving func(instance string)
+}
+
+// Engine runs calls. It is safe for concurrent use.
+type Engine struct {
+	Parts
+	limits  Limits
+	meters  meters
+	table   atomic.Pointer[table]
+	cancel  context.CancelFunc
+	done    chan struct{}
+	running sync.WaitGroup
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// Limits bounds the queues.
+type Limits struct {
+	// Queue is the longest time that a request waits for a slot.
+	Queue time.Duration
+	// Claim is the longest time to wait for a claim.
+	Claim time.Duration
+	// Waiting is the largest number of requests that wait in one pool's queue.
+	Waiting int
+}
+
+// table is what traffic reads without a lock.
+type table struct {
+	services map[string]*pool
+}
+
+// tickInterval is how often queues are checked for expired requests and ejected
+// endpoints for due probes.
+const tickInterval = 50 * time.Millisecond
+
+// New returns a running engine without pools. Close ends it.
+func New(ctx context.Context, p Parts, l Limits) *Engine {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Engine{
+		Parts:  p,
+		limits: l,
+		meters: newMeters(p.Scope),
+		cancel: cancel,
+		done:   make(chan struct{}),
+		pools:  map[string]*pool{},
+	}
+	e.table.Store(&table{})
+	go e.tick(ctx)
+	return e
+}
+
+// Close waits for the calls that run and for the engine's goroutine.
+func (e *Engine) Close() {
+	e.running.Wait()
+	e.cancel()
+	<-e.done
+}
+
+// tick expires waiting requests and starts probes until the context ends.
+func (e *Engine) tick(ctx context.Context) {
+	defer close(e.done)
+	sub := e.Clock.Subscribe(tickInterval)
+	defer sub.Close()
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.C:
+			for _, p := range e.all() {
+				e.expire(ctx, p, &probes)
+			}
+		}
+	}
+}
+
+func (e *Engine) all() []*pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]*pool, 0, len(e.pools))
+	for _, p := range e.pools {
+		out = append(out, p)
+	}
+	return out
+}
+
+func (e *Engine) expire(ctx context.Context, p *pool, probes *sync.WaitGroup) {
+	now := e.Clock.Now()
+	for _, t := range p.tick(now) {
+		probes.Add(1)
+		go e.probe(ctx, p, t, probes)
+	}
+}
+
+// probeTimeout bounds one probe of an ejected endpoint.
+const probeTimeout = time.Second
+
+func (e *Engine) probe(ctx context.Context, p *pool, t route.Target, probes *sync.WaitGroup) {
+	defer probes.Done()
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	leaving, err := e.Endpoint.Probe(ctx, t.Addr)
+	p.probed(e.Clock.Now(), t.Name, leaving, err == nil)
+	if leaving {
+		e.Leaving(t.Name)
+	}
+}
+
+// meters counts results by kind and by service.
+type meters struct {
+	scope                              tally.Scope
+	answered, failed, notRun, unknown  tally.Counter
+	retries, retryDenied, unconfirmed  tally.Counter
+	granted, claimLost, claimUnsettled tally.Counter
+}
+
+func newMeters(s tally.Scope) meters {
+	return meters{
+		scope:          s,
+		answered:       s.Counter("calls_answered"),
+		failed:         s.Counter("calls_failed"),
+		notRun:         s.Counter("calls_not_run"),
+		unknown:        s.Counter("calls_unknown"),
+		retries:        s.Counter("retries"),
+		retryDenied:    s.Counter("retries_denied"),
+		unconfirmed:    s.Counter("sends_unconfirmed"),
+		granted:        s.Counter("claims_granted"),
+		claimLost:      s.Counter("claims_held_elsewhere"),
+		claimUnsettled: s.Counter("claims_unavailable"),
+	}
+}
+
+func (m *meters) count(r Result) {
+	switch r := r.(type) {
+	case Answered:
+		m.answered.Inc(1)
+	case Failed:
+		m.failed.Inc(1)
+	case NotRun:
+		m.notRun.Inc(1)
+		m.scope.Tagged(map[string]string{"reason": string(r.Reason)}).Counter("refused").Inc(1)
+	case Unknown:
+		m.unknown.Inc(1)
+	}
+}
+
+// Demand is what one pool's queue needs.
+type Demand struct {
+	Pool string
+	// Waiting and Running are numbers of requests.
+	Waiting, Running int
+}
+
+// Demands returns the demand of every pool.
+func (e *Engine) Demands() []Demand {
+	var out []Demand
+	for _, p := range e.all() {
+		out = append(out, p.demand())
+	}
+	return out
+}
+
+// InFlight returns the number of requests that this entry has at an instance.
+func (e *Engine) InFlight(instance string) int {
+	n := 0
+	for _, p := range e.all() {
+		n += p.inFlight(instance)
+	}
+	return n
+}
+
+// Left records from any source that an instance is leaving.
+func (e *Engine) Left(instance string) {
+	for _, p := range e.all() {
+		p.leave(e.Clock.Now(), instance)
+	}
+}
+
+// Shares is what one pool is configured with.
+type Shares struct {
+	Services map[string]admit.Share
+	Teams    map[string]admit.Share
+}
--- /dev/null
+++ b/internal/serve/flows/once.go
@@ -0,0 +1,211 @@
+package flows
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/flow/claim"
+)
+
+// failedStatus is the lowest status by which a service reports a failure.
+const failedStatus = http.StatusInternalServerError
+
+// Claims asks for claims and outcomes.
+type Claims interface {
+	// Claim asks for a claim in the log. A prev other than 0 replaces a void claim.
+	Claim(ctx context.Context, id claim.ID, token, prev uint64) ClaimResult
+	// Outcome asks the holder of a claim what became of the request.
+	Outcome(ctx context.Context, id claim.ID, h claim.Head) Reply
+}
+
+// ClaimResult is the end of a claim: ClaimGranted, ClaimHeld, ClaimForgotten or
+// ClaimUnavailable.
+type ClaimResult interface{ isClaimResult() }
+
+// ClaimGranted says that the claim was won.
+type ClaimGranted struct{}
+
+// ClaimHeld names the claim that won before.
+type ClaimHeld struct{ Head claim.Head }
+
+// ClaimForgotten says that an earlier claim of the id can't be excluded.
+type ClaimForgotten struct{}
+
+// ClaimUnavailable says that the claim was not confirmed in time.
+type ClaimUnavailable struct{}
+
+func (ClaimGranted) isClaimResult()     {}
+func (ClaimHeld) isClaimResult()        {}
+func (ClaimForgotten) isClaimResult()   {}
+func (ClaimUnavailable) isClaimResult() {}
+
+// Reply is what the holder of a claim says about it.
+type Reply struct {
+	State   ReplyState
+	Outcome claim.Outcome
+}
+
+// ReplyState is the state of a claim's attempt as its holder reports it.
+type ReplyState uint8
+
+// States of a claim's attempt.
+const (
+	// ReplyLost means that the holder can't be asked or does not remember.
+	ReplyLost ReplyState = iota
+	ReplyRunning
+	ReplyVoid
+	ReplyDone
+)
+
+// maxRounds bounds how many void claims of an id are replaced in one call.
+const maxRounds = 4
+
+// onceJob is the attempt of a non-idempotent call.
+type onceJob struct {
+	attempt *claim.Attempt
+	verdict chan Result
+	cancel  context.CancelFunc
+	// won says that the claim was won, which shows that no earlier attempt ran.
+	won bool
+}
+
+// once runs a non-idempotent call, or waits for the attempt that another call with
+// the same id started in this entry. A void attempt says nothing about other entries'
+// claims, so that the call then makes an attempt of its own.
+func (e *Engine) once(ctx context.Context, j *job) Result {
+	if j.call.ID.AgeAt(e.Clock.Wall().UnixMilli()) == claim.Old {
+		return Unknown{Reason: TooOld}
+	}
+	for {
+		a, _, fresh := e.Attempts.Begin(j.call.ID, newToken())
+		if fresh {
+			return e.own(ctx, j, a)
+		}
+		if r := e.join(ctx, j, a); r != nil {
+			return r
+		}
+	}
+}
+
+// own runs a call under its own attempt.
+func (e *Engine) own(ctx context.Context, j *job, a *claim.Attempt) Result {
+	o := &onceJob{attempt: a, verdict: make(chan Result, 1)}
+	j.once = o
+	r := e.admitted(ctx, j)
+	o.stop()
+	if _, notRun := r.(NotRun); !notRun {
+		return r
+	}
+	// Has no effect on an attempt that has ended.
+	a.Void()
+	if j.call.Repeated && !o.won {
+		return Unknown{Reason: EarlierAttempt}
+	}
+	return r
+}
+
+func newToken() uint64 { return rand.Uint64() | 1 }
+
+// join waits for another call's attempt. It returns nil if that attempt is void.
+func (e *Engine) join(ctx context.Context, j *job, a *claim.Attempt) Result {
+	ctx, cancel := context.WithTimeout(ctx, j.deadline-e.Clock.Now())
+	defer cancel()
+	select {
+	case <-a.Ended():
+	case <-ctx.Done():
+		return Unknown{Reason: Running}
+	}
+	phase, outcome := a.State()
+	if phase == claim.Void {
+		return nil
+	}
+	return replay(outcome)
+}
+
+// start asks for the claim while the call waits for a slot.
+func (o *onceJob) start(ctx context.Context, e *Engine) {
+	ctx, o.cancel = context.WithTimeout(ctx, e.limits.Claim)
+	e.running.Add(1)
+	go func() {
+		defer e.running.Done()
+		o.verdict <- e.claim(ctx, o.attempt)
+	}()
+}
+
+func (o *onceJob) stop() {
+	if o.cancel != nil {
+		o.cancel()
+	}
+}
+
+// granted waits for the claim. It returns nil if the request may be sent now.
+func (o *onceJob) granted(ctx context.Context, e *Engine, deadline time.Duration) Result {
+	ctx, cancel := context.WithTimeout(ctx, deadline-e.Clock.Now())
+	defer cancel()
+	select {
+	case r := <-o.verdict:
+		if r != nil {
+			return o.lost(r)
+		}
+	case <-ctx.Done():
+		return o.lost(NotRun{Reason: Unclaimed, After: time.Second})
+	}
+	if !o.attempt.Grant() {
+		return NotRun{Reason: Unclaimed, After: time.Second}
+	}
+	o.won = true
+	e.meters.granted.Inc(1)
+	return nil
+}
+
+// lost makes the attempt void: whatever happens to the id, this attempt sends nothing.
+func (o *onceJob) lost(r Result) Result {
+	o.attempt.Void()
+	return r
+}
+
+// settle records the outcome of an attempt that had a grant.
+func (o *onceJob) settle(r Result) {
+	if outcome, ok := kept(r); ok {
+		o.attempt.Finish(outcome)
+		return
+	}
+	o.attempt.Void()
+}
+
+// claim asks for the claim until it is won or another attempt's outcome decides. It
+// returns nil if the claim was won.
+func (e *Engine) claim(ctx context.Context, a *claim.Attempt) Result {
+	var prev uint64
+	for range maxRounds {
+		switch r := e.Claims.Claim(ctx, a.ID, a.Token, prev).(type) {
+		case ClaimGranted:
+			return nil
+		case ClaimForgotten:
+			return Unknown{Reason: TooOld}
+		case ClaimUnavailable:
+			e.meters.claimUnsettled.Inc(1)
+			return NotRun{Reason: Unclaimed, After: time.Second}
+		case ClaimHeld:
+			e.meters.claimLost.Inc(1)
+			reply := e.Claims.Outcome(ctx, a.ID, r.Head)
+			if reply.State != ReplyVoid {
+				return told(reply)
+			}
+			prev = r.Head.Token
+		}
+	}
+	return NotRun{Reason: Unclaimed, After: time.Second}
+}
+
+func told(r Reply) Result {
+	switch r.State {
+	case ReplyDone:
+		return replay(r.Outcome)
+	case ReplyRunning:
+		return Unknown{Reason: Running}
+	}
+	return Unknown{Reason: HolderLost}
+}
--- /dev/null
+++ b/internal/serve/peers/peers.go
@@ -0,0 +1,107 @@
+// Package peers carries the messages between entries over drpc.
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/zeebo/errs"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+
+	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
+)
+
+// Err is the class of failures to serve or to reach peers.
+var Err = errs.Class("peers")
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// idleExpiry closes connections that carried nothing for that time.
+	idleExpiry = 30 * time.Second
+	// poolCapacity bounds the idle connections to all peers. Each connection carries
+	// one call at a time.
+	poolCapacity = 128
+	keyCapacity  = 32
+)
+
+// Server serves the entries of the deployment.
+type Server struct {
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Serve accepts connections until Close. A nil TLS configuration means plain TCP.
+// It returns an Err.
+func Serve(ctx context.Context, lis net.Listener, h peerpb.DRPCPeerServer, conf *tls.Config) (*Server, error) {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, h); err != nil {
+		return nil, Err.Wrap(err)
+	}
+	if conf != nil {
+		lis = tls.NewListener(lis, conf)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Server{cancel: cancel, done: make(chan error, 1)}
+	srv := drpcserver.New(extracting{mux})
+	go func() { s.done <- srv.Serve(ctx, lis) }()
+	return s, nil
+}
+
+// Close stops the server and waits for the calls that it serves. It returns an Err.
+func (s *Server) Close() error {
+	s.cancel()
+	return Err.Wrap(<-s.done)
+}
+
+// Client calls other entries.
+type Client struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+	conf func() (*tls.Config, error)
+}
+
+// NewClient returns a client. A nil function means plain TCP.
+func NewClient(conf func() (*tls.Config, error)) *Client {
+	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration:  idleExpiry,
+		Capacity:    poolCapacity,
+		KeyCapacity: keyCapacity,
+	})
+	return &Client{pool: pool, conf: conf}
+}
+
+// To returns the client for the entry that listens on an address.
+func (c *Client) To(ctx context.Context, addr string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(injecting{c.pool.Get(ctx, addr, c.dial)})
+}
+
+// Close closes all idle connections. It returns an Err.
+func (c *Client) Close() error { return Err.Wrap(c.pool.Close()) }
+
+func (c *Client) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := c.connect(ctx, addr)
+	if err != nil {
+		return nil, Err.Wrap(err)
+	}
+	return drpcconn.New(conn), nil
+}
+
+func (c *Client) connect(ctx context.Context, addr string) (drpc.Transport, error) {
+	if c.conf == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	conf, err := c.conf()
+	if err != nil {
+		return nil, err
+	}
+	d := tls.Dialer{Config: conf}
+	return d.DialContext(ctx, "tcp", addr)
+}
--- /dev/null
+++ b/internal/serve/peers/trace.go
@@ -0,0 +1,47 @@
+package peers
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/propagation"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcpool"
+
+	"chervilgauge.example/chervilgauge/internal/watch/trace"
+)
+
+// injecting adds the W3C trace context to the metadata of each call.
+type injecting struct{ drpcpool.Conn }
+
+// Invoke makes one call.
+func (c injecting) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	carrier := propagation.MapCarrier{}
+	trace.Propagator().Inject(ctx, carrier)
+	for k, v := range carrier {
+		ctx = drpcmetadata.Add(ctx, k, v)
+	}
+	return c.Conn.Invoke(ctx, rpc, enc, in, out)
+}
+
+// extracting restores the trace context before a call is handled.
+type extracting struct{ drpc.Handler }
+
+// HandleRPC handles one call.
+func (h extracting) HandleRPC(stream drpc.Stream, rpc string) error {
+	data, ok := drpcmetadata.Get(stream.Context())
+	if !ok {
+		return h.Handler.HandleRPC(stream, rpc)
+	}
+	ctx := trace.Propagator().Extract(stream.Context(), propagation.MapCarrier(data))
+	return h.Handler.HandleRPC(traced{stream, ctx}, rpc)
+}
+
+// traced is a stream whose context carries a remote span.
+type traced struct {
+	drpc.Stream
+	ctx context.Context
+}
+
+// Context returns the context with the remote span.
+func (s traced) Context() context.Context { return s.ctx }
