Add fakes of the log, the instance list and endpoints, and their adapters

The fakes speak HTTP on loopback TCP and take fault orders over HTTP. The adapters implement ports.Log, ports.Instances and ports.Endpoint over the same protocols with one attempt for each call.

--- /dev/null
+++ b/internal/fake/endpt/endpt.go
@@ -0,0 +1,181 @@
+// Package endpt is a fake endpoint: it runs requests of several services over HTTP
+// within its slots, counts what reaches it, and carries out fault orders.
+package endpt
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/fake/local"
+)
+
+// defaultSlots is the number of slots of an executor.
+const defaultSlots = 8
+
+// Endpoint is the fake endpoint.
+type Endpoint struct {
+	clk      clock.Clock
+	addr     string
+	slots    int
+	services map[string]bool
+	mux      *http.ServeMux
+	quit     chan struct{}
+	once     sync.Once
+
+	mu      sync.Mutex
+	faults  Faults
+	rng     *rand.Rand
+	lifted  chan struct{} // closed when the orders change
+	held    chan struct{} // closed when the answer that is held back may be sent
+	counts  counts
+	work    *local.Server // nil while connections are refused
+	old     []*local.Server
+	control *local.Server
+}
+
+// Option changes an Endpoint at construction.
+type Option func(*Endpoint)
+
+// WithClock sets the clock of run times.
+func WithClock(c clock.Clock) Option { return func(e *Endpoint) { e.clk = c } }
+
+// WithSlots sets how many requests run at a time.
+func WithSlots(n int) Option { return func(e *Endpoint) { e.slots = n } }
+
+// WithServices names the services that the endpoint hosts; without it, it hosts all.
+func WithServices(names ...string) Option {
+	return func(e *Endpoint) {
+		e.services = map[string]bool{}
+		for _, n := range names {
+			e.services[n] = true
+		}
+	}
+}
+
+// WithFaults sets the orders at the start, among them the run time.
+func WithFaults(f Faults) Option { return func(e *Endpoint) { e.faults = f } }
+
+// WithAddr sets the address for requests, by default a free port of 127.0.0.1.
+func WithAddr(addr string) Option { return func(e *Endpoint) { e.addr = addr } }
+
+// New returns an endpoint. It serves as an http.Handler; Start puts it on TCP ports.
+func New(opts ...Option) *Endpoint {
+	e := &Endpoint{
+		clk:    clock.NewSystem(),
+		addr:   "127.0.0.1:0",
+		slots:  defaultSlots,
+		quit:   make(chan struct{}),
+		lifted: make(chan struct{}),
+		counts: newCounts(),
+	}
+	for _, o := range opts {
+		o(e)
+	}
+	e.rng = rand.New(rand.NewPCG(e.faults.Seed, 0))
+	e.mux = e.routes()
+	return e
+}
+
+func (e *Endpoint) routes() *http.ServeMux {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /run/{service}", e.run)
+	m.HandleFunc("GET /probe", e.probe)
+	m.HandleFunc("GET /faults", e.showFaults)
+	m.HandleFunc("PUT /faults", e.orderFaults)
+	m.HandleFunc("DELETE /faults", e.clearFaults)
+	m.HandleFunc("GET /counts", e.showCounts)
+	m.HandleFunc("DELETE /counts", e.clearCounts)
+	m.HandleFunc("POST /cut", e.cut)
+	return m
+}
+
+// ServeHTTP serves requests, probes and orders.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// Start serves requests on one TCP port and orders on another one that stays
+// reachable while connections are refused. It returns a local.ErrListen.
+func (e *Endpoint) Start() error {
+	c, err := local.Listen("127.0.0.1:0", &http.Server{Handler: e}, nil)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.control = c
+	return e.listen()
+}
+
+// listen opens the port for requests unless it is open. The caller holds mu.
+func (e *Endpoint) listen() error {
+	if e.work != nil || e.faults.Refuse {
+		return nil
+	}
+	srv := &http.Server{Handler: e, ConnState: e.connState, ConnContext: withConn}
+	s, err := local.Listen(e.addr, srv, func(l net.Listener) net.Listener { return replayListener{l} })
+	if err != nil {
+		return err
+	}
+	e.work = s
+	e.addr = s.Addr()
+	return nil
+}
+
+// Addr returns the host and port for requests, which stay the same after Stop and
+// Resume.
+func (e *Endpoint) Addr() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.addr
+}
+
+// Control returns the base URL for orders and counts.
+func (e *Endpoint) Control() string { return e.control.URL() }
+
+// Stop closes the port for requests and cuts all connections to it, as an instance
+// that goes down does. Requests that are running keep their slots until they end.
+func (e *Endpoint) Stop() {
+	e.mu.Lock()
+	s := e.work
+	e.work = nil
+	e.mu.Unlock()
+	if s != nil {
+		s.Close()
+	}
+}
+
+// Resume opens the port for requests after Stop unless connections are refused by an
+// order. It returns a local.ErrListen.
+func (e *Endpoint) Resume() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listen()
+}
+
+// Close ends all requests without an answer, closes the ports and waits until they
+// are no longer served.
+func (e *Endpoint) Close() {
+	e.once.Do(func() { close(e.quit) })
+	e.Stop()
+	e.mu.Lock()
+	rest := e.old
+	if e.control != nil {
+		rest = append(rest, e.control)
+	}
+	e.mu.Unlock()
+	for _, s := range rest {
+		s.Close()
+	}
+}
+
+// cut closes all connections for requests; later ones are accepted again.
+func (e *Endpoint) cut(w http.ResponseWriter, _ *http.Request) {
+	e.Stop()
+	if err := e.Resume(); err != nil {
+		local.Fail(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/fake/endpt/replay.go
@@ -0,0 +1,55 @@
+package endpt
+
+import (
+	"net"
+	"sync"
+)
+
+// replayListener wraps the connections that it accepts.
+type replayListener struct{ net.Listener }
+
+// Accept returns the next connection as a *replayConn.
+func (l replayListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &replayConn{Conn: c}, nil
+}
+
+// replayConn can send the bytes of an answer a second time.
+type replayConn struct {
+	net.Conn
+	mu   sync.Mutex
+	keep bool
+	sent []byte
+}
+
+// record keeps the bytes that are written from now on.
+func (c *replayConn) record() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keep = true
+}
+
+// Write writes to the connection.
+func (c *replayConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.keep {
+		c.sent = append(c.sent, p...)
+	}
+	return c.Conn.Write(p)
+}
+
+// replay writes the kept bytes again and keeps no further ones.
+func (c *replayConn) replay() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.keep {
+		return
+	}
+	_, _ = c.Conn.Write(c.sent)
+	c.keep = false
+	c.sent = nil
+}
--- /dev/null
+++ b/internal/fake/endpt/run.go
@@ -0,0 +1,231 @@
+package endpt
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"chervilgauge.example/chervilgauge/internal/fake/local"
+)
+
+// maxBody is the largest accepted request body in bytes.
+const maxBody = 64 << 20
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// run serves one request. The body is read before a refusal, because closing a
+// connection with unread bytes could destroy the answer on its way.
+func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
+	e.arrive()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		local.Cut()
+	}
+	id := r.Header.Get("Request-Id")
+	if id == "" {
+		local.Fail(w, http.StatusBadRequest, "no Request-Id")
+		return
+	}
+	service := r.PathValue("service")
+	p, refused := e.begin(id, service)
+	if refused != "" {
+		e.refuse(w, id, refused)
+		return
+	}
+	p.Trailer = p.Trailer || r.URL.Query().Get("trailer") == "1"
+	if !e.execute(p) {
+		local.Cut()
+	}
+	if p.hit && p.Late {
+		e.hold(p)
+		defer e.release(w)
+	}
+	if p.hit && p.Double {
+		doubleAnswer(r)
+	}
+	if p.hit && p.Swap {
+		id += "-swapped"
+		body = append(body, "-swapped"...)
+	}
+	e.answer(w, p, service, id, body)
+}
+
+// begin takes a slot for a request, or returns the reason to refuse it.
+func (e *Endpoint) begin(id, service string) (p plan, refused string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := &e.counts
+	switch {
+	case e.services != nil && !e.services[service]:
+		refused = "service"
+	case e.faults.Leaving:
+		refused = "leaving"
+	case c.running >= e.slots:
+		refused = "slots"
+	}
+	if refused != "" {
+		c.refused[refused]++
+		return plan{}, refused
+	}
+	c.running++
+	c.maxRun = max(c.maxRun, c.running)
+	c.total++
+	c.runs[id]++
+	return e.plan(), ""
+}
+
+// execute lets the run time pass and returns the slot. It returns false if there
+// will be no answer.
+func (e *Endpoint) execute(p plan) bool {
+	defer func() {
+		e.mu.Lock()
+		e.counts.running--
+		e.mu.Unlock()
+	}()
+	if p.hit && p.Hang {
+		select {
+		case <-p.lifted:
+		case <-e.quit:
+		}
+		return false
+	}
+	if p.hit && p.Fail {
+		return true
+	}
+	return local.Pause(e.clk, local.Millis(p.Run), e.quit)
+}
+
+// hold waits until the next answer has been sent, unless an answer is held already.
+func (e *Endpoint) hold(p plan) {
+	e.mu.Lock()
+	if e.held != nil {
+		e.mu.Unlock()
+		return
+	}
+	held := make(chan struct{})
+	e.held = held
+	e.mu.Unlock()
+	select {
+	case <-held:
+		return
+	case <-p.lifted:
+	case <-e.quit:
+	}
+	e.mu.Lock()
+	if e.held == held {
+		e.held = nil
+	}
+	e.mu.Unlock()
+}
+
+// release sends what was written of an answer and frees the one that is held.
+func (e *Endpoint) release(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.held != nil {
+		close(e.held)
+		e.held = nil
+	}
+}
+
+// doubleAnswer lets the connection send the answer to a request twice.
+func doubleAnswer(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*replayConn); ok {
+		c.record()
+	}
+}
+
+func (e *Endpoint) probe(w http.ResponseWriter, _ *http.Request) {
+	e.markLeaving(w.Header())
+	w.WriteHeader(http.StatusOK)
+}
+
+// markLeaving announces in an answer that the endpoint is leaving.
+func (e *Endpoint) markLeaving(h http.Header) {
+	if e.Faults().Leaving {
+		h["Leaving"] = []string{"true"}
+	}
+}
+
+// refuse answers that a request did not run.
+func (e *Endpoint) refuse(w http.ResponseWriter, id, reason string) {
+	h := w.Header()
+	e.markLeaving(h)
+	h["Request-Id"] = []string{id}
+	h["Refused"] = []string{reason}
+	status := http.StatusServiceUnavailable
+	if reason == "service" {
+		status = http.StatusNotFound
+	}
+	w.WriteHeader(status)
+}
+
+// answer sends the answer with the faults of the plan.
+func (e *Endpoint) answer(w http.ResponseWriter, p plan, service, id string, request []byte) {
+	h := w.Header()
+	e.markLeaving(h)
+	body := Body(service, id, request, p.Size)
+	digest := Digest(body)
+	h["Request-Id"] = []string{id}
+	h["Content-Type"] = []string{"text/plain"}
+	if p.Trailer {
+		h["Trailer"] = []string{"Content-Digest"}
+	} else {
+		h["Content-Length"] = []string{strconv.Itoa(len(body))}
+		h["Content-Digest"] = []string{digest}
+	}
+	status := http.StatusOK
+	if p.hit && p.Fail {
+		status = http.StatusInternalServerError
+		h["Failed"] = []string{"true"}
+	}
+	w.WriteHeader(status)
+	if p.hit && p.Truncate {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		local.Cut()
+	}
+	if p.hit && p.Corrupt {
+		body[len(body)/2] ^= 1
+	}
+	_, _ = w.Write(body)
+	if p.Trailer {
+		h["Content-Digest"] = []string{digest}
+	}
+}
+
+// Body returns the body that answers a request: a line with the service, the id and
+// the SHA-256 of the request's body, followed by a repetition of that sum up to a
+// size in bytes.
+func Body(service, id string, request []byte, size int) []byte {
+	sum := sha256.Sum256(request)
+	text := hex.EncodeToString(sum[:])
+	b := make([]byte, 0, max(size, len(service)+len(id)+len(text)+16))
+	b = strconv.AppendQuote(b, service)
+	b = append(b, ' ')
+	b = strconv.AppendQuote(b, id)
+	b = append(b, ' ')
+	b = append(b, text...)
+	b = append(b, '\n')
+	for len(b) < size {
+		b = append(b, text[:min(len(text), size-len(b))]...)
+	}
+	return b
+}
+
+// Digest returns the value of the Content-Digest header of a body (RFC 9530).
+func Digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+}
--- /dev/null
+++ b/internal/fake/fleet/faults.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/fake/local"
+)
+
+// Faults are the orders that can be given to the list.
+type Faults struct {
+	// Lag is the age of the view that the list shows, in milliseconds.
+	Lag float64 `json:"lag"`
+	// Leave and Reboot are how long a rebooting instance is leaving and then down,
+	// in milliseconds.
+	Leave  float64 `json:"leave"`
+	Reboot float64 `json:"reboot"`
+	// Down answers reads of the list and reboots with 503 and without effect.
+	Down bool `json:"down"`
+	// Lose is the share of reboots, 0 to 1, that are done and whose connection is
+	// then cut without an answer.
+	Lose float64 `json:"lose"`
+	// Wrong holds the phases that the list shows instead of the true ones.
+	Wrong map[string]ports.Phase `json:"wrong"`
+	// Stuck names the instances that stay down after a reboot until their phase is
+	// set to live.
+	Stuck []string `json:"stuck"`
+	// Seed starts the sequence that decides which reboots lose their answers.
+	Seed uint64 `json:"seed"`
+}
+
+// clone returns a copy that shares no map or slice.
+func (o Faults) clone() Faults {
+	o.Wrong = maps.Clone(o.Wrong)
+	o.Stuck = slices.Clone(o.Stuck)
+	return o
+}
+
+// Faults returns the present orders.
+func (f *Fleet) Faults() Faults {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults.clone()
+}
+
+// SetFaults replaces the orders.
+func (f *Fleet) SetFaults(o Faults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o.Seed != f.faults.Seed {
+		f.rng = rand.New(rand.NewPCG(o.Seed, 0))
+	}
+	f.faults = o.clone()
+}
+
+// orderFaults changes the fields that the order holds. A map or list is replaced.
+func (f *Fleet) orderFaults(w http.ResponseWriter, r *http.Request) {
+	o := f.Faults()
+	wrong := o.Wrong
+	o.Wrong = nil
+	if !local.ReadOrder(w, r, &o) {
+		return
+	}
+	if o.Wrong == nil {
+		o.Wrong = wrong
+	}
+	f.SetFaults(o)
+	f.showFaults(w, r)
+}
+
+func (f *Fleet) clearFaults(w http.ResponseWriter, r *http.Request) {
+	f.SetFaults(Faults{})
+	f.showFaults(w, r)
+}
+
+func (f *Fleet) showFaults(w http.ResponseWriter, _ *http.Request) {
+	local.WriteJSON(w, http.StatusOK, f.Faults())
+}
--- /dev/null
+++ b/internal/fake/fleet/serve.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"net/http"
+	"slices"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/fake/local"
+)
+
+type listed struct {
+	Name  string      `json:"name"`
+	Phase ports.Phase `json:"phase"`
+	Boot  uint64      `json:"boot"`
+}
+
+func (f *Fleet) list(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	down := f.faults.Down
+	view := f.view()
+	f.mu.Unlock()
+	if down {
+		local.Fail(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	local.WriteJSON(w, http.StatusOK, view)
+}
+
+// view returns the state of a lag ago with the wrong phases that were ordered. The
+// caller holds mu.
+func (f *Fleet) view() []listed {
+	at := f.now() - local.Millis(f.faults.Lag)
+	view := make([]listed, 0, len(f.names))
+	for _, n := range f.names {
+		e := f.last(n, at)
+		if p, ok := f.faults.Wrong[n]; ok {
+			e.Phase = p
+		}
+		view = append(view, listed{n, e.Phase, e.Boot})
+	}
+	return view
+}
+
+// reboot orders a reboot: the instance is leaving at once, then down, then live with
+// the next boot number.
+func (f *Fleet) reboot(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	f.mu.Lock()
+	if f.faults.Down {
+		f.mu.Unlock()
+		local.Fail(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	if len(f.events[name]) == 0 {
+		f.mu.Unlock()
+		local.Fail(w, http.StatusNotFound, "no such instance")
+		return
+	}
+	if f.busy[name] {
+		f.mu.Unlock()
+		local.Fail(w, http.StatusConflict, "a reboot is under way")
+		return
+	}
+	f.begin(name)
+	lost := f.faults.Lose > 0 && f.rng.Float64() < f.faults.Lose
+	f.mu.Unlock()
+	if lost {
+		local.Cut()
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// begin starts a reboot. Both timers are subscribed before it returns, so that a
+// fake clock can be advanced right after. The caller holds mu.
+func (f *Fleet) begin(name string) {
+	f.busy[name] = true
+	e := f.record(name, ports.Leaving, f.last(name, f.now()).Boot)
+	leave := local.Millis(f.faults.Leave)
+	down := f.clk.After(leave)
+	live := f.clk.After(leave + local.Millis(f.faults.Reboot))
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		defer down.Close()
+		defer live.Close()
+		f.hook(name, e.Phase, e.Boot)
+		if f.step(down, name, ports.Down, e.Boot) {
+			f.step(live, name, ports.Live, e.Boot+1)
+		}
+		f.mu.Lock()
+		delete(f.busy, name)
+		f.mu.Unlock()
+	}()
+}
+
+// step waits for a timer and then lets an instance enter a phase. It returns false
+// if the fake is closed. An instance that is ordered not to come back stays down.
+func (f *Fleet) step(t *clock.Subscription, name string, p ports.Phase, boot uint64) bool {
+	select {
+	case <-t.C:
+	case <-f.quit:
+		return false
+	}
+	f.mu.Lock()
+	if p == ports.Live && slices.Contains(f.faults.Stuck, name) {
+		f.mu.Unlock()
+		return true
+	}
+	f.record(name, p, boot)
+	f.mu.Unlock()
+	f.hook(name, p, boot)
+	return true
+}
+
+// put sets the true phase of an instance, which is added if it is new. An instance
+// that becomes live after it was down has booted once more.
+func (f *Fleet) put(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Phase ports.Phase `json:"phase"`
+	}
+	if !local.ReadOrder(w, r, &o) {
+		return
+	}
+	if o.Phase != ports.Live && o.Phase != ports.Leaving && o.Phase != ports.Down {
+		local.Fail(w, http.StatusBadRequest, "phase is none of live, leaving, down")
+		return
+	}
+	e, ok := f.Set(r.PathValue("name"), o.Phase)
+	if !ok {
+		local.Fail(w, http.StatusConflict, "a reboot is under way")
+		return
+	}
+	local.WriteJSON(w, http.StatusOK, listed{e.Name, e.Phase, e.Boot})
+}
+
+// Set sets the true phase of an instance, which is added if it is new, and calls the
+// hook. It returns false if a reboot of the instance is under way.
+func (f *Fleet) Set(name string, p ports.Phase) (Event, bool) {
+	f.mu.Lock()
+	if f.busy[name] {
+		f.mu.Unlock()
+		return Event{}, false
+	}
+	boot := uint64(1)
+	if len(f.events[name]) == 0 {
+		f.names = append(f.names, name)
+	} else {
+		old := f.last(name, f.now())
+		boot = old.Boot
+		if p == ports.Live && old.Phase == ports.Down {
+			boot++
+		}
+	}
+	e := f.record(name, p, boot)
+	f.mu.Unlock()
+	f.hook(name, p, boot)
+	return e, true
+}
--- /dev/null
+++ b/internal/plat/endpt/conn.go
@@ -0,0 +1,46 @@
+package endpt
+
+import (
+	"net"
+	"sync"
+)
+
+// conn is a connection that can tell for certain that nothing was written since a
+// mark.
+type conn struct {
+	net.Conn
+	mu     sync.Mutex
+	count  uint64
+	sealed bool
+}
+
+// Write writes to the connection unless it is sealed. It returns net.ErrClosed if it
+// is. The count grows before the bytes are handed on, so that an unchanged count at
+// the time of sealing proves that no byte was and will be written.
+func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.count++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// writes returns the number of writes so far.
+func (c *conn) writes() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
+// seal closes the connection and returns whether nothing was written since the mark.
+func (c *conn) seal(mark uint64) (unwritten bool) {
+	c.mu.Lock()
+	c.sealed = true
+	unwritten = c.count == mark
+	c.mu.Unlock()
+	_ = c.Close()
+	return unwritten
+}
--- /dev/null
+++ b/internal/plat/stream/stream.go
@@ -0,0 +1,195 @@
+// Package stream implements ports.Log over the HTTP protocol of the platform's log.
+package stream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+)
+
+var (
+	// ErrBase is the class of base URLs that are not usable.
+	ErrBase = errs.Class("log base URL")
+	// errAnswer is the class of answers that break the protocol. It is wrapped in
+	// a ports.ErrLog.
+	errAnswer = errs.Class("malformed answer of the log")
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	// maxAnswer bounds the bytes of an answer that are read into memory.
+	maxAnswer = 64 << 20
+	// maxIdle is the number of idle connections kept: an entry tails up to 9
+	// streams and appends at the same time.
+	maxIdle = 16
+)
+
+// Client is a ports.Log. It makes exactly one attempt for each call.
+type Client struct {
+	base    *url.URL
+	http    http.Client
+	owned   *http.Transport
+	timeout time.Duration
+	name    string
+}
+
+var _ ports.Log = (*Client)(nil)
+
+// Option changes a Client at construction.
+type Option func(*Client)
+
+// WithHTTP sets the HTTP client. Its redirect policy is replaced, because a redirected
+// append would be a second attempt, and it is not closed by Close.
+func WithHTTP(h *http.Client) Option { return func(c *Client) { c.http = *h } }
+
+// WithTimeout bounds each call; a read may take this time on top of its wait.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// WithName sets the value of the Client header, by which the log tells its clients
+// apart.
+func WithName(name string) Option { return func(c *Client) { c.name = name } }
+
+// New returns a client of the log at a base URL such as http://10.0.0.1:9000. It
+// returns an ErrBase.
+func New(base string, opts ...Option) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, ErrBase.Wrap(err)
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return nil, ErrBase.New("%q is not an absolute HTTP URL", base)
+	}
+	c := &Client{base: u, timeout: defaultTimeout}
+	for _, o := range opts {
+		o(c)
+	}
+	if c.http.Transport == nil {
+		c.owned = &http.Transport{MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: time.Minute}
+		c.http.Transport = c.owned
+	}
+	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c, nil
+}
+
+// Close closes the idle connections unless the HTTP client was given by WithHTTP.
+func (c *Client) Close() {
+	if c.owned != nil {
+		c.owned.CloseIdleConnections()
+	}
+}
+
+// Append adds a record to the end of a stream and returns its offset. It returns a
+// ports.ErrThrottled if the log refused the record and a ports.ErrLog if the outcome
+// is unknown.
+func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	status, body, err := c.do(ctx, http.MethodPost, c.base.JoinPath("streams", url.PathEscape(stream)), data)
+	if err != nil {
+		return 0, err
+	}
+	if status == http.StatusTooManyRequests {
+		return 0, ports.ErrThrottled.New("stream %q", stream)
+	}
+	if status != http.StatusOK {
+		return 0, ports.ErrLog.New("append to stream %q: status %d", stream, status)
+	}
+	return parseOffset(body)
+}
+
+// Read returns up to limit records from an offset, and waits up to the given time if
+// there are none. It returns a ports.ErrRetention if the offset is no longer retained
+// and a ports.ErrLog if no valid answer arrives.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (ports.Batch, error) {
+	wait = max(wait, 0)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
+	u := c.base.JoinPath("streams", url.PathEscape(stream))
+	q := url.Values{"from": {strconv.FormatUint(from, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	if limit > 0 {
+		q.Set("limit", strconv.Itoa(limit))
+	}
+	u.RawQuery = q.Encode()
+	status, body, err := c.do(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return ports.Batch{}, err
+	}
+	switch status {
+	case http.StatusOK:
+		return parseBatch(body, from, limit)
+	case http.StatusGone:
+		return ports.Batch{}, ports.ErrRetention.New("stream %q, offset %d", stream, from)
+	}
+	return ports.Batch{}, ports.ErrLog.New("read of stream %q: status %d", stream, status)
+}
+
+// do makes one attempt and reads the whole answer.
+func (c *Client) do(ctx context.Context, method string, u *url.URL, data []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(data))
+	if err != nil {
+		return 0, nil, ports.ErrLog.Wrap(err)
+	}
+	// Without GetBody the transport can't replay an append.
+	req.GetBody = nil
+	if c.name != "" {
+		req.Header.Set("Client", c.name)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, ports.ErrLog.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, ports.ErrLog.Wrap(err)
+	}
+	return resp.StatusCode, body, nil
+}
+
+// parseOffset parses the answer to an append.
+func parseOffset(body []byte) (uint64, error) {
+	var a struct {
+		Offset uint64 `json:"offset"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return 0, ports.ErrLog.Wrap(errAnswer.Wrap(err))
+	}
+	if a.Offset == 0 {
+		return 0, ports.ErrLog.Wrap(errAnswer.New("append answered without an offset"))
+	}
+	return a.Offset, nil
+}
+
+// parseBatch parses the answer to a read. The records must be those from the offset
+// on without a gap, no more than limit if that is positive, and end at or before next.
+func parseBatch(body []byte, from uint64, limit int) (ports.Batch, error) {
+	var a struct {
+		First uint64       `json:"first"`
+		Next  uint64       `json:"next"`
+		Items []ports.Item `json:"items"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return ports.Batch{}, ports.ErrLog.Wrap(errAnswer.Wrap(err))
+	}
+	if a.First == 0 || a.Next < a.First {
+		return ports.Batch{}, ports.ErrLog.Wrap(errAnswer.New("first %d, next %d", a.First, a.Next))
+	}
+	if limit > 0 && len(a.Items) > limit {
+		return ports.Batch{}, ports.ErrLog.Wrap(errAnswer.New("%d records, limit %d", len(a.Items), limit))
+	}
+	for i, it := range a.Items {
+		if it.Offset != from+uint64(i) || it.Offset < a.First || it.Offset >= a.Next {
+			return ports.Batch{}, ports.ErrLog.Wrap(errAnswer.New("record %d of the read from %d has offset %d", i, from, it.Offset))
+		}
+	}
+	return ports.Batch{Items: a.Items, First: a.First, Next: a.Next}, nil
+}
