--- /dev/null
+++ b/internal/flow/share/safety_test.go
@@ -0,0 +1,250 @@
+package share
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
+)
+
+const maxRun = 3 * time.Second
+
+// run is one run of an entry in the random histories.
+type run struct {
+	Member
+	h       *Holder
+	c       *Custodian
+	applied int
+	// stopped is set when the run sends no new work: it was paused, cut off or died.
+	stopped bool
+	left    bool
+	// force is the limit in force at the traffic side and starts the start times
+	// of the requests in flight, by instance.
+	force  map[string]int
+	starts map[string][]time.Duration
+}
+
+// packet is an ask or a reply on its way.
+type packet struct {
+	from, to *run
+	ask      *peerpb.SlotAsk
+	reply    *peerpb.SlotReply
+}
+
+// world is a fleet of entries with a log of member records and a lossy network.
+type world struct {
+	now     time.Duration
+	log     []View
+	runs    []*run
+	net     []packet
+	targets map[string]int
+	next    uint64
+}
+
+func newWorld(n int) *world {
+	w := &world{targets: map[string]int{"i0": 8, "i1": 3, "i2": 5}, log: []View{{}}}
+	for i := range n {
+		w.join(fmt.Sprintf("e%d", i))
+	}
+	return w
+}
+
+func (w *world) view() View {
+	v := w.log[len(w.log)-1]
+	v.Epoch++
+	v.Active = slices.Clone(v.Active)
+	v.Evicted = slices.Clone(v.Evicted)
+	v.Fenced = slices.Clone(v.Fenced)
+	return v
+}
+
+func (w *world) join(name string) {
+	w.next++
+	r := &run{
+		Member: Member{name, w.next},
+		h:      NewHolder(name, w.next),
+		c:      NewCustodian(name, maxRun),
+		force:  map[string]int{},
+		starts: map[string][]time.Duration{},
+	}
+	w.runs = append(w.runs, r)
+	v := w.view()
+	v.Active = append(v.Active, r.Member)
+	w.log = append(w.log, v)
+}
+
+// find returns the run that is reached under the name.
+func (w *world) find(name string) *run {
+	for _, r := range slices.Backward(w.runs) {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+func (w *world) apply(r *run) {
+	if r.left || r.applied+1 >= len(w.log) {
+		return
+	}
+	r.applied++
+	v := w.log[r.applied]
+	r.h.Epoch(v, w.targets)
+	r.c.Epoch(w.now, v, w.targets)
+}
+
+// enforce puts the limits in force and confirms them with the requests in flight.
+func (w *world) enforce(r *run) {
+	for name := range w.targets {
+		r.force[name] = r.h.Limit(name)
+		r.h.InFlight(name, len(r.starts[name]))
+	}
+}
+
+func (w *world) send(r *run) {
+	for name, a := range r.h.Asks() {
+		if to := w.find(name); to != nil {
+			w.net = append(w.net, packet{from: r, to: to, ask: a})
+		}
+	}
+}
+
+func (w *world) deliver(i int, keep bool) {
+	p := w.net[i]
+	if !keep {
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+	if p.ask != nil {
+		w.net = append(w.net, packet{from: p.to, to: p.from, reply: p.to.c.Answer(w.now, p.ask)})
+		return
+	}
+	p.to.h.Take(p.from.Name, p.reply)
+}
+
+// leave ends a run gracefully: its last request has ended before the record.
+func (w *world) leave(r *run) {
+	r.left = true
+	clear(r.force)
+	clear(r.starts)
+	v := w.view()
+	v.Active = slices.DeleteFunc(v.Active, func(m Member) bool { return m == r.Member })
+	w.log = append(w.log, v)
+}
+
+func (w *world) evict(m Member) {
+	v := w.view()
+	v.Active = slices.DeleteFunc(v.Active, func(x Member) bool { return x == m })
+	v.Evicted = append(v.Evicted, m)
+	w.log = append(w.log, v)
+}
+
+func (w *world) fence() {
+	v := w.view()
+	if len(v.Evicted) == 0 {
+		return
+	}
+	m := v.Evicted[0]
+	for _, r := range w.runs {
+		if r.Member == m {
+			r.stopped = true // The view lease ends before a fence.
+		}
+	}
+	v.Evicted = v.Evicted[1:]
+	v.Fenced = append(v.Fenced, Fence{m, w.now})
+	w.log = append(w.log, v)
+}
+
+// check fails if more slots of an endpoint are usable or in use than it has.
+func (w *world) check(t *rapid.T, step string) {
+	for name, slots := range w.targets {
+		sum := 0
+		var who []string
+		for _, r := range w.runs {
+			n := len(r.starts[name])
+			if !r.stopped && !r.left {
+				n = max(n, r.force[name], r.h.Limit(name))
+			}
+			sum += n
+			who = append(who, fmt.Sprintf("%s.%d:%d", r.Name, r.Incarnation, n))
+		}
+		assert.Assert(t, sum <= slots, "after %s at %v: %d of %d slots of %s: %v", step, w.now, sum, slots, name, who)
+	}
+}
+
+func (w *world) work(r *run, name string, n int) {
+	if n == 0 && len(r.starts[name]) > 0 {
+		r.starts[name] = r.starts[name][1:]
+		return
+	}
+	for range n {
+		if !r.stopped && !r.left && len(r.starts[name]) < r.force[name] {
+			r.starts[name] = append(r.starts[name], w.now)
+		}
+	}
+}
+
+func (w *world) pass(d time.Duration) {
+	w.now += d
+	for _, r := range w.runs {
+		for name, s := range r.starts {
+			r.starts[name] = slices.DeleteFunc(s, func(at time.Duration) bool { return w.now >= at+maxRun })
+		}
+	}
+}
+
+// Guards against more slots in use than an endpoint has, under lost, delayed,
+// reordered and doubled messages, entries that die, pause, leave, join and are
+// fenced, and custodians that change or lag behind the members' records.
+func TestNeverOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(2, 4).Draw(t, "entries"))
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			w.check(t, w.step(t))
+		}
+	})
+}
+
+func (w *world) step(t *rapid.T) string {
+	r := w.runs[rapid.IntRange(0, len(w.runs)-1).Draw(t, "run")]
+	name := fmt.Sprintf("i%d", rapid.IntRange(0, 2).Draw(t, "instance"))
+	step := rapid.IntRange(0, 40).Draw(t, "step")
+	switch {
+	case step < 4:
+		w.apply(r)
+	case step < 7:
+		w.enforce(r)
+	case step < 10:
+		r.h.Want(name, rapid.IntRange(0, 9).Draw(t, "want"))
+	case step < 16:
+		w.send(r)
+	case step < 28:
+		if len(w.net) > 0 {
+			i := rapid.IntRange(0, len(w.net)-1).Draw(t, "packet")
+			w.deliver(i, rapid.IntRange(0, 4).Draw(t, "keep") == 0)
+		}
+	case step < 34:
+		w.work(r, name, rapid.IntRange(0, 4).Draw(t, "work"))
+	case step < 36:
+		w.pass(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+	case step == 36:
+		w.join(fmt.Sprintf("e%d", rapid.IntRange(4, 6).Draw(t, "name")))
+	case step == 37:
+		if !r.left && !r.stopped && slices.Contains(w.log[len(w.log)-1].Active, r.Member) {
+			w.leave(r)
+		}
+	case step == 38:
+		if slices.Contains(w.log[len(w.log)-1].Active, r.Member) {
+			w.evict(r.Member)
+		}
+	case step == 39:
+		w.fence()
+	case step == 40:
+		w.targets[name] = max(w.targets[name], rapid.IntRange(1, 9).Draw(t, "slots"))
+	}
+	return fmt.Sprintf("step %d of %s.%d", step, r.Name, r.Incarnation)
+}
