--- a/internal/core/ports/log.go
+++ b/internal/core/ports/log.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -16,10 +17,20 @@
 	// ErrThrottled is the class of appends that the log refused because of its rate
 	// limit. The record is not in the log.
 	ErrThrottled = errs.Class("log throttled")
-	// ErrRetention is the class of reads from an offset that is no longer retained.
-	ErrRetention = errs.Class("offset not retained")
 )
 
+// RetentionError says that the offset of a read is no longer retained.
+type RetentionError struct {
+	Stream string
+	From   uint64
+	// First is the lowest offset that is still retained.
+	First uint64
+}
+
+func (e *RetentionError) Error() string {
+	return fmt.Sprintf("stream %q retains records from offset %d, not from %d", e.Stream, e.First, e.From)
+}
+
 // Item is one record of a stream.
 type Item struct {
 	// Offset is the position in the stream. The first record has offset 1.
@@ -43,7 +54,7 @@
 	// an ErrThrottled if the record was refused and an ErrLog if the outcome is unknown.
 	Append(ctx context.Context, stream string, data []byte) (uint64, error)
 	// Read returns up to limit records from an offset. If there are none it waits up
-	// to the given time for one. It returns an ErrRetention if the offset is lower
-	// than the first one retained, and an ErrLog if the log can't be reached.
+	// to the given time for one. It returns a *RetentionError if the offset is
+	// lower than the first one retained, and an ErrLog if the log can't be reached.
 	Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Batch, error)
 }
--- a/internal/plat/stream/stream.go
+++ b/internal/plat/stream/stream.go
@@ -107,7 +107,7 @@
 }
 
 // Read returns up to limit records from an offset, and waits up to the given time if
-// there are none. It returns a ports.ErrRetention if the offset is no longer retained
+// there are none. It returns a *ports.RetentionError if the offset is no longer retained
 // and a ports.ErrLog if no valid answer arrives.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (ports.Batch, error) {
 	wait = max(wait, 0)
@@ -127,7 +127,7 @@
 	case http.StatusOK:
 		return parseBatch(body, from, limit)
 	case http.StatusGone:
-		return ports.Batch{}, ports.ErrRetention.New("stream %q, offset %d", stream, from)
+		return ports.Batch{}, parseRetention(body, stream, from)
 	}
 	return ports.Batch{}, ports.ErrLog.New("read of stream %q: status %d", stream, status)
 }
@@ -169,6 +169,20 @@
 	return a.Offset, nil
 }
 
+// parseRetention parses the answer to a read of an offset that is not retained.
+func parseRetention(body []byte, stream string, from uint64) error {
+	var a struct {
+		First uint64 `json:"first"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return ports.ErrLog.Wrap(errAnswer.Wrap(err))
+	}
+	if a.First <= from {
+		return ports.ErrLog.Wrap(errAnswer.New("first %d, but offset %d is not retained", a.First, from))
+	}
+	return &ports.RetentionError{Stream: stream, From: from, First: a.First}
+}
+
 // parseBatch parses the answer to a read. The records must be those from the offset
 // on without a gap, no more than limit if that is positive, and end at or before next.
 func parseBatch(body []byte, from uint64, limit int) (ports.Batch, error) {
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -94,6 +94,10 @@
 
 func (h *handler) call(c echo.Context) error {
 	call, bad := h.parse(c)
+	if bad != nil && call.Repeated {
+		// An earlier ask with the same id may have run.
+		return problem(c, bad.status, outcomeUnknown, bad.reason, 0)
+	}
 	if bad != nil {
 		return refuse(c, bad.status, bad.reason, 0)
 	}
--- a/internal/serve/caller/parse.go
+++ b/internal/serve/caller/parse.go
@@ -39,7 +39,8 @@
 
 func bad(reason flows.Reason) *badCall { return &badCall{http.StatusBadRequest, reason} }
 
-// parse reads everything about a call, the body last.
+// parse reads everything about a call, the body last. The call is returned with a
+// refusal too, because what it says depends on the attempt number.
 func (h *handler) parse(c echo.Context) (*flows.Call, *badCall) {
 	head := c.Request().Header
 	call := &flows.Call{
@@ -56,11 +57,11 @@
 		call.Kind = defaultKind
 	}
 	if len(call.Service) > maxName || len(call.Team) > maxName {
-		return nil, bad("bad-name")
+		return call, bad("bad-name")
 	}
-	for _, step := range []func(*flows.Call, http.Header) *badCall{h.timeout, urgency, attempt, h.identity} {
+	for _, step := range []func(*flows.Call, http.Header) *badCall{attempt, h.timeout, urgency, h.identity} {
 		if b := step(call, head); b != nil {
-			return nil, b
+			return call, b
 		}
 	}
 	return call, h.body(call, c.Request())
--- /dev/null
+++ b/internal/serve/claims/outcome.go
@@ -0,0 +1,91 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"chervilgauge.example/chervilgauge/internal/flow/claim"
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
+)
+
+// Outcome asks the holder of a claim what became of the request.
+func (s *Service) Outcome(ctx context.Context, id claim.ID, h claim.Head) flows.Reply {
+	ctx, span := s.Tracer.Start(ctx, "outcome", trace.WithAttributes(attribute.String("holder", h.Holder)))
+	defer span.End()
+	ask := &peerpb.OutcomeAsk{Id: id[:], Token: h.Token, Incarnation: h.Incarnation, Wait: waitOf(ctx)}
+	if h.Holder == s.Self.Name {
+		return replyOf(s.AnswerOutcome(ctx, ask))
+	}
+	m, ok := s.Member(h.Holder)
+	if !ok || m.Incarnation != h.Incarnation {
+		return flows.Reply{State: flows.ReplyLost}
+	}
+	r, err := s.Peers.To(ctx, m.Addr).Outcome(ctx, ask)
+	if err != nil {
+		return flows.Reply{State: flows.ReplyLost}
+	}
+	return replyOf(r)
+}
+
+// waitOf returns how long a holder may wait, in milliseconds, so that its answer
+// arrives before the end of the context.
+func waitOf(ctx context.Context) uint32 {
+	wait := outcomeWait
+	if end, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(end)*4/5)
+	}
+	return uint32(max(wait, 0).Milliseconds())
+}
+
+// AnswerOutcome tells what became of an attempt of this entry. An attempt of an
+// earlier incarnation is lost.
+func (s *Service) AnswerOutcome(ctx context.Context, a *peerpb.OutcomeAsk) *peerpb.OutcomeReply {
+	unknown := &peerpb.OutcomeReply{State: peerpb.OutcomeReply_UNKNOWN}
+	if a.GetIncarnation() != s.Self.Incarnation {
+		return unknown
+	}
+	attempt, ok := s.Attempts.Find(a.GetToken())
+	if !ok {
+		return unknown
+	}
+	s.await(ctx, attempt, time.Duration(a.GetWait())*time.Millisecond)
+	phase, o := attempt.State()
+	switch phase {
+	case claim.Void:
+		return &peerpb.OutcomeReply{State: peerpb.OutcomeReply_VOID}
+	case claim.Done:
+		if o.Unknown {
+			return unknown
+		}
+		return &peerpb.OutcomeReply{
+			State: peerpb.OutcomeReply_DONE, Status: uint32(o.Status), Kind: o.Kind, Body: o.Body}
+	}
+	return &peerpb.OutcomeReply{State: peerpb.OutcomeReply_RUNNING}
+}
+
+func (s *Service) await(ctx context.Context, a *claim.Attempt, wait time.Duration) {
+	sub := s.Clock.After(min(wait, outcomeWait))
+	defer sub.Close()
+	select {
+	case <-a.Ended():
+	case <-sub.C:
+	case <-ctx.Done():
+	}
+}
+
+func replyOf(r *peerpb.OutcomeReply) flows.Reply {
+	switch r.GetState() {
+	case peerpb.OutcomeReply_RUNNING:
+		return flows.Reply{State: flows.ReplyRunning}
+	case peerpb.OutcomeReply_VOID:
+		return flows.Reply{State: flows.ReplyVoid}
+	case peerpb.OutcomeReply_DONE:
+		return flows.Reply{State: flows.ReplyDone, Outcome: claim.Outcome{
+			Status: int(r.GetStatus()), Kind: r.GetKind(), Body: r.GetBody()}}
+	}
+	return flows.Reply{State: flows.ReplyLost}
+}
