--- a/internal/fleet/state/apply.go
+++ b/internal/fleet/state/apply.go
@@ -50,7 +50,7 @@
 	if v.Reason == Malformed {
 		s.skipped.Malformed++
 	}
-	s.ids = s.ids.remember(id, &Seen{offset, v})
+	s.ids = s.ids.remember(&Seen{id, offset, v})
 	return v
 }
 
@@ -67,7 +67,7 @@
 		return old.Verdict.repeated(old.Offset)
 	}
 	v := s.body(offset, r)
-	s.changes = s.changes.remember(id, &Seen{offset, v})
+	s.changes = s.changes.remember(&Seen{id, offset, v})
 	return v
 }
 
--- a/internal/fleet/state/instances.go
+++ b/internal/fleet/state/instances.go
@@ -105,6 +105,8 @@
 	return &n
 }
 
+func (i *Instance) key() string { return i.Name }
+
 func (i *Instance) code(c *coder) {
 	c.str(&i.Name)
 	c.u64(&i.Version)
@@ -206,7 +208,7 @@
 	return accepted
 }
 
-func (s *State) setInstance(i *Instance) { s.instances = s.instances.set(i.Name, i) }
+func (s *State) setInstance(i *Instance) { s.instances = s.instances.set(i) }
 
 func (s *State) health(offset uint64, r *recpb.Health) Verdict {
 	i, ok := s.instances.get(r.GetName())
--- a/internal/fleet/state/jobs.go
+++ b/internal/fleet/state/jobs.go
@@ -76,6 +76,8 @@
 	return &n
 }
 
+func (j *Job) key() string { return j.Name }
+
 func (j *Job) code(c *coder) {
 	c.str(&j.Name)
 	c.u64(&j.Version)
@@ -127,7 +129,7 @@
 	return accepted
 }
 
-func (s *State) setJob(j *Job) { s.jobs = s.jobs.set(j.Name, j) }
+func (s *State) setJob(j *Job) { s.jobs = s.jobs.set(j) }
 
 // endJob stores an ended job and drops the one that ended first if too many are kept.
 func (s *State) endJob(j *Job) {
--- a/internal/fleet/state/members.go
+++ b/internal/fleet/state/members.go
@@ -44,6 +44,8 @@
 	return &n
 }
 
+func (m *Member) key() string { return m.Name }
+
 func (m *Member) code(c *coder) {
 	m.Incarnation.code(c)
 	c.str(&m.Addr)
@@ -84,7 +86,7 @@
 }
 
 func (s *State) setMember(offset uint64, m *Member) {
-	s.members = s.members.set(m.Name, m)
+	s.members = s.members.set(m)
 	s.epoch = offset
 }
 
--- a/internal/fleet/state/memory.go
+++ b/internal/fleet/state/memory.go
@@ -7,13 +7,18 @@
 
 // Seen is what is remembered of a record or of an operator's change.
 type Seen struct {
+	// ID is the id of the record or of the change.
+	ID string
 	// Offset is the offset of the first record.
 	Offset uint64
 	// Verdict is the verdict of the first record.
 	Verdict Verdict
 }
 
+func (v *Seen) key() string { return v.ID }
+
 func (v *Seen) code(c *coder) {
+	c.str(&v.ID)
 	c.u64(&v.Offset)
 	v.Verdict.code(c)
 }
@@ -26,10 +31,10 @@
 	order tree[uint64, string]
 }
 
-// remember returns the memory with an id added.
-func (m memory) remember(id string, v *Seen) memory {
-	m.table = m.set(id, v)
-	m.order = m.order.with(v.Offset, id)
+// remember returns the memory with a verdict added.
+func (m memory) remember(v *Seen) memory {
+	m.table = m.set(v)
+	m.order = m.order.with(v.Offset, v.ID)
 	if m.order.size > maxSeen {
 		offset, old, _ := m.order.first()
 		m.order = m.order.without(offset)
--- a/internal/fleet/state/pools.go
+++ b/internal/fleet/state/pools.go
@@ -14,6 +14,8 @@
 	Spare bool
 }
 
+func (p *Pool) key() string { return p.Name }
+
 func (p *Pool) code(c *coder) {
 	c.str(&p.Name)
 	c.u64(&p.Version)
@@ -32,6 +34,8 @@
 	Weight uint32
 }
 
+func (v *Service) key() string { return v.Name }
+
 func (v *Service) code(c *coder) {
 	c.str(&v.Name)
 	c.u64(&v.Version)
@@ -48,6 +52,8 @@
 	Quota uint32
 }
 
+func (t *Team) key() string { return t.Name }
+
 func (t *Team) code(c *coder) {
 	c.str(&t.Name)
 	c.u64(&t.Version)
@@ -87,7 +93,7 @@
 	if !p.Budget.Valid() {
 		return refused(BadBudget)
 	}
-	s.pools = s.pools.set(p.Name, p)
+	s.pools = s.pools.set(p)
 	return accepted
 }
 
@@ -146,7 +152,7 @@
 		return refused(BadWeight)
 	}
 	v := &Service{Name: r.GetName(), Version: offset, Pool: r.GetPool(), Weight: r.GetWeight()}
-	s.services = s.services.set(v.Name, v)
+	s.services = s.services.set(v)
 	return accepted
 }
 
@@ -168,7 +174,7 @@
 		return refused(BadWeight)
 	}
 	t := &Team{Name: r.GetName(), Version: offset, Weight: r.GetWeight(), Quota: r.GetQuota()}
-	s.teams = s.teams.set(t.Name, t)
+	s.teams = s.teams.set(t)
 	return accepted
 }
 
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -6,6 +6,8 @@
 
 	"chervilgauge.example/chervilgauge/internal/fleet/budget"
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
 	"gotest.tools/v3/assert"
 )
 
@@ -18,7 +20,7 @@
 
 func newStream(t testing.TB) *stream { return &stream{t: t, s: New()} }
 
-func (c *stream) apply(body any) Verdict {
+func (c *stream) apply(body proto.Message) Verdict {
 	c.t.Helper()
 	c.at++
 	r := record(c.at, body)
@@ -27,65 +29,25 @@
 	return v
 }
 
-func (c *stream) accept(body any) uint64 {
+func (c *stream) accept(body proto.Message) uint64 {
 	c.t.Helper()
 	assert.Equal(c.t, c.apply(body), accepted)
 	return c.at
 }
 
-func (c *stream) refuse(body any, why Reason) {
+func (c *stream) refuse(body proto.Message, why Reason) {
 	c.t.Helper()
 	assert.Equal(c.t, c.apply(body), refused(why))
 }
 
-func record(id uint64, body any) *recpb.Record {
-	r := &recpb.Record{Id: make([]byte, idLen), Schema: Schema}
-	binary.BigEndian.PutUint64(r.Id, id)
-	switch b := body.(type) {
-	case *recpb.Pool:
-		r.Body = &recpb.Record_Pool{Pool: b}
-	case *recpb.Service:
-		r.Body = &recpb.Record_Service{Service: b}
-	case *recpb.Team:
-		r.Body = &recpb.Record_Team{Team: b}
-	case *recpb.Instance:
-		r.Body = &recpb.Record_Instance{Instance: b}
-	case *recpb.Join:
-		r.Body = &recpb.Record_Join{Join: b}
-	case *recpb.Leave:
-		r.Body = &recpb.Record_Leave{Leave: b}
-	case *recpb.Evict:
-		r.Body = &recpb.Record_Evict{Evict: b}
-	case *recpb.Fence:
-		r.Body = &recpb.Record_Fence{Fence: b}
-	case *recpb.Health:
-		r.Body = &recpb.Record_Health{Health: b}
-	case *recpb.Drain:
-		r.Body = &recpb.Record_Drain{Drain: b}
-	case *recpb.Drained:
-		r.Body = &recpb.Record_Drained{Drained: b}
-	case *recpb.Restart:
-		r.Body = &recpb.Record_Restart{Restart: b}
-	case *recpb.Back:
-		r.Body = &recpb.Record_Back{Back: b}
-	case *recpb.Moved:
-		r.Body = &recpb.Record_Moved{Moved: b}
-	case *recpb.Cancel:
-		r.Body = &recpb.Record_Cancel{Cancel: b}
-	case *recpb.Wave:
-		r.Body = &recpb.Record_Wave{Wave: b}
-	case *recpb.Step:
-		r.Body = &recpb.Record_Step{Step: b}
-	case *recpb.Lease:
-		r.Body = &recpb.Record_Lease{Lease: b}
-	case *recpb.Job:
-		r.Body = &recpb.Record_Job{Job: b}
-	case *recpb.Placed:
-		r.Body = &recpb.Record_Placed{Placed: b}
-	case *recpb.Ended:
-		r.Body = &recpb.Record_Ended{Ended: b}
-	case *recpb.Snapshot:
-		r.Body = &recpb.Record_Snapshot{Snapshot: b}
+// record wraps a body in a record by the field of the oneof that has its type.
+func record(id uint64, body proto.Message) *recpb.Record {
+	r := &recpb.Record{Id: binary.BigEndian.AppendUint64(make([]byte, 8), id), Schema: Schema}
+	fields := r.ProtoReflect().Descriptor().Oneofs().ByName("body").Fields()
+	for at := range fields.Len() {
+		if fields.Get(at).Message() == body.ProtoReflect().Descriptor() {
+			r.ProtoReflect().Set(fields.Get(at), protoreflect.ValueOfMessage(body.ProtoReflect()))
+		}
 	}
 	return r
 }
--- a/internal/fleet/state/tree.go
+++ b/internal/fleet/state/tree.go
@@ -80,6 +80,11 @@
 	return key, val, ok
 }
 
+// all iterates over the entries in the order of their keys.
+func (t tree[K, V]) all() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) { t.root.each(yield) }
+}
+
 // values iterates over the values in the order of their keys.
 func (t tree[K, V]) values() iter.Seq[V] {
 	return func(yield func(V) bool) {
@@ -121,6 +126,28 @@
 	return n.rank > o.rank || n.rank == o.rank && n.key < o.key
 }
 
+// build returns the tree of sorted keys. It makes the same tree as adding them one
+// by one, in linear time and without copies. The stack holds the right edge.
+func build[K cmp.Ordered, V any](keys []K, vals []V) tree[K, V] {
+	var edge []*node[K, V]
+	for at, key := range keys {
+		n := &node[K, V]{key: key, val: vals[at], rank: rankOf(key)}
+		for len(edge) > 0 && n.above(edge[len(edge)-1]) {
+			n.left = edge[len(edge)-1]
+			edge = edge[:len(edge)-1]
+		}
+		if len(edge) > 0 {
+			edge[len(edge)-1].right = n
+		}
+		edge = append(edge, n)
+	}
+	t := tree[K, V]{size: len(keys)}
+	if len(edge) > 0 {
+		t.root = edge[0]
+	}
+	return t
+}
+
 // rotateRight makes the left child the root. Both nodes must be fresh copies.
 func (n *node[K, V]) rotateRight() *node[K, V] {
 	l := n.left
@@ -166,8 +193,11 @@
 	return &m
 }
 
-// coded is a value with a canonical encoding.
-type coded interface{ code(*coder) }
+// coded is an object with a name and a canonical encoding, which includes the name.
+type coded interface {
+	key() string
+	code(*coder)
+}
 
 // table is a tree of objects by name with the sum of the hashes of their canonical
 // encodings. The sum makes the state hash independent of the size of the table.
@@ -177,12 +207,12 @@
 }
 
 // set returns the table with an object set.
-func (t table[V]) set(name string, v V) table[V] {
-	if old, ok := t.get(name); ok {
-		t.sum -= sumOf(name, old)
+func (t table[V]) set(v V) table[V] {
+	if old, ok := t.get(v.key()); ok {
+		t.sum -= sumOf(old)
 	}
-	t.sum += sumOf(name, v)
-	t.tree = t.with(name, v)
+	t.sum += sumOf(v)
+	t.tree = t.with(v.key(), v)
 	return t
 }
 
@@ -192,16 +222,15 @@
 	if !ok {
 		return t
 	}
-	t.sum -= sumOf(name, old)
+	t.sum -= sumOf(old)
 	t.tree = t.without(name)
 	return t
 }
 
-// sumOf hashes the canonical encoding of an object and its name.
-func sumOf(name string, v coded) uint64 {
+// sumOf hashes the canonical encoding of an object.
+func sumOf(v coded) uint64 {
 	var buf [256]byte
 	c := coder{buf: buf[:0]}
-	c.str(&name)
 	v.code(&c)
 	return xxhash.Sum64(c.buf)
 }
--- a/internal/fleet/state/verdict.go
+++ b/internal/fleet/state/verdict.go
@@ -152,8 +152,12 @@
 	return fmt.Sprintf("change %s", v.Kind)
 }
 
-// repeated returns the verdict of a repeated change whose first verdict is v.
+// repeated returns the verdict of a repeated change whose first verdict is v. The
+// repetition of a duplicate names the same first record as the duplicate.
 func (v Verdict) repeated(first uint64) Verdict {
+	if v.Kind == Duplicate {
+		return v
+	}
 	v.First, v.Of, v.Kind = first, v.Kind, Duplicate
 	return v
 }
--- a/internal/fleet/state/waves.go
+++ b/internal/fleet/state/waves.go
@@ -129,6 +129,8 @@
 	return &n
 }
 
+func (w *Wave) key() string { return w.Name }
+
 func (w *Wave) code(c *coder) {
 	c.str(&w.Name)
 	c.u64(&w.Version)
@@ -197,7 +199,7 @@
 	return accepted
 }
 
-func (s *State) setWave(w *Wave) { s.waves = s.waves.set(w.Name, w) }
+func (s *State) setWave(w *Wave) { s.waves = s.waves.set(w) }
 
 // startWave starts a wave under a new name or that of a finished wave without grants.
 func (s *State) startWave(offset uint64, old *Wave, r *recpb.Wave) Verdict {
