--- a/internal/flow/admit/configure.go
+++ b/internal/flow/admit/configure.go
@@ -7,11 +7,11 @@
 // memory. Unless listed itself, the empty name has weight 1 and a guaranteed share of one
 // slot. The same holds for services and teams that are no longer listed but have tickets.
 func (q *Queue) Configure(services, teams map[string]Share) {
-	for name, g := range q.groups {
-		_, g.listed = teams[name]
+	for name := range q.groups {
+		q.setGroup(name, Share{}, false)
 	}
-	for name, s := range q.services {
-		_, s.listed = services[name]
+	for name := range q.services {
+		q.setService(name, Share{}, false)
 	}
 	for name, sh := range teams {
 		q.setGroup(name, sh, true)
@@ -19,12 +19,6 @@
 	for name, sh := range services {
 		q.setService(name, sh, true)
 	}
-	if _, ok := teams[""]; !ok {
-		q.setGroup("", Share{}, false)
-	}
-	if _, ok := services[""]; !ok {
-		q.setService("", Share{}, false)
-	}
 	q.prune()
 	q.rebuild()
 }
@@ -129,7 +123,7 @@
 	for _, s := range q.services {
 		s.setShare(float64(q.slots), total)
 		s.limit = max(1, int(s.divide(float64(q.opt.maxWaiting), total)))
-		q.unclaimed += max(s.guarantee-s.running, 0)
+		q.unclaimed += s.unclaimed()
 		s.active = 0
 		for _, tm := range s.teams {
 			tm.weight = tm.group.weight
@@ -137,8 +131,9 @@
 			if tm.waiting > 0 {
 				s.active += tm.weight
 			}
-			q.refresh(tm)
+			tm.refresh()
 		}
+		q.refreshService(s)
 	}
 }
 
--- a/internal/flow/admit/queue.go
+++ b/internal/flow/admit/queue.go
@@ -13,7 +13,7 @@
 	expiry   expiryHeap
 	slots    int
 	running  int
-	// unclaimed is the number of guaranteed slots that their services do not use.
+	// unclaimed is the number of guaranteed slots that the listed services do not use.
 	unclaimed int
 	seq       uint64
 }
@@ -36,7 +36,9 @@
 		services: map[string]*service{},
 		groups:   map[string]*group{},
 	}
-	q.Configure(nil, nil)
+	q.setGroup("", Share{}, false)
+	q.setService("", Share{}, false)
+	q.rebuild()
 	return q
 }
 
@@ -165,9 +167,9 @@
 func (q *Queue) use(l *leaf, n int) {
 	tm := l.team
 	s := tm.service
-	q.unclaimed -= max(s.guarantee-s.running, 0)
+	q.unclaimed -= s.unclaimed()
 	s.running += n
-	q.unclaimed += max(s.guarantee-s.running, 0)
+	q.unclaimed += s.unclaimed()
 	tm.running += n
 	q.running += n
 	blocked := tm.group.blocked()
@@ -217,8 +219,15 @@
 
 // refresh restores the places of a team and of its service after a change.
 func (q *Queue) refresh(tm *team) {
-	s := tm.service
-	s.ready.set(&tm.vertex, tm.waiting > 0 && !tm.group.blocked())
+	tm.refresh()
+	q.refreshService(tm.service)
+}
+
+func (tm *team) refresh() {
+	tm.service.ready.set(&tm.vertex, tm.waiting > 0 && !tm.group.blocked())
+}
+
+func (q *Queue) refreshService(s *service) {
 	q.ready.set(&s.vertex, s.ready.top() != nil && !s.blocked())
 }
 
--- a/internal/flow/admit/tree.go
+++ b/internal/flow/admit/tree.go
@@ -48,6 +48,14 @@
 	waiting int
 }
 
+// unclaimed returns the number of guaranteed slots that a listed service does not use.
+func (s *service) unclaimed() int {
+	if !s.listed {
+		return 0
+	}
+	return max(s.guarantee-s.running, 0)
+}
+
 func (l *leaf) push(t *Ticket) {
 	t.leaf = l
 	t.prev = l.tail
@@ -78,15 +86,15 @@
 
 // pick returns the leaf that goes next and raises the virtual time of the leaves to its own.
 // Of equal ones the most urgent goes first.
-func (t *team) pick() *leaf {
+func (tm *team) pick() *leaf {
 	var best *leaf
-	for i := len(t.leaves) - 1; i >= 0; i-- {
-		l := &t.leaves[i]
+	for i := len(tm.leaves) - 1; i >= 0; i-- {
+		l := &tm.leaves[i]
 		if l.waiting > 0 && (best == nil || l.vt < best.vt) {
 			best = l
 		}
 	}
-	t.base = max(t.base, best.vt)
+	tm.base = max(tm.base, best.vt)
 	return best
 }
 
--- a/internal/flow/naive/fifo.go
+++ b/internal/flow/naive/fifo.go
@@ -16,8 +16,6 @@
 	Class admit.Class
 
 	expiry  time.Duration
-	started time.Duration
-	cost    float64
 	waiting bool
 }
 
