--- /dev/null
+++ b/internal/serve/admin/errors.go
@@ -0,0 +1,41 @@
+package admin
+
+import (
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/wire/opspb"
+)
+
+// unsettled answers a change that was not read back: it is not accepted now, and may
+// be later. Repeating it with the same change id is safe.
+func unsettled(change string, err error) error {
+	return detailed(status.New(codes.Unavailable, "not accepted; repeat with the same change id: "+err.Error()),
+		&opspb.Conflict{Change: change, Reason: "unsettled"})
+}
+
+// denied answers a change that the log decided against.
+func denied(change string, v state.Verdict) error {
+	code := codes.FailedPrecondition
+	kind := v.Kind
+	if kind == state.Duplicate {
+		kind = v.Of
+	}
+	if kind == state.Conflict {
+		code = codes.Aborted
+	}
+	if v.Reason == state.Malformed {
+		code = codes.InvalidArgument
+	}
+	return detailed(status.New(code, v.Error()),
+		&opspb.Conflict{Change: change, Current: v.Current, Reason: v.Reason.String()})
+}
+
+func detailed(s *status.Status, d *opspb.Conflict) error {
+	with, err := s.WithDetails(d)
+	if err != nil {
+		return s.Err()
+	}
+	return with.Err()
+}
--- /dev/null
+++ b/internal/serve/ctrl/submit.go
@@ -0,0 +1,137 @@
+package ctrl
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"google.golang.org/protobuf/proto"
+
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// Settled is the verdict on a record that was read back.
+type Settled struct {
+	Offset  uint64
+	Verdict state.Verdict
+}
+
+// UnsettledError says that a record was not read back in time. It may still be
+// accepted later.
+type UnsettledError struct {
+	Cause error
+}
+
+func (e *UnsettledError) Error() string {
+	if e.Cause == nil {
+		return "record was not read back in time; it may still take effect"
+	}
+	return fmt.Sprintf("record was not read back in time; it may still take effect: %v", e.Cause)
+}
+
+// Unwrap returns the last failure of the log, nil if there was none.
+func (e *UnsettledError) Unwrap() error { return e.Cause }
+
+// waiters are the writers that wait for the verdict on their record.
+type waiters struct {
+	mu   sync.Mutex
+	byID map[string]chan Settled
+}
+
+func (w *waiters) add(id string) chan Settled {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ch := make(chan Settled, 1)
+	w.byID[id] = ch
+	return ch
+}
+
+func (w *waiters) remove(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.byID, id)
+}
+
+func (w *waiters) settle(id string, s Settled) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ch, ok := w.byID[id]; ok {
+		ch <- s
+		delete(w.byID, id)
+	}
+}
+
+const (
+	idLength = 16
+	// repeatAfter is how long a writer waits for its record to be read back before it
+	// appends it again. A doubled record is one change.
+	repeatAfter = time.Second
+	firstPause  = 20 * time.Millisecond
+	longPause   = 500 * time.Millisecond
+)
+
+// Submit appends a record and waits until it is read back. The verdict may refuse the
+// change. It returns an *UnsettledError if the record was not read back before the
+// end of the context.
+func (c *Core) Submit(ctx context.Context, r *recpb.Record) (Settled, error) {
+	r.Id = make([]byte, idLength)
+	_, _ = rand.Read(r.Id)
+	r.Schema = state.Schema
+	r.By = c.Self.Name
+	r.At = c.Clock.Wall().UnixMilli()
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return Settled{}, &UnsettledError{Cause: err}
+	}
+	back := c.waiters.add(string(r.Id))
+	defer c.waiters.remove(string(r.Id))
+	return c.settle(ctx, data, back)
+}
+
+// settle repeats the append until the record is read back.
+func (c *Core) settle(ctx context.Context, data []byte, back <-chan Settled) (Settled, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
+	pause.MaxInterval = longPause
+	var last error
+	for {
+		_, err := c.Log.Append(ctx, Stream, data)
+		wait := repeatAfter
+		if err != nil {
+			last = err
+			wait = pause.NextBackOff()
+		}
+		if ports.ErrThrottled.Has(err) {
+			c.Scope.Counter("appends_throttled").Inc(1)
+		}
+		s, ok := c.await(ctx, back, wait)
+		if ok {
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return Settled{}, &UnsettledError{Cause: last}
+		}
+	}
+}
+
+func (c *Core) await(ctx context.Context, back <-chan Settled, wait time.Duration) (Settled, bool) {
+	sub := c.Clock.After(wait)
+	defer sub.Close()
+	select {
+	case s := <-back:
+		return s, true
+	case <-sub.C:
+	case <-ctx.Done():
+	}
+	select {
+	case s := <-back:
+		return s, true
+	default:
+		return Settled{}, false
+	}
+}
--- /dev/null
+++ b/internal/serve/lends/lends.go
@@ -0,0 +1,224 @@
+// Package lends keeps the slots that entries lend each other in force: it tells the
+// share rules what this entry needs and uses, exchanges the messages with the other
+// entries, and sets the limits of the request engine.
+package lends
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/flow/share"
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
+)
+
+const (
+	// interval is how often demand is reported, so that shares follow it within 1 s.
+	interval = 250 * time.Millisecond
+	// askTimeout bounds one exchange with a custodian.
+	askTimeout = 400 * time.Millisecond
+	// headroom is the demand beyond the present one that an entry asks for.
+	headroom = 1.25
+)
+
+// Engine is what runs requests.
+type Engine interface {
+	Demands() []flows.Demand
+	InFlight(instance string) int
+	SetLimits(limits map[string]int)
+}
+
+// Peers reaches other entries by name.
+type Peers interface {
+	Named(ctx context.Context, name string) (peerpb.DRPCPeerClient, bool)
+}
+
+// Parts are what the service works with.
+type Parts struct {
+	Clock  clock.Clock
+	Peers  Peers
+	Scope  tally.Scope
+	Self   share.Member
+	MaxRun time.Duration
+}
+
+// Endpoint is an instance with slots in a pool.
+type Endpoint struct {
+	Instance string
+	Pool     string
+	Slots    int
+}
+
+// Service holds slots for this entry and lends those that it is the custodian of. It
+// is safe for concurrent use.
+type Service struct {
+	Parts
+	engine Engine
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu        sync.Mutex
+	holder    *share.Holder
+	custodian *share.Custodian
+	pools     map[string][]Endpoint
+	slots     map[string]int
+}
+
+// New returns a service that is idle until Start.
+func New(p Parts) *Service {
+	return &Service{
+		Parts:     p,
+		done:      make(chan struct{}),
+		holder:    share.NewHolder(p.Self.Name, p.Self.Incarnation),
+		custodian: share.NewCustodian(p.Self.Name, p.MaxRun),
+	}
+}
+
+// Start begins to exchange slots. Close ends it.
+func (s *Service) Start(ctx context.Context, e Engine) {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.engine = e
+	go s.run(ctx)
+}
+
+// Close ends the exchange and waits for its goroutine.
+func (s *Service) Close() {
+	s.cancel()
+	<-s.done
+}
+
+// Update sets the members and the endpoints.
+func (s *Service) Update(v share.View, endpoints []Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pools = map[string][]Endpoint{}
+	s.slots = map[string]int{}
+	for _, e := range endpoints {
+		s.pools[e.Pool] = append(s.pools[e.Pool], e)
+		s.slots[e.Instance] = e.Slots
+	}
+	s.holder.Epoch(v, s.slots)
+	s.custodian.Epoch(s.Clock.Now(), v, s.slots)
+}
+
+// Limit returns the number of slots that this entry may use at an instance.
+func (s *Service) Limit(instance string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder.Limit(instance)
+}
+
+// Answer answers another entry's ask as the custodian.
+func (s *Service) Answer(a *peerpb.SlotAsk) *peerpb.SlotReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.custodian.Answer(s.Clock.Now(), a)
+}
+
+func (s *Service) run(ctx context.Context) {
+	defer close(s.done)
+	sub := s.Clock.Subscribe(interval)
+	defer sub.Close()
+	var asks sync.WaitGroup
+	defer asks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.C:
+			s.round(ctx, &asks)
+		}
+	}
+}
+
+// round reports demand and use to the custodians.
+func (s *Service) round(ctx context.Context, asks *sync.WaitGroup) {
+	s.enforce()
+	for name, a := range s.collect() {
+		asks.Add(1)
+		go func() {
+			defer asks.Done()
+			s.ask(ctx, name, a)
+		}()
+	}
+}
+
+// enforce puts the present limits into force.
+func (s *Service) enforce() {
+	s.mu.Lock()
+	limits := make(map[string]int, len(s.slots))
+	for name := range s.slots {
+		limits[name] = s.holder.Limit(name)
+	}
+	s.mu.Unlock()
+	s.engine.SetLimits(limits)
+}
+
+// collect returns the next asks. Use is read after the limits were put into force,
+// because it confirms a recall.
+func (s *Service) collect() map[string]*peerpb.SlotAsk {
+	demands := s.engine.Demands()
+	s.mu.Lock()
+	names := maps.Clone(s.slots)
+	s.mu.Unlock()
+	for name := range names {
+		names[name] = s.engine.InFlight(name)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range demands {
+		s.want(d)
+	}
+	for name, n := range names {
+		s.holder.InFlight(name, n)
+	}
+	return s.holder.Asks()
+}
+
+// want spreads the demand of a pool over its endpoints. Every entry asks for at least
+// one slot of each, so that a request after an idle time finds a slot.
+func (s *Service) want(d flows.Demand) {
+	list := s.pools[d.Pool]
+	if len(list) == 0 {
+		return
+	}
+	total := int(float64(d.Waiting+d.Running)*headroom) + len(list) - 1
+	each := max(1, total/len(list))
+	for _, e := range list {
+		s.holder.Want(e.Instance, min(each, e.Slots))
+	}
+}
+
+func (s *Service) ask(ctx context.Context, name string, a *peerpb.SlotAsk) {
+	r := s.answer(ctx, name, a)
+	if r == nil {
+		s.Scope.Counter("slot_asks_failed").Inc(1)
+		return
+	}
+	s.mu.Lock()
+	s.holder.Take(name, r)
+	s.mu.Unlock()
+	s.enforce()
+}
+
+func (s *Service) answer(ctx context.Context, name string, a *peerpb.SlotAsk) *peerpb.SlotReply {
+	if name == s.Self.Name {
+		return s.Answer(a)
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	c, ok := s.Peers.Named(ctx, name)
+	if !ok {
+		return nil
+	}
+	r, err := c.Slots(ctx, a)
+	if err != nil {
+		return nil
+	}
+	return r
+}
--- /dev/null
+++ b/internal/serve/plans/advance.go
@@ -0,0 +1,62 @@
+package plans
+
+import (
+	"context"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// rebootRepeat is how long the planner waits for a sign of an ordered reboot before it
+// orders it again. The first order, or its answer, may be lost.
+const rebootRepeat = 10 * time.Second
+
+// advance takes every drained instance one step further.
+func (p *Planner) advance(ctx context.Context, st *state.State) {
+	for i := range st.Instances() {
+		if i.Grant == nil {
+			delete(p.orders, i.Name)
+			continue
+		}
+		switch {
+		case i.Phase == state.Drained && i.Grant.Target != "" && !i.Grant.Moved:
+			p.append(ctx, "moved/"+i.Name, &recpb.Record{Body: &recpb.Record_Moved{
+				Moved: &recpb.Moved{Name: i.Name, Grant: i.Grant.Offset}}})
+		case i.Phase == state.Drained && i.Grant.Target == "":
+			p.append(ctx, "restart/"+i.Name, &recpb.Record{Body: &recpb.Record_Restart{
+				Restart: &recpb.Restart{Name: i.Name, Grant: i.Grant.Offset}}})
+		case i.Phase == state.Restarting:
+			p.reboot(ctx, i)
+		}
+	}
+}
+
+// reboot orders a reboot that the log has recorded, and repeats the order while the
+// list shows the instance as live with its old boot number.
+func (p *Planner) reboot(ctx context.Context, i *state.Instance) {
+	now := p.Clock.Now()
+	if last, ok := p.orders[i.Name]; ok && now-last < rebootRepeat {
+		return
+	}
+	l, ok := p.list.listed[i.Name]
+	if ok && (l.Boot > i.Grant.Boot || l.Phase != ports.Live) {
+		return
+	}
+	p.orders[i.Name] = now
+	subject := "reboot/" + i.Name
+	if !p.begin(subject) {
+		return
+	}
+	p.work.Add(1)
+	go func() {
+		defer p.work.Done()
+		defer p.end(subject)
+		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+		defer cancel()
+		if err := p.Instances.Reboot(ctx, i.Name); err != nil {
+			p.Scope.Counter("reboots_unconfirmed").Inc(1)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/serve/plans/waves.go
@@ -0,0 +1,224 @@
+package plans
+
+import (
+	"context"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/fleet/waves"
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// waveWatch holds the times that the folded state does not carry.
+type waveWatch struct {
+	instances map[string]seenInstance
+	resumed   map[string]seenWave
+	drains    map[string][]time.Duration
+	restarts  map[string][]time.Duration
+}
+
+type seenInstance struct {
+	phase   state.Phase
+	health  state.Health
+	since   time.Duration
+	changed time.Duration
+}
+
+type seenWave struct {
+	version uint64
+	at      time.Duration
+}
+
+// maxSamples bounds the observed times that are kept for each wave.
+const maxSamples = 64
+
+func newWaveWatch() waveWatch {
+	return waveWatch{
+		instances: map[string]seenInstance{},
+		resumed:   map[string]seenWave{},
+		drains:    map[string][]time.Duration{},
+		restarts:  map[string][]time.Duration{},
+	}
+}
+
+// runWaves carries out the next step of every wave that is not finished.
+func (p *Planner) runWaves(ctx context.Context, st *state.State) {
+	now := p.Clock.Now()
+	for i := range st.Instances() {
+		p.waves.see(now, i)
+	}
+	in := p.input(now, st)
+	if len(in.Waves) == 0 {
+		return
+	}
+	p.settleSteps(ctx, st)
+	for _, d := range waves.Plan(in) {
+		w, ok := st.Wave(d.Wave)
+		if ok && w.Phase == state.Running {
+			p.carryOut(ctx, st, w, d)
+		}
+	}
+}
+
+// see notes when an instance changed its phase or health.
+func (s *waveWatch) see(now time.Duration, i *state.Instance) {
+	old, ok := s.instances[i.Name]
+	if !ok {
+		s.instances[i.Name] = seenInstance{i.Phase, i.Health, now, now}
+		return
+	}
+	next := old
+	if old.phase != i.Phase {
+		s.sample(now, old, i)
+		next.phase, next.since = i.Phase, now
+	}
+	if old.health != i.Health {
+		next.health, next.changed = i.Health, now
+	}
+	s.instances[i.Name] = next
+}
+
+// sample keeps how long a drain or a restart took.
+func (s *waveWatch) sample(now time.Duration, old seenInstance, i *state.Instance) {
+	d := now - old.since
+	switch {
+	case old.phase == state.Draining && i.Grant != nil && i.Grant.Wave != "":
+		s.drains[i.Grant.Wave] = keep(s.drains[i.Grant.Wave], d)
+	case old.phase == state.Restarting && i.Phase == state.Serving:
+		// The grant is gone, so that the time counts for every wave.
+		for w := range s.resumed {
+			s.restarts[w] = keep(s.restarts[w], d)
+		}
+	}
+}
+
+func keep(list []time.Duration, d time.Duration) []time.Duration {
+	list = append(list, d)
+	return list[max(0, len(list)-maxSamples):]
+}
+
+func (p *Planner) input(now time.Duration, st *state.State) waves.Input {
+	in := waves.Input{Now: now, Budgets: map[string]waves.Budget{}}
+	for w := range st.Waves() {
+		if w.Phase != state.Finished {
+			in.Waves = append(in.Waves, p.wave(now, w))
+		}
+	}
+	for pool := range st.Pools() {
+		in.Budgets[pool.Name] = waves.Budget{
+			Total:  int(pool.Budget.Total),
+			Rack:   int(pool.Budget.Rack),
+			Centre: int(pool.Budget.Centre),
+		}
+	}
+	for i := range st.Instances() {
+		in.Instances = append(in.Instances, p.instance(i))
+	}
+	return in
+}
+
+func (p *Planner) wave(now time.Duration, w *state.Wave) waves.Wave {
+	seen, ok := p.waves.resumed[w.Name]
+	if !ok || seen.version != w.Version {
+		seen = seenWave{w.Version, now}
+		p.waves.resumed[w.Name] = seen
+	}
+	out := waves.Wave{
+		Name:     w.Name,
+		Pools:    w.Pools,
+		Limit:    int(w.Limit),
+		Resumed:  seen.at,
+		Drains:   p.waves.drains[w.Name],
+		Restarts: p.waves.restarts[w.Name],
+	}
+	if w.Phase == state.Halted {
+		out.Status = waves.Halted
+	}
+	for _, s := range w.Steps {
+		switch s.Outcome {
+		case state.Done:
+			out.Done = append(out.Done, s.Name)
+		case state.Failed:
+			out.Failed = append(out.Failed, s.Name)
+		case state.Skipped:
+			out.Left = append(out.Left, s.Name)
+		}
+	}
+	return out
+}
+
+func (p *Planner) instance(i *state.Instance) waves.Instance {
+	seen := p.waves.instances[i.Name]
+	out := waves.Instance{
+		Name: i.Name, Pool: i.Pool, Rack: i.Rack, Centre: i.Centre,
+		Phase: phases[i.Phase], Health: healths[i.Health],
+		Since: seen.since, Changed: seen.changed,
+	}
+	if i.Grant != nil {
+		out.Wave = i.Grant.Wave
+	}
+	return out
+}
+
+var phases = map[state.Phase]waves.Phase{
+	state.Serving:    waves.Serving,
+	state.Draining:   waves.Draining,
+	state.Drained:    waves.Drained,
+	state.Restarting: waves.Restarting,
+}
+
+var healths = map[state.Health]waves.Health{
+	state.Up:   waves.Up,
+	state.Down: waves.Down,
+}
+
+// settleSteps records the instances of waves that are back.
+func (p *Planner) settleSteps(ctx context.Context, st *state.State) {
+	for w := range st.Waves() {
+		if w.Phase == state.Finished {
+			continue
+		}
+		for _, s := range w.Steps {
+			if s.Outcome == state.Todo && p.isBack(st, w, s.Name) {
+				p.append(ctx, "step/"+s.Name, &recpb.Record{Body: &recpb.Record_Step{
+					Step: &recpb.Step{Wave: w.Name, Name: s.Name}}})
+			}
+		}
+	}
+}
+
+// isBack says whether an instance was rebooted since the wave started. Its version is
+// the offset of its last return.
+func (p *Planner) isBack(st *state.State, w *state.Wave, name string) bool {
+	i, ok := st.Instance(name)
+	return ok && i.Phase == state.Serving && i.Returned > w.Started
+}
+
+// carryOut appends the records of a decision.
+func (p *Planner) carryOut(ctx context.Context, st *state.State, w *state.Wave, d waves.Decision) {
+	for _, name := range d.Failed {
+		p.append(ctx, "step/"+name, &recpb.Record{Body: &recpb.Record_Step{
+			Step: &recpb.Step{Wave: w.Name, Name: name, Failed: true}}})
+	}
+	switch {
+	case d.Halt != nil:
+		p.Logger.Warn().Str("wave", w.Name).Str("reason", d.Halt.String()).Msg("wave halts")
+		p.order(ctx, w, recpb.Wave_HALT, d.Halt.String())
+	case d.Finished:
+		p.Logger.Info().Str("wave", w.Name).Msg("wave finished")
+		p.order(ctx, w, recpb.Wave_FINISH, "")
+	}
+	for _, name := range d.Drain {
+		i, ok := st.Instance(name)
+		if !ok {
+			continue
+		}
+		p.append(ctx, "drain/"+name, &recpb.Record{Body: &recpb.Record_Drain{Drain: &recpb.Drain{
+			Edit: &recpb.Edit{Base: i.Version}, Name: name, Wave: w.Name}}})
+	}
+}
+
+func (p *Planner) order(ctx context.Context, w *state.Wave, o recpb.Wave_Order, reason string) {
+	p.append(ctx, "wave/"+w.Name, &recpb.Record{Body: &recpb.Record_Wave{Wave: &recpb.Wave{
+		Edit: &recpb.Edit{Base: w.Version}, Name: w.Name, Order: o, Reason: reason}}})
+}
