Test the platform adapters against the fakes

A waiting read of the fake log could miss the order that takes the log down: the orders were looked at before the wake channel was taken, and 10 runs of the stream tests took 17 s because one read waited for its timeout.

--- a/internal/fake/oplog/serve.go
+++ b/internal/fake/oplog/serve.go
@@ -121,11 +121,13 @@
 	defer end.Close()
 	expired := wait <= 0
 	for {
+		// The wake channel is taken before the orders are looked at, so that an order
+		// in between ends the wait.
+		b, wake := l.batch(r.PathValue("name"), from, limit)
 		if l.effective(r).Down {
 			local.Fail(w, http.StatusServiceUnavailable, "down")
 			return
 		}
-		b, wake := l.batch(r.PathValue("name"), from, limit)
 		if from < b.First {
 			local.WriteJSON(w, http.StatusGone, struct {
 				First uint64 `json:"first"`
--- /dev/null
+++ b/internal/plat/endpt/endpt_test.go
@@ -0,0 +1,295 @@
+package endpt
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	fake "chervilgauge.example/chervilgauge/internal/fake/endpt"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// start returns a fake endpoint and a client, which are closed after the test.
+func start(t testing.TB, opts ...fake.Option) (*fake.Endpoint, *Client) {
+	t.Helper()
+	e := fake.New(opts...)
+	assert.NilError(t, e.Start())
+	t.Cleanup(e.Close)
+	c := New()
+	t.Cleanup(c.Close)
+	return e, c
+}
+
+// order sends a fault order over HTTP.
+func order(t testing.TB, e *fake.Endpoint, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPut, e.Control()+"/faults", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+func request(id string) ports.Request {
+	return ports.Request{ID: id, Service: "plan", Kind: "text/plain", Body: []byte("thread " + id), Timeout: time.Minute}
+}
+
+// want is the right body of the answer to request(id).
+func want(id string, size int) []byte { return fake.Body("plan", id, request(id).Body, size) }
+
+// call makes a call and reads the answer. It returns what was read before an error.
+func call(ctx context.Context, c *Client, addr string, r ports.Request) (*ports.Answer, []byte, error) {
+	a, err := c.Call(ctx, addr, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := io.ReadAll(a.Body)
+	return a, b, errors.Join(err, a.Body.Close())
+}
+
+// sizes are the body sizes around which the buffering and the streaming differ.
+var sizes = []int{0, blockSize - 1, blockSize, blockSize + 1, 2 * blockSize, maxWhole, maxWhole + 1, 9*blockSize - 1, 9 * blockSize}
+
+// Guards against answers that lose, repeat or reorder bytes at the edges of blocks.
+func TestAnswer(t *testing.T) {
+	e, c := start(t)
+	for _, trailer := range []bool{false, true} {
+		for _, size := range sizes {
+			order(t, e, fmt.Sprintf(`{"size":%d,"trailer":%t}`, size, trailer))
+			a, b, err := call(t.Context(), c, e.Addr(), request("a"))
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(b, want("a", size)), "size %d, trailer %t", size, trailer)
+			assert.Equal(t, a.Whole != nil, !trailer && size <= maxWhole)
+			assert.Equal(t, a.Length == -1, trailer)
+			assert.Equal(t, a.Kind, "text/plain")
+			assert.Assert(t, !a.Leaving)
+		}
+	}
+}
+
+// Guards against a fault of an endpoint that is reported as the wrong type, or that
+// passes as a whole answer.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		order string
+		cause func(error) bool
+	}{
+		{`{"truncate":true}`, ErrLength.Has},
+		{`{"corrupt":true}`, ErrDigest.Has},
+		{`{"swap":true}`, ErrEcho.Has},
+	}
+	for _, tt := range tests {
+		for _, trailer := range []bool{false, true} {
+			for _, size := range sizes {
+				t.Run(fmt.Sprintf("%s/%t/%d", tt.order, trailer, size), func(t *testing.T) {
+					e, c := start(t, fake.WithFaults(fake.Faults{Size: size, Trailer: trailer}))
+					order(t, e, tt.order)
+					_, b, err := call(t.Context(), c, e.Addr(), request("a"))
+					var broken *ports.BrokenError
+					assert.Assert(t, errors.As(err, &broken), "%v", err)
+					assert.Equal(t, broken.Addr, e.Addr())
+					assert.Assert(t, tt.cause(broken.Cause), "%v", broken.Cause)
+					// The last block must not be passed on.
+					assert.Assert(t, len(b) < len(want("a", size)))
+					assert.Equal(t, e.Counts().Runs, 1)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a refusal that is taken for an answer, or that ran.
+func TestRefusals(t *testing.T) {
+	e, c := start(t, fake.WithServices("plan"), fake.WithSlots(0))
+	refused := func(r ports.Request, reason string) {
+		t.Helper()
+		_, err := c.Call(t.Context(), e.Addr(), r)
+		var re *ports.RefusedError
+		assert.Assert(t, errors.As(err, &re), "%v", err)
+		assert.Equal(t, re.Reason, reason)
+	}
+	refused(request("a"), "slots")
+	other := request("b")
+	other.Service = "study"
+	refused(other, "service")
+	order(t, e, `{"leaving":true}`)
+	refused(request("c"), "leaving")
+	leaving, err := c.Probe(t.Context(), e.Addr())
+	assert.NilError(t, err)
+	assert.Assert(t, leaving)
+	assert.Equal(t, e.Counts().Runs, 0)
+	assert.Equal(t, len(e.Counts().Late), 1)
+}
+
+// Guards against a failed connection that counts as a request that may have run, and
+// against the reverse.
+func TestNotSent(t *testing.T) {
+	e, c := start(t)
+	_, _, err := call(t.Context(), c, e.Addr(), request("a"))
+	assert.NilError(t, err)
+	order(t, e, `{"refuse":true}`)
+	c.Close()
+	_, _, err = call(t.Context(), c, e.Addr(), request("b"))
+	var ns *ports.NotSentError
+	assert.Assert(t, errors.As(err, &ns), "%v", err)
+	_, err = c.Probe(t.Context(), e.Addr())
+	assert.Assert(t, errors.As(err, &ns), "%v", err)
+	late := request("c")
+	late.Timeout = -1
+	_, _, err = call(t.Context(), c, e.Addr(), late)
+	assert.Assert(t, errors.As(err, &ns), "%v", err)
+	order(t, e, `{"refuse":false}`)
+	_, _, err = call(t.Context(), c, e.Addr(), request("d"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e.Counts().IDs, map[string]int{"a": 1, "d": 1})
+}
+
+// Guards against a failure of the service that is taken for a failure of the transport.
+func TestServiceFails(t *testing.T) {
+	e, c := start(t)
+	order(t, e, `{"fail":true}`)
+	a, b, err := call(t.Context(), c, e.Addr(), request("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, http.StatusInternalServerError)
+	assert.Equal(t, a.Header.Get("Failed"), "true")
+	assert.DeepEqual(t, b, want("a", 0))
+}
+
+// Guards against a call that outlives its deadline at an endpoint that never answers.
+func TestHang(t *testing.T) {
+	e, c := start(t)
+	order(t, e, `{"hang":true}`)
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error)
+	go func() {
+		_, _, err := call(ctx, c, e.Addr(), request("a"))
+		failed <- err
+	}()
+	for e.Counts().Runs == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	var broken *ports.BrokenError
+	err := <-failed
+	assert.Assert(t, errors.As(err, &broken), "%v", err)
+	assert.ErrorIs(t, err, context.Canceled)
+	r := request("b")
+	r.Timeout = time.Millisecond
+	_, _, err = call(t.Context(), c, e.Addr(), r)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+}
+
+// Guards against an answer that is given to another caller: answers arrive out of
+// order, and second copies of answers wait on connections that are used again.
+func TestOwnAnswer(t *testing.T) {
+	// net/http logs each second copy that arrives on an idle connection.
+	log.SetOutput(io.Discard)
+	defer log.SetOutput(os.Stderr)
+	e, c := start(t, fake.WithSlots(64))
+	for i, o := range []string{`{"late":true}`, `{"late":false,"double":true}`, `{"double":false,"swap":true,"share":0.3}`} {
+		order(t, e, o)
+		mayBreak := i > 0
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				id := fmt.Sprintf("%d", i)
+				_, b, err := call(t.Context(), c, e.Addr(), request(id))
+				var broken *ports.BrokenError
+				var ns *ports.NotSentError
+				if mayBreak && (errors.As(err, &broken) || errors.As(err, &ns)) {
+					return
+				}
+				assert.Check(t, err)
+				assert.Check(t, bytes.Equal(b, want(id, 0)), "order %s, id %s", o, id)
+			})
+			if i%2 == 1 {
+				wg.Wait()
+			}
+		}
+		wg.Wait()
+	}
+	for id, n := range e.Counts().IDs {
+		assert.Assert(t, n <= 3, "id %s ran %d times in 3 rounds", id, n)
+	}
+}
+
+// Guards against answers whose proof is missing or malformed.
+func TestUnproven(t *testing.T) {
+	good := fake.Digest([]byte("x"))
+	tests := map[string]struct {
+		ids, digests []string
+		cause        func(error) bool
+	}{
+		"no id":           {nil, []string{good}, ErrEcho.Has},
+		"other id":        {[]string{"b"}, []string{good}, ErrEcho.Has},
+		"two ids":         {[]string{"a", "b"}, []string{good}, ErrEcho.Has},
+		"no digest":       {[]string{"a"}, nil, ErrDigest.Has},
+		"other algorithm": {[]string{"a"}, []string{"sha-512=:AAAA:"}, ErrDigest.Has},
+		"short digest":    {[]string{"a"}, []string{"sha-256=:AAAA:"}, ErrDigest.Has},
+		"wrong digest":    {[]string{"a"}, []string{fake.Digest(nil)}, ErrDigest.Has},
+		"refusal of b":    {[]string{"b"}, nil, ErrEcho.Has},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header()["Request-Id"] = tt.ids
+				w.Header()["Content-Digest"] = tt.digests
+				if strings.HasPrefix(name, "refusal") {
+					w.Header().Set("Refused", "slots")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+				_, _ = io.WriteString(w, "x")
+			}))
+			defer s.Close()
+			c := New()
+			defer c.Close()
+			_, err := c.Call(t.Context(), s.Listener.Addr().String(), request("a"))
+			var broken *ports.BrokenError
+			assert.Assert(t, errors.As(err, &broken), "%v", err)
+			assert.Assert(t, tt.cause(broken.Cause), "%v", broken.Cause)
+		})
+	}
+}
+
+// Guards against a wrapper that hides the connection or the end of the body, and
+// against trace headers that get lost.
+func TestTraceHeader(t *testing.T) {
+	seen := make(chan string, 1)
+	e := fake.New()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen <- r.Header.Get("Traceparent")
+		e.ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	defer e.Close()
+	c := New(WithWrapper(func(rt http.RoundTripper) http.RoundTripper {
+		return otelhttp.NewTransport(rt, otelhttp.WithPropagators(propagation.TraceContext{}))
+	}))
+	defer c.Close()
+	span := trace.NewSpanContext(trace.SpanContextConfig{TraceID: trace.TraceID{1}, SpanID: trace.SpanID{2}})
+	ctx := trace.ContextWithSpanContext(t.Context(), span)
+	_, b, err := call(ctx, c, s.Listener.Addr().String(), request("a"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, b, want("a", 0))
+	assert.Assert(t, strings.Contains(<-seen, span.TraceID().String()))
+}
