state: let an entry rejoin under its own address

Cause: entries that all restart at once found their names taken by their predecessors, and no majority was left to evict those. A process that listens on its predecessor's address shows that the predecessor has ended, so the join now replaces it.

--- a/internal/fleet/state/drains.go
+++ b/internal/fleet/state/drains.go
@@ -191,8 +191,9 @@
 	if r.GetBoot() <= i.Grant.Boot || r.GetBoot() < i.Boot {
 		return refused(OldBoot)
 	}
-	n := i.WithHealth(Up, r.GetBoot()).WithPhase(Serving, nil)
-	s.setInstance(n.WithVersion(offset))
+	n := i.WithHealth(Up, r.GetBoot()).WithPhase(Serving, nil).WithVersion(offset)
+	n.Returned = offset
+	s.setInstance(n)
 	return accepted
 }
 
--- a/internal/fleet/state/members.go
+++ b/internal/fleet/state/members.go
@@ -72,14 +72,23 @@
 	if !named(id.Name) || id.Number == 0 || r.GetAddr() == "" {
 		return malformed
 	}
-	if old, ok := s.members.get(id.Name); ok && old.Incarnation != id {
-		return refused(NameTaken)
-	} else if ok {
+	old, ok := s.members.get(id.Name)
+	if ok && old.Incarnation == id {
 		return already(old.Joined)
 	}
 	if slices.Contains(s.gone, id) {
 		return refused(Gone)
 	}
+	// Only one process can listen on an address, so a newcomer that listens on the
+	// address of its predecessor shows that the predecessor has ended. Without this
+	// rule entries that all restart at once could never join again, because no
+	// majority would be left to evict their predecessors.
+	if ok && old.Addr != r.GetAddr() {
+		return refused(NameTaken)
+	}
+	if ok {
+		s.removeMember(offset, old.Incarnation)
+	}
 	m := &Member{Incarnation: id, Addr: r.GetAddr(), Centre: r.GetCentre(), Joined: offset}
 	s.setMember(offset, m)
 	return accepted
