--- /dev/null
+++ b/cmd/chervilgauge/cmds/cmds.go
@@ -0,0 +1,150 @@
+// Package cmds holds the commands of the chervilgauge program.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/zeebo/errs"
+)
+
+// Exit codes.
+const (
+	exitOK = iota
+	// exitFailed means that the command ran and did not succeed.
+	exitFailed
+	// exitUsage means that the command line is wrong.
+	exitUsage
+	// exitRefused means that the system refused a change.
+	exitRefused
+)
+
+// errUsage is the class of wrong command lines.
+var errUsage = errs.Class("usage")
+
+// errFailed is the class of commands that ran and did not succeed.
+var errFailed = errs.Class("failed")
+
+// env is what a command works with.
+type env struct {
+	ctx    context.Context
+	out    io.Writer
+	errOut io.Writer
+}
+
+// command is one sub-command.
+type command struct {
+	name  string
+	args  string
+	short string
+	run   func(e *env, fs *flag.FlagSet, args []string) error
+}
+
+func commands() []command {
+	return []command{
+		{"serve", "FILE", "run an entry instance with the settings in FILE", runServe},
+		{"check", "FILE", "check a settings file", runCheck},
+		{"pool", "put|delete NAME", "change a pool", runPool},
+		{"service", "put|delete NAME", "change a service", runService},
+		{"team", "put|delete NAME", "change a team", runTeam},
+		{"instance", "put|delete|drain|move|cancel NAME", "change, drain or move an instance", runInstance},
+		{"wave", "start|halt|resume|rollon|finish NAME", "order a maintenance wave", runWave},
+		{"job", "submit|cancel NAME", "submit or cancel a job", runJob},
+		{"config", "wait VERSION", "wait until a change is in force on every entry", runConfig},
+		{"status", "", "show the state of the fleet", runStatus},
+		{"demo", "", "run entries, fakes and traffic in one process and report", runDemo},
+		{"load", "", "send open-loop load to an entry or an endpoint", runLoad},
+		{"standin", "log|list|endpoint", "run a fake of the platform or of an endpoint", runStandin},
+	}
+}
+
+// Main runs the command that the arguments name and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	e := &env{ctx: ctx, out: out, errOut: errOut}
+	if len(args) == 0 || args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		usage(errOut)
+		return exitUsage
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return e.run(c, args[1:])
+		}
+	}
+	say(errOut, "chervilgauge: unknown command %q\n", args[0])
+	usage(errOut)
+	return exitUsage
+}
+
+func (e *env) run(c command, args []string) int {
+	fs := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	fs.SetOutput(e.errOut)
+	fs.Usage = func() {
+		say(e.errOut, "usage: chervilgauge %s [flags] %s\n\n%s\n\n", c.name, c.args, c.short)
+		fs.PrintDefaults()
+	}
+	err := c.run(e, fs, args)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	}
+	say(e.errOut, "chervilgauge %s: %v\n", c.name, err)
+	return codeOf(err)
+}
+
+func codeOf(err error) int {
+	var refused *refusedError
+	switch {
+	case errUsage.Has(err):
+		return exitUsage
+	case errors.As(err, &refused):
+		return exitRefused
+	}
+	return exitFailed
+}
+
+func usage(w io.Writer) {
+	say(w, "usage: chervilgauge COMMAND [flags] [arguments]\n\ncommands:\n")
+	for _, c := range commands() {
+		say(w, "  %-9s %-38s %s\n", c.name, c.args, c.short)
+	}
+	say(w, "\n'chervilgauge COMMAND -h' shows the flags of a command.\n")
+}
+
+// say writes to the terminal; a failure to do so can't be reported anywhere.
+func say(w io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(w, format, args...)
+}
+
+// parse reads flags that may stand before, between or after the arguments, and
+// requires the given number of arguments.
+func parse(fs *flag.FlagSet, args []string, want int) ([]string, error) {
+	var rest []string
+	for {
+		if err := fs.Parse(args); err != nil {
+			if errors.Is(err, flag.ErrHelp) {
+				return nil, err
+			}
+			return nil, errUsage.Wrap(err)
+		}
+		if fs.NArg() == 0 {
+			break
+		}
+		rest = append(rest, fs.Arg(0))
+		args = fs.Args()[1:]
+	}
+	if len(rest) != want {
+		fs.Usage()
+		return nil, errUsage.New("expected %d arguments, got %d", want, len(rest))
+	}
+	return rest, nil
+}
--- /dev/null
+++ b/cmd/chervilgauge/cmds/load.go
@@ -0,0 +1,118 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/bench/load"
+	"chervilgauge.example/chervilgauge/internal/bench/world"
+	"chervilgauge.example/chervilgauge/internal/flow/claim"
+)
+
+// maxConns bounds the connections of the load generator to one address.
+const maxConns = 4096
+
+func newHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConns: maxConns, MaxIdleConnsPerHost: maxConns, IdleConnTimeout: time.Minute}}
+}
+
+func runLoad(e *env, fs *flag.FlagSet, args []string) error {
+	var p load.Profile
+	var part load.Part
+	addr := fs.String("addr", "127.0.0.1:8080", "callers' `address` of an entry, or address of an endpoint with -direct")
+	direct := fs.Bool("direct", false, "send to an endpoint instead of an entry")
+	services := fs.String("services", "plan", "comma-separated `services` to send to")
+	rate := fs.Float64("rate", 100, "requests per second over all services")
+	fs.Float64Var(&part.Once, "once", 0.1, "share of non-idempotent requests, 0 to 1")
+	fs.StringVar(&part.Urgency, "urgency", "normal", "urgency of the requests")
+	fs.StringVar(&part.Team, "team", "default", "team of the requests")
+	flood := fs.String("flood", "", "`service` whose rate is multiplied during the flood")
+	factor := fs.Float64("factor", 5, "what the flooded service's rate is multiplied by")
+	fs.DurationVar(&p.FloodFrom, "flood-from", time.Second, "start of the flood")
+	fs.DurationVar(&p.FloodFor, "flood-for", 0, "length of the flood")
+	fs.DurationVar(&p.Length, "length", 10*time.Second, "how long requests are started, at most 10m")
+	fs.IntVar(&p.Outstanding, "outstanding", 4000, "most requests under way")
+	fs.IntVar(&p.Body, "body", 64, "request body size in bytes")
+	fs.Uint64Var(&p.Seed, "seed", 1, "seed of the arrival times")
+	asJSON := fs.Bool("json", false, "print JSON instead of a table")
+	if _, err := parse(fs, args, 0); err != nil {
+		return err
+	}
+	p.Length = min(p.Length, 10*time.Minute)
+	names := split(*services)
+	for _, s := range names {
+		one := part
+		one.Service, one.Rate = s, *rate/float64(len(names))
+		if s == *flood {
+			one.Flood = *factor
+		}
+		p.Parts = append(p.Parts, one)
+	}
+	h := newHTTP()
+	defer h.CloseIdleConnections()
+	send := entrySender(h, func() string { return *addr })
+	if *direct {
+		send = endpointSender(h, *addr)
+	}
+	r := load.Run(e.ctx, p, send, e.progress)
+	if *asJSON {
+		return r.JSON(e.out)
+	}
+	return r.Table(e.out)
+}
+
+// progress prints one line a second to the error output.
+func (e *env) progress(elapsed time.Duration, counts map[load.Result]int) {
+	say(e.errOut, "%4.0fs", elapsed.Seconds())
+	for _, k := range load.Results() {
+		if n := counts[k]; n > 0 {
+			say(e.errOut, "  %s %d", k, n)
+		}
+	}
+	say(e.errOut, "\n")
+}
+
+// entrySender sends to the entry that addr returns for each request.
+func entrySender(h *http.Client, addr func() string) load.Sender {
+	return func(ctx context.Context, s load.Shot) load.Result {
+		c := world.Call{Service: s.Part.Service, Idempotent: !s.Once, Urgency: s.Part.Urgency,
+			Team: s.Part.Team, Body: s.Body}
+		if s.Once {
+			c.ID = claim.NewID().String()
+		}
+		r := world.Send(ctx, h, addr(), c)
+		if r.Err != nil {
+			return load.Cut
+		}
+		return load.Result(r.Outcome)
+	}
+}
+
+// endpointSender sends to an endpoint without an entry.
+func endpointSender(h *http.Client, addr string) load.Sender {
+	return func(ctx context.Context, s load.Shot) load.Result {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost,
+			"http://"+addr+"/run/"+s.Part.Service, bytes.NewReader(s.Body))
+		if err != nil {
+			return load.Cut
+		}
+		req.Header.Set("Request-Id", claim.NewID().String())
+		resp, err := h.Do(req)
+		if err != nil {
+			return load.Cut
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return load.Cut
+		}
+		if resp.StatusCode != http.StatusOK {
+			return load.NotRun
+		}
+		return load.Answered
+	}
+}
--- a/internal/plat/stream/stream_test.go
+++ b/internal/plat/stream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -161,13 +162,16 @@
 	appendAll(t, c, "a", "b", "c", "d")
 	order(t, http.MethodPost, base+"/cut", `{"stream":"s","first":2}`)
 	_, err := c.Read(t.Context(), "s", 1, 0, 0)
-	assert.Assert(t, ports.ErrRetention.Has(err), "%v", err)
+	var cut *ports.RetentionError
+	assert.Assert(t, errors.As(err, &cut), "%v", err)
+	assert.Equal(t, cut.First, uint64(2))
 	assert.DeepEqual(t, texts(t, c, 2), []string{"b", "c", "d"})
 	order(t, http.MethodPut, base+"/faults", `{"retain":1}`)
 	assert.DeepEqual(t, texts(t, c, 4), []string{"d"})
 	appendAll(t, c, "e")
 	_, err = c.Read(t.Context(), "s", 4, 0, 0)
-	assert.Assert(t, ports.ErrRetention.Has(err), "%v", err)
+	assert.Assert(t, errors.As(err, &cut), "%v", err)
+	assert.Equal(t, cut.First, uint64(5))
 }
 
 // Guards against an order for one client that holds for others, and a waiting read
@@ -205,7 +209,7 @@
 
 // Guards against a batch that does not hold the records that were asked for.
 func FuzzBatch(f *testing.F) {
-	f.Add([]byte(`{"first":1,"next":3,"items":[{"offset":2,"data":"YQ=="}]}`), uint64(2), 1)
+	f.Add([]byte(`{"first":1,"next":3,"items":[{"offset":2,"data":"YQ=="}]}`), uint64(5), 1)
 	f.Add([]byte(`{"first":5,"next":5,"items":[]}`), uint64(5), 0)
 	f.Add([]byte(`{"first":1,"next":18446744073709551615,"items":[{"offset":0}]}`), uint64(1<<64-1), 0)
 	f.Add([]byte(`null`), uint64(1), 0)
--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -16,6 +16,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/fleet/member"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/flow/share"
 	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
 )
 
@@ -53,6 +54,9 @@
 	Live []*state.Member
 	// Joined says that this incarnation is a member that is not in eviction.
 	Joined bool
+	// Fenced lists the members whose end this entry has seen in the log without their
+	// leave, with the time at which it saw that.
+	Fenced []share.Fence
 	// Applied maps members to the highest offset that they reported.
 	Applied map[string]uint64
 }
--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -9,6 +10,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/fleet/member"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/flow/share"
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
 )
 
@@ -37,7 +39,9 @@
 	// linked is when the log was last read to its end.
 	linked time.Duration
 	// snapshot is the highest offset of a snapshot seen whole in the stream.
-	snapshot  uint64
+	snapshot uint64
+	// fenced lists the members that ended without a leave.
+	fenced    []share.Fence
 	wasMember bool
 }
 
@@ -124,6 +128,9 @@
 
 func (l *loop) apply(item ports.Item, r *recpb.Record) {
 	st, v := l.state.Apply(item.Offset, r)
+	if v.Kind == state.Accepted {
+		l.noteFence(l.state, r)
+	}
 	l.state = st
 	l.recent.add(item)
 	l.meters.records.Inc(1)
@@ -154,6 +161,8 @@
 	}
 	l.state = st
 	l.recent = ring{}
+	// Members may have been fenced in the records that the snapshot replaces.
+	l.fence(share.Member{}, l.core.Clock.Now())
 	ahead := l.ahead
 	l.ahead = nil
 	for _, item := range ahead {
@@ -171,6 +180,7 @@
 		Live:    l.live(),
 		Joined:  l.joined(),
 		Applied: l.members.Applied(),
+		Fenced:  slices.Clone(l.fenced),
 	}
 	l.core.view.Store(v)
 	l.noteMembership(v.Joined)
--- /dev/null
+++ b/internal/serve/entry/entry.go
@@ -0,0 +1,293 @@
+// Package entry builds one entry from its parts, starts it and stops it.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/flow/claim"
+	"chervilgauge.example/chervilgauge/internal/flow/share"
+	"chervilgauge.example/chervilgauge/internal/plat/endpt"
+	"chervilgauge.example/chervilgauge/internal/plat/lister"
+	"chervilgauge.example/chervilgauge/internal/plat/stream"
+	"chervilgauge.example/chervilgauge/internal/serve/admin"
+	"chervilgauge.example/chervilgauge/internal/serve/caller"
+	"chervilgauge.example/chervilgauge/internal/serve/claims"
+	"chervilgauge.example/chervilgauge/internal/serve/ctrl"
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+	"chervilgauge.example/chervilgauge/internal/serve/health"
+	"chervilgauge.example/chervilgauge/internal/serve/lends"
+	"chervilgauge.example/chervilgauge/internal/serve/peers"
+	"chervilgauge.example/chervilgauge/internal/serve/plans"
+	"chervilgauge.example/chervilgauge/internal/setup/certs"
+	"chervilgauge.example/chervilgauge/internal/setup/config"
+	"chervilgauge.example/chervilgauge/internal/watch/meter"
+	"chervilgauge.example/chervilgauge/internal/watch/trace"
+)
+
+// Err is the class of failures to start or to stop an entry.
+var Err = errs.Class("entry")
+
+// Entry is one run of an entry instance.
+type Entry struct {
+	cfg    config.Config
+	clk    clock.Clock
+	logger zerolog.Logger
+	self   state.Incarnation
+	meter  *meter.Meter
+	tracer *trace.Tracer
+
+	log      *stream.Client
+	list     *lister.Client
+	endpoint *endpt.Client
+	client   *peers.Client
+
+	attempts *claim.Attempts
+	core     *ctrl.Core
+	engine   *flows.Engine
+	claims   *claims.Service
+	lends    *lends.Service
+	planner  *plans.Planner
+
+	callers   *caller.Server
+	operators *admin.Server
+	peers     *peers.Server
+	health    *health.Server
+
+	cancel   context.CancelFunc
+	stopping atomic.Bool
+	lost     chan struct{}
+	tasks    *tasks
+}
+
+// listeners are the open sockets of an entry.
+type listeners struct {
+	callers, operators, peers, health net.Listener
+}
+
+// Start opens the listeners and starts every part. The entry joins in the background
+// and is ready once its view is confirmed. It returns an Err.
+func Start(ctx context.Context, cfg config.Config, logger zerolog.Logger) (*Entry, error) {
+	ls, err := listen(cfg.Listen)
+	if err != nil {
+		return nil, Err.Wrap(err)
+	}
+	cfg.Listen = ls.addrs()
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Entry{
+		cfg:    cfg,
+		clk:    clock.NewSystem(),
+		logger: logger,
+		self:   state.Incarnation{Name: cfg.Name, Number: incarnation()},
+		cancel: cancel,
+		lost:   make(chan struct{}),
+	}
+	if err := e.build(ctx, ls); err != nil {
+		cancel()
+		return nil, errs.Combine(Err.Wrap(err), ls.close())
+	}
+	return e, nil
+}
+
+func (e *Entry) build(ctx context.Context, ls listeners) error {
+	if err := e.adapters(); err != nil {
+		return err
+	}
+	operatorTLS, peerTLS, clientTLS, err := e.certificates()
+	if err != nil {
+		return err
+	}
+	e.client = peers.NewClient(clientTLS)
+	e.attempts = claim.NewAttempts(e.cfg.Limits.Outcomes)
+	e.lends = lends.New(lends.Parts{
+		Clock:  e.clk,
+		Peers:  named{e},
+		Scope:  e.meter.Scope(),
+		Self:   share.Member{Name: e.self.Name, Incarnation: e.self.Number},
+		MaxRun: e.cfg.Limits.Run,
+	})
+	e.claims = claims.New(ctx, claims.Parts{
+		Log:      e.log,
+		Clock:    e.clk,
+		Peers:    e.client,
+		Attempts: e.attempts,
+		Tracer:   e.tracer,
+		Self:     claims.Entry{Name: e.self.Name, Incarnation: e.self.Number, Addr: e.cfg.Listen.Peers},
+		Live:     e.live,
+		Member:   e.member,
+	})
+	e.engine = flows.New(ctx, flows.Parts{
+		Clock:    e.clk,
+		Endpoint: e.endpoint,
+		Gate:     gate{e},
+		Claims:   e.claims,
+		Attempts: e.attempts,
+		Scope:    e.meter.Scope(),
+		Tracer:   e.tracer,
+		Centre:   e.cfg.Centre,
+		Leaving:  func(instance string) { e.core.Left(instance) },
+	}, flows.Limits{Queue: e.cfg.Limits.Queue, Claim: e.cfg.Limits.Claim, Waiting: e.cfg.Limits.Waiting})
+	e.control(ctx)
+	e.planner = plans.New(ctx, plans.Parts{
+		Control:   e.core,
+		Engine:    e.engine,
+		Instances: e.list,
+		Endpoint:  e.endpoint,
+		Clock:     e.clk,
+		Scope:     e.meter.Scope(),
+		Logger:    e.logger,
+		Self:      e.self,
+	})
+	e.lends.Start(ctx, e.engine)
+	e.tasks = newTasks(ctx)
+	e.tasks.start(e.join)
+	e.tasks.start(e.tend)
+	return e.serve(ctx, ls, operatorTLS, peerTLS)
+}
+
+// control starts the control goroutine last among the parts that it calls.
+func (e *Entry) control(ctx context.Context) {
+	e.core = ctrl.New(ctx, ctrl.Parts{
+		Clock:   e.clk,
+		Log:     e.log,
+		Peers:   e.client,
+		Scope:   e.meter.Scope(),
+		Logger:  e.logger,
+		Self:    e.self,
+		Addr:    e.cfg.Listen.Peers,
+		Centre:  e.cfg.Centre,
+		Seeds:   e.cfg.Seeds,
+		Changed: e.changed,
+		Leaving: e.peerSaw,
+	})
+}
+
+func (e *Entry) adapters() error {
+	var err error
+	e.meter = meter.New(e.cfg.Name)
+	if e.tracer, err = trace.New(e.cfg.Trace.File, e.cfg.Name, e.cfg.Trace.Share); err != nil {
+		return err
+	}
+	e.log, err = stream.New(e.cfg.Log.URL, stream.WithTimeout(e.cfg.Log.Timeout), stream.WithName(e.cfg.Name))
+	if err != nil {
+		return err
+	}
+	e.list, err = lister.New(e.cfg.List.URL, lister.WithTimeout(e.cfg.List.Timeout))
+	if err != nil {
+		return err
+	}
+	e.endpoint = endpt.New(endpt.WithWrapper(e.traced))
+	return nil
+}
+
+// traced adds the W3C trace context to requests to endpoints while spans are written.
+func (e *Entry) traced(rt http.RoundTripper) http.RoundTripper {
+	if e.cfg.Trace.File == "" {
+		return rt
+	}
+	return otelhttp.NewTransport(rt,
+		otelhttp.WithTracerProvider(e.tracer.Provider()),
+		otelhttp.WithPropagators(trace.Propagator()))
+}
+
+// certificates returns the TLS settings of the operators' and the peers' listeners and
+// of the connections to peers, nil for plain TCP.
+func (e *Entry) certificates() (operators, server *tls.Config, client func() (*tls.Config, error), err error) {
+	if e.cfg.TLS.Operators.Set() {
+		s, err := certs.Open(e.cfg.TLS.Operators)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		operators = s.Server()
+	}
+	if e.cfg.TLS.Peers.Set() {
+		s, err := certs.Open(e.cfg.TLS.Peers)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		server, client = s.Server(), s.Client
+	}
+	return operators, server, client, nil
+}
+
+func (e *Entry) serve(ctx context.Context, ls listeners, operatorTLS, peerTLS *tls.Config) error {
+	var err error
+	if e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS); err != nil {
+		return err
+	}
+	e.operators = admin.Serve(ls.operators, e.core, e.clk, e.cfg.Name, operatorTLS)
+	e.health = health.Serve(ls.health, e.Ready, e.meter.Handler())
+	e.callers = caller.Serve(ls.callers, e, caller.Limits{
+		Body:   e.cfg.Limits.Body,
+		Run:    e.cfg.Limits.Run,
+		Header: e.cfg.Limits.Header,
+	}, e.clk.Wall, e.tracer.Provider())
+	return nil
+}
+
+// Ready says whether the entry takes requests, and if not, why.
+func (e *Entry) Ready() (bool, string) {
+	switch {
+	case e.stopping.Load():
+		return false, "stopping"
+	case !e.core.View().Joined:
+		return false, "not a member yet"
+	case !e.core.MaySend():
+		return false, "view not confirmed by the log or by a majority of entries"
+	}
+	return true, ""
+}
+
+// Lost is closed when this incarnation is no longer an active member. The entry must
+// then be closed and started again.
+func (e *Entry) Lost() <-chan struct{} { return e.lost }
+
+func listen(l config.Listen) (ls listeners, err error) {
+	for _, one := range []struct {
+		dst  *net.Listener
+		addr string
+	}{{&ls.callers, l.Callers}, {&ls.operators, l.Operators}, {&ls.peers, l.Peers}, {&ls.health, l.Health}} {
+		*one.dst, err = net.Listen("tcp", one.addr)
+		if err != nil {
+			return ls, errs.Combine(err, ls.close())
+		}
+	}
+	return ls, nil
+}
+
+// addrs returns the addresses in use, which differ from the settings where those leave
+// the port to the system.
+func (ls listeners) addrs() config.Listen {
+	return config.Listen{
+		Callers:   ls.callers.Addr().String(),
+		Operators: ls.operators.Addr().String(),
+		Peers:     ls.peers.Addr().String(),
+		Health:    ls.health.Addr().String(),
+	}
+}
+
+// Addrs returns the addresses that the entry listens on.
+func (e *Entry) Addrs() config.Listen { return e.cfg.Listen }
+
+func (ls listeners) close() error {
+	var group errs.Group
+	for _, l := range []net.Listener{ls.callers, ls.operators, ls.peers, ls.health} {
+		if l != nil {
+			group.Add(l.Close())
+		}
+	}
+	return group.Err()
+}
+
+// joinPause is the pause between attempts to join.
+const joinPause = 500 * time.Millisecond
--- /dev/null
+++ b/internal/serve/entry/peers.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+
+	"chervilgauge.example/chervilgauge/internal/serve/claims"
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
+)
+
+// peerHandler answers the other entries.
+type peerHandler struct {
+	peerpb.DRPCPeerUnimplementedServer
+	entry *Entry
+}
+
+// Gossip answers with this entry's digest. What the asker sent is not taken in: it may
+// have waited in a buffer for any time.
+func (h peerHandler) Gossip(ctx context.Context, _ *peerpb.Digest) (*peerpb.Digest, error) {
+	d := h.entry.core.Digest(ctx)
+	if d == nil {
+		return nil, Err.New("entry is stopping")
+	}
+	return d, nil
+}
+
+// Claim claims an id for another entry.
+func (h peerHandler) Claim(ctx context.Context, a *peerpb.ClaimAsk) (*peerpb.ClaimReply, error) {
+	return h.entry.claims.Answer(ctx, a), nil
+}
+
+// Outcome tells what became of an attempt of this entry.
+func (h peerHandler) Outcome(ctx context.Context, a *peerpb.OutcomeAsk) (*peerpb.OutcomeReply, error) {
+	return h.entry.claims.AnswerOutcome(ctx, a), nil
+}
+
+// Slots answers an ask for slots.
+func (h peerHandler) Slots(_ context.Context, a *peerpb.SlotAsk) (*peerpb.SlotReply, error) {
+	return h.entry.lends.Answer(a), nil
+}
+
+// Records returns control records or the whole state.
+func (h peerHandler) Records(ctx context.Context, a *peerpb.RecordsAsk) (*peerpb.RecordsReply, error) {
+	return h.entry.core.Records(ctx, a), nil
+}
+
+// gate is the view lease as the request engine sees it.
+type gate struct{ entry *Entry }
+
+// MaySend says whether this entry may send work now.
+func (g gate) MaySend() bool { return g.entry.core.MaySend() }
+
+// named reaches entries by name.
+type named struct{ entry *Entry }
+
+// Named returns a client of the member of a name.
+func (n named) Named(ctx context.Context, name string) (peerpb.DRPCPeerClient, bool) {
+	m, ok := n.entry.core.View().State.Member(name)
+	if !ok {
+		return nil, false
+	}
+	return n.entry.client.To(ctx, m.Addr), true
+}
+
+func (e *Entry) live() []claims.Entry {
+	v := e.core.View()
+	out := make([]claims.Entry, 0, len(v.Live))
+	for _, m := range v.Live {
+		out = append(out, claims.Entry{Name: m.Name, Incarnation: m.Number, Addr: m.Addr})
+	}
+	return out
+}
+
+func (e *Entry) member(name string) (claims.Entry, bool) {
+	m, ok := e.core.View().State.Member(name)
+	if !ok {
+		return claims.Entry{}, false
+	}
+	return claims.Entry{Name: m.Name, Incarnation: m.Number, Addr: m.Addr}, true
+}
+
+// peerSaw takes in the instances that a peer has seen to be leaving.
+func (e *Entry) peerSaw(instances []string) {
+	for _, name := range instances {
+		e.engine.Left(name)
+	}
+}
+
+// Run carries a call to its result while the entry is a member.
+func (e *Entry) Run(ctx context.Context, c *flows.Call) flows.Result {
+	if !e.core.View().Joined {
+		return flows.NotRun{Reason: flows.Unconfirmed, After: joinPause}
+	}
+	return e.engine.Run(ctx, c)
+}
--- /dev/null
+++ b/internal/serve/entry/plan.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"chervilgauge.example/chervilgauge/internal/fleet/state"
+	"chervilgauge.example/chervilgauge/internal/flow/admit"
+	"chervilgauge.example/chervilgauge/internal/flow/route"
+	"chervilgauge.example/chervilgauge/internal/flow/share"
+	"chervilgauge.example/chervilgauge/internal/serve/ctrl"
+	"chervilgauge.example/chervilgauge/internal/serve/flows"
+	"chervilgauge.example/chervilgauge/internal/serve/lends"
+)
+
+// changed puts a new control state into force. It runs in the control goroutine, so
+// that no request is sent under an older state once it has returned.
+func (e *Entry) changed(v *ctrl.View) {
+	e.lends.Update(shareView(v), endpoints(v.State))
+	e.engine.Update(e.plan(v.State))
+}
+
+// shareView returns the members as the share rules see them.
+func shareView(v *ctrl.View) share.View {
+	out := share.View{Epoch: v.State.Epoch(), Fenced: v.Fenced}
+	for m := range v.State.Members() {
+		one := share.Member{Name: m.Name, Incarnation: m.Number}
+		if m.Evicted {
+			out.Evicted = append(out.Evicted, one)
+		} else {
+			out.Active = append(out.Active, one)
+		}
+	}
+	return out
+}
+
+// serves says whether an instance takes work.
+func serves(i *state.Instance) bool { return i.Available() && i.Grant == nil }
+
+func endpoints(st *state.State) []lends.Endpoint {
+	var out []lends.Endpoint
+	for i := range st.Instances() {
+		if serves(i) {
+			out = append(out, lends.Endpoint{Instance: i.Name, Pool: i.Pool, Slots: int(i.Slots)})
+		}
+	}
+	return out
+}
+
+func (e *Entry) plan(st *state.State) []flows.PoolPlan {
+	teams := teamShares(st)
+	plans := map[string]*flows.PoolPlan{}
+	var order []*flows.PoolPlan
+	for p := range st.Pools() {
+		pp := &flows.PoolPlan{Name: p.Name, Shares: flows.Shares{
+			Services: map[string]admit.Share{}, Teams: teams}}
+		plans[p.Name] = pp
+		order = append(order, pp)
+	}
+	for s := range st.Services() {
+		plans[s.Pool].Shares.Services[s.Name] = admit.Share{Weight: s.Weight}
+	}
+	for i := range st.Instances() {
+		if serves(i) {
+			plans[i.Pool].Targets = append(plans[i.Pool].Targets, e.target(i))
+		}
+	}
+	out := make([]flows.PoolPlan, 0, len(order))
+	for _, pp := range order {
+		out = append(out, *pp)
+	}
+	return out
+}
+
+// teamShares divides the quotas of teams evenly between the entries.
+func teamShares(st *state.State) map[string]admit.Share {
+	n := uint32(max(1, st.MemberCount()))
+	out := map[string]admit.Share{}
+	for t := range st.Teams() {
+		out[t.Name] = admit.Share{Weight: t.Weight, Quota: (t.Quota + n - 1) / n}
+	}
+	return out
+}
+
+func (e *Entry) target(i *state.Instance) flows.Target {
+	return flows.Target{
+		Target: route.Target{
+			Name: i.Name, Addr: i.Addr, Pool: i.Pool, Rack: i.Rack, Centre: i.Centre,
+			Slots: int(i.Slots), Conns: int(i.Conns),
+		},
+		Boot:  i.Boot,
+		Limit: e.lends.Limit(i.Name),
+	}
+}
+
+// Available returns the number of instances that this entry may send work to.
+func (e *Entry) Available() int { return len(endpoints(e.core.View().State)) }
--- /dev/null
+++ b/internal/serve/entry/stop.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// leaveTimeout bounds the append of the leave record. If the log is down, the other
+// entries evict and fence this one.
+const leaveTimeout = 3 * time.Second
+
+// Close stops the entry as planned: not ready first, then the balancer's lag, then every
+// request in flight is finished. At the end of the context, or of the limit in the
+// settings, the remaining requests are cut. It returns an Err.
+func (e *Entry) Close(ctx context.Context) error {
+	e.stopping.Store(true)
+	e.logger.Info().Msg("entry stops")
+	e.pause(ctx, e.cfg.Stop.Lag)
+	e.callers.KeepAlive(false)
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Stop.Limit)
+	defer cancel()
+	var group errs.Group
+	group.Add(e.callers.Close(ctx))
+	e.engine.Close()
+	e.leave()
+	group.Add(e.release())
+	return Err.Wrap(group.Err())
+}
+
+// pause waits for a time, or for the end of the context.
+func (e *Entry) pause(ctx context.Context, d time.Duration) {
+	sub := e.clk.After(d)
+	defer sub.Close()
+	select {
+	case <-sub.C:
+	case <-ctx.Done():
+	}
+}
+
+// leave tells the other entries that this one sends nothing any more.
+func (e *Entry) leave() {
+	if !e.core.View().Joined {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	_, err := e.core.Submit(ctx, &recpb.Record{Body: &recpb.Record_Leave{
+		Leave: &recpb.Leave{Name: e.self.Name, Incarnation: e.self.Number}}})
+	if err != nil {
+		e.logger.Warn().Err(err).Msg("leave was not recorded; the other entries will evict this one")
+	}
+}
+
+// release closes every part. The peers' listener closes after the requests have ended,
+// because a successor that listens on its address takes this entry as ended.
+func (e *Entry) release() error {
+	var group errs.Group
+	e.tasks.close()
+	e.planner.Close()
+	e.lends.Close()
+	e.claims.Close()
+	group.Add(e.operators.Close())
+	e.core.Close()
+	group.Add(e.peers.Close())
+	group.Add(e.client.Close())
+	group.Add(e.health.Close())
+	e.cancel()
+	e.endpoint.Close()
+	e.log.Close()
+	e.list.Close()
+	group.Add(e.tracer.Close())
+	group.Add(e.meter.Close())
+	return group.Err()
+}
--- a/internal/setup/config/config.go
+++ b/internal/setup/config/config.go
@@ -19,6 +19,9 @@
 	Logs   Logs
 	TLS    TLS
 	Spare  Spare
+	// Seeds are the peers' addresses of other entries, from which the state is taken
+	// if the log is down at the start.
+	Seeds []string
 }
 
 // Listen holds the addresses to listen on, each an IP address with a port.
--- a/internal/setup/config/schema.go
+++ b/internal/setup/config/schema.go
@@ -24,6 +24,7 @@
 			{name: "peers", required: true, parse: addr(&cfg.Listen.Peers)},
 			{name: "health", required: true, parse: addr(&cfg.Listen.Health)},
 		}, check: distinct(&cfg.Listen)},
+		{name: "seeds", parse: addrs(&cfg.Seeds)},
 		{name: "log", required: true, fields: remote(&cfg.Log)},
 		{name: "list", required: true, fields: remote(&cfg.List)},
 		{name: "limits", fields: limits(&cfg.Limits)},
@@ -137,6 +138,25 @@
 	})
 }
 
+// addrs reads a list of addresses.
+func addrs(dst *[]string) parseFunc {
+	return func(v *hujson.Value) string {
+		list, ok := v.Value.(*hujson.Array)
+		if !ok {
+			return "expected a list of addresses"
+		}
+		*dst = nil
+		for i := range list.Elements {
+			var one string
+			if problem := addr(&one)(&list.Elements[i]); problem != "" {
+				return problem
+			}
+			*dst = append(*dst, one)
+		}
+		return ""
+	}
+}
+
 func link(dst *string) parseFunc {
 	return checked(dst, func(s string) string {
 		u, err := url.Parse(s)
--- a/internal/watch/meter/meter.go
+++ b/internal/watch/meter/meter.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/zeebo/errs"
@@ -27,7 +28,9 @@
 
 // New returns a meter whose metrics carry the entry's name.
 func New(entry string) *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several entries run in one process.
+	reg := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: reg, Gatherer: reg})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "chervilgauge",
 		Tags:            map[string]string{"entry": entry},
