--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -62,8 +62,8 @@
 	defaultUrgentWait = time.Second
 	// defaultMaxWaiting is the two-year size of one queue.
 	defaultMaxWaiting = 100_000
-	// defaultReserve is the part of the slots that lending leaves free.
-	defaultReserve = 0.0225
+	// defaultReserve is what a flood may lose of the slots that the others leave.
+	defaultReserve = 0.05
 )
 
 type options struct {
@@ -103,8 +103,9 @@
 	return func(o *options) { o.maxWaiting = n }
 }
 
-// WithReserve sets the part of the slots, 0 to 1 and rounded down to whole slots, that
-// services beyond their guaranteed share leave free for services within theirs.
+// WithReserve sets the part, 0 to 1, of the slots not used by services within their
+// guaranteed share that lending may leave free on average, so that these services find a
+// free slot. 0 turns the reserve off.
 func WithReserve(part float64) Option {
 	return func(o *options) { o.reserve = part }
 }
--- a/internal/flow/admit/chooser.go
+++ b/internal/flow/admit/chooser.go
@@ -1,14 +1,33 @@
 package admit
 
-import "container/heap"
+import (
+	"container/heap"
+	"math"
+	"time"
+)
 
-// The tiers of a vertex. All vertices within their guaranteed share go before all others.
+// The tiers of a vertex. All vertices of one tier go before those of the next.
 const (
+	// guaranteed is a vertex that uses less than its guaranteed share.
 	guaranteed = iota
+	// bursting is a vertex that uses more, but less on average. Demand within a share of 10
+	// slots is over it for a tenth of the time by chance alone.
+	bursting
+	// lent is a vertex that borrows what others leave.
 	lent
 	tiers
 )
 
+const (
+	// averaged is the time over which the use of slots is averaged, in mean run times. By
+	// chance alone, the average of a demand of 70% of 10 slots is then over 10 slots in less
+	// than 0.1% of the time.
+	averaged = 10
+	// burstDeviations limits a burst to the share and this many standard deviations of a
+	// random demand of that size.
+	burstDeviations = 3
+)
+
 // vertex is a service among the services, or a team among the teams of a service.
 type vertex struct {
 	name      string
@@ -17,18 +36,33 @@
 	team      *team   // nil for a service
 	share     float64 // guaranteed slots
 	guarantee int     // whole slots of share
+	burst     float64 // slots in use up to which a vertex may burst
 	running   int
 	waiting   int
-	vt        float64 // slot time used, in seconds divided by the weight
+	average   float64       // of running, as of changed
+	changed   time.Duration // when running changed last
+	vt        float64       // slot time used, in seconds divided by the weight
 	tier      int
 	pos       int // index in the heap of its tier, -1 if absent
 }
 
 func (v *vertex) rank() int {
-	if v.running < v.guarantee {
+	switch {
+	case v.running < v.guarantee:
 		return guaranteed
+	case float64(v.running) < v.burst && v.average < v.share:
+		return bursting
+	default:
+		return lent
 	}
-	return lent
+}
+
+// use adds n to the slots in use.
+func (v *vertex) use(now time.Duration, n int) {
+	past := (now - v.changed).Seconds() / (averaged * v.service.run.mean)
+	v.average += (float64(v.running) - v.average) * -math.Expm1(-past)
+	v.changed = now
+	v.running += n
 }
 
 // vertexHeap orders vertices by virtual time, then by name.
@@ -104,9 +138,11 @@
 
 // advance raises the virtual time of the parent to the least one of its vertices.
 func (c *chooser) advance() {
-	least := c.top().vt
-	if h := c.ready[lent]; len(h) > 0 {
-		least = min(least, h[0].vt)
+	least := math.Inf(1)
+	for i := range c.ready {
+		if len(c.ready[i]) > 0 {
+			least = min(least, c.ready[i][0].vt)
+		}
 	}
 	c.base = max(c.base, least)
 }
--- a/internal/flow/admit/configure.go
+++ b/internal/flow/admit/configure.go
@@ -1,6 +1,9 @@
 package admit
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Configure sets the shares of the services and of the teams within each service. Names that
 // are not listed share the service or team with the empty name, so that made-up names cost no
@@ -119,11 +122,11 @@
 		}
 	}
 	teamTotal := q.teamWeights()
-	q.unclaimed = 0
+	q.flow = flow{}
 	for _, s := range q.services {
 		s.setShare(float64(q.slots), total)
 		s.limit = max(1, int(s.divide(float64(q.opt.maxWaiting), total)))
-		q.unclaimed += s.unclaimed()
+		q.flow.add(s, 1)
 		s.active = 0
 		for _, tm := range s.teams {
 			tm.weight = tm.group.weight
@@ -174,6 +177,7 @@
 	if !v.isListed() {
 		v.guarantee = max(v.guarantee, 1)
 	}
+	v.burst = v.share + burstDeviations*math.Sqrt(v.share)
 }
 
 func (v *vertex) idle() bool {
--- a/internal/flow/admit/queue.go
+++ b/internal/flow/admit/queue.go
@@ -13,9 +13,8 @@
 	expiry   expiryHeap
 	slots    int
 	running  int
-	// unclaimed is the number of guaranteed slots that the listed services do not use.
-	unclaimed int
-	seq       uint64
+	flow     flow
+	seq      uint64
 }
 
 // New returns an empty queue without slots. Until Configure is called, all requests belong to
@@ -86,7 +85,7 @@
 	t.cost = s.run.mean
 	q.charge(l, t.cost)
 	q.dequeue(t)
-	q.use(l, 1)
+	q.use(now, l, 1)
 	s.counts.Started++
 	return t, dropped
 }
@@ -135,10 +134,12 @@
 	t.state = ended
 	d := seconds(now - t.started)
 	s := t.leaf.team.service
+	q.flow.add(s, -1)
 	s.run.learn(d)
+	q.flow.add(s, 1)
 	q.charge(t.leaf, d-t.cost)
 	q.refresh(t.leaf.team)
-	q.use(t.leaf, -1)
+	q.use(now, t.leaf, -1)
 	s.counts.Done++
 }
 
@@ -146,17 +147,11 @@
 func (q *Queue) free(v *vertex) bool {
 	n := q.slots - q.running
 	if v.tier == lent {
-		n -= q.reserve()
+		n -= q.flow.reserve(q.slots, q.opt.reserve)
 	}
 	return n > 0
 }
 
-// reserve returns the number of slots that lending leaves free. Slots are not preempted, so
-// without it a service within its guaranteed share would wait for a lent slot to come back.
-func (q *Queue) reserve() int {
-	return min(int(float64(q.slots)*q.opt.reserve), q.unclaimed)
-}
-
 func (q *Queue) charge(l *leaf, cost float64) {
 	l.vt += cost / l.weight
 	l.team.vt += cost / l.team.weight
@@ -164,13 +159,13 @@
 }
 
 // use adds n, which is 1 or -1, to the slots in use by the class of l.
-func (q *Queue) use(l *leaf, n int) {
+func (q *Queue) use(now time.Duration, l *leaf, n int) {
 	tm := l.team
 	s := tm.service
-	q.unclaimed -= s.unclaimed()
-	s.running += n
-	q.unclaimed += s.unclaimed()
-	tm.running += n
+	q.flow.add(s, -1)
+	s.use(now, n)
+	q.flow.add(s, 1)
+	tm.use(now, n)
 	q.running += n
 	blocked := tm.group.blocked()
 	tm.group.running += n
--- /dev/null
+++ b/internal/flow/admit/sim_test.go
@@ -0,0 +1,218 @@
+package admit_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/flow/admit"
+	"chervilgauge.example/chervilgauge/internal/flow/naive"
+)
+
+// job is one request of the discrete-event driver.
+type job struct {
+	class        admit.Class
+	at, run      time.Duration
+	deadline     time.Duration
+	start, end   time.Duration // -1 if it never ran
+	entry, flood int           // flood is 1 for a request of the flood
+	ticket       *admit.Ticket
+}
+
+func (j *job) good() bool { return j.end >= 0 && j.end <= j.deadline }
+
+// queue is what the driver needs of a discipline.
+type queue interface {
+	push(now time.Duration, j *job)
+	pop(now time.Duration) *job
+	done(now time.Duration, j *job)
+	waiting() int
+}
+
+type fairQueue struct{ *admit.Queue }
+
+func (q fairQueue) push(now time.Duration, j *job) {
+	if t, err := q.Push(now, j.class, j.deadline); err == nil {
+		t.Owner = j
+		j.ticket = t
+	}
+}
+
+func (q fairQueue) pop(now time.Duration) *job {
+	if t, _ := q.Pop(now); t != nil {
+		return t.Owner.(*job)
+	}
+	return nil
+}
+
+func (q fairQueue) done(now time.Duration, j *job) { q.Done(now, j.ticket) }
+func (q fairQueue) waiting() int                   { return q.Waiting() }
+
+type fifoQueue struct {
+	*naive.FIFO
+	n int
+}
+
+func (q *fifoQueue) push(_ time.Duration, j *job) {
+	q.n++
+	q.Push(j.class, 0).Owner = j
+}
+
+func (q *fifoQueue) pop(now time.Duration) *job {
+	if t, _ := q.Pop(now); t != nil {
+		q.n--
+		return t.Owner.(*job)
+	}
+	return nil
+}
+
+func (q *fifoQueue) done(time.Duration, *job) { q.Done() }
+func (q *fifoQueue) waiting() int             { return q.n }
+
+// endings is a heap of running jobs by end.
+type endings []*job
+
+func (h endings) Len() int           { return len(h) }
+func (h endings) Less(i, j int) bool { return h[i].end < h[j].end }
+func (h endings) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push appends the *job x.
+func (h *endings) Push(x any) { *h = append(*h, x.(*job)) }
+
+// Pop removes the last job.
+func (h *endings) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return j
+}
+
+// use is the slot time used and the slot time there was while requests waited.
+type use struct{ used, possible time.Duration }
+
+// simulate runs jobs, which are ordered by arrival, through one queue per entry. It returns
+// the slot use between from and to of every flood.
+func simulate(jobs []*job, queues []queue, slots int) use {
+	var h endings
+	var u use
+	now := time.Duration(0)
+	running := make([]int, len(queues))
+	for next := 0; next < len(jobs) || len(h) > 0; {
+		ends := next == len(jobs) || len(h) > 0 && h[0].end <= jobs[next].at
+		var j *job
+		if ends {
+			j = heap.Pop(&h).(*job)
+		} else {
+			j = jobs[next]
+			next++
+		}
+		then := j.at
+		if ends {
+			then = j.end
+		}
+		for i, q := range queues {
+			if inFlood(now) >= 0 && q.waiting() > 0 {
+				u.used += time.Duration(running[i]) * (then - now)
+				u.possible += time.Duration(slots) * (then - now)
+			}
+		}
+		now = then
+		q := queues[j.entry]
+		if ends {
+			q.done(now, j)
+			running[j.entry]--
+		} else {
+			q.push(now, j)
+		}
+		for r := q.pop(now); r != nil; r = q.pop(now) {
+			r.start = now
+			r.end = now + r.run
+			running[r.entry]++
+			heap.Push(&h, r)
+		}
+	}
+	return u
+}
+
+// The floods: each service in turn is at a twentieth of its mean for a phase of 12 s, but at
+// 5 times its mean from second 3 to second 9 of it.
+const (
+	services   = 5
+	teams      = 10
+	rate       = 280.0 // mean of a service, in requests/s: 70% of 400 slots
+	meanRun    = 200 * time.Millisecond
+	phase      = 12 * time.Second
+	floodStart = 3 * time.Second
+	floodEnd   = 9 * time.Second
+)
+
+// inFlood returns which service floods at t, -1 for none.
+func inFlood(t time.Duration) int {
+	if t%phase >= floodStart && t%phase < floodEnd {
+		return int(t / phase)
+	}
+	return -1
+}
+
+func serviceName(i int) string { return string(rune('a' + i)) }
+
+// demand draws the requests of all services. The requests of a service that does not flood
+// are the same with and without floods.
+func demand(seed uint64, entries int, flood bool, u admit.Urgency) []*job {
+	var jobs []*job
+	for s := range services {
+		rnd := rand.New(rand.NewPCG(seed, uint64(s)))
+		for t := time.Duration(0); t < services*phase; {
+			t += time.Duration(rnd.ExpFloat64() / (5 * rate) * float64(time.Second))
+			x := 5 * rnd.Float64()
+			j := &job{at: t, start: -1, end: -1, entry: rnd.IntN(entries)}
+			j.run = time.Duration(rnd.ExpFloat64() * float64(meanRun))
+			j.deadline = t + 3*time.Second
+			j.class = admit.Class{Service: serviceName(s), Team: serviceName(rnd.IntN(teams)), Urgency: admit.Normal}
+			if v := rnd.IntN(5); v != 1 {
+				j.class.Urgency = admit.Urgency(min(v, 2))
+			}
+			switch {
+			case flood && inFlood(t) == s:
+				if x >= 1 {
+					j.class = admit.Class{Service: serviceName(s), Team: "a", Urgency: u}
+					j.flood = 1
+				}
+			case flood && int(t/phase) == s && x >= 0.05, x >= 1:
+				continue
+			}
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return int(a.at - b.at) })
+	return jobs
+}
+
+func fairQueues(entries, slots int) []queue {
+	qs := make([]queue, entries)
+	for i := range qs {
+		q := admit.New()
+		shares := [2]map[string]admit.Share{{}, {}}
+		for s := range services {
+			shares[0][serviceName(s)] = admit.Share{}
+		}
+		for t := range teams {
+			shares[1][serviceName(t)] = admit.Share{}
+		}
+		q.Configure(shares[0], shares[1])
+		q.SetSlots(slots)
+		qs[i] = fairQueue{q}
+	}
+	return qs
+}
+
+func fifoQueues(entries, slots int) []queue {
+	qs := make([]queue, entries)
+	for i := range qs {
+		q := naive.NewFIFO()
+		q.SetSlots(slots)
+		qs[i] = &fifoQueue{FIFO: q}
+	}
+	return qs
+}
--- a/internal/flow/admit/tree.go
+++ b/internal/flow/admit/tree.go
@@ -48,14 +48,6 @@
 	waiting int
 }
 
-// unclaimed returns the number of guaranteed slots that a listed service does not use.
-func (s *service) unclaimed() int {
-	if !s.listed {
-		return 0
-	}
-	return max(s.guarantee-s.running, 0)
-}
-
 func (l *leaf) push(t *Ticket) {
 	t.leaf = l
 	t.prev = l.tail
@@ -105,8 +97,8 @@
 }
 
 const (
-	priorSamples = 4  // weight of the prior, so that the first sample alone doesn't set the mean
-	maxSamples   = 64 // keeps the deviation of the mean of exponential run times under 10%
+	priorSamples = 4 // weight of the prior, so that the first sample alone doesn't set the mean
+	maxSamples   = 256
 	// minRun is the least cost of a ticket, in seconds. Requests that fail at once would
 	// otherwise be free and a service of failing requests would take every free slot.
 	minRun = 0.0005
--- a/internal/flow/naive/fair.go
+++ b/internal/flow/naive/fair.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,7 +14,8 @@
 type Fair struct {
 	// Slots is the number of tickets that may run at once.
 	Slots int
-	// Reserve is the part of the slots that borrowers leave free, 0 to 1.
+	// Reserve is the part of the slots not used within guaranteed shares that borrowers
+	// leave free on average, 0 to 1.
 	Reserve float64
 	// Prior is the run time assumed for a service before any of its requests ended.
 	Prior time.Duration
@@ -47,6 +49,8 @@
 type node struct {
 	vt, base float64
 	mean, n  float64
+	average  float64
+	changed  time.Duration
 	ready    bool
 }
 
@@ -152,6 +156,7 @@
 	i := slices.IndexFunc(f.waiting, func(e *Entry) bool { return e.Class == c })
 	e := f.waiting[i]
 	f.waiting = slices.Delete(f.waiting, i, i+1)
+	f.use(now, c)
 	f.running = append(f.running, e)
 	e.started = now
 	e.cost = f.node(at(service, c)).mean
@@ -162,12 +167,13 @@
 
 // Done frees the slot of a running entry and learns the run time of its service.
 func (f *Fair) Done(now time.Duration, e *Entry) {
-	i := slices.Index(f.running, e)
-	f.running = slices.Delete(f.running, i, i+1)
 	d := max((now - e.started).Seconds(), 0.0005)
 	s := f.node(at(service, e.Class))
-	s.n = min(s.n+1, 64)
+	s.n = min(s.n+1, 256)
 	s.mean = max(s.mean+(d-s.mean)/s.n, 0.0005)
+	f.use(now, e.Class)
+	i := slices.Index(f.running, e)
+	f.running = slices.Delete(f.running, i, i+1)
 	f.charge(e.Class, d-e.cost)
 	f.settle()
 }
@@ -191,6 +197,16 @@
 	}
 }
 
+// use brings the average use of the service and the team of c up to date.
+func (f *Fair) use(now time.Duration, c admit.Class) {
+	for level := service; level <= team; level++ {
+		n := f.node(at(level, c))
+		past := (now - n.changed).Seconds() / (10 * f.node(at(service, c)).mean)
+		n.average += (float64(f.count(f.running, at(level, c))) - n.average) * -math.Expm1(-past)
+		n.changed = now
+	}
+}
+
 func (f *Fair) weight(p path) float64 {
 	switch p.level {
 	case service:
--- a/internal/flow/naive/order.go
+++ b/internal/flow/naive/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"chervilgauge.example/chervilgauge/internal/flow/admit"
@@ -95,26 +96,37 @@
 	return least
 }
 
-// tier is 0 within the guaranteed share of slots and 1 beyond it.
+// tier is 0 within the guaranteed share of slots, 1 for a burst and 2 beyond that.
 func (f *Fair) tier(p path) int {
-	if p.level == class || f.count(f.running, p) < f.guarantee(p) {
+	running := f.count(f.running, p)
+	share := f.slots(p)
+	switch {
+	case p.level == class || running < f.guarantee(p):
 		return 0
+	case float64(running) < share+3*math.Sqrt(share) && f.node(p).average < share:
+		return 1
+	default:
+		return 2
 	}
-	return 1
+}
+
+// slots returns the guaranteed share.
+func (f *Fair) slots(p path) float64 {
+	all := f.share(float64(f.Slots), f.services, p.class.Service)
+	if p.level == service {
+		return all
+	}
+	return f.share(all, f.teams, p.class.Team)
 }
 
 // guarantee returns the guaranteed share in whole slots.
 func (f *Fair) guarantee(p path) int {
+	_, listed := f.services[p.class.Service]
 	if p.level == team {
-		slots := f.share(float64(f.Slots), f.services, p.class.Service)
-		return f.whole(slots, f.teams, p.class.Team)
+		_, listed = f.teams[p.class.Team]
 	}
-	return f.whole(float64(f.Slots), f.services, p.class.Service)
-}
-
-func (f *Fair) whole(slots float64, shares map[string]admit.Share, name string) int {
-	n := int(f.share(slots, shares, name))
-	if _, ok := shares[name]; !ok {
+	n := int(f.slots(p))
+	if !listed {
 		n = max(n, 1)
 	}
 	return n
@@ -138,18 +150,40 @@
 // free tells whether a slot is free for the service of c.
 func (f *Fair) free(c admit.Class) bool {
 	free := f.Slots - len(f.running)
-	if f.tier(at(service, c)) == 1 {
-		free -= min(int(float64(f.Slots)*f.Reserve), f.unclaimed())
+	if f.tier(at(service, c)) == 2 {
+		free -= f.reserve()
 	}
 	return free > 0
 }
 
-// unclaimed returns the number of guaranteed slots that the listed services do not use.
-func (f *Fair) unclaimed() int {
-	n := 0
+// reserve returns the number of slots that borrowers leave free.
+func (f *Fair) reserve() int {
+	unclaimed := 0
 	for name := range f.services {
 		p := at(service, admit.Class{Service: name})
-		n += max(f.guarantee(p)-f.count(f.running, p), 0)
+		unclaimed += max(f.guarantee(p)-f.count(f.running, p), 0)
 	}
-	return n
+	own := 0
+	var ownRate, rate int64
+	for _, e := range f.running {
+		p := at(service, e.Class)
+		r := int64(1e6 / f.node(p).mean)
+		rate += r
+		if f.tier(p) < 2 {
+			own++
+			ownRate += r
+		}
+	}
+	ratio := float64(ownRate) / float64(max(rate, 1))
+	best := 0
+	wait := 1.0
+	idle := 0.0
+	for n := 1; n <= unclaimed && wait > 0.004; n++ {
+		wait *= ratio
+		idle += 1 - wait
+		if idle <= f.Reserve*float64(f.Slots-own) {
+			best = n
+		}
+	}
+	return best
 }
