state: complete a wave's step with the return of the instance

Cause: the first wave over separate processes rebooted i1 four times. The return and the end of the step were two records, and between them the planner saw an available instance whose step was still open, so it drained it again. Ruled out: a refused drain (all four were accepted). The return now completes the step in the fold, and the planner no longer writes successful steps.

--- a/internal/fleet/state/drains.go
+++ b/internal/fleet/state/drains.go
@@ -191,12 +191,24 @@
 	if r.GetBoot() <= i.Grant.Boot || r.GetBoot() < i.Boot {
 		return refused(OldBoot)
 	}
-	n := i.WithHealth(Up, r.GetBoot()).WithPhase(Serving, nil).WithVersion(offset)
-	n.Returned = offset
-	s.setInstance(n)
+	n := i.WithHealth(Up, r.GetBoot()).WithPhase(Serving, nil)
+	s.setInstance(n.WithVersion(offset))
+	s.completeStep(i.Grant.Wave, i.Name)
 	return accepted
 }
 
+// completeStep counts a return for the wave that drained the instance. A record of its
+// own would leave a gap in which the planner drains the instance again.
+func (s *State) completeStep(wave, name string) {
+	w, ok := s.waves.get(wave)
+	if !ok || w.Phase == Finished {
+		return
+	}
+	if _, ok := w.Step(name); ok {
+		s.setWave(w.WithStep(name, Done))
+	}
+}
+
 // moved changes the pool. The target's budget does not forbid it, because the move
 // takes nothing out of the target; the arriving instance is charged there against
 // later drains until it is known to be up.
--- a/internal/fleet/state/instances.go
+++ b/internal/fleet/state/instances.go
@@ -69,8 +69,6 @@
 	Boot uint64
 	// Grant is the drain in progress, nil if there is none.
 	Grant *Grant
-	// Returned is the offset of the last confirmed return from a reboot, 0 if none.
-	Returned uint64
 }
 
 // Available says whether the instance serves and is known to be up.
@@ -121,7 +119,6 @@
 	number(c, &i.Phase)
 	number(c, &i.Health)
 	c.u64(&i.Boot)
-	c.u64(&i.Returned)
 	has := i.Grant != nil
 	c.flag(&has)
 	if !has {
--- a/internal/fleet/state/naive_test.go
+++ b/internal/fleet/state/naive_test.go
@@ -165,6 +165,9 @@
 		g := w.grant[b.Restart.Name]
 		g.restarted, g.boot = true, w.health[b.Restart.Name].GetBoot()
 	case *recpb.Record_Back:
+		if x := w.wave[w.grant[b.Back.Name].wave]; x != nil && x.phase != Finished && x.steps[b.Back.Name] != 0 {
+			x.steps[b.Back.Name] = Done
+		}
 		delete(w.grant, b.Back.Name)
 		w.health[b.Back.Name] = &recpb.Health{Up: true, Boot: b.Back.Boot}
 		w.ver["inst/"+b.Back.Name] = off
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -109,6 +109,34 @@
 	c.accept(c.drain("b", ""))
 }
 
+// TestReturnCompletesStep guards against a wave that drains an instance again after its
+// return, because the return and the end of the step were two records.
+func TestReturnCompletesStep(t *testing.T) {
+	c := fleet(t)
+	c.accept(&recpb.Wave{Name: "w", Pools: []string{"p"}, Order: recpb.Wave_START})
+	d := c.drain("a", "")
+	d.Wave = "w"
+	g := c.accept(d)
+	c.accept(&recpb.Drained{Name: "a", Grant: g, Member: "e1", Incarnation: 11})
+	c.accept(&recpb.Drained{Name: "a", Grant: g, Member: "e2", Incarnation: 22})
+	c.accept(&recpb.Restart{Name: "a", Grant: g})
+	c.accept(&recpb.Back{Name: "a", Grant: g, Boot: 2})
+	again := c.drain("a", "")
+	again.Wave = "w"
+	c.refuse(again, WrongPhase)
+}
+
+// TestRejoin guards against a new process of an entry that can't join because its
+// predecessor is still a member, and against one that takes over another's name.
+func TestRejoin(t *testing.T) {
+	c := fleet(t)
+	other := join("e1", 12)
+	other.Addr = "127.0.0.1:9"
+	c.refuse(other, NameTaken)
+	c.accept(join("e1", 12))
+	c.refuse(join("e1", 11), Gone)
+}
+
 // TestMove guards against a pool change of an instance that is in use, and against
 // two operators who move the same instance.
 func TestMove(t *testing.T) {
--- a/internal/serve/plans/waves.go
+++ b/internal/serve/plans/waves.go
@@ -51,7 +51,6 @@
 	if len(in.Waves) == 0 {
 		return
 	}
-	p.settleSteps(ctx, st)
 	for _, d := range waves.Plan(in) {
 		w, ok := st.Wave(d.Wave)
 		if ok && w.Phase == state.Running {
@@ -172,28 +171,6 @@
 	state.Down: waves.Down,
 }
 
-// settleSteps records the instances of waves that are back.
-func (p *Planner) settleSteps(ctx context.Context, st *state.State) {
-	for w := range st.Waves() {
-		if w.Phase == state.Finished {
-			continue
-		}
-		for _, s := range w.Steps {
-			if s.Outcome == state.Todo && p.isBack(st, w, s.Name) {
-				p.append(ctx, "step/"+s.Name, &recpb.Record{Body: &recpb.Record_Step{
-					Step: &recpb.Step{Wave: w.Name, Name: s.Name}}})
-			}
-		}
-	}
-}
-
-// isBack says whether an instance was rebooted since the wave started. Its version is
-// the offset of its last return.
-func (p *Planner) isBack(st *state.State, w *state.Wave, name string) bool {
-	i, ok := st.Instance(name)
-	return ok && i.Phase == state.Serving && i.Returned > w.Started
-}
-
 // carryOut appends the records of a decision.
 func (p *Planner) carryOut(ctx context.Context, st *state.State, w *state.Wave, d waves.Decision) {
 	for _, name := range d.Failed {
