Report demand at once when requests wait for slots; test processes under faults

An entry without a slot now counts on one at each endpoint, requests wait for the first grant, and a waiting request makes the entry report its demand within 50 ms.

--- /dev/null
+++ b/internal/proof/procs/cluster_test.go
@@ -0,0 +1,355 @@
+package procs
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"chervilgauge.example/chervilgauge/internal/bench/world"
+	"chervilgauge.example/chervilgauge/internal/wire/opspb"
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "procs")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "chervilgauge")
+	out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/chervilgauge").CombinedOutput()
+	if err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	cmd    *exec.Cmd
+	line   string
+	ended  chan struct{}
+	stderr bytes.Buffer
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// stop sends a signal and waits for the end of the process.
+func (p *process) stop(t testing.TB, s syscall.Signal) {
+	p.signal(s)
+	select {
+	case <-p.ended:
+	case <-time.After(30 * time.Second):
+		t.Errorf("process %v did not end", p.cmd.Args)
+		p.signal(syscall.SIGKILL)
+		<-p.ended
+	}
+}
+
+// run starts the program. If it announces an address, line holds the announcement.
+func run(t testing.TB, announces bool, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(binary, args...), ended: make(chan struct{})}
+	out, err := p.cmd.StdoutPipe()
+	assert.NilError(t, err)
+	p.cmd.Stderr = &p.stderr
+	assert.NilError(t, p.cmd.Start())
+	r := bufio.NewReader(out)
+	if announces {
+		p.line, err = r.ReadString('\n')
+		assert.NilError(t, err, "%s", args)
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, r)
+		_ = p.cmd.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.stop(t, syscall.SIGKILL)
+	})
+	return p
+}
+
+// member is one entry of a cluster.
+type member struct {
+	*process
+	file                                string
+	callers, operators, peers, healthAt string
+}
+
+// endpoint is one fake endpoint of a cluster.
+type endpoint struct {
+	name, addr, control string
+}
+
+// cluster is a deployment of separate processes with one pool and one service, plan.
+type cluster struct {
+	t         testing.TB
+	log, list string
+	endpoints []endpoint
+	entries   []*member
+	http      *http.Client
+}
+
+// newCluster starts the processes and waits until every entry is ready and every
+// endpoint takes work. Requests run for the given time in milliseconds.
+func newCluster(t testing.TB, entries, endpoints, runTime int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	c.log = strings.Fields(run(t, true, "standin", "log").line)[1]
+	var names, controls []string
+	for n := range endpoints {
+		f := strings.Fields(run(t, true, "standin", "endpoint", "-services", "plan", "-run", fmt.Sprint(runTime)).line)
+		e := endpoint{fmt.Sprintf("i%d", n), strings.TrimPrefix(f[1], "http://"), f[3]}
+		c.endpoints = append(c.endpoints, e)
+		names = append(names, e.name)
+		controls = append(controls, e.name+"="+e.control)
+	}
+	c.list = strings.Fields(run(t, true, "standin", "list",
+		"-instances", strings.Join(names, ","), "-controls", strings.Join(controls, ",")).line)[1]
+	for n := range entries {
+		c.entries = append(c.entries, c.entry(n))
+	}
+	for _, m := range c.entries {
+		c.ready(m)
+	}
+	c.configure()
+	return c
+}
+
+// entry writes the settings of an entry and starts it.
+func (c *cluster) entry(n int) *member {
+	m := &member{
+		callers: freeAddr(c.t), operators: freeAddr(c.t), peers: freeAddr(c.t), healthAt: freeAddr(c.t),
+		file: filepath.Join(c.t.TempDir(), fmt.Sprintf("entry-%d.jsonc", n)),
+	}
+	text := fmt.Sprintf(`{"name": "entry-%d", "centre": "north",
+		"listen": {"callers": %q, "operators": %q, "peers": %q, "health": %q},
+		"log": {"url": %q, "timeout": "1s"}, "list": {"url": %q, "timeout": "1s"},
+		"limits": {"run": "5s"}, "stop": {"lag": "200ms", "limit": "20s"}}`,
+		n, m.callers, m.operators, m.peers, m.healthAt, c.log, c.list)
+	assert.NilError(c.t, os.WriteFile(m.file, []byte(text), 0o600))
+	m.process = run(c.t, false, "serve", m.file)
+	return m
+}
+
+func freeAddr(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// until polls a condition for at most 20 s.
+func (c *cluster) until(what string, cond func() bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if cond() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+func (c *cluster) isReady(m *member) bool {
+	resp, err := http.Get("http://" + m.healthAt + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (c *cluster) ready(m *member) {
+	c.t.Helper()
+	c.until("entry is not ready", func() bool { return c.isReady(m) })
+}
+
+// operators returns a client of an entry's operators' address.
+func (c *cluster) operators(m *member) opspb.OperatorsClient {
+	conn, err := grpc.NewClient(m.operators, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	assert.NilError(c.t, err)
+	c.t.Cleanup(func() { _ = conn.Close() })
+	return opspb.NewOperatorsClient(conn)
+}
+
+func (c *cluster) status(m *member) *opspb.StatusReply {
+	r, err := c.operators(m).Status(context.Background(), &opspb.StatusAsk{})
+	assert.NilError(c.t, err)
+	return r
+}
+
+func (c *cluster) configure() {
+	ctx := context.Background()
+	ops := c.operators(c.entries[0])
+	for _, p := range []string{"main", "other"} {
+		_, err := ops.PutPool(ctx, &recpb.Pool{Name: p, Budget: &recpb.Budget{Total: 1}})
+		assert.NilError(c.t, err)
+	}
+	_, err := ops.PutService(ctx, &recpb.Service{Name: "plan", Pool: "main", Weight: 1})
+	assert.NilError(c.t, err)
+	for n, e := range c.endpoints {
+		_, err := ops.PutInstance(ctx, &recpb.Instance{Name: e.name, Pool: "main", Addr: e.addr,
+			Rack: fmt.Sprintf("r%d", n/2), Centre: "north", Slots: 8, Conns: 64})
+		assert.NilError(c.t, err)
+	}
+	for _, m := range c.entries {
+		c.until("endpoints are not up", func() bool { return c.serving(m) == len(c.endpoints) })
+	}
+}
+
+// serving returns the number of instances that an entry sees as available.
+func (c *cluster) serving(m *member) int {
+	n := 0
+	for _, i := range c.status(m).GetInstances() {
+		if i.GetPhase() == "serving" && i.GetHealth() == "up" {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) instance(m *member, name string) *opspb.InstanceStatus {
+	for _, i := range c.status(m).GetInstances() {
+		if i.GetName() == name {
+			return i
+		}
+	}
+	c.t.Fatalf("no instance %q", name)
+	return nil
+}
+
+// call sends one request to an entry.
+func (c *cluster) call(m *member, call world.Call) world.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	call.Service = "plan"
+	return world.Send(ctx, c.http, m.callers, call)
+}
+
+// order sends a fault order to a fake.
+func (c *cluster) order(method, url string, body any) {
+	c.t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(c.t, err)
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
+	assert.NilError(c.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(c.t, err)
+	text, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	assert.Assert(c.t, resp.StatusCode < 300, "%s %s: %s", method, url, text)
+}
+
+// counts is what an endpoint counted.
+type counts struct {
+	Runs   int            `json:"runs"`
+	IDs    map[string]int `json:"ids"`
+	MaxRun int            `json:"maxrun"`
+	// Late holds the times of arrivals since the endpoint was set leaving, in ms.
+	Late []float64 `json:"late"`
+}
+
+func (c *cluster) counts(e endpoint) counts {
+	resp, err := http.Get(e.control + "/counts?ids=1")
+	assert.NilError(c.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var n counts
+	assert.NilError(c.t, json.NewDecoder(resp.Body).Decode(&n))
+	return n
+}
+
+// executions returns how often each request id ran, over all endpoints.
+func (c *cluster) executions() map[string]int {
+	out := map[string]int{}
+	for _, e := range c.endpoints {
+		for id, k := range c.counts(e).IDs {
+			out[id] += k
+		}
+	}
+	return out
+}
+
+// traffic sends requests from several goroutines until stopped and returns what each
+// caller was told, by request id.
+type traffic struct {
+	mu      sync.Mutex
+	replies map[string][]world.Reply
+	quit    chan struct{}
+	work    sync.WaitGroup
+}
+
+// drive starts callers. Each sends a request to a random entry and, while it is not
+// told an answer, asks again with the same id through the next entry, up to tries.
+func (c *cluster) drive(callers, tries int, idempotent bool) *traffic {
+	tr := &traffic{replies: map[string][]world.Reply{}, quit: make(chan struct{})}
+	for n := range callers {
+		tr.work.Add(1)
+		go func() {
+			defer tr.work.Done()
+			for k := n; !tr.stopped(); k++ {
+				c.ask(tr, k, tries, idempotent)
+			}
+		}()
+	}
+	return tr
+}
+
+func (tr *traffic) stopped() bool {
+	select {
+	case <-tr.quit:
+		return true
+	default:
+		return false
+	}
+}
+
+// ask carries one request through up to tries asks.
+func (c *cluster) ask(tr *traffic, k, tries int, idempotent bool) {
+	id := world.NewID()
+	attempt := 1
+	for n := range tries {
+		m := c.entries[(k+n)%len(c.entries)]
+		r := c.call(m, world.Call{ID: id, Idempotent: idempotent, Attempt: attempt, Timeout: 3 * time.Second})
+		tr.mu.Lock()
+		tr.replies[id] = append(tr.replies[id], r)
+		tr.mu.Unlock()
+		if r.Err == nil && r.Outcome == "answered" {
+			return
+		}
+		if r.Outcome != "not-run" {
+			attempt++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// stop ends the traffic and returns the replies by id.
+func (tr *traffic) stop() map[string][]world.Reply {
+	close(tr.quit)
+	tr.work.Wait()
+	return tr.replies
+}
--- /dev/null
+++ b/internal/proof/procs/faults_test.go
@@ -0,0 +1,196 @@
+package procs
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/bench/world"
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// verify checks what callers were told against what the endpoints counted: no
+// non-idempotent id ran twice, an id that was answered ran, every answer is the whole
+// answer to its own request, and an id that was only told "not run" did not run.
+func (c *cluster) verify(replies map[string][]world.Reply) (answered int) {
+	c.t.Helper()
+	runs := c.executions()
+	for id, list := range replies {
+		assert.Assert(c.t, runs[id] <= 1, "%s ran %d times: %v", id, runs[id], list)
+		if c.verifyOne(id, list, runs[id]) {
+			answered++
+		}
+	}
+	return answered
+}
+
+func (c *cluster) verifyOne(id string, list []world.Reply, runs int) bool {
+	c.t.Helper()
+	refused := 0
+	for _, r := range list {
+		switch {
+		case r.Err == nil && r.Outcome == "answered":
+			assert.Assert(c.t, strings.Contains(string(r.Body), id), "answer to another request: %s", r.Body)
+			assert.Equal(c.t, runs, 1, "%s was answered", id)
+			return true
+		case r.Err == nil && r.Outcome == "not-run":
+			refused++
+		}
+	}
+	if refused == len(list) {
+		assert.Equal(c.t, runs, 0, "%s was only told not-run, but ran", id)
+	}
+	return false
+}
+
+// Guards against a second execution when an entry dies with requests in flight and its
+// callers ask again through another entry.
+func TestKilledEntry(t *testing.T) {
+	c := newCluster(t, 3, 4, 20)
+	tr := c.drive(16, 4, false)
+	time.Sleep(time.Second)
+	c.entries[0].stop(t, syscall.SIGKILL)
+	time.Sleep(2 * time.Second)
+	replies := tr.stop()
+	answered := c.verify(replies)
+	t.Logf("%d ids, %d answered", len(replies), answered)
+	// Only the requests that were in flight through the dead entry may stay unknown.
+	assert.Assert(t, len(replies)-answered <= 16, "%d of %d answered", answered, len(replies))
+}
+
+// Guards against an entry that was frozen for longer than its membership lasts and
+// sends work to an instance that was moved meanwhile, or runs an id again.
+func TestFrozenEntry(t *testing.T) {
+	c := newCluster(t, 3, 4, 20)
+	tr := c.drive(8, 3, false)
+	time.Sleep(500 * time.Millisecond)
+	c.entries[0].signal(syscall.SIGSTOP)
+	c.until("frozen entry is not evicted", func() bool { return len(c.status(c.entries[1]).GetMembers()) == 2 })
+	c.move(c.entries[1], "i0", "other")
+	before := c.counts(c.endpoints[0]).Runs
+	c.entries[0].signal(syscall.SIGCONT)
+	c.until("entry does not rejoin", func() bool {
+		return len(c.status(c.entries[1]).GetMembers()) == 3 && c.isReady(c.entries[0])
+	})
+	time.Sleep(500 * time.Millisecond)
+	answered := c.verify(tr.stop())
+	assert.Assert(t, answered > 0)
+	assert.Equal(t, c.counts(c.endpoints[0]).Runs, before, "work was sent to a moved instance")
+}
+
+// move moves an instance and waits until it serves in the new pool.
+func (c *cluster) move(m *member, name, pool string) {
+	c.t.Helper()
+	i := c.instance(m, name)
+	_, err := c.operators(m).Drain(context.Background(), &recpb.Drain{
+		Edit: &recpb.Edit{Base: i.GetVersion()}, Name: name, Target: pool})
+	assert.NilError(c.t, err)
+	c.until("instance does not move", func() bool {
+		i := c.instance(m, name)
+		return i.GetPool() == pool && i.GetPhase() == "serving"
+	})
+}
+
+// Guards against traffic that stops with the log, against a non-idempotent request
+// that runs without a claim, and against a change that is called accepted.
+func TestLogOutage(t *testing.T) {
+	c := newCluster(t, 3, 4, 5)
+	c.order(http.MethodPut, c.log+"/faults", map[string]any{"down": true})
+	time.Sleep(3 * time.Second)
+	for n := range 60 {
+		r := c.call(c.entries[n%3], world.Call{Idempotent: true})
+		assert.Equal(t, r.Outcome, "answered", "%v %s", r.Err, r.Body)
+	}
+	id := world.NewID()
+	r := c.call(c.entries[0], world.Call{ID: id})
+	assert.Equal(t, r.Outcome, "not-run", "%s", r.Body)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err := c.operators(c.entries[0]).PutTeam(ctx, &recpb.Team{
+		Edit: &recpb.Edit{Change: "during-outage"}, Name: "a", Weight: 1})
+	assert.Assert(t, err != nil)
+	c.order(http.MethodPut, c.log+"/faults", map[string]any{"down": false})
+	c.until("change is not accepted after the outage", func() bool {
+		_, err := c.operators(c.entries[1]).PutTeam(context.Background(), &recpb.Team{
+			Edit: &recpb.Edit{Change: "during-outage"}, Name: "a", Weight: 1})
+		return err == nil
+	})
+	c.until("request does not run after the outage", func() bool {
+		return c.call(c.entries[1], world.Call{ID: id}).Outcome == "answered"
+	})
+	assert.Equal(t, c.executions()[id], 1)
+}
+
+// Guards against a claim or a change that takes effect twice, or never, when answers
+// to appends are lost and appends are doubled.
+func TestLostAppendAnswers(t *testing.T) {
+	c := newCluster(t, 3, 4, 5)
+	c.order(http.MethodPut, c.log+"/faults", map[string]any{"lose": 0.3, "duplicate": 0.3, "seed": 7})
+	tr := c.drive(8, 5, false)
+	for n := range 5 {
+		_, err := c.operators(c.entries[n%3]).PutTeam(context.Background(), &recpb.Team{
+			Name: string(rune('a' + n)), Weight: 1})
+		assert.NilError(t, err)
+	}
+	time.Sleep(2 * time.Second)
+	replies := tr.stop()
+	assert.Equal(t, c.verify(replies), len(replies))
+	c.until("teams differ", func() bool {
+		return len(c.status(c.entries[2]).GetTeams()) == 5
+	})
+}
+
+// Guards against requests in flight that a planned stop cuts off.
+func TestPlannedStop(t *testing.T) {
+	c := newCluster(t, 3, 4, 700)
+	const n = 8
+	replies := make(chan world.Reply, n)
+	for range n {
+		go func() { replies <- c.call(c.entries[0], world.Call{Idempotent: true}) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.entries[0].signal(syscall.SIGTERM)
+	for range n {
+		r := <-replies
+		assert.Equal(t, r.Outcome, "answered", "%v %s", r.Err, r.Body)
+	}
+	c.entries[0].stop(t, syscall.SIGTERM)
+	c.until("stopped entry is still a member", func() bool { return len(c.status(c.entries[1]).GetMembers()) == 2 })
+}
+
+// Guards against new work for a leaving endpoint more than 3 s after it said so, also
+// through an entry that is cut off from the log.
+func TestLeavingEndpoint(t *testing.T) {
+	c := newCluster(t, 3, 4, 5)
+	c.order(http.MethodPut, c.log+"/faults?client=entry-0", map[string]any{"down": true})
+	tr := c.drive(8, 2, true)
+	c.order(http.MethodPut, c.endpoints[0].control+"/faults", map[string]any{"leaving": true, "run": 5})
+	time.Sleep(5 * time.Second)
+	tr.stop()
+	for _, ms := range c.counts(c.endpoints[0]).Late {
+		assert.Assert(t, ms < 3000, "work arrived %v ms after the endpoint was leaving", ms)
+	}
+}
+
+// Guards against an entry that does not learn of changes, or stops, when it alone is
+// cut off from the log.
+func TestEntryCutFromLog(t *testing.T) {
+	c := newCluster(t, 3, 4, 5)
+	c.order(http.MethodPut, c.log+"/faults?client=entry-0", map[string]any{"down": true})
+	time.Sleep(3 * time.Second)
+	change, err := c.operators(c.entries[1]).PutTeam(context.Background(), &recpb.Team{Name: "a", Weight: 1})
+	assert.NilError(t, err)
+	start := time.Now()
+	c.until("cut-off entry does not learn of the change", func() bool {
+		return c.status(c.entries[0]).GetApplied() >= change.GetVersion()
+	})
+	assert.Assert(t, time.Since(start) < 4*time.Second)
+	assert.Assert(t, c.isReady(c.entries[0]))
+	r := c.call(c.entries[0], world.Call{ID: world.NewID()})
+	assert.Equal(t, r.Outcome, "answered", "%s", r.Body)
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -135,6 +135,7 @@
 		Scope:    e.meter.Scope(),
 		Tracer:   e.tracer,
 		Centre:   e.cfg.Centre,
+		Short:    e.lends.Hurry,
 		Leaving:  func(instance string) { e.core.Left(instance) },
 	}, flows.Limits{Queue: e.cfg.Limits.Queue, Claim: e.cfg.Limits.Claim, Waiting: e.cfg.Limits.Waiting})
 	e.control(ctx)
--- a/internal/serve/flows/engine.go
+++ b/internal/serve/flows/engine.go
@@ -32,6 +32,8 @@
 	Tracer   trace.Tracer
 	// Centre is the data centre of the entry.
 	Centre string
+	// Short is called when a request has to wait for a slot.
+	Short func()
 	// Leaving is told the name of an instance that an answer showed to be leaving.
 	Leaving func(instance string)
 }
--- /dev/null
+++ b/internal/serve/flows/flows_test.go
@@ -0,0 +1,192 @@
+package flows
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/flow/admit"
+	"chervilgauge.example/chervilgauge/internal/flow/claim"
+	"chervilgauge.example/chervilgauge/internal/flow/route"
+)
+
+var errTest = errors.New("test failure")
+
+// script is an endpoint whose attempts end as listed; the last entry repeats.
+type script struct {
+	calls atomic.Int64
+	ends  []func(addr string) (*ports.Answer, error)
+}
+
+func (s *script) Call(_ context.Context, addr string, _ ports.Request) (*ports.Answer, error) {
+	n := int(s.calls.Add(1)) - 1
+	return s.ends[min(n, len(s.ends)-1)](addr)
+}
+
+func (s *script) Probe(context.Context, string) (bool, error) { return false, nil }
+
+func whole(status int) func(string) (*ports.Answer, error) {
+	return func(string) (*ports.Answer, error) {
+		return &ports.Answer{Status: status, Length: 2, Whole: []byte("ok")}, nil
+	}
+}
+
+func broken(addr string) (*ports.Answer, error) {
+	return nil, &ports.BrokenError{Addr: addr, Cause: errTest}
+}
+
+func notSent(addr string) (*ports.Answer, error) {
+	return nil, &ports.NotSentError{Addr: addr, Cause: errTest}
+}
+
+type gateFunc func() bool
+
+func (g gateFunc) MaySend() bool { return g() }
+
+// claimsFunc answers claims; outcomes of other holders are lost.
+type claimsFunc func(ctx context.Context) ClaimResult
+
+func (f claimsFunc) Claim(ctx context.Context, _ claim.ID, _, _ uint64) ClaimResult { return f(ctx) }
+
+func (claimsFunc) Outcome(context.Context, claim.ID, claim.Head) Reply { return Reply{State: ReplyLost} }
+
+func granted(context.Context) ClaimResult { return ClaimGranted{} }
+
+func never(ctx context.Context) ClaimResult {
+	<-ctx.Done()
+	return ClaimUnavailable{}
+}
+
+// start returns an engine with a pool of four endpoints of two slots each.
+func start(t *testing.T, ep ports.Endpoint, gate Gate, claims Claims) *Engine {
+	t.Helper()
+	e := New(context.Background(), Parts{
+		Clock: clock.NewSystem(), Endpoint: ep, Gate: gate, Claims: claims,
+		Attempts: claim.NewAttempts(1 << 20), Scope: tally.NoopScope,
+		Tracer: noop.NewTracerProvider().Tracer(""), Short: func() {}, Leaving: func(string) {},
+	}, Limits{Queue: time.Second, Claim: 50 * time.Millisecond, Waiting: 100})
+	t.Cleanup(e.Close)
+	plan := PoolPlan{Name: "p", Shares: Shares{Services: map[string]admit.Share{"s": {Weight: 1}}}}
+	for _, n := range []string{"a", "b", "c", "d"} {
+		plan.Targets = append(plan.Targets, Target{Target: route.Target{Name: n, Addr: n, Slots: 2}, Limit: 2})
+	}
+	e.Update([]PoolPlan{plan})
+	return e
+}
+
+var open = gateFunc(func() bool { return true })
+
+func call(idempotent bool) *Call {
+	id := claim.NewID()
+	return &Call{ID: id, Text: id.String(), Idempotent: idempotent, Service: "s", Timeout: time.Second}
+}
+
+// Guards against "not run" after an attempt that may have run was followed by one that
+// was not sent.
+func TestNotRunHoldsForAllAttempts(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){broken, notSent}}
+	r := start(t, ep, open, claimsFunc(granted)).Run(t.Context(), call(true))
+	assert.Equal(t, r, Result(Unknown{Reason: Broken}))
+	assert.Assert(t, ep.calls.Load() > 1)
+}
+
+// Guards against a non-idempotent request that is sent again after it may have run.
+func TestOnceIsNotSentAgain(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){broken, whole(200)}}
+	e := start(t, ep, open, claimsFunc(granted))
+	c := call(false)
+	assert.Equal(t, e.Run(t.Context(), c), Result(Unknown{Reason: Broken}))
+	assert.Equal(t, e.Run(t.Context(), c), Result(Unknown{Reason: Broken}))
+	assert.Equal(t, ep.calls.Load(), int64(1))
+}
+
+// Guards against a non-idempotent request that gives up although nothing was sent.
+func TestOnceMovesOnIfNothingWasSent(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){notSent, whole(200)}}
+	r := start(t, ep, open, claimsFunc(granted)).Run(t.Context(), call(false))
+	a, ok := r.(Answered)
+	assert.Assert(t, ok, "%v", r)
+	assert.Equal(t, string(a.Whole), "ok")
+}
+
+// Guards against work that is sent while the view is not confirmed.
+func TestUnconfirmedViewSendsNothing(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){whole(200)}}
+	closed := gateFunc(func() bool { return false })
+	r := start(t, ep, closed, claimsFunc(granted)).Run(t.Context(), call(true))
+	n, ok := r.(NotRun)
+	assert.Assert(t, ok, "%v", r)
+	assert.Equal(t, n.Reason, Unconfirmed)
+	assert.Equal(t, ep.calls.Load(), int64(0))
+}
+
+// Guards against a request that is sent without its claim, and against "not run" for
+// an id whose earlier ask may have run.
+func TestUnclaimedSendsNothing(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){whole(200)}}
+	e := start(t, ep, open, claimsFunc(never))
+	c := call(false)
+	n, ok := e.Run(t.Context(), c).(NotRun)
+	assert.Assert(t, ok)
+	assert.Equal(t, n.Reason, Unclaimed)
+	c.Repeated = true
+	assert.Equal(t, e.Run(t.Context(), c), Result(Unknown{Reason: EarlierAttempt}))
+	assert.Equal(t, ep.calls.Load(), int64(0))
+}
+
+// Guards against two calls with one id at a time that both run.
+func TestTwinsRunOnce(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){func(string) (*ports.Answer, error) {
+		time.Sleep(20 * time.Millisecond)
+		return whole(200)("")
+	}}}
+	e := start(t, ep, open, claimsFunc(granted))
+	c := call(false)
+	results := make(chan Result, 2)
+	for range 2 {
+		go func() { results <- e.Run(context.Background(), c) }()
+	}
+	for range 2 {
+		_, ok := (<-results).(Answered)
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, ep.calls.Load(), int64(1))
+}
+
+// Guards against a pool outage that multiplies the load: with every attempt broken,
+// at most 10% more attempts than requests are made, beside the floor of 3.
+func TestOutageIsNotMultiplied(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){broken}}
+	e := start(t, ep, open, claimsFunc(granted))
+	const n = 500
+	for range n {
+		e.Run(t.Context(), call(true))
+	}
+	assert.Assert(t, ep.calls.Load() <= n+n/10+3, "%d attempts", ep.calls.Load())
+}
+
+// Guards against a streamed answer that frees its slot before the caller has read it,
+// and against one that never frees it.
+func TestStreamKeepsItsSlot(t *testing.T) {
+	ep := &script{ends: []func(string) (*ports.Answer, error){func(string) (*ports.Answer, error) {
+		return &ports.Answer{Status: 200, Length: 5, Body: io.NopCloser(strings.NewReader("large"))}, nil
+	}}}
+	e := start(t, ep, open, claimsFunc(granted))
+	a := e.Run(t.Context(), call(true)).(Answered)
+	assert.Equal(t, e.Demands()[0].Running, 1)
+	_, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, a.Body.Close())
+	assert.Equal(t, e.Demands()[0].Running, 0)
+	assert.Equal(t, e.InFlight("a")+e.InFlight("b")+e.InFlight("c")+e.InFlight("d"), 0)
+}
--- a/internal/serve/flows/pool.go
+++ b/internal/serve/flows/pool.go
@@ -20,6 +20,10 @@
 	boots   map[string]uint64
 	// flights is the number of slots in use at endpoints.
 	flights int
+	// targets is the number of endpoints.
+	targets int
+	// short says that the last request had to wait for a slot.
+	short bool
 	// freed is closed when a slot is freed, nil if nobody waits for that.
 	freed chan struct{}
 }
@@ -59,12 +63,19 @@
 	w := &waiter{run: make(chan bool, 1)}
 	t.Owner = w
 	p.pump(now)
+	p.short = p.queue.Waiting() > 0
 	return t, w, nil
 }
 
-// pump hands free slots to waiting requests.
+// pump hands free slots to waiting requests. While this entry has no slot at all, it
+// counts on one at each endpoint soon, so that requests wait for the first grant
+// instead of being refused.
 func (p *pool) pump(now time.Duration) {
-	p.queue.SetSlots(p.router.Free() + p.flights)
+	slots := p.router.Free() + p.flights
+	if slots == 0 {
+		slots = p.targets
+	}
+	p.queue.SetSlots(slots)
 	for {
 		t, dropped := p.queue.Pop(now)
 		tell(dropped, false)
@@ -81,6 +92,13 @@
 	}
 }
 
+// isShort says whether requests wait because this entry has too few slots.
+func (p *pool) isShort() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.short
+}
+
 // cancel takes a waiting ticket out of the queue. It reports false if the ticket has
 // left the queue before.
 func (p *pool) cancel(t *admit.Ticket) bool {
@@ -123,11 +141,16 @@
 	defer p.mu.Unlock()
 	p.flights--
 	p.router.Done(now, name, o, latency)
+	p.wake()
+	p.pump(now)
+}
+
+// wake makes the requests that wait for a slot at an endpoint look again.
+func (p *pool) wake() {
 	if p.freed != nil {
 		close(p.freed)
 		p.freed = nil
 	}
-	p.pump(now)
 }
 
 // mayRetry takes one retry from the service's budget.
--- a/internal/serve/flows/run.go
+++ b/internal/serve/flows/run.go
@@ -56,6 +56,9 @@
 		return refusal(err)
 	}
 	j.ticket = t
+	if j.pool.isShort() {
+		e.Short()
+	}
 	if j.once != nil {
 		j.once.start(ctx, e)
 	}
--- a/internal/serve/flows/update.go
+++ b/internal/serve/flows/update.go
@@ -75,10 +75,12 @@
 		targets = append(targets, t.Target)
 	}
 	p.router.Set(now, targets)
+	p.targets = len(targets)
 	for _, t := range plan.Targets {
 		p.rebooted(t)
 		p.router.SetLimit(t.Name, t.Limit)
 	}
+	p.wake()
 	p.pump(now)
 }
 
@@ -105,5 +107,6 @@
 			p.router.SetLimit(name, n)
 		}
 	}
+	p.wake()
 	p.pump(now)
 }
--- a/internal/serve/lends/lends.go
+++ b/internal/serve/lends/lends.go
@@ -20,6 +20,8 @@
 const (
 	// interval is how often demand is reported, so that shares follow it within 1 s.
 	interval = 250 * time.Millisecond
+	// hurryInterval is the least time between reports while requests wait for slots.
+	hurryInterval = 50 * time.Millisecond
 	// askTimeout bounds one exchange with a custodian.
 	askTimeout = 400 * time.Millisecond
 	// headroom is the demand beyond the present one that an entry asks for.
@@ -59,6 +61,7 @@
 type Service struct {
 	Parts
 	engine Engine
+	hurry  chan struct{}
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -74,6 +77,7 @@
 	return &Service{
 		Parts:     p,
 		done:      make(chan struct{}),
+		hurry:     make(chan struct{}, 1),
 		holder:    share.NewHolder(p.Self.Name, p.Self.Incarnation),
 		custodian: share.NewCustodian(p.Self.Name, p.MaxRun),
 	}
@@ -104,6 +108,15 @@
 	}
 	s.holder.Epoch(v, s.slots)
 	s.custodian.Epoch(s.Clock.Now(), v, s.slots)
+	s.Hurry()
+}
+
+// Hurry reports demand soon instead of at the next interval.
+func (s *Service) Hurry() {
+	select {
+	case s.hurry <- struct{}{}:
+	default:
+	}
 }
 
 // Limit returns the number of slots that this entry may use at an instance.
@@ -126,13 +139,19 @@
 	defer sub.Close()
 	var asks sync.WaitGroup
 	defer asks.Wait()
+	last := -interval
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-sub.C:
-			s.round(ctx, &asks)
+		case <-s.hurry:
+			if s.Clock.Now()-last < hurryInterval {
+				continue
+			}
 		}
+		last = s.Clock.Now()
+		s.round(ctx, &asks)
 	}
 }
 
