--- a/internal/fake/endpt/endpt.go
+++ b/internal/fake/endpt/endpt.go
@@ -19,6 +19,7 @@
 type Endpoint struct {
 	clk      clock.Clock
 	addr     string
+	orders   string
 	slots    int
 	services map[string]bool
 	mux      *http.ServeMux
@@ -31,10 +32,12 @@
 	lifted chan struct{} // closed when the orders change
 	held   chan struct{} // closed when the answer that is held back may be sent
 	counts counts
+	life   int // number of calls of Stop; runs of an earlier life hold no slot
 
 	// gate guards the ports. It is separate from mu, which accepting a connection
 	// takes, because it is held while a port is closed.
 	gate    sync.Mutex
+	stopped bool
 	work    *local.Server   // nil while connections are refused
 	old     []*local.Server // refuse connections and end those they have
 	control *local.Server
@@ -65,11 +68,15 @@
 // WithAddr sets the address for requests, by default a free port of 127.0.0.1.
 func WithAddr(addr string) Option { return func(e *Endpoint) { e.addr = addr } }
 
+// WithControl sets the address for orders, by default a free port of 127.0.0.1.
+func WithControl(addr string) Option { return func(e *Endpoint) { e.orders = addr } }
+
 // New returns an endpoint. It serves as an http.Handler; Start puts it on TCP ports.
 func New(opts ...Option) *Endpoint {
 	e := &Endpoint{
 		clk:    clock.NewSystem(),
 		addr:   "127.0.0.1:0",
+		orders: "127.0.0.1:0",
 		slots:  defaultSlots,
 		quit:   make(chan struct{}),
 		lifted: make(chan struct{}),
@@ -103,7 +110,7 @@
 // Start serves requests on one TCP port and orders on another one that stays
 // reachable while connections are refused. It returns a local.ErrListen.
 func (e *Endpoint) Start() error {
-	c, err := local.Listen("127.0.0.1:0", &http.Server{Handler: e}, nil)
+	c, err := local.Listen(e.orders, &http.Server{Handler: e}, nil)
 	if err != nil {
 		return err
 	}
@@ -115,7 +122,7 @@
 
 // listen opens the port for requests unless it is open. The caller holds gate.
 func (e *Endpoint) listen() error {
-	if e.work != nil || e.Faults().Refuse {
+	if e.stopped || e.work != nil || e.Faults().Refuse {
 		return nil
 	}
 	srv := &http.Server{Handler: e, ConnState: e.connState, ConnContext: withConn}
@@ -139,15 +146,21 @@
 // Control returns the base URL for orders and counts.
 func (e *Endpoint) Control() string { return e.control.URL() }
 
-// Stop closes the port for requests and cuts all connections to it, as an instance
-// that goes down does. Requests that are running keep their slots until they end.
+// Stop closes the port for requests, cuts all connections to it and abandons what is
+// running, as an instance that goes down does.
 func (e *Endpoint) Stop() {
 	e.gate.Lock()
 	defer e.gate.Unlock()
-	e.stop()
+	e.stopped = true
+	e.disconnect()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life++
+	e.counts.running = 0
 }
 
-func (e *Endpoint) stop() {
+// disconnect closes the port for requests and its connections. The caller holds gate.
+func (e *Endpoint) disconnect() {
 	if e.work != nil {
 		e.old = append(e.old, e.work)
 	}
@@ -168,11 +181,11 @@
 	e.work = nil
 }
 
-// Resume opens the port for requests after Stop unless connections are refused by an
-// order. It returns a local.ErrListen.
+// Resume opens the port for requests after Stop unless an order refuses connections. It returns a local.ErrListen.
 func (e *Endpoint) Resume() error {
 	e.gate.Lock()
 	defer e.gate.Unlock()
+	e.stopped = false
 	return e.listen()
 }
 
@@ -182,16 +195,21 @@
 	e.once.Do(func() { close(e.quit) })
 	e.gate.Lock()
 	defer e.gate.Unlock()
-	e.stop()
+	e.stopped = true
+	e.disconnect()
 	if e.control != nil {
 		e.control.Close()
 	}
 }
 
-// cut closes all connections for requests; later ones are accepted again.
+// cut closes all connections for requests; later ones are accepted again. What is
+// running goes on.
 func (e *Endpoint) cut(w http.ResponseWriter, _ *http.Request) {
-	e.Stop()
-	if err := e.Resume(); err != nil {
+	e.gate.Lock()
+	e.disconnect()
+	err := e.listen()
+	e.gate.Unlock()
+	if err != nil {
 		local.Fail(w, http.StatusInternalServerError, err.Error())
 		return
 	}
--- a/internal/fake/endpt/faults.go
+++ b/internal/fake/endpt/faults.go
@@ -52,11 +52,13 @@
 	hit bool
 	// lifted is closed when the orders change.
 	lifted <-chan struct{}
+	// life is the life of the endpoint in which the request began.
+	life int
 }
 
 // plan draws what happens to a request. The caller holds mu.
 func (e *Endpoint) plan() plan {
-	p := plan{e.faults, true, e.lifted}
+	p := plan{e.faults, true, e.lifted, e.life}
 	if p.Exp {
 		p.Run *= e.rng.ExpFloat64()
 	}
@@ -74,7 +76,8 @@
 }
 
 // SetFaults replaces the orders. Requests that hang are cut off and an answer that is
-// held back is sent. It returns a local.ErrListen if the port can't be opened again.
+// held back is sent. It returns a local.ErrListen if the port for requests can't be
+// opened again.
 func (e *Endpoint) SetFaults(f Faults) error {
 	e.gate.Lock()
 	defer e.gate.Unlock()
--- a/internal/fake/endpt/run.go
+++ b/internal/fake/endpt/run.go
@@ -103,12 +103,14 @@
 	return e.plan(), ""
 }
 
-// execute lets the run time pass and returns the slot. It returns false if there
-// will be no answer.
+// execute lets the run time pass and returns the slot, unless the endpoint was stopped
+// in between. It returns false if there will be no answer.
 func (e *Endpoint) execute(p plan) bool {
 	defer func() {
 		e.mu.Lock()
-		e.counts.running--
+		if p.life == e.life {
+			e.counts.running--
+		}
 		e.mu.Unlock()
 	}()
 	if p.hit && p.Hang {
