--- a/cmd/chervilgauge/cmds/cmds.go
+++ b/cmd/chervilgauge/cmds/cmds.go
@@ -60,7 +60,7 @@
 		{"status", "", "show the state of the fleet", runStatus},
 		{"demo", "", "run entries, fakes and traffic in one process and report", runDemo},
 		{"load", "", "send open-loop load to an entry or an endpoint", runLoad},
-		{"standin", "log|list|endpoint", "run a fake of the platform or of an endpoint", runStandin},
+		{"standin", "all|log|list|endpoint", "run a fake of the platform or of an endpoint", runStandin},
 	}
 }
 
--- a/cmd/chervilgauge/cmds/standin.go
+++ b/cmd/chervilgauge/cmds/standin.go
@@ -22,6 +22,8 @@
 	services := fs.String("services", "", "comma-separated `services` of the endpoint, empty for all")
 	slots := fs.Int("slots", 8, "requests that the endpoint runs at a time")
 	run := fs.Float64("run", 0, "run time of the endpoint's requests in `ms`")
+	port := fs.Int("port", 9000, "`port` of the log for all; the list has the next one, endpoint n port+100+n for requests and port+500+n for orders")
+	count := fs.Int("endpoints", 4, "`number` of endpoints for all; instance inst-n runs endpoint n")
 	rate := fs.Float64("rate", 500, "appends per second that the log accepts, 0 for no limit")
 	rest, err := parse(fs, args, 1)
 	if err != nil {
@@ -32,10 +34,13 @@
 		return standinLog(e, *addr, *rate)
 	case "list":
 		return standinList(e, *addr, split(*instances), split(*controls))
+	case "all":
+		p := platform{host: "127.0.0.1", port: *port, count: *count, slots: *slots, services: split(*services), run: *run}
+		return p.serve(e)
 	case "endpoint":
 		return standinEndpoint(e, *addr, split(*services), *slots, *run)
 	}
-	return errUsage.New("unknown fake %q; expected log, list or endpoint", rest[0])
+	return errUsage.New("unknown fake %q; expected all, log, list or endpoint", rest[0])
 }
 
 func split(s string) []string {
--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -143,15 +143,9 @@
 
 // follow makes an endpoint follow the phase of its instance.
 func (w *World) follow(name string, phase ports.Phase, _ uint64) {
-	ep, ok := w.Endpoints[name]
-	if !ok {
-		return
+	if ep, ok := w.Endpoints[name]; ok {
+		ep.Follow(phase)
 	}
-	f := ep.Faults()
-	f.Leaving = phase == ports.Leaving
-	f.Refuse = phase == ports.Down
-	// Orders that the fake refuses leave the endpoint as it was.
-	_ = ep.SetFaults(f)
 }
 
 // InstanceName returns the name of an instance of a pool.
