--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -54,6 +54,8 @@
 	Live []*state.Member
 	// Joined says that this incarnation is a member that is not in eviction.
 	Joined bool
+	// Snapshot is the highest offset of a snapshot seen whole in the stream.
+	Snapshot uint64
 	// Fenced lists the members whose end this entry has seen in the log without their
 	// leave, with the time at which it saw that.
 	Fenced []share.Fence
--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -181,6 +181,8 @@
 		Joined:  l.joined(),
 		Applied: l.members.Applied(),
 		Fenced:  slices.Clone(l.fenced),
+
+		Snapshot: l.snapshot,
 	}
 	l.core.view.Store(v)
 	l.noteMembership(v.Joined)
--- a/internal/serve/flows/flows_test.go
+++ b/internal/serve/flows/flows_test.go
@@ -58,7 +58,9 @@
 
 func (f claimsFunc) Claim(ctx context.Context, _ claim.ID, _, _ uint64) ClaimResult { return f(ctx) }
 
-func (claimsFunc) Outcome(context.Context, claim.ID, claim.Head) Reply { return Reply{State: ReplyLost} }
+func (claimsFunc) Outcome(context.Context, claim.ID, claim.Head) Reply {
+	return Reply{State: ReplyLost}
+}
 
 func granted(context.Context) ClaimResult { return ClaimGranted{} }
 
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -70,6 +70,8 @@
 	list   listWatch
 	waves  waveWatch
 	orders map[string]time.Duration
+
+	snapshot snapshotWatch
 }
 
 // New starts the planner. Close ends it.
@@ -123,6 +125,7 @@
 	p.observe(ctx, v.State)
 	p.advance(ctx, v.State)
 	p.runWaves(ctx, v.State)
+	p.writeSnapshot(ctx, v)
 }
 
 // acknowledge confirms the drains that this entry has nothing in flight for. The view
