--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -30,6 +30,8 @@
 type Pool struct {
 	Name      string
 	Instances int
+	// Slots is the number of slots of each endpoint, by default 8.
+	Slots int
 	// Budget is the most unavailable instances.
 	Budget uint32
 	// Run is the run time of requests in milliseconds, the mean if Exp is set.
@@ -38,6 +40,16 @@
 	Exp bool
 }
 
+// slots returns the number of slots of each endpoint.
+func (p Pool) slots() int {
+	if p.Slots == 0 {
+		return defaultSlots
+	}
+	return p.Slots
+}
+
+const defaultSlots = 8
+
 // World is a running deployment.
 type World struct {
 	Log       *oplog.Log
@@ -136,7 +148,7 @@
 }
 
 func (w *World) endpoint(p Pool, n int) error {
-	ep := endpt.New(endpt.WithFaults(endpt.Faults{Run: p.Run, Exp: p.Exp, Seed: uint64(n + 1)}))
+	ep := endpt.New(endpt.WithSlots(p.slots()), endpt.WithFaults(endpt.Faults{Run: p.Run, Exp: p.Exp, Seed: uint64(n + 1)}))
 	w.Endpoints[InstanceName(p.Name, n)] = ep
 	return ep.Start()
 }
@@ -253,7 +265,7 @@
 		_, err := c.PutInstance(ctx, &recpb.Instance{
 			Name: name, Pool: p.Name, Addr: w.Endpoints[name].Addr(),
 			Rack: fmt.Sprintf("%s-rack-%d", p.Name, rack), Centre: centres[rack%len(centres)],
-			Slots: 8, Conns: 64,
+			Slots: uint32(p.slots()), Conns: uint32(8 * p.slots()),
 		})
 		if err != nil {
 			return err
--- a/internal/serve/caller/caller.go
+++ b/internal/serve/caller/caller.go
@@ -49,7 +49,7 @@
 // idleTimeout closes keep-alive connections of callers that send nothing.
 const idleTimeout = 90 * time.Second
 
-// Serve starts to serve callers.
+// Serve starts to serve callers. A nil provider means that no spans are written.
 func Serve(lis net.Listener, r Runner, l Limits, wall func() time.Time, p trace.TracerProvider) *Server {
 	e := echo.New()
 	h := &handler{runner: r, limits: l, wall: wall}
@@ -71,6 +71,9 @@
 const maxHeader = 16 << 10
 
 func traced(h http.Handler, p trace.TracerProvider) http.Handler {
+	if p == nil {
+		return h
+	}
 	return otelhttp.NewHandler(h, "call",
 		otelhttp.WithTracerProvider(p),
 		otelhttp.WithPropagators(watch.Propagator()))
--- a/internal/serve/caller/caller_test.go
+++ b/internal/serve/caller/caller_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/flow/claim"
@@ -27,8 +26,7 @@
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := Serve(lis, r, Limits{Body: 100, Run: time.Second, Header: 200 * time.Millisecond}, time.Now,
-		noop.NewTracerProvider())
+	s := Serve(lis, r, Limits{Body: 100, Run: time.Second, Header: 200 * time.Millisecond}, time.Now, nil)
 	t.Cleanup(func() { assert.NilError(t, s.Close(context.Background())) })
 	return lis.Addr().String()
 }
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
@@ -187,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	e.endpoint = endpt.New(endpt.WithWrapper(e.traced))
+	e.endpoint = endpt.New(endpt.WithWrapper(e.traced), endpt.WithMaxConns(e.cfg.Limits.Conns))
 	return nil
 }
 
@@ -232,10 +233,18 @@
 		Body:   e.cfg.Limits.Body,
 		Run:    e.cfg.Limits.Run,
 		Header: e.cfg.Limits.Header,
-	}, e.clk.Wall, e.tracer.Provider())
+	}, e.clk.Wall, e.provider())
 	return nil
 }
 
+// provider returns the provider of the callers' spans, nil if none are written.
+func (e *Entry) provider() oteltrace.TracerProvider {
+	if e.cfg.Trace.File == "" {
+		return nil
+	}
+	return e.tracer.Provider()
+}
+
 // Ready says whether the entry takes requests, and if not, why.
 func (e *Entry) Ready() (bool, string) {
 	switch {
--- a/internal/setup/config/config.go
+++ b/internal/setup/config/config.go
@@ -54,6 +54,8 @@
 	Claim time.Duration
 	// Outcomes is the memory for kept answers in bytes.
 	Outcomes int64
+	// Conns is the largest number of connections to each endpoint.
+	Conns int
 	// Waiting is the largest number of requests that wait in one pool's queue.
 	Waiting int
 }
@@ -104,6 +106,9 @@
 	Flood float64
 }
 
+// defaultConns lets 8 entries together keep within the 64 connections of an executor.
+const defaultConns = 8
+
 // Default returns the settings that a file starts from.
 func Default() Config {
 	return Config{
@@ -116,6 +121,7 @@
 			Header:   5 * time.Second,
 			Claim:    2 * time.Second,
 			Outcomes: 64 << 20,
+			Conns:    defaultConns,
 			Waiting:  10_000,
 		},
 		Stop:  Stop{Lag: 2 * time.Second, Limit: time.Minute},
--- a/internal/setup/config/schema.go
+++ b/internal/setup/config/schema.go
@@ -65,6 +65,7 @@
 		{name: "header", parse: duration(&l.Header, 10*time.Millisecond, time.Minute)},
 		{name: "claim", parse: duration(&l.Claim, 10*time.Millisecond, time.Minute)},
 		{name: "outcomes", parse: integer(&l.Outcomes, 1<<10, 1<<40)},
+		{name: "conns", parse: integer(&l.Conns, 1, 10_000)},
 		{name: "waiting", parse: integer(&l.Waiting, 1, 10_000_000)},
 	}
 }
