--- a/internal/setup/config/config.go
+++ b/internal/setup/config/config.go
@@ -116,7 +116,7 @@
 		List: Remote{Timeout: 2 * time.Second},
 		Limits: Limits{
 			Body:     1 << 20,
-			Queue:    5 * time.Second,
+			Queue:    1500 * time.Millisecond,
 			Run:      30 * time.Second,
 			Header:   5 * time.Second,
 			Claim:    2 * time.Second,
