Judge the view lease by gossip; settle moved instances

A moved instance never served again, because the planner probed only instances that were not up; it now records that a moved instance is up in its new pool.

--- a/internal/fleet/state/members.go
+++ b/internal/fleet/state/members.go
@@ -88,6 +88,7 @@
 	}
 	if ok {
 		s.removeMember(offset, old.Incarnation)
+		s.left = offset
 	}
 	m := &Member{Incarnation: id, Addr: r.GetAddr(), Centre: r.GetCentre(), Joined: offset}
 	s.setMember(offset, m)
--- a/internal/proof/procs/cluster_test.go
+++ b/internal/proof/procs/cluster_test.go
@@ -140,8 +140,39 @@
 	return c
 }
 
-// entry writes the settings of an entry and starts it.
+// entry starts an entry. Another program may take one of its ports before it listens,
+// in which case it is started again with other ports.
 func (c *cluster) entry(n int) *member {
+	c.t.Helper()
+	for range 5 {
+		m := c.startEntry(n)
+		if c.listens(m) {
+			return m
+		}
+		assert.Assert(c.t, strings.Contains(m.stderr.String(), "address already in use"), "%s", m.stderr.String())
+	}
+	c.t.Fatal("no free ports")
+	return nil
+}
+
+// listens waits until an entry serves its health page or ends.
+func (c *cluster) listens(m *member) bool {
+	for {
+		select {
+		case <-m.ended:
+			return false
+		case <-time.After(20 * time.Millisecond):
+		}
+		resp, err := http.Get("http://" + m.healthAt + "/healthz")
+		if err == nil {
+			_ = resp.Body.Close()
+			return true
+		}
+	}
+}
+
+// startEntry writes the settings of an entry and starts it.
+func (c *cluster) startEntry(n int) *member {
 	m := &member{
 		callers: freeAddr(c.t), operators: freeAddr(c.t), peers: freeAddr(c.t), healthAt: freeAddr(c.t),
 		file: filepath.Join(c.t.TempDir(), fmt.Sprintf("entry-%d.jsonc", n)),
--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -14,7 +14,6 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/core/ports"
-	"chervilgauge.example/chervilgauge/internal/fleet/member"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
 	"chervilgauge.example/chervilgauge/internal/flow/share"
 	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
@@ -161,6 +160,3 @@
 	}
 	return l.members.Until(l.core.Clock.Now())
 }
-
-// memberView is what the loop needs from package member.
-var _ = member.ViewLease
--- a/internal/serve/ctrl/gossip.go
+++ b/internal/serve/ctrl/gossip.go
@@ -122,6 +122,7 @@
 func (l *loop) digest() *peerpb.Digest {
 	now := l.core.Clock.Now()
 	d := l.members.Digest(now)
+	// The newest mark is an offset whose hash is kept for the comparison.
 	d.Linked = l.reached(now)
 	d.Ready = l.joined() && now < l.lease()
 	d.Mark, d.Hash = l.marks.newest()
--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -174,7 +174,7 @@
 // publish shows the state to the traffic goroutines before the lease is renewed, so
 // that nothing is sent under an older view.
 func (l *loop) publish() {
-	l.members.SetState(l.state)
+	l.members.Update(l.core.Clock.Now(), l.state)
 	v := &View{
 		State:   l.state,
 		Live:    l.live(),
--- a/internal/serve/plans/observe.go
+++ b/internal/serve/plans/observe.go
@@ -84,11 +84,17 @@
 		p.down(ctx, i, max(l.Boot, i.Boot))
 		return
 	}
-	if i.Health != state.Up || l.Boot > i.Boot {
+	if unsettled(i, l.Boot) {
 		p.probe(ctx, i, l.Boot)
 	}
 }
 
+// unsettled says whether an instance needs a record that it is up. One that was moved
+// serves only once it is known to be up in its new pool.
+func unsettled(i *state.Instance, boot uint64) bool {
+	return i.Health != state.Up || boot > i.Boot || i.Arriving()
+}
+
 // down records that an instance is not available, once.
 func (p *Planner) down(ctx context.Context, i *state.Instance, boot uint64) {
 	if i.Health == state.Down {
@@ -158,7 +164,7 @@
 		p.returned(ctx, i, r.boot)
 		return
 	}
-	if i.Health != state.Up || r.boot > i.Boot {
+	if unsettled(i, r.boot) {
 		p.append(ctx, "health/"+i.Name, &recpb.Record{Body: &recpb.Record_Health{
 			Health: &recpb.Health{Name: i.Name, Up: true, Boot: r.boot}}})
 	}
