--- a/cmd/chervilgauge/cmds/serve.go
+++ b/cmd/chervilgauge/cmds/serve.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
 
@@ -70,22 +69,3 @@
 	signal.Reset(os.Interrupt, syscall.SIGTERM)
 	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 }
-
-// waitReady waits until an entry is ready, at most for the given time.
-func waitReady(ctx context.Context, en *entry.Entry, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		ok, reason := en.Ready()
-		if ok {
-			return nil
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return errFailed.New("entry is not ready after %v: %s", limit, reason)
-		}
-	}
-}
