flow/share: compute demand per endpoint, report changes at once

An entry's demand is per pool, its asks are per endpoint. Lower demands are now reported at once, recalled slots are returned without waiting for the next ask, and entries with waiting requests ask every 50 ms.

--- a/internal/flow/share/holder.go
+++ b/internal/flow/share/holder.go
@@ -7,10 +7,6 @@
 	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
 )
 
-// wantHold is the number of asks for which a lower demand is held back, so that
-// demand that varies from one request to the next causes no traffic.
-const wantHold = 4
-
 // Holder is one entry's part of the slots of all endpoints.
 type Holder struct {
 	self   Member
@@ -19,8 +15,9 @@
 	slots  map[string]*holding
 	// changed holds the endpoints that must be reported.
 	changed map[string]*holding
-	// falling holds the endpoints whose demand is below the reported one.
-	falling map[string]*holding
+	// pool and turn are used by Demand.
+	pool []*holding
+	turn int
 }
 
 // holding is the holder's part of one endpoint.
@@ -28,9 +25,12 @@
 	instance  string
 	custodian string
 	listed    bool
-	limit     int
-	flight    int
-	want      int
+	// slots is the number of slots of the endpoint over all entries.
+	slots int
+	// limit is the number of slots that the entry may use.
+	limit  int
+	flight int
+	want   int
 	// before is the limit before the last reduction until InFlight confirms that
 	// the reduction is in force.
 	before int
@@ -38,8 +38,8 @@
 	asked uint64
 	// told is the demand in the latest ask and heldTold the holding in it.
 	told, heldTold int
-	// low counts the asks since the demand fell below told.
-	low int
+	// next is the demand that is being computed.
+	next int
 }
 
 // NewHolder returns the Holder of an entry, without slots.
@@ -48,12 +48,10 @@
 		self:    Member{name, incarnation},
 		slots:   map[string]*holding{},
 		changed: map[string]*holding{},
-		falling: map[string]*holding{},
 	}
 }
 
-// Epoch sets the members and the endpoints by instance; the values of targets are
-// not used. A view of an older epoch is ignored. It returns the instances whose
+// Epoch sets the members and the slots of the endpoints by instance. A view of an older epoch is ignored. It returns the instances whose
 // limit changed: an endpoint that is no longer listed is left with limit 0.
 func (h *Holder) Epoch(v View, targets map[string]int) []string {
 	if v.Epoch < h.view.Epoch {
@@ -61,8 +59,8 @@
 	}
 	fresh := v.Epoch > h.view.Epoch
 	h.view = v
-	for name := range targets {
-		h.holding(name)
+	for name, n := range targets {
+		h.holding(name).slots = n
 	}
 	var lost []string
 	for name, s := range h.slots {
@@ -91,7 +89,6 @@
 	s.asked = 0
 	s.told = 0
 	s.heldTold = 0
-	s.low = 0
 	delete(h.changed, s.instance)
 	h.mark(s)
 }
@@ -131,24 +128,36 @@
 
 // Asks returns the next ask to each custodian, by its name. An ask with no slots is
 // sent as well, because its answer may carry a recall. An ask is sent once; what it
-// reports is repeated in later asks until it is answered.
+// reports is repeated in later asks until it is answered. Asks are due every 250 ms,
+// and every 50 ms while requests of the entry wait for a slot.
 func (h *Holder) Asks() map[string]*peerpb.SlotAsk {
-	h.serial++
-	asks := map[string]*peerpb.SlotAsk{}
+	asks := h.Reports()
 	for _, l := range [2][]Member{h.view.Active, h.view.Evicted} {
 		for _, m := range l {
-			asks[m.Name] = &peerpb.SlotAsk{
-				Name:        h.self.Name,
-				Incarnation: h.self.Incarnation,
-				Epoch:       h.view.Epoch,
+			if asks[m.Name] == nil {
+				asks[m.Name] = h.ask()
 			}
 		}
 	}
-	h.settle()
+	return asks
+}
+
+// Reports returns the asks that have something to report, by custodian. They are due
+// at once when Take has returned a change and it was put into force, since others may
+// wait for the slots recalled.
+func (h *Holder) Reports() map[string]*peerpb.SlotAsk {
+	h.serial++
+	asks := map[string]*peerpb.SlotAsk{}
 	for _, s := range h.changed {
-		if a := asks[s.custodian]; a != nil {
-			a.Slots = append(a.Slots, h.report(s))
+		if s.custodian == "" {
+			continue
 		}
+		a := asks[s.custodian]
+		if a == nil {
+			a = h.ask()
+			asks[s.custodian] = a
+		}
+		a.Slots = append(a.Slots, h.report(s))
 	}
 	for _, a := range asks {
 		slices.SortFunc(a.Slots, func(x, y *peerpb.Slot) int {
@@ -158,14 +167,12 @@
 	return asks
 }
 
-// settle reports demands that have been lower for long enough.
-func (h *Holder) settle() {
-	for name, s := range h.falling {
-		s.low++
-		if s.low >= wantHold {
-			h.changed[name] = s
-			delete(h.falling, name)
-		}
+// ask returns an ask without slots.
+func (h *Holder) ask() *peerpb.SlotAsk {
+	return &peerpb.SlotAsk{
+		Name:        h.self.Name,
+		Incarnation: h.self.Incarnation,
+		Epoch:       h.view.Epoch,
 	}
 }
 
@@ -174,8 +181,6 @@
 	s.asked = h.serial
 	s.told = s.want
 	s.heldTold = s.held()
-	s.low = 0
-	delete(h.falling, s.instance)
 	return &peerpb.Slot{
 		Instance: s.instance,
 		Held:     uint32(s.heldTold),
@@ -231,19 +236,13 @@
 	return max(s.limit, s.flight, s.before)
 }
 
-// mark notes whether the holding must be reported.
+// mark notes whether the holding must be reported. A lower demand is reported at once
+// as well: demand held back at each endpoint adds up over a pool, because requests
+// move between its endpoints, and kept a busy entry short of slots.
 func (h *Holder) mark(s *holding) {
-	if s.held() != s.heldTold || s.want > s.told {
+	if s.held() != s.heldTold || s.want != s.told {
 		h.changed[s.instance] = s
 	}
-	if s.want >= s.told {
-		delete(h.falling, s.instance)
-		s.low = 0
-		return
-	}
-	if _, ok := h.changed[s.instance]; !ok {
-		h.falling[s.instance] = s
-	}
 }
 
 // holding returns the holding of the instance and creates it if needed.
@@ -264,5 +263,4 @@
 		return
 	}
 	delete(h.slots, s.instance)
-	delete(h.falling, s.instance)
 }
