--- /dev/null
+++ b/internal/fleet/state/bench_test.go
@@ -0,0 +1,127 @@
+package state
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"chervilgauge.example/chervilgauge/internal/wire/recpb"
+)
+
+// size is a deployment of section 3 of the design page.
+type size struct {
+	name                         string
+	pools, instances, teams, job int
+}
+
+var sizes = []size{{"today", 5, 50, 5, 0}, {"twoyear", 30, 1500, 200, 0}, {"queue100k", 30, 1500, 200, 100000}}
+
+// build returns a state of a size with full memories of record and change ids.
+func (z size) build(b testing.TB) *stream {
+	c := newStream(b)
+	for n := range z.pools {
+		p := pool(fmt.Sprint("pool", n), uint32(z.instances))
+		p.Budget.Rack, p.Budget.Centre = uint32(z.instances), uint32(z.instances)
+		c.accept(p)
+		c.accept(&recpb.Service{Name: fmt.Sprint("service", n), Pool: p.Name, Weight: 1})
+	}
+	for n := range z.teams {
+		c.accept(&recpb.Team{Name: fmt.Sprint("team", n), Weight: 1})
+	}
+	for n := range 8 {
+		c.accept(join(fmt.Sprint("entry", n), uint64(n+1)))
+	}
+	for n := range z.instances {
+		i := inst(fmt.Sprintf("worker%04d.rack%03d", n, n/4), fmt.Sprint("pool", n%z.pools))
+		i.Rack, i.Centre = fmt.Sprint("rack", n/4), fmt.Sprint("centre", n%9)
+		c.accept(i)
+		c.accept(up(i.Name, 1))
+	}
+	for n := range z.job {
+		c.accept(&recpb.Job{Name: fmt.Sprint("job", n), Team: fmt.Sprint("team", n%z.teams), Cores: 4})
+	}
+	for n := range maxSeen {
+		e := &recpb.Edit{Change: fmt.Sprintf("change-%032d", n)}
+		if t, ok := c.s.Team("filler"); ok {
+			e.Base = t.Version
+		}
+		c.accept(&recpb.Team{Edit: e, Name: "filler", Weight: 1})
+	}
+	return c
+}
+
+// kinds are records whose repetition is accepted on the same state.
+func (z size) kinds(c *stream) map[string]*recpb.Record {
+	i := fmt.Sprintf("worker%04d.rack%03d", 7, 1)
+	kinds := map[string]*recpb.Record{
+		"health": record(1<<60, up(i, 2)),
+		"drain":  record(1<<60, c.drain(i, "")),
+		"lease":  record(1<<60, &recpb.Lease{Holder: "entry1", Incarnation: 2}),
+	}
+	if z.job > 0 {
+		kinds["placed"] = record(1<<60, &recpb.Placed{Job: "job7", Worker: i})
+	}
+	return kinds
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, z := range sizes {
+		c := z.build(b)
+		for kind, r := range z.kinds(c) {
+			b.Run(z.name+"/"+kind, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, v := c.s.Apply(c.at+1, r); v != accepted {
+						b.Fatal(v)
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkSnapshot(b *testing.B) {
+	for _, z := range sizes {
+		c := z.build(b)
+		data := c.s.Encode()
+		b.Run(z.name+"/hash", func(b *testing.B) {
+			for b.Loop() {
+				c.s.Hash()
+			}
+		})
+		b.Run(z.name+"/encode", func(b *testing.B) {
+			for b.Loop() {
+				c.s.Encode()
+			}
+			b.ReportMetric(float64(len(data)), "bytes")
+		})
+		b.Run(z.name+"/decode", func(b *testing.B) {
+			for b.Loop() {
+				if _, err := Decode(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports the heap that a state holds.
+func BenchmarkMemory(b *testing.B) {
+	for _, z := range sizes {
+		b.Run(z.name, func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				c := z.build(b)
+				b.ReportMetric(float64(heap()-before), "heap-bytes")
+				runtime.KeepAlive(c)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/fleet/state/check.go
+++ b/internal/fleet/state/check.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	for at, m := range g.Waiting {
-		if !s.counts(m) || at > 0 && g.Waiting[at-1].Name >= m.Name {
+		if !s.joined(m) || at > 0 && g.Waiting[at-1].Name >= m.Name {
 			return false
 		}
 	}
--- a/internal/fleet/state/drains.go
+++ b/internal/fleet/state/drains.go
@@ -144,7 +144,7 @@
 		return v
 	}
 	m := Incarnation{r.GetMember(), r.GetIncarnation()}
-	if !s.counts(m) {
+	if !s.joined(m) {
 		return refused(NotMember)
 	}
 	if !slices.Contains(i.Grant.Waiting, m) {
--- a/internal/fleet/state/members.go
+++ b/internal/fleet/state/members.go
@@ -55,8 +55,8 @@
 	c.u64(&m.Since)
 }
 
-// counts says whether an incarnation is a member, in eviction or not.
-func (s *State) counts(i Incarnation) bool {
+// joined says whether an incarnation is a member, in eviction or not.
+func (s *State) joined(i Incarnation) bool {
 	m, ok := s.members.get(i.Name)
 	return ok && m.Incarnation == i
 }
@@ -92,7 +92,7 @@
 
 func (s *State) leave(offset uint64, r *recpb.Leave) Verdict {
 	id := Incarnation{r.GetName(), r.GetIncarnation()}
-	if !s.counts(id) {
+	if !s.joined(id) {
 		return refused(NotMember)
 	}
 	s.removeMember(offset, id)
@@ -102,7 +102,7 @@
 
 func (s *State) evict(offset uint64, r *recpb.Evict) Verdict {
 	id := Incarnation{r.GetName(), r.GetIncarnation()}
-	if !s.counts(id) {
+	if !s.joined(id) {
 		return refused(NotMember)
 	}
 	m, _ := s.members.get(id.Name)
@@ -117,7 +117,7 @@
 // the fence wait before it appends the record (package member).
 func (s *State) fence(offset uint64, r *recpb.Fence) Verdict {
 	id := Incarnation{r.GetName(), r.GetIncarnation()}
-	if !s.counts(id) {
+	if !s.joined(id) {
 		return refused(NotMember)
 	}
 	if s.active(id) {
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"testing"
 
 	"chervilgauge.example/chervilgauge/internal/fleet/budget"
@@ -128,3 +129,121 @@
 	assert.Assert(t, i.Available())
 	assert.Assert(t, i.Grant == nil)
 }
+
+// TestRemovals guards against the removal of objects that others depend on, and of
+// instances in use.
+func TestRemovals(t *testing.T) {
+	c := fleet(t)
+	c.accept(pool("r", 1))
+	p, _ := c.s.Pool("r")
+	gone := &recpb.Edit{Base: p.Version, Remove: true}
+	s := c.accept(&recpb.Service{Name: "s", Pool: "r", Weight: 1})
+	c.refuse(&recpb.Pool{Name: "r", Edit: gone}, InUse)
+	c.accept(&recpb.Service{Name: "s", Edit: &recpb.Edit{Base: s, Remove: true}})
+	g := c.accept(c.drain("a", "r"))
+	c.refuse(&recpb.Pool{Name: "r", Edit: gone}, InUse)
+	c.refuse(&recpb.Instance{Name: "a", Edit: &recpb.Edit{Base: g, Remove: true}}, NotDrained)
+	c.accept(&recpb.Cancel{Name: "a", Grant: g, Edit: &recpb.Edit{Base: g}})
+	c.refuse(&recpb.Instance{Name: "a", Edit: &recpb.Edit{Base: c.at, Remove: true}}, NotDrained)
+	w := c.accept(&recpb.Wave{Name: "w", Pools: []string{"r"}, Order: recpb.Wave_START})
+	c.refuse(&recpb.Pool{Name: "r", Edit: gone}, InUse)
+	c.accept(&recpb.Wave{Name: "w", Order: recpb.Wave_FINISH, Edit: &recpb.Edit{Base: w}})
+	c.accept(&recpb.Pool{Name: "r", Edit: gone})
+	b, _ := c.s.Instance("b")
+	c.accept(&recpb.Health{Name: "b", Boot: 1})
+	c.accept(&recpb.Instance{Name: "b", Edit: &recpb.Edit{Base: b.Version, Remove: true}})
+}
+
+// TestRepeatedChange guards against a repeated call or a doubled append that counts
+// as a second change.
+func TestRepeatedChange(t *testing.T) {
+	c := fleet(t)
+	d := c.drain("a", "")
+	d.Edit.Change = "x"
+	g := c.accept(d)
+	again := Verdict{Kind: Duplicate, First: g, Of: Accepted}
+	assert.Equal(t, c.apply(d), again)
+	r := record(c.at, d)
+	for range 2 {
+		var v Verdict
+		c.at++
+		c.s, v = c.s.Apply(c.at, r)
+		assert.Equal(t, v, again)
+		assert.NilError(t, v.Err())
+	}
+	d = c.drain("b", "")
+	d.Edit.Change = "y"
+	c.apply(d)
+	assert.Error(t, c.apply(d).Err(), "change refused: budget exhausted of the pool")
+	seen, ok := c.s.Change("y")
+	assert.Assert(t, ok && seen.Verdict.Scope == budget.Pool)
+}
+
+// TestForgetting guards against memories that grow without bound, and against readers
+// that forget differently because one of them started from a snapshot.
+func TestForgetting(t *testing.T) {
+	c := fleet(t)
+	c.accept(&recpb.Team{Name: "t", Weight: 1})
+	first := c.at
+	for range maxSeen {
+		c.accept(up("a", 1))
+	}
+	assert.Equal(t, c.s.ids.size, maxSeen)
+	copied := reload(t, c.s)
+	for _, id := range []uint64{first, first + 1, first + 2} {
+		_, v := c.s.Apply(c.at+1, record(id, up("a", 1)))
+		_, w := copied.Apply(c.at+1, record(id, up("a", 1)))
+		assert.Equal(t, v, w)
+		assert.Equal(t, v.Kind == Accepted, id == first)
+	}
+	for n := range uint64(maxEnded + 5) {
+		j := fmt.Sprint("j", n)
+		c.accept(&recpb.Job{Name: j, Team: "t"})
+		token := c.accept(&recpb.Placed{Job: j, Worker: "a"})
+		c.accept(&recpb.Ended{Job: j, Token: token})
+	}
+	assert.Equal(t, c.s.JobCount(), maxEnded)
+}
+
+// TestCollector guards against a state made of parts of different snapshots or of
+// damaged parts.
+func TestCollector(t *testing.T) {
+	a := fleet(t)
+	b := fleet(t)
+	b.accept(up("a", 2))
+	var c Collector
+	x, y := a.s.Parts(200), b.s.Parts(200)
+	assert.Equal(t, len(x), len(y))
+	for at := range x {
+		one, err := c.Add(x[at])
+		assert.NilError(t, err)
+		two, err := c.Add(y[at])
+		assert.NilError(t, err)
+		assert.Equal(t, one != nil && two != nil, at == len(x)-1)
+	}
+	x[0].Data[20]++
+	for at := range x {
+		s, err := c.Add(x[at])
+		assert.Assert(t, s == nil)
+		assert.Equal(t, err != nil, at == len(x)-1)
+	}
+	_, err := c.Add(&recpb.Snapshot{Part: 1, Parts: 1})
+	assert.Error(t, err, "bad snapshot: part number")
+}
+
+// TestSkipped guards against records that some readers can't judge and that change
+// more than a count.
+func TestSkipped(t *testing.T) {
+	c := fleet(t)
+	before := *c.s
+	typeless := record(99, pool("x", 1))
+	typeless.Body = nil
+	newer := record(98, pool("x", 1))
+	newer.Schema++
+	for _, r := range []*recpb.Record{nil, {}, typeless, newer, record(97, &recpb.Drain{})} {
+		c.at++
+		c.s, _ = c.s.Apply(c.at, r)
+	}
+	assert.Equal(t, c.s.Skipped(), Skips{Malformed: 2, Unknown: 1, Newer: 1})
+	assert.Equal(t, c.s.pools, before.pools)
+}
