Retry queues only for what came free since they were last tried

Jobs that failed before have queues of their own, because they avoid workers that the jobs behind them could use.

--- a/internal/fleet/place/blame.go
+++ b/internal/fleet/place/blame.go
@@ -44,12 +44,25 @@
 	if w.score < doubtful {
 		j.kind.result(false)
 	}
-	if w.score < guilty || len(w.failed) < strikes && !w.parole {
+	if w.score < guilty || len(w.failed) < strikes && !w.parole || w.survivors(j) >= len(w.failed) {
 		return
 	}
 	p.lock(now, w)
 }
 
+// survivors counts the jobs that run on although they started no later than one that
+// failed. A worker that fails everything has none, while a healthy one that happens
+// to get several jobs that can never run has.
+func (w *worker) survivors(failed *job) int {
+	n := 0
+	for j := range w.jobs {
+		if j.status == running && j.began <= failed.began {
+			n++
+		}
+	}
+	return n
+}
+
 // lock quarantines a worker and takes back what its failures said about the jobs.
 func (p *Placer) lock(now time.Duration, w *worker) {
 	q := &Quarantine{Worker: w.Name, Until: now + sentence}
@@ -76,7 +89,7 @@
 		w.parole = true
 		w.score = guilty - 0.1
 		p.update(w)
-		p.freed()
+		p.freed(w, nil)
 		return true
 	})
 }
--- a/internal/fleet/place/learn.go
+++ b/internal/fleet/place/learn.go
@@ -14,9 +14,6 @@
 	fade = 0.1
 	// least and most bound the learned use as multiples of the declared need.
 	least, most = 0.1, 4.0
-	// spareMemory is added to the largest memory use seen, because a job that exceeds
-	// its worker's memory is killed, while one that exceeds its cores is slowed down.
-	spareMemory = 1.15
 )
 
 // average is a moving average with its variance.
@@ -39,7 +36,8 @@
 type kind struct {
 	runs   int
 	cores  average // of the declared need
-	memory float64 // largest, of the declared need, decaying
+	memory average // of the declared need
+	top    float64 // largest memory use of the declared need, decaying
 	length average // seconds
 	good   float64 // decaying counts of results
 	bad    float64
@@ -50,7 +48,9 @@
 	first := k.runs == 0
 	k.cores.add(float64(peak.Cores)/float64(max(declared.Cores, 1)), first)
 	k.length.add(took.Seconds(), first)
-	k.memory = max(k.memory*0.98, float64(peak.Memory)/float64(max(declared.Memory, 1)))
+	memory := float64(peak.Memory) / float64(max(declared.Memory, 1))
+	k.memory.add(memory, first)
+	k.top = max(k.top*0.995, memory)
 	k.runs++
 }
 
@@ -65,11 +65,23 @@
 	}
 	return Amount{
 		Cores:        min(scale(declared.Cores, k.cores.high()), max(limit.Cores, declared.Cores)),
-		Memory:       min(scale(declared.Memory, k.memory*spareMemory), max(limit.Memory, declared.Memory)),
+		Memory:       min(scale(declared.Memory, k.highMemory()), max(limit.Memory, declared.Memory)),
 		Accelerators: declared.Accelerators,
 	}
 }
 
+// highMemory returns the memory that hardly any run exceeds, of the declared need. It
+// is more careful than for cores, because a job that exceeds its worker's memory is
+// killed, while one that exceeds its cores is slowed down. A kind that never used
+// more than it declared is not given more.
+func (k *kind) highMemory() float64 {
+	f := max(k.top*(1+1/float64(k.runs)), k.memory.high())
+	if k.top <= 1 {
+		return min(f, 1)
+	}
+	return f
+}
+
 // lasts returns how long a job is expected to run.
 func (k *kind) lasts(declared time.Duration) time.Duration {
 	if k.runs < trusted {
--- a/internal/fleet/place/next.go
+++ b/internal/fleet/place/next.go
@@ -48,6 +48,10 @@
 			if c.count == 0 || c.tried == p.epoch {
 				continue
 			}
+			if p.unchanged(c.tried, c.least, t, room) {
+				c.tried = p.epoch
+				continue
+			}
 			if s := t.held.share(p.total) / max(t.Weight, 0.001); best == nil || s < low {
 				best, low = t, s
 			}
@@ -55,10 +59,12 @@
 		if best == nil {
 			return false
 		}
-		if p.lots(now, &best.classes[u], room) {
+		c := &best.classes[u]
+		if p.lots(now, c, room) {
 			return true
 		}
-		best.classes[u].tried = p.epoch
+		c.clean()
+		c.tried = p.epoch
 	}
 }
 
@@ -69,7 +75,7 @@
 	var at *worker
 	for _, l := range c.order {
 		j := l.head()
-		if j == nil || l.first == j && l.blocked == p.epoch {
+		if j == nil || l.first == j && p.unchanged(l.blocked, l.need, j.team, room) {
 			continue
 		}
 		if best != nil && best.head().before(j) {
@@ -80,7 +86,7 @@
 			if p.larger(l, j) || room && p.makeRoom(now, l, j) {
 				return true
 			}
-			l.first, l.blocked = j, p.epoch
+			l.first, l.blocked, l.need = j, p.epoch, p.need(j)
 			continue
 		}
 		best, at = l, w
@@ -112,7 +118,14 @@
 	p.out = append(p.out, &Start{j.Name, j.worker.Name, j.token})
 }
 
-func (p *Placer) need(j *job) Amount { return j.kind.need(j.Need, p.largest) }
+// need returns what a job is expected to use.
+func (p *Placer) need(j *job) Amount {
+	if at := [2]int{j.kind.runs, p.fleet}; j.wantAt != at {
+		j.wantAt = at
+		j.want = j.kind.need(j.Need, p.largest)
+	}
+	return j.want
+}
 
 // fit returns the worker for a job, or nil.
 func (p *Placer) fit(now time.Duration, j *job) *worker {
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -49,8 +49,11 @@
 	total   Amount
 	urgent  Amount
 	seq     uint64
-	// epoch counts the times that resources came free.
-	epoch uint64
+	// epoch counts the events by which resources came free, events holds the last ones.
+	epoch  uint64
+	events []event
+	// fleet counts the changes of workers.
+	fleet int
 	// idle is set if nothing changed since the queue was last found not to fit.
 	idle    bool
 	paroles []*worker
@@ -80,7 +83,7 @@
 		p.list = append(p.list, x)
 	}
 	x.Team = t
-	p.freed()
+	p.freed(nil, nil)
 }
 
 // PutWorker adds or changes a worker. Jobs on a worker that closes keep running.
@@ -96,8 +99,9 @@
 	}
 	x.Worker = w
 	p.count(x, 1)
+	p.fleet++
 	p.update(x)
-	p.freed()
+	p.freed(nil, nil)
 }
 
 // DropWorker removes a worker for good, after Lost.
@@ -184,11 +188,6 @@
 	}
 }
 
-func (p *Placer) freed() {
-	p.epoch++
-	p.idle = false
-}
-
 // Submit queues a job. It returns a *DuplicateError, *UnknownTeamError, *NeverFits or
 // *OverQuota; the job is not queued then and will not run.
 func (p *Placer) Submit(j Job) error {
@@ -213,7 +212,6 @@
 	}
 	p.jobs[j.Name] = x
 	p.enqueue(x)
-	p.alarm(x)
 	return nil
 }
 
@@ -242,6 +240,7 @@
 	j.throttled = false
 	j.team.push(j)
 	p.counted(j, 1)
+	p.alarm(j)
 	p.idle = false
 }
 
@@ -312,30 +311,37 @@
 	w.declared = w.declared.minus(j.Need)
 	p.update(w)
 	p.restore(w)
-	p.freed()
+	p.freed(w, j.team)
 }
 
 // end takes a job out of the queue for good.
 func (p *Placer) end(j *job, r Reason) {
 	j.status = ended
 	j.worker = nil
-	switch r.(type) {
-	case *TooLate, *NeverFits, *OverQuota:
+	if j.Idempotent || j.neverRan(r) {
 		delete(p.jobs, j.Name)
-	default:
-		if j.Idempotent {
-			delete(p.jobs, j.Name)
-		}
 	}
 	if r != nil {
 		p.out = append(p.out, &Ended{j.Name, r})
 	}
 }
 
+// neverRan says whether a job that ends for a reason was certainly never started.
+func (j *job) neverRan(r Reason) bool {
+	switch r.(type) {
+	case *TooLate, *NeverFits, *OverQuota:
+		return j.token == 0
+	}
+	return false
+}
+
 // pop removes the head of a lot.
 func (p *Placer) pop(l *lot) *job {
 	j := heap.Pop(l).(*job)
 	p.counted(j, -1)
+	if l.shape.retry > 0 && len(l.jobs) == 0 {
+		j.team.classes[j.Urgency].remove(l)
+	}
 	return j
 }
 
--- a/internal/fleet/place/queue.go
+++ b/internal/fleet/place/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -38,12 +39,15 @@
 	// failed names the workers that it failed on.
 	failed map[*worker]bool
 	// due is when the deadline or, for a Morning job, the last good start is reached.
-	due time.Duration
+	due     time.Duration
+	alarmed bool // due is in the placer's alarms
 	// asking is when room was asked for on behalf of this job, victims for which.
 	asking  time.Duration
 	peak    Amount // largest reported use of this run
 	victims []*job
-	harder  bool // stronger means were asked for
+	harder  bool   // stronger means were asked for
+	want    Amount // cached result of Placer.need
+	wantAt  [2]int // runs of the kind and version of the fleet for want
 }
 
 // shape groups jobs of a team whose needs are alike within a factor of two. A shape
@@ -53,29 +57,38 @@
 	cores, memory, accelerators int
 	length                      int
 	checkpoint                  bool
+	// retry is the number of a job that failed before: it avoids workers that the
+	// jobs behind it could use, so it has a lot of its own.
+	retry uint64
 }
 
-func shapeOf(need Amount, length time.Duration, checkpoint bool) shape {
+func shapeOf(j *job) shape {
+	need := j.Need
 	s := shape{
 		cores:        bits.Len64(uint64(max(need.Cores-1, 0))),
 		memory:       bits.Len64(uint64(max(need.Memory-1, 0))),
 		accelerators: bits.Len64(uint64(max(need.Accelerators, 0))),
-		checkpoint:   checkpoint,
+		checkpoint:   j.Checkpoint,
 	}
-	if !checkpoint {
-		s.length = bits.Len64(uint64(max(length/time.Minute, 0)))
+	if !j.Checkpoint {
+		s.length = bits.Len64(uint64(max(j.Length/time.Minute, 0)))
+	}
+	if len(j.failed) > 0 {
+		s.retry = j.seq
 	}
 	return s
 }
 
 // lot is a heap of queued jobs of one team, class and shape by deadline and age.
 type lot struct {
-	jobs []*job
-	dead int // jobs that left but are still in jobs
+	shape shape
+	jobs  []*job
+	dead  int // jobs that left but are still in jobs
 	// blocked is the epoch in which the first job was found not to fit.
 	blocked uint64
-	// first is the job for which blocked was set.
+	// first is the job for which blocked was set, need what it needed.
 	first *job
+	need  Amount
 }
 
 func (l *lot) Len() int      { return len(l.jobs) }
@@ -150,8 +163,31 @@
 	lots  map[shape]*lot
 	order []*lot
 	count int
-	// tried is the epoch in which no lot was found to fit.
+	// tried is the epoch in which no lot was found to fit, least the least that any
+	// of their first jobs needed of each resource.
 	tried uint64
+	least Amount
+}
+
+// remove removes a lot.
+func (c *class) remove(l *lot) {
+	delete(c.lots, l.shape)
+	c.order = slices.DeleteFunc(c.order, func(x *lot) bool { return x == l })
+}
+
+// clean removes empty lots and notes the least that the first jobs of the others need.
+func (c *class) clean() {
+	c.least = Amount{1 << 62, 1 << 62, 1 << 62}
+	c.order = slices.DeleteFunc(c.order, func(l *lot) bool {
+		if l.head() == nil {
+			delete(c.lots, l.shape)
+			return true
+		}
+		c.least.Cores = min(c.least.Cores, l.need.Cores)
+		c.least.Memory = min(c.least.Memory, l.need.Memory)
+		c.least.Accelerators = min(c.least.Accelerators, l.need.Accelerators)
+		return false
+	})
 }
 
 // team is one team with what it holds.
@@ -164,13 +200,13 @@
 
 func (t *team) push(j *job) *lot {
 	c := &t.classes[j.Urgency]
-	s := shapeOf(j.Need, j.Length, j.Checkpoint)
+	s := shapeOf(j)
 	l := c.lots[s]
 	if l == nil {
 		if c.lots == nil {
 			c.lots = make(map[shape]*lot)
 		}
-		l = &lot{}
+		l = &lot{shape: s}
 		c.lots[s] = l
 		c.order = append(c.order, l)
 	}
@@ -200,9 +236,10 @@
 
 // alarm sets when a queued job with a deadline needs attention.
 func (p *Placer) alarm(j *job) {
-	if j.Deadline == 0 {
+	if j.Deadline == 0 || j.alarmed {
 		return
 	}
+	j.alarmed = true
 	j.due = j.Deadline
 	if j.Urgency == Morning {
 		j.due -= 2 * j.kind.lasts(j.Length)
@@ -215,6 +252,7 @@
 func (p *Placer) ring(now time.Duration) {
 	for len(p.due) > 0 && p.due[0].due <= now {
 		j := heap.Pop(&p.due).(*job)
+		j.alarmed = false
 		if j.status != queued || j.cancelled {
 			continue
 		}
@@ -228,6 +266,5 @@
 		}
 		j.Urgency = Normal
 		p.enqueue(j)
-		p.alarm(j)
 	}
 }
--- a/internal/fleet/place/report.go
+++ b/internal/fleet/place/report.go
@@ -32,7 +32,7 @@
 	p.update(j.worker)
 	if p.backlog > 0 {
 		// Urgent jobs may make room at this job's cost now.
-		p.freed()
+		p.freed(j.worker, nil)
 	}
 	if j.cancelled {
 		p.ask(j, Stop, "")
--- a/internal/fleet/place/room.go
+++ b/internal/fleet/place/room.go
@@ -177,7 +177,7 @@
 	to := j.held
 	to.Cores /= 2
 	p.resize(j, to)
-	p.freed()
+	p.freed(j.worker, j.team)
 	return nil
 }
 
