Rank teams once per decision

The choice of the next team scanned all teams again after each one without a job that fits: 161 us per placement at 1,500 workers with 1,000 queued jobs, 97 to 106 us with a heap of the ranks.

--- a/internal/fleet/place/next.go
+++ b/internal/fleet/place/next.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"container/heap"
+	"time"
+)
 
 // Next returns the next action, or nil if there is none until something changes or
 // Wake passes.
@@ -38,34 +41,53 @@
 }
 
 // class tries the teams in the order of what they hold relative to their weight. A
-// team whose lots are all found not to fit is not tried again in this epoch.
+// team whose lots are all found not to fit is not tried again until something comes
+// free that one of them could use.
 func (p *Placer) class(now time.Duration, u Urgency, room bool) bool {
-	for {
-		var best *team
-		low := 0.0
-		for _, t := range p.list {
-			c := &t.classes[u]
-			if c.count == 0 || c.tried == p.epoch {
-				continue
-			}
-			if p.unchanged(c.tried, c.least, t, room) {
-				c.tried = p.epoch
-				continue
-			}
-			if s := t.held.share(p.total) / max(t.Weight, 0.001); best == nil || s < low {
-				best, low = t, s
-			}
+	p.ranks = p.ranks[:0]
+	for n, t := range p.list {
+		c := &t.classes[u]
+		if c.count == 0 || c.tried == p.epoch {
+			continue
 		}
-		if best == nil {
-			return false
+		if p.unchanged(c.tried, c.least, t, room) {
+			c.tried = p.epoch
+			continue
 		}
-		c := &best.classes[u]
+		p.ranks = append(p.ranks, rank{t.held.share(p.total) / max(t.Weight, 0.001), n})
+	}
+	heap.Init(&p.ranks)
+	for len(p.ranks) > 0 {
+		c := &p.list[p.ranks[0].team].classes[u]
 		if p.lots(now, c, room) {
 			return true
 		}
 		c.clean()
 		c.tried = p.epoch
+		heap.Remove(&p.ranks, 0)
 	}
+	return false
+}
+
+// rank is the position of a team in the order of choice.
+type rank struct {
+	share float64
+	team  int
+}
+
+type ranks []rank
+
+func (r ranks) Len() int      { return len(r) }
+func (r ranks) Swap(a, b int) { r[a], r[b] = r[b], r[a] }
+func (r ranks) Less(a, b int) bool {
+	return r[a].share < r[b].share || r[a].share == r[b].share && r[a].team < r[b].team
+}
+func (r *ranks) Push(x any) { *r = append(*r, x.(rank)) }
+
+// Pop removes the last element.
+func (r *ranks) Pop() any {
+	*r = (*r)[:len(*r)-1]
+	return nil
 }
 
 // lots tries the first job of each lot of a class, earliest deadline first among
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -57,6 +57,7 @@
 	// idle is set if nothing changed since the queue was last found not to fit.
 	idle    bool
 	paroles []*worker
+	ranks   ranks // reused by class
 	due     alarms
 	// backlog is the number of queued urgent jobs.
 	backlog int
