--- a/internal/serve/lends/lends.go
+++ b/internal/serve/lends/lends.go
@@ -24,8 +24,6 @@
 	hurryInterval = 50 * time.Millisecond
 	// askTimeout bounds one exchange with a custodian.
 	askTimeout = 400 * time.Millisecond
-	// headroom is the demand beyond the present one that an entry asks for.
-	headroom = 1.25
 )
 
 // Engine is what runs requests.
@@ -68,7 +66,7 @@
 	mu        sync.Mutex
 	holder    *share.Holder
 	custodian *share.Custodian
-	pools     map[string][]Endpoint
+	pools     map[string][]string
 	slots     map[string]int
 }
 
@@ -100,10 +98,10 @@
 func (s *Service) Update(v share.View, endpoints []Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pools = map[string][]Endpoint{}
+	s.pools = map[string][]string{}
 	s.slots = map[string]int{}
 	for _, e := range endpoints {
-		s.pools[e.Pool] = append(s.pools[e.Pool], e)
+		s.pools[e.Pool] = append(s.pools[e.Pool], e.Instance)
 		s.slots[e.Instance] = e.Slots
 	}
 	s.holder.Epoch(v, s.slots)
@@ -158,11 +156,16 @@
 // round reports demand and use to the custodians.
 func (s *Service) round(ctx context.Context, asks *sync.WaitGroup) {
 	s.enforce()
-	for name, a := range s.collect() {
+	s.send(ctx, asks, s.collect())
+}
+
+// send makes each ask in a goroutine of its own.
+func (s *Service) send(ctx context.Context, asks *sync.WaitGroup, list map[string]*peerpb.SlotAsk) {
+	for name, a := range list {
 		asks.Add(1)
 		go func() {
 			defer asks.Done()
-			s.ask(ctx, name, a)
+			s.ask(ctx, asks, name, a)
 		}()
 	}
 }
@@ -182,47 +185,55 @@
 // because it confirms a recall.
 func (s *Service) collect() map[string]*peerpb.SlotAsk {
 	demands := s.engine.Demands()
-	s.mu.Lock()
-	names := maps.Clone(s.slots)
-	s.mu.Unlock()
-	for name := range names {
-		names[name] = s.engine.InFlight(name)
-	}
+	use := s.use()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demands {
-		s.want(d)
-	}
-	for name, n := range names {
-		s.holder.InFlight(name, n)
+		s.holder.Demand(s.pools[d.Pool], d.Waiting+d.Running)
 	}
+	s.setUse(use)
 	return s.holder.Asks()
 }
 
-// want spreads the demand of a pool over its endpoints. Every entry asks for at least
-// one slot of each, so that a request after an idle time finds a slot.
-func (s *Service) want(d flows.Demand) {
-	list := s.pools[d.Pool]
-	if len(list) == 0 {
-		return
+// use returns the requests in flight at each endpoint.
+func (s *Service) use() map[string]int {
+	s.mu.Lock()
+	names := maps.Clone(s.slots)
+	s.mu.Unlock()
+	for name := range names {
+		names[name] = s.engine.InFlight(name)
 	}
-	total := int(float64(d.Waiting+d.Running)*headroom) + len(list) - 1
-	each := max(1, total/len(list))
-	for _, e := range list {
-		s.holder.Want(e.Instance, min(each, e.Slots))
+	return names
+}
+
+// setUse tells the holder what is in flight. The caller holds mu.
+func (s *Service) setUse(use map[string]int) {
+	for name, n := range use {
+		s.holder.InFlight(name, n)
 	}
 }
 
-func (s *Service) ask(ctx context.Context, name string, a *peerpb.SlotAsk) {
+// ask makes one ask. A change of limits is put into force and reported at once, because
+// others may wait for the slots.
+func (s *Service) ask(ctx context.Context, asks *sync.WaitGroup, name string, a *peerpb.SlotAsk) {
 	r := s.answer(ctx, name, a)
 	if r == nil {
 		s.Scope.Counter("slot_asks_failed").Inc(1)
 		return
 	}
 	s.mu.Lock()
-	s.holder.Take(name, r)
+	changed := s.holder.Take(name, r)
 	s.mu.Unlock()
+	if len(changed) == 0 {
+		return
+	}
 	s.enforce()
+	use := s.use()
+	s.mu.Lock()
+	s.setUse(use)
+	reports := s.holder.Reports()
+	s.mu.Unlock()
+	s.send(ctx, asks, reports)
 }
 
 func (s *Service) answer(ctx context.Context, name string, a *peerpb.SlotAsk) *peerpb.SlotReply {
