--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -303,3 +303,6 @@
 	}
 	return Err.Wrap(group.Err())
 }
+
+// SetSettings changes the settings of entries that are added from now on.
+func (w *World) SetSettings(f func(*config.Config)) { w.settings.limits = f }
--- /dev/null
+++ b/internal/proof/rules/doc.go
@@ -0,0 +1,2 @@
+// Package rules holds tests of the rules that the source tree follows.
+package rules
--- /dev/null
+++ b/internal/proof/rules/rules_test.go
@@ -0,0 +1,124 @@
+package rules
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const root = "../../.."
+
+// decisions are the packages without input and output.
+var decisions = []string{
+	"fleet/state", "fleet/budget", "fleet/waves", "fleet/spare", "fleet/place", "fleet/member",
+	"flow/admit", "flow/route", "flow/share", "flow/claim",
+}
+
+// forbidden are import paths, or their prefixes, that decision packages must not use.
+var forbidden = []string{
+	"net", "os", "log", "io/fs", "github.com/rs/zerolog", "github.com/uber-go/tally",
+	"go.opentelemetry.io", "google.golang.org/grpc", "storj.io/drpc", "github.com/labstack",
+	"chervilgauge.example/chervilgauge/internal/plat", "chervilgauge.example/chervilgauge/internal/serve",
+	"chervilgauge.example/chervilgauge/internal/fake", "chervilgauge.example/chervilgauge/internal/watch",
+	"chervilgauge.example/chervilgauge/internal/core", "chervilgauge.example/chervilgauge/internal/setup",
+	"chervilgauge.example/chervilgauge/internal/bench",
+}
+
+// generated packages of messages may import what their generator needs.
+func banned(path string) bool {
+	return slices.ContainsFunc(forbidden, func(f string) bool {
+		return path == f || strings.HasPrefix(path, f+"/")
+	})
+}
+
+// files returns the Go files below a directory that a filter selects.
+func files(t *testing.T, dir string, keep func(path string) bool) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() && strings.HasSuffix(path, ".go") && keep(path) {
+			out = append(out, path)
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, len(out) > 0, "no files in %s", dir)
+	return out
+}
+
+func isSource(path string) bool {
+	return !strings.HasSuffix(path, "_test.go") && !strings.HasSuffix(path, ".pb.go")
+}
+
+// Guards against a decision package that reaches for the network, the wall clock, a
+// logger, metrics or an adapter.
+func TestDecisionsHaveNoInputOrOutput(t *testing.T) {
+	for _, pkg := range decisions {
+		for _, path := range files(t, "internal/"+pkg, isSource) {
+			f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			assert.NilError(t, err)
+			for _, i := range f.Imports {
+				p, err := strconv.Unquote(i.Path.Value)
+				assert.NilError(t, err)
+				assert.Assert(t, !banned(p), "%s imports %s", path, p)
+			}
+			ast.Inspect(f, func(n ast.Node) bool {
+				s, ok := n.(*ast.SelectorExpr)
+				x, isIdent := ast.Node(nil), false
+				if ok {
+					x = s.X
+					var id *ast.Ident
+					id, isIdent = x.(*ast.Ident)
+					isIdent = isIdent && id.Name == "time"
+				}
+				wall := isIdent && slices.Contains([]string{"Now", "Since", "Until", "After", "Sleep"}, s.Sel.Name)
+				assert.Assert(t, !wall, "%s uses the wall clock", path)
+				return true
+			})
+		}
+	}
+}
+
+// Guards against failures without a type.
+func TestFailuresHaveTypes(t *testing.T) {
+	for _, path := range files(t, ".", isSource) {
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for _, call := range []string{"errors.New(", "fmt.Errorf("} {
+			assert.Assert(t, !strings.Contains(string(data), call), "%s uses %s...)", path, call)
+		}
+	}
+}
+
+// Guards against packages outside internal/<area>/<name of 4 to 6 letters>.
+func TestPackagePaths(t *testing.T) {
+	for _, path := range files(t, "internal", func(string) bool { return true }) {
+		rel, err := filepath.Rel(filepath.Join(root, "internal"), filepath.Dir(path))
+		assert.NilError(t, err)
+		parts := strings.Split(rel, string(filepath.Separator))
+		assert.Equal(t, len(parts), 2, "%s", path)
+		assert.Assert(t, len(parts[1]) >= 4 && len(parts[1]) <= 6, "%s", path)
+	}
+}
+
+// Guards against naive versions and stand-ins that product code depends on.
+func TestNaiveIsForTestsAndTools(t *testing.T) {
+	const naive = "chervilgauge.example/chervilgauge/internal/flow/naive"
+	for _, path := range files(t, "internal", isSource) {
+		if strings.Contains(path, "/bench/") || strings.Contains(path, "/flow/naive/") {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(data), strconv.Quote(naive)), "%s imports %s", path, naive)
+	}
+}
