--- a/internal/flow/share/driver_test.go
+++ b/internal/flow/share/driver_test.go
@@ -213,20 +213,20 @@
 
 // weigh runs one mode with an even demand of 70%, then with half of the demand at one
 // entry, and logs the figures of docs/routing.md.
-func weigh(t *testing.T, mode string, endpoints, every int) (even, second, later result) {
+func weigh(t testing.TB, mode string, endpoints, every int) (even, second, later result) {
 	d := newDriver(mode, 8, endpoints, every)
 	d.run(0, 5000, 0.7)
 	even = d.run(5000, 25000, 0.7)
-	t.Logf("%s, asks every %d ms, %d endpoints, even: %v", mode, every, endpoints, even)
+	t.Logf("%s, asks every %d ms, %d endpoints, even: %+v", mode, every, endpoints, even)
 	for i := range d.weights {
 		d.weights[i] = 0.5 / 7
 	}
 	d.weights[3] = 0.5
-	t.Logf("first second of skew: %v", d.run(25000, 26000, 0.7))
+	t.Logf("first second of skew: %+v", d.run(25000, 26000, 0.7))
 	second = d.run(26000, 27000, 0.7)
-	t.Logf("second second of skew: %v", second)
+	t.Logf("second second of skew: %+v", second)
 	later = d.run(27000, 47000, 0.7)
-	t.Logf("skew: %v", later)
+	t.Logf("skew: %+v", later)
 	return even, second, later
 }
 
@@ -239,3 +239,41 @@
 	fixed, _, _ := weigh(t, "static", 10, 250)
 	assert.Assert(t, even.mean < fixed.mean && even.p99 < fixed.p99, "%v, static %v", even, fixed)
 }
+
+// BenchmarkModes measures the divisions that were weighed: one common pool as the
+// bound, static division, shares, and choices by reported load without division.
+func BenchmarkModes(b *testing.B) {
+	for _, mode := range []string{"pooled", "static", "shares", "choices"} {
+		for _, every := range []int{250, 50} {
+			b.Run(fmt.Sprintf("%s/%dms", mode, every), func(b *testing.B) {
+				for b.Loop() {
+					even, second, later := weigh(b, mode, 10, every)
+					for name, r := range map[string]result{"even": even, "second": second, "skew": later} {
+						b.ReportMetric(r.goodput, name+"-goodput")
+						b.ReportMetric(r.mean, name+"-ms")
+						b.ReportMetric(float64(r.p99), name+"-p99ms")
+						b.ReportMetric(r.refused, name+"-refused")
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkExchange measures one entry's round of asks to 8 custodians, and the bytes
+// a second that it sends and receives.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{50, 1500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := newDriver("shares", 8, n, 250)
+			d.run(0, 2000, 0.7)
+			r := d.run(2000, 4000, 0.7)
+			b.ResetTimer()
+			for i := range b.N {
+				d.exchange(d.nodes[i%8])
+			}
+			b.ReportMetric(float64(r.bytes), "bytes/s")
+			b.ReportMetric(float64(r.p99), "p99ms")
+		})
+	}
+}
