--- a/internal/fleet/state/check.go
+++ b/internal/fleet/state/check.go
@@ -121,7 +121,7 @@
 
 // consistent says whether the offsets are past and no two ids have the same one.
 func (m memory) consistent(applied uint64) bool {
-	if m.size > maxSeen {
+	if m.size > maxSeen || m.size != m.order.size {
 		return false
 	}
 	last := uint64(0)
