--- a/internal/fleet/place/blame.go
+++ b/internal/fleet/place/blame.go
@@ -28,6 +28,10 @@
 // as the job's kind usually succeeds elsewhere; a kind that fails everywhere says
 // nothing about a worker.
 func (p *Placer) blame(now time.Duration, j *job, w *worker) {
+	if w.until > 0 {
+		// It was quarantined while the job ran.
+		return
+	}
 	again := j.failed[w]
 	if j.failed == nil {
 		j.failed = make(map[*worker]bool)
