--- a/internal/flow/admit/bench_test.go
+++ b/internal/flow/admit/bench_test.go
@@ -17,6 +17,8 @@
 
 var sizes = []size{
 	{"today", 5, 10, 1_000, 400},
+	{"today-10k", 5, 10, 10_000, 400},
+	{"today-100k", 5, 10, 100_000, 400},
 	{"two-year", 30, 200, 100_000, 4_000},
 }
 
@@ -101,7 +103,7 @@
 func BenchmarkCancelWave(b *testing.B) {
 	for range b.N {
 		b.StopTimer()
-		q, tickets, _ := sizes[1].fill(b)
+		q, tickets, _ := sizes[3].fill(b)
 		order := rand.New(rand.NewPCG(3, 3)).Perm(len(tickets))[:50_000]
 		b.StartTimer()
 		for _, n := range order {
--- a/internal/flow/admit/flood_test.go
+++ b/internal/flow/admit/flood_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -136,16 +137,22 @@
 
 // measure returns the requests and the slot use of the runs of n seeds together.
 func measure(n, entries int, flood bool, u admit.Urgency, queues makeQueues, opts ...admit.Option) ([]*job, use) {
-	var all []*job
+	runs := make([][]*job, n)
+	uses := make([]use, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			runs[i] = demand(uint64(i), entries, flood, u)
+			uses[i] = simulate(runs[i], queues(entries, 400/entries, opts...), 400/entries)
+		})
+	}
+	wg.Wait()
 	var sum use
-	for seed := range uint64(n) {
-		jobs := demand(seed, entries, flood, u)
-		part := simulate(jobs, queues(entries, 400/entries, opts...), 400/entries)
+	for _, part := range uses {
 		sum.used += part.used
 		sum.possible += part.possible
-		all = append(all, jobs...)
 	}
-	return all, sum
+	return slices.Concat(runs...), sum
 }
 
 // Guards against a flood that takes goodput or queueing time from other services or goodput
