--- a/internal/flow/admit/sim_test.go
+++ b/internal/flow/admit/sim_test.go
@@ -12,12 +12,12 @@
 
 // job is one request of the discrete-event driver.
 type job struct {
-	class        admit.Class
-	at, run      time.Duration
-	deadline     time.Duration
-	start, end   time.Duration // -1 if it never ran
-	entry        int
-	ticket       *admit.Ticket
+	class      admit.Class
+	at, run    time.Duration
+	deadline   time.Duration
+	start, end time.Duration // -1 if it never ran
+	entry      int
+	ticket     *admit.Ticket
 }
 
 func (j *job) good() bool { return j.end >= 0 && j.end <= j.deadline }
