--- a/internal/flow/admit/sim_test.go
+++ b/internal/flow/admit/sim_test.go
@@ -12,12 +12,12 @@
 
 // job is one request of the discrete-event driver.
 type job struct {
-	class        admit.Class
-	at, run      time.Duration
-	deadline     time.Duration
-	start, end   time.Duration // -1 if it never ran
-	entry, flood int           // flood is 1 for a request of the flood
-	ticket       *admit.Ticket
+	class      admit.Class
+	at, run    time.Duration
+	deadline   time.Duration
+	start, end time.Duration // -1 if it never ran
+	entry      int
+	ticket     *admit.Ticket
 }
 
 func (j *job) good() bool { return j.end >= 0 && j.end <= j.deadline }
@@ -177,7 +177,6 @@
 			case flood && inFlood(t) == s:
 				if x >= 1 {
 					j.class = admit.Class{Service: serviceName(s), Team: "a", Urgency: u}
-					j.flood = 1
 				}
 			case flood && int(t/phase) == s && x >= 0.05, x >= 1:
 				continue
