--- a/internal/flow/share/holder.go
+++ b/internal/flow/share/holder.go
@@ -244,11 +244,16 @@
 	return max(s.limit, s.flight, s.before)
 }
 
-// mark notes whether the holding must be reported. A lower demand is reported at once
-// as well: demand held back at each endpoint adds up over a pool, because requests
-// move between its endpoints, and kept a busy entry short of slots.
+// mark notes whether the holding must be reported. A rise in demand by one slot that
+// the limit covers is not, since it moves nothing and is most of the changes. A lower
+// demand is reported at once: requests move between the endpoints of a pool, and
+// demands held back at each of them added up and kept a busy entry short of slots.
 func (h *Holder) mark(s *holding) {
-	if s.held() != s.heldTold || s.want != s.told {
+	rise := s.want - s.told
+	if rise == 1 && s.want <= s.limit {
+		rise = 0
+	}
+	if s.held() != s.heldTold || rise != 0 {
 		h.changed[s.instance] = s
 	}
 }
