--- a/internal/fleet/state/rapid_test.go
+++ b/internal/fleet/state/rapid_test.go
@@ -289,18 +289,28 @@
 // FuzzDecode guards against panics on and several encodings of a snapshot, and
 // against states on which Apply panics.
 func FuzzDecode(f *testing.F) {
-	c := fleet(f)
-	g := c.accept(c.drain("a", "q"))
-	f.Add(c.s.Encode())
+	h := history{rand.New(rand.NewPCG(1, 0)), New()}
+	first := h.setup()
+	for at := range uint64(90) {
+		r := h.record(at+1, nil)
+		if int(at) < len(first) {
+			r = record(at+1, first[at])
+		}
+		h.s, _ = h.s.Apply(at+1, r)
+		if at%30 == 29 {
+			f.Add(h.s.Encode())
+		}
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s, err := Decode(data)
 		if err != nil {
 			return
 		}
 		assert.Equal(t, string(s.Encode()), string(data))
-		c := &stream{t, s, s.Applied()}
-		c.apply(c.drain("a", ""))
-		c.apply(&recpb.Drained{Name: "a", Grant: g, Member: "e1", Incarnation: 11})
-		c.apply(&recpb.Leave{Name: "e2", Incarnation: 22})
+		h := history{rand.New(rand.NewPCG(uint64(len(data)), 0)), s}
+		for at := s.Applied() + 1; at != 0 && at <= s.Applied()+50; at++ {
+			h.s, _ = h.s.Apply(at, h.record(at, nil))
+			assert.Equal(t, h.s.inconsistent(), "")
+		}
 	})
 }
--- a/internal/fleet/state/state_test.go
+++ b/internal/fleet/state/state_test.go
@@ -71,7 +71,10 @@
 
 // drain returns a drain that is based on the current version.
 func (c *stream) drain(name, target string) *recpb.Drain {
-	i, _ := c.s.Instance(name)
+	i, ok := c.s.Instance(name)
+	if !ok {
+		i = &Instance{}
+	}
 	return &recpb.Drain{Name: name, Target: target, Edit: &recpb.Edit{Base: i.Version}}
 }
 
