Do not ask workers again that made no room for an urgent job

A worker that never answered was asked again for other jobs of its, 2 s each time, as the first worker with room.

--- a/internal/fleet/place/blame.go
+++ b/internal/fleet/place/blame.go
@@ -83,8 +83,17 @@
 	p.out = append(p.out, q)
 }
 
-// free ends quarantines. A worker on parole takes one job at a time.
+// free ends quarantines and deafness. A worker on parole takes one job at a time.
 func (p *Placer) free(now time.Duration) {
+	p.deafs = slices.DeleteFunc(p.deafs, func(w *worker) bool {
+		if w.deaf > now {
+			return false
+		}
+		w.deaf = 0
+		p.update(w)
+		p.freed(w, nil)
+		return true
+	})
 	p.paroles = slices.DeleteFunc(p.paroles, func(w *worker) bool {
 		if w.until > now {
 			return false
--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -30,6 +30,7 @@
 	failed         []*job
 	until          time.Duration // end of its quarantine
 	parole         bool
+	deaf           time.Duration // until when it is not asked to make room
 	gone           bool
 }
 
@@ -57,6 +58,7 @@
 	// idle is set if nothing changed since the queue was last found not to fit.
 	idle    bool
 	paroles []*worker
+	deafs   []*worker
 	ranks   ranks // reused by class
 	due     alarms
 	// backlog is the number of queued urgent jobs.
@@ -172,8 +174,10 @@
 		n.drains = never
 	}
 	n.room = n.free
-	for j := range w.jobs {
-		n.room = n.room.plus(j.yield())
+	if w.deaf == 0 {
+		for j := range w.jobs {
+			n.room = n.room.plus(j.yield())
+		}
 	}
 	p.tree.set(w.index, n)
 }
--- a/internal/fleet/place/place_test.go
+++ b/internal/fleet/place/place_test.go
@@ -14,36 +14,42 @@
 func cores(n int64) Amount { return Amount{Cores: n * 1000, Memory: n * 2 * gb} }
 
 // TestUrgentStarts guards against urgent jobs that wait behind a full fleet: 50 workers
-// are full of jobs that may wait, then urgent jobs arrive for a minute.
+// are full of jobs that may wait, then urgent jobs arrive for a minute. Some workers
+// never answer when they are asked to make room.
 func TestUrgentStarts(t *testing.T) {
-	r := newRig(50, cores(32))
-	for i := range 2000 {
-		j := Job{Name: fmt.Sprintf("m%d", i), Team: fmt.Sprint(i % 4), Kind: "study", Need: cores(4), Length: time.Minute,
-			Urgency: Morning, Idempotent: i%3 != 0, Checkpoint: i%2 == 0}
-		assert.NilError(t, r.submit(j, time.Minute))
-	}
-	r.run(10*time.Second, nil)
-	n := 0
-	r.run(time.Minute, func() {
-		for range 2 {
-			n++
-			j := Job{Name: fmt.Sprintf("u%d", n), Team: fmt.Sprint(n % 4), Kind: "plan", Need: cores(8), Length: 2 * time.Second, Urgency: Urgent}
-			assert.NilError(t, r.submit(j, 2*time.Second))
+	slow := naiveWaits(50, 2000)
+	for _, deaf := range []int{0, 1, 4} {
+		r := newRig(50, cores(32))
+		for w := range deaf {
+			r.deaf[fmt.Sprintf("w%04d", w)] = true
 		}
-	})
-	r.run(4*time.Second, nil)
-	var waits []time.Duration
-	for i := range n {
-		u := fmt.Sprintf("u%d", i+1)
-		at, ok := r.start[u]
-		assert.Assert(t, ok, u)
-		waits = append(waits, at-r.sent[u])
+		for i := range 2000 {
+			j := Job{Name: fmt.Sprintf("m%d", i), Team: fmt.Sprint(i % 4), Kind: "study", Need: cores(4), Length: time.Minute,
+				Urgency: Morning, Idempotent: i%3 != 0, Checkpoint: i%2 == 0}
+			assert.NilError(t, r.submit(j, time.Minute))
+		}
+		r.run(10*time.Second, nil)
+		n := 0
+		r.run(time.Minute, func() {
+			for range 2 {
+				n++
+				j := Job{Name: fmt.Sprintf("u%d", n), Team: fmt.Sprint(n % 4), Kind: "plan", Need: cores(8), Length: 2 * time.Second, Urgency: Urgent}
+				assert.NilError(t, r.submit(j, 2*time.Second))
+			}
+		})
+		r.run(4*time.Second, nil)
+		var waits []time.Duration
+		for i := range n {
+			u := fmt.Sprintf("u%d", i+1)
+			at, ok := r.start[u]
+			assert.Assert(t, ok, u)
+			waits = append(waits, at-r.sent[u])
+		}
+		slices.Sort(waits)
+		t.Logf("%d deaf workers, %d urgent jobs: wait p50 %v p99 %v max %v; naive: p50 %v p99 %v max %v",
+			deaf, n, waits[n/2], waits[n*99/100], waits[n-1], slow[n/2], slow[n*99/100], slow[n-1])
+		assert.Assert(t, waits[n-1] <= 3100*time.Millisecond)
 	}
-	slices.Sort(waits)
-	slow := naiveWaits(50, 2000)
-	t.Logf("%d urgent jobs: wait p50 %v p99 %v max %v; naive: p50 %v p99 %v max %v",
-		n, waits[n/2], waits[n*99/100], waits[n-1], slow[n/2], slow[n*99/100], slow[n-1])
-	assert.Assert(t, waits[n-1] <= 3100*time.Millisecond)
 }
 
 // TestLearnedUse guards against capacity lost to declarations that are far too high, and
--- a/internal/fleet/place/rig_test.go
+++ b/internal/fleet/place/rig_test.go
@@ -24,6 +24,7 @@
 	ends   map[string]Reason
 	locked []string
 	broken map[string]bool // workers that fail everything
+	deaf   map[string]bool // workers that answer no asks
 	poison map[string]bool // jobs that fail everywhere
 	starts int
 	work   float64 // core-seconds used
@@ -41,7 +42,7 @@
 func newRig(workers int, size Amount) *rig {
 	r := &rig{rnd: rand.New(rand.NewPCG(3, 3)), p: New(), use: 1, jobs: map[string]Job{}, length: map[string]time.Duration{},
 		runs: map[string]*execution{}, sent: map[string]time.Duration{}, start: map[string]time.Duration{},
-		ends: map[string]Reason{}, broken: map[string]bool{}, poison: map[string]bool{}}
+		ends: map[string]Reason{}, broken: map[string]bool{}, deaf: map[string]bool{}, poison: map[string]bool{}}
 	for i := range workers {
 		r.p.PutWorker(Worker{Name: fmt.Sprintf("w%04d", i), Size: size})
 	}
@@ -113,7 +114,7 @@
 	case *Ask:
 		x := r.runs[a.Job]
 		switch {
-		case x == nil:
+		case x == nil || r.deaf[x.worker]:
 		case a.Means == Throttle:
 			x.halved = r.now + 300*time.Millisecond
 		case a.Means == Checkpoint:
--- a/internal/fleet/place/room.go
+++ b/internal/fleet/place/room.go
@@ -5,10 +5,13 @@
 	"time"
 )
 
-// patience is how long a worker has to make room before the next stronger means is
-// asked for. Two of them and the start itself stay within the 3.1 s in which an
-// urgent job is to start.
-const patience = time.Second
+// patience is how long a worker has to make room before a stronger means is asked
+// for; after two of them another worker is tried. Two workers that do not answer and
+// the start on a third take under the 3.1 s in which an urgent job is to start.
+const patience = 600 * time.Millisecond
+
+// deafness is how long a worker that made no room in time is not asked again.
+const deafness = 30 * time.Second
 
 // yield returns what a running job could give up for an urgent one.
 func (j *job) yield() Amount {
@@ -131,6 +134,7 @@
 			p.leave(j)
 			p.start(j)
 		case now-j.asking >= 2*patience || w.Closed || w.until > 0:
+			p.ignored(now, j)
 			p.leave(j)
 			p.release(j)
 			p.enqueue(j)
@@ -143,6 +147,20 @@
 	}
 }
 
+// ignored notes that a worker made no room for a job. Its victims may still answer.
+func (p *Placer) ignored(now time.Duration, j *job) {
+	w := j.worker
+	if w.deaf == 0 {
+		p.deafs = append(p.deafs, w)
+	}
+	w.deaf = now + deafness
+	for _, v := range j.victims {
+		if v.worker == w {
+			v.pending = false
+		}
+	}
+}
+
 func (p *Placer) escalate(v, j *job) {
 	if v.status != running || v.worker != j.worker {
 		return
