--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -306,3 +306,6 @@
 
 // SetSettings changes the settings of entries that are added from now on.
 func (w *World) SetSettings(f func(*config.Config)) { w.settings.limits = f }
+
+// LogURL returns the URL of the fake log.
+func (w *World) LogURL() string { return w.logURL }
--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -111,7 +111,7 @@
 		r = &recpb.Record{}
 	}
 	if p := r.GetSnapshot(); p != nil {
-		l.part(p)
+		l.part(item.Offset, p)
 	}
 	switch next := l.state.Applied() + 1; {
 	case item.Offset < next:
@@ -134,8 +134,9 @@
 	l.core.waiters.settle(string(r.GetId()), Settled{Offset: item.Offset, Verdict: v})
 }
 
-// part collects a part of a snapshot and adopts the state if it closes a gap.
-func (l *loop) part(p *recpb.Snapshot) {
+// part collects a part of a snapshot at an offset and adopts the state if records before
+// the offset are missing.
+func (l *loop) part(offset uint64, p *recpb.Snapshot) {
 	st, err := l.collector.Add(p)
 	if err != nil {
 		l.meters.badSnapshots.Inc(1)
@@ -145,7 +146,7 @@
 		return
 	}
 	l.snapshot = max(l.snapshot, st.Applied())
-	if len(l.ahead) > 0 {
+	if offset > l.state.Applied()+1 {
 		l.adopt(st)
 	}
 }
--- a/internal/serve/entry/plan.go
+++ b/internal/serve/entry/plan.go
@@ -92,3 +92,10 @@
 
 // Available returns the number of instances that this entry may send work to.
 func (e *Entry) Available() int { return len(endpoints(e.core.View().State)) }
+
+// Snapshot returns the highest offset of a snapshot that this entry has seen whole in
+// the log.
+func (e *Entry) Snapshot() uint64 { return e.core.View().Snapshot }
+
+// Hash returns the hash of the folded state.
+func (e *Entry) Hash() uint64 { return e.core.View().State.Hash() }
