Listen again on a port that is in use for a moment

A fake that closes and opens its port shares the range of ports with outgoing connections, one of which may hold the port meanwhile. Found by reading, not seen in a run.

--- a/internal/fake/local/local.go
+++ b/internal/fake/local/local.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -23,8 +25,14 @@
 	ErrOrder = errs.Class("order")
 )
 
-// maxOrder is the largest accepted body of an order in bytes.
-const maxOrder = 1 << 20
+const (
+	// maxOrder is the largest accepted body of an order in bytes.
+	maxOrder = 1 << 20
+	// bindTimeout bounds the attempts to listen on an address that is in use, and
+	// bindPause is the time between them.
+	bindTimeout = 2 * time.Second
+	bindPause   = 10 * time.Millisecond
+)
 
 // Server serves a handler on one TCP address.
 type Server struct {
@@ -38,7 +46,7 @@
 // Listen serves srv.Handler on a TCP address; port 0 selects a free port. The
 // listener is passed through wrap if that is not nil. It returns an ErrListen.
 func Listen(addr string, srv *http.Server, wrap func(net.Listener) net.Listener) (*Server, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := bind(addr)
 	if err != nil {
 		return nil, ErrListen.Wrap(err)
 	}
@@ -53,6 +61,19 @@
 	return s, nil
 }
 
+// bind listens on an address and tries again for a while if it is in use: while a
+// port is closed, the system may give it to an outgoing connection.
+func bind(addr string) (net.Listener, error) {
+	clk := clock.NewSystem()
+	for {
+		l, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || clk.Now() > bindTimeout {
+			return l, err
+		}
+		Pause(clk, bindPause, nil)
+	}
+}
+
 // Addr returns the host and port.
 func (s *Server) Addr() string { return s.addr }
 
