--- a/internal/flow/share/demand.go
+++ b/internal/flow/share/demand.go
@@ -1,14 +1,16 @@
 package share
 
-import "math"
+// reserve is the number of slots of a pool that an entry wants above its demand. Half
+// a standard deviation of the demand instead left more slots idle while one entry was
+// flooded; see docs/routing.md.
+const reserve = 1
 
 // Demand sets what the entry wants of the endpoints of one pool from its demand there:
-// the requests in flight and queued. Some slots above the demand are wanted as a
-// reserve for the next ask interval. Slots that the entry has come first, so that a
+// the requests in flight and queued. Slots that the entry has come first, so that a
 // steady demand moves nothing; what is missing is asked of the endpoints in turn,
 // from another one each time, because some may have nothing to lend.
 func (h *Holder) Demand(instances []string, total int) {
-	rest := total + reserve(total)
+	rest := total + reserve
 	h.pool = h.pool[:0]
 	for _, name := range instances {
 		s, ok := h.slots[name]
@@ -49,10 +51,3 @@
 		rest--
 	}
 }
-
-// reserve returns the slots wanted above a demand: half a standard deviation of a
-// random demand of that mean. A whole one made idle entries keep slots that a busy
-// entry waited for; see docs/routing.md.
-func reserve(total int) int {
-	return int(math.Ceil(math.Sqrt(float64(max(total, 0))) / 2))
-}
--- a/internal/flow/share/driver_test.go
+++ b/internal/flow/share/driver_test.go
@@ -260,6 +260,28 @@
 	}
 }
 
+// BenchmarkFlood measures the slots in use while one entry is offered 5 times half of
+// the demand, and while all are offered 5 times theirs.
+func BenchmarkFlood(b *testing.B) {
+	for b.Loop() {
+		d := newDriver("shares", 8, 10, 250)
+		d.run(0, 5000, 0.7)
+		for i := range d.weights {
+			d.weights[i] = 0.5 / 7
+		}
+		d.weights[3] = 2.5
+		d.run(5000, 8000, 0.7)
+		d.run(8000, 28000, 0.7)
+		b.ReportMetric(float64(len(d.waits)*service)/20000/80, "one-use")
+		for i := range d.weights {
+			d.weights[i] = 0.125
+		}
+		d.run(28000, 30000, 3.5)
+		d.run(30000, 40000, 3.5)
+		b.ReportMetric(float64(len(d.waits)*service)/10000/80, "all-use")
+	}
+}
+
 // BenchmarkExchange measures one entry's round of asks to 8 custodians, and the bytes
 // a second that it sends and receives.
 func BenchmarkExchange(b *testing.B) {
