--- a/internal/fleet/member/sim_test.go
+++ b/internal/fleet/member/sim_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -215,42 +216,84 @@
 	}
 }
 
-// simulate runs entries for some time and reports an entry that is fenced and still
-// considers its view confirmed. It returns the number of fences and of confirmed views.
-func simulate(t assert.TestingT, seed uint64, most int) (fences, confirmed int) {
-	m := &sim{
+func newSim(seed uint64) *sim {
+	return &sim{
 		Rand: rand.New(rand.NewPCG(seed, 1)), states: []*state.State{state.New()},
 		fenced: map[state.Incarnation]bool{}, due: map[time.Duration][]func(){},
 	}
+}
+
+func (m *sim) add() {
+	n := &node{name: fmt.Sprint("e", len(m.nodes)), cut: map[string]bool{}, View: New(state.Incarnation{})}
+	m.nodes = append(m.nodes, n)
+	m.start(n)
+}
+
+// tick delivers the messages of one step and returns the entries that may send.
+func (m *sim) tick() (sending []*node) {
+	for _, f := range m.due[m.now] {
+		f()
+	}
+	delete(m.due, m.now)
+	for _, n := range m.nodes {
+		m.run(n, int(m.now/step)-1)
+	}
+	for _, n := range m.nodes {
+		if n.up && n.Confirmed(m.now) {
+			sending = append(sending, n)
+		}
+	}
+	return sending
+}
+
+// simulate runs entries with faults and reports an entry that is fenced and still
+// considers its view confirmed. It returns the number of fences and of confirmed views.
+func simulate(t assert.TestingT, seed uint64, most int) (fences, confirmed int) {
+	m := newSim(seed)
 	calm := 20 + m.IntN(200)
-	for tick := range most {
+	for range most {
 		m.now += step
 		if len(m.nodes) < 5 || len(m.nodes) < 9 && m.chance(1) {
-			n := &node{name: fmt.Sprint("e", len(m.nodes)), cut: map[string]bool{}, View: New(state.Incarnation{})}
-			m.nodes = append(m.nodes, n)
-			m.start(n)
+			m.add()
 		}
 		if m.IntN(calm) == 0 {
 			m.fault()
 		}
-		for _, f := range m.due[m.now] {
-			f()
-		}
-		delete(m.due, m.now)
-		for _, n := range m.nodes {
-			m.run(n, tick)
-		}
-		for _, n := range m.nodes {
-			sends := n.up && n.Confirmed(m.now)
-			assert.Assert(t, !sends || !m.fenced[n.self], "seed %d: %v sends at %v after its fence", seed, n.self, m.now)
-			if sends {
-				confirmed++
-			}
+		for _, n := range m.tick() {
+			assert.Assert(t, !m.fenced[n.self], "seed %d: %v sends at %v after its fence", seed, n.self, m.now)
+			confirmed++
 		}
 	}
 	return m.fences, confirmed
 }
 
+// TestLogOutage guards against a group in contact that stops when the log is down,
+// and against an entry that sends for longer than the lease after it is cut off.
+func TestLogOutage(t *testing.T) {
+	m := newSim(1)
+	for range 5 {
+		m.add()
+	}
+	run := func(d time.Duration) (sending []*node) {
+		for end := m.now + d; m.now < end; {
+			m.now += step
+			sending = m.tick()
+			assert.Assert(t, m.now < 5*time.Second || len(sending) >= 4, "%d entries send at %v", len(sending), m.now)
+		}
+		return sending
+	}
+	assert.Equal(t, len(run(10*time.Second)), 5)
+	for _, n := range m.nodes {
+		n.cut["log"] = true
+	}
+	assert.Equal(t, len(run(10*time.Minute)), 5)
+	for _, n := range m.nodes {
+		n.cut["e0"], m.nodes[0].cut[n.name] = true, true
+	}
+	assert.Assert(t, !slices.Contains(run(ViewLease+step), m.nodes[0]))
+	assert.Equal(t, len(run(10*time.Minute)), 4)
+}
+
 // TestNoSendAfterFence guards against an entry that sends work after its fence, when
 // its slots are given away and drained instances are rebooted. Each fixed seed failed
 // when a rule was removed: evidence of members in eviction counted, higher offsets of
--- a/internal/fleet/state/snapshot.go
+++ b/internal/fleet/state/snapshot.go
@@ -163,7 +163,8 @@
 }
 
 // Add adds a part. It returns the state if this completes a snapshot, otherwise nil.
-// The state continues with the record after State.Applied. Add returns a
+// The state continues with the record after State.Applied, which the reader must
+// still be able to read: Apply does not notice missing records. Add returns a
 // *SnapshotError for impossible parts and for parts that do not make a state with
 // the hash that they name; these are dropped.
 func (c *Collector) Add(p *recpb.Snapshot) (*State, error) {
