--- a/internal/fleet/place/place.go
+++ b/internal/fleet/place/place.go
@@ -231,7 +231,7 @@
 		if j.Need.within(s) {
 			return nil
 		}
-		if g := j.Need.share(s); best == (Amount{}) || g < gap {
+		if g := j.Need.share(s); best == (Amount{}) || g < gap || g == gap && best.within(s) {
 			best, gap = s, g
 		}
 	}
