Let operators remove ended entries when no majority is left

If all entries are replaced at once under new names, the newcomers are never more than half of the members, so that none of the old ones can be evicted. An operator's word now does it.

--- a/cmd/chervilgauge/cmds/change.go
+++ b/cmd/chervilgauge/cmds/change.go
@@ -171,6 +171,22 @@
 	})
 }
 
+func runEntry(e *env, fs *flag.FlagSet, args []string) error {
+	t := targetFlags(fs)
+	number := fs.String("incarnation", "", "incarnation `number` of the entry as 'status' shows it")
+	rest, err := parse(fs, args, 2)
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseUint(*number, 16, 64)
+	if err != nil || rest[0] != "remove" {
+		return errUsage.New("expected remove NAME with -incarnation")
+	}
+	return t.send(e, func(ctx context.Context, c opspb.OperatorsClient) (*opspb.Change, error) {
+		return c.Remove(ctx, &opspb.MemberAsk{Name: rest[1], Incarnation: n})
+	})
+}
+
 func runConfig(e *env, fs *flag.FlagSet, args []string) error {
 	t := targetFlags(fs)
 	rest, err := parse(fs, args, 2)
--- a/cmd/chervilgauge/cmds/cmds.go
+++ b/cmd/chervilgauge/cmds/cmds.go
@@ -56,6 +56,7 @@
 		{"instance", "put|delete|drain|move|cancel NAME", "change, drain or move an instance", runInstance},
 		{"wave", "start|halt|resume|rollon|finish NAME", "order a maintenance wave", runWave},
 		{"job", "submit|cancel NAME", "submit or cancel a job", runJob},
+		{"entry", "remove NAME", "remove an entry that has ended and that no majority is left to evict", runEntry},
 		{"config", "wait VERSION", "wait until a change is in force on every entry", runConfig},
 		{"status", "", "show the state of the fleet", runStatus},
 		{"demo", "", "run entries, fakes and traffic in one process and report", runDemo},
--- a/internal/fleet/member/fence.go
+++ b/internal/fleet/member/fence.go
@@ -118,16 +118,3 @@
 	}
 	return 2*have > all
 }
-
-// Supersedes returns the member that a starting entry replaces: one of its own name
-// and address with another incarnation. An entry that listens on the address knows
-// that no process of the older incarnation is left, because a paused one would still
-// hold the address. It may therefore evict and fence that incarnation at once, also
-// when all entries have stopped and no majority is left to do it.
-func Supersedes(s *state.State, self state.Incarnation, addr string) (state.Incarnation, bool) {
-	m, ok := s.Member(self.Name)
-	if !ok || m.Incarnation == self || m.Addr != addr {
-		return state.Incarnation{}, false
-	}
-	return m.Incarnation, true
-}
--- a/internal/serve/admin/admin.go
+++ b/internal/serve/admin/admin.go
@@ -135,6 +135,17 @@
 	return s.change(ctx, r.Edit, &recpb.Record{Body: &recpb.Record_Wave{Wave: r}})
 }
 
+// Remove evicts and fences an entry on the operator's word that it has ended.
+func (s *Server) Remove(ctx context.Context, r *opspb.MemberAsk) (*opspb.Change, error) {
+	e := &recpb.Edit{}
+	if _, err := s.change(ctx, e, &recpb.Record{Body: &recpb.Record_Evict{
+		Evict: &recpb.Evict{Name: r.GetName(), Incarnation: r.GetIncarnation()}}}); err != nil {
+		return nil, err
+	}
+	return s.change(ctx, e, &recpb.Record{Body: &recpb.Record_Fence{
+		Fence: &recpb.Fence{Name: r.GetName(), Incarnation: r.GetIncarnation()}}})
+}
+
 // Submit submits or cancels a job.
 func (s *Server) Submit(ctx context.Context, r *recpb.Job) (*opspb.Change, error) {
 	r.Edit = edit(r.Edit)
