Check a worker again before a job starts that waited for room there

An urgent job that had reserved a worker started there although the worker had been quarantined or was to drain before the job's end. The job is now queued again.

--- a/internal/fleet/place/life_test.go
+++ b/internal/fleet/place/life_test.go
@@ -48,6 +48,23 @@
 	assert.ErrorType(t, p.Report(Usage{Job: "j", Token: 5}), &StaleTokenError{})
 	assert.NilError(t, p.Result(0, "j", 6, Done))
 
+	// A worker that will drain before the job's end does not get it after it made room.
+	low, high := job, job
+	low.Name, low.Checkpoint = "low", true
+	high.Name, high.Urgency, high.Length = "high", Urgent, time.Minute
+	assert.NilError(t, p.Submit(low))
+	assert.Equal(t, p.Next(0).(*Start).Worker, "w0001")
+	assert.NilError(t, p.Confirm(0, "low", 10))
+	assert.NilError(t, p.Submit(high))
+	assert.Equal(t, p.Next(0).(*Ask).Means, Checkpoint)
+	p.PutWorker(Worker{Name: "w0001", Size: cores(8), Drains: time.Second})
+	assert.NilError(t, p.Result(0, "low", 10, Paused))
+	assert.Equal(t, p.Next(0).(*Start).Job, "low")
+	p.Cancel("high", "low")
+	p.Reject("low")
+	assert.Assert(t, p.Next(0).(*Ended).Reason != nil)
+	p.PutWorker(Worker{Name: "w0001", Size: cores(8)})
+
 	// Two classes compete for one place: the Morning job goes first once it has to.
 	first, late := job, job
 	first.Name, late.Name = "first", "late"
@@ -59,7 +76,7 @@
 	at, ok := p.Wake()
 	assert.Assert(t, ok && at == 8*time.Second)
 	assert.Equal(t, p.Next(at).(*Start).Job, "late")
-	assert.NilError(t, p.Confirm(at, "late", 7))
+	assert.NilError(t, p.Confirm(at, "late", 11))
 
 	// A worker that is dropped ends the jobs that only it could run.
 	p.PutWorker(Worker{Name: "big", Size: cores(16)})
--- a/internal/fleet/place/room.go
+++ b/internal/fleet/place/room.go
@@ -130,10 +130,14 @@
 	for _, j := range slices.Clone(p.waiting) {
 		w := j.worker
 		switch {
-		case w.held.within(w.Size) && !w.Closed:
+		case w.Closed || w.until > 0 || w.Drains > 0 && w.Drains < p.until(now, j):
+			p.leave(j)
+			p.release(j)
+			p.enqueue(j)
+		case w.held.within(w.Size):
 			p.leave(j)
 			p.start(j)
-		case now-j.asking >= 2*patience || w.Closed || w.until > 0:
+		case now-j.asking >= 2*patience:
 			p.ignored(now, j)
 			p.leave(j)
 			p.release(j)
