--- /dev/null
+++ b/internal/plat/worker/worker.go
@@ -0,0 +1,179 @@
+// Package worker implements ports.Workers over the HTTP protocol of the platform's
+// workers.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"chervilgauge.example/chervilgauge/internal/core/ports"
+)
+
+var (
+	// ErrBase is the class of base URLs that are not usable.
+	ErrBase = errs.Class("workers base URL")
+	// errAnswer is the class of answers that break the protocol. It is wrapped in a
+	// ports.ErrWorkers.
+	errAnswer = errs.Class("malformed answer of the workers")
+)
+
+const (
+	defaultTimeout = 5 * time.Second
+	// maxAnswer bounds the bytes of an answer that are read into memory. A list of
+	// 1,500 workers with 64 tasks each is about 12 MB.
+	maxAnswer = 64 << 20
+	// maxIdle bounds the idle connections that are kept. The planner makes up to 64
+	// calls at a time.
+	maxIdle = 64
+)
+
+// Client is a ports.Workers. It makes exactly one attempt for each call.
+type Client struct {
+	base    *url.URL
+	http    http.Client
+	owned   *http.Transport
+	timeout time.Duration
+}
+
+var _ ports.Workers = (*Client)(nil)
+
+// Option changes a Client at construction.
+type Option func(*Client)
+
+// WithTimeout bounds each call.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// New returns a client of the workers at a base URL such as http://10.0.0.1:9002. It
+// returns an ErrBase.
+func New(base string, opts ...Option) (*Client, error) {
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, ErrBase.Wrap(err)
+	}
+	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		return nil, ErrBase.New("%q is not an absolute HTTP URL", base)
+	}
+	c := &Client{base: u, timeout: defaultTimeout}
+	for _, o := range opts {
+		o(c)
+	}
+	c.owned = &http.Transport{IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: maxIdle}
+	c.http.Transport = c.owned
+	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c, nil
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.owned.CloseIdleConnections() }
+
+// size is an amount of resources in the protocol.
+type size struct {
+	Cores        int64 `json:"cores"`
+	Memory       int64 `json:"memory"`
+	Accelerators int64 `json:"accelerators"`
+}
+
+// Start starts a task. It returns a *ports.StaleTaskError, a *ports.NotStartedError or
+// a ports.ErrWorkers.
+func (c *Client) Start(ctx context.Context, k ports.TaskKey, s ports.TaskSpec) error {
+	status, body, err := c.do(ctx, http.MethodPut, c.task(k), struct {
+		Token      uint64  `json:"token"`
+		Boot       uint64  `json:"boot"`
+		Lease      float64 `json:"lease"`
+		Need       size    `json:"need"`
+		Checkpoint bool    `json:"checkpoint"`
+	}{k.Token, s.Boot, float64(s.Lease) / float64(time.Millisecond), size(s.Need), s.Checkpoint})
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusOK, http.StatusCreated:
+		return nil
+	case http.StatusConflict:
+		return stale(k, body)
+	case http.StatusNotFound, http.StatusGone, http.StatusTooManyRequests:
+		return &ports.NotStartedError{Key: k, Reason: reason(body)}
+	}
+	return ports.ErrWorkers.New("start of %q on %s: status %d", k.Job, k.Worker, status)
+}
+
+// Ask throttles, restores, checkpoints or stops a task. It returns a
+// *ports.NoTaskError or a ports.ErrWorkers.
+func (c *Client) Ask(ctx context.Context, k ports.TaskKey, m ports.Means) error {
+	status, _, err := c.do(ctx, http.MethodPost, c.task(k).JoinPath(string(m)), struct {
+		Token uint64 `json:"token"`
+	}{k.Token})
+	if err != nil {
+		return err
+	}
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound, http.StatusGone:
+		return &ports.NoTaskError{Key: k}
+	}
+	return ports.ErrWorkers.New("%s of %q on %s: status %d", m, k.Job, k.Worker, status)
+}
+
+func (c *Client) task(k ports.TaskKey) *url.URL {
+	return c.base.JoinPath("workers", url.PathEscape(k.Worker), "tasks", url.PathEscape(k.Job))
+}
+
+// stale reads the newest token from a refusal.
+func stale(k ports.TaskKey, body []byte) error {
+	var a struct {
+		Token uint64 `json:"token"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return ports.ErrWorkers.Wrap(errAnswer.Wrap(err))
+	}
+	if a.Token < k.Token {
+		return ports.ErrWorkers.Wrap(errAnswer.New("token %d refused because of the older %d", k.Token, a.Token))
+	}
+	return &ports.StaleTaskError{Key: k, Newest: a.Token}
+}
+
+// reason returns the word of a refusal, empty if it has none.
+func reason(body []byte) string {
+	var a struct {
+		Error string `json:"error"`
+	}
+	_ = json.Unmarshal(body, &a)
+	return a.Error
+}
+
+// do makes one attempt and reads the whole answer. A request with a body that cannot
+// be read again is not replayed by the transport.
+func (c *Client) do(ctx context.Context, method string, u *url.URL, v any) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var body io.Reader = http.NoBody
+	if v != nil {
+		data, err := json.Marshal(v)
+		if err != nil {
+			return 0, nil, ports.ErrWorkers.Wrap(err)
+		}
+		body = io.NopCloser(bytes.NewReader(data))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), body)
+	if err != nil {
+		return 0, nil, ports.ErrWorkers.Wrap(err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, ports.ErrWorkers.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, ports.ErrWorkers.Wrap(err)
+	}
+	return resp.StatusCode, answer, nil
+}
