--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -15,12 +15,14 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
 	"chervilgauge.example/chervilgauge/internal/flow/claim"
 	"chervilgauge.example/chervilgauge/internal/flow/share"
 	"chervilgauge.example/chervilgauge/internal/plat/endpt"
 	"chervilgauge.example/chervilgauge/internal/plat/lister"
 	"chervilgauge.example/chervilgauge/internal/plat/stream"
+	"chervilgauge.example/chervilgauge/internal/plat/worker"
 	"chervilgauge.example/chervilgauge/internal/serve/admin"
 	"chervilgauge.example/chervilgauge/internal/serve/caller"
 	"chervilgauge.example/chervilgauge/internal/serve/claims"
@@ -50,6 +52,7 @@
 
 	log      *stream.Client
 	list     *lister.Client
+	workers  *worker.Client // nil if the settings name no workers
 	endpoint *endpt.Client
 	client   *peers.Client
 
@@ -146,6 +149,7 @@
 		Engine:    e.engine,
 		Instances: e.list,
 		Endpoint:  e.endpoint,
+		Workers:   e.jobWorkers(),
 		Clock:     e.clk,
 		Scope:     e.meter.Scope(),
 		Logger:    e.logger,
@@ -189,10 +193,22 @@
 	if err != nil {
 		return err
 	}
+	if e.cfg.Workers.URL != "" {
+		if e.workers, err = worker.New(e.cfg.Workers.URL, worker.WithTimeout(e.cfg.Workers.Timeout)); err != nil {
+			return err
+		}
+	}
 	e.endpoint = endpt.New(endpt.WithWrapper(e.traced), endpt.WithMaxConns(e.cfg.Limits.Conns))
 	return nil
 }
 
+func (e *Entry) jobWorkers() ports.Workers {
+	if e.workers == nil {
+		return nil
+	}
+	return e.workers
+}
+
 // traced adds the W3C trace context to requests to endpoints while spans are written.
 func (e *Entry) traced(rt http.RoundTripper) http.RoundTripper {
 	if e.cfg.Trace.File == "" {
--- a/internal/serve/entry/stop.go
+++ b/internal/serve/entry/stop.go
@@ -72,6 +72,9 @@
 	e.endpoint.Close()
 	e.log.Close()
 	e.list.Close()
+	if e.workers != nil {
+		e.workers.Close()
+	}
 	group.Add(e.tracer.Close())
 	group.Add(e.meter.Close())
 	return group.Err()
--- a/internal/serve/plans/advance.go
+++ b/internal/serve/plans/advance.go
@@ -24,7 +24,7 @@
 		case i.Phase == state.Drained && i.Grant.Target != "" && !i.Grant.Moved:
 			p.append(ctx, "moved/"+i.Name, &recpb.Record{Body: &recpb.Record_Moved{
 				Moved: &recpb.Moved{Name: i.Name, Grant: i.Grant.Offset}}})
-		case i.Phase == state.Drained && i.Grant.Target == "":
+		case i.Phase == state.Drained && i.Grant.Target == "" && !p.occupied(st, i.Name):
 			p.append(ctx, "restart/"+i.Name, &recpb.Record{Body: &recpb.Record_Restart{
 				Restart: &recpb.Restart{Name: i.Name, Grant: i.Grant.Offset}}})
 		case i.Phase == state.Restarting:
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -1,7 +1,7 @@
 // Package plans turns the decisions of the fleet packages into records and orders.
 // Every entry acknowledges drains; one entry at a time, the planner, also observes
-// instances, advances drains and moves, and runs waves. Two planners at once do no
-// harm, because each record's precondition decides.
+// instances, advances drains and moves, runs waves, and places jobs. Two planners at
+// once do no harm, because each record's precondition decides.
 package plans
 
 import (
@@ -37,10 +37,12 @@
 	Engine    Engine
 	Instances ports.Instances
 	Endpoint  ports.Endpoint
-	Clock     clock.Clock
-	Scope     tally.Scope
-	Logger    zerolog.Logger
-	Self      state.Incarnation
+	// Workers runs jobs. It is nil if there are no workers, and jobs stay queued.
+	Workers ports.Workers
+	Clock   clock.Clock
+	Scope   tally.Scope
+	Logger  zerolog.Logger
+	Self    state.Incarnation
 }
 
 const (
@@ -70,6 +72,7 @@
 	list   listWatch
 	waves  waveWatch
 	orders map[string]time.Duration
+	jobs   *jobWatch // nil while another entry is the planner
 
 	snapshot snapshotWatch
 }
@@ -119,12 +122,16 @@
 	}
 	p.acknowledge(ctx, v.State)
 	p.watchLease(ctx, v)
+	if !v.State.Planner(p.Self) {
+		p.jobs = nil
+	}
 	if !v.State.Planner(p.Self) || !p.Control.MaySend() || v.State.Skipped().Newer > 0 {
 		return
 	}
 	p.observe(ctx, v.State)
 	p.advance(ctx, v.State)
 	p.runWaves(ctx, v.State)
+	p.runJobs(ctx, v.State)
 	p.writeSnapshot(ctx, v)
 }
 
--- a/internal/setup/config/config.go
+++ b/internal/setup/config/config.go
@@ -13,12 +13,14 @@
 	Listen Listen
 	Log    Remote
 	List   Remote
-	Limits Limits
-	Stop   Stop
-	Trace  Trace
-	Logs   Logs
-	TLS    TLS
-	Spare  Spare
+	// Workers runs jobs. Without a URL, jobs are accepted and stay queued.
+	Workers Remote
+	Limits  Limits
+	Stop    Stop
+	Trace   Trace
+	Logs    Logs
+	TLS     TLS
+	Spare   Spare
 	// Seeds are the peers' addresses of other entries, from which the state is taken
 	// if the log is down at the start.
 	Seeds []string
@@ -112,8 +114,9 @@
 // Default returns the settings that a file starts from.
 func Default() Config {
 	return Config{
-		Log:  Remote{Timeout: 2 * time.Second},
-		List: Remote{Timeout: 2 * time.Second},
+		Log:     Remote{Timeout: 2 * time.Second},
+		List:    Remote{Timeout: 2 * time.Second},
+		Workers: Remote{Timeout: 2 * time.Second},
 		Limits: Limits{
 			Body:     1 << 20,
 			Queue:    1500 * time.Millisecond,
--- a/internal/setup/config/schema.go
+++ b/internal/setup/config/schema.go
@@ -27,6 +27,7 @@
 		{name: "seeds", parse: addrs(&cfg.Seeds)},
 		{name: "log", required: true, fields: remote(&cfg.Log)},
 		{name: "list", required: true, fields: remote(&cfg.List)},
+		{name: "workers", fields: remote(&cfg.Workers)},
 		{name: "limits", fields: limits(&cfg.Limits)},
 		{name: "stop", fields: []field{
 			{name: "lag", parse: duration(&cfg.Stop.Lag, 0, time.Minute)},
