Publish gauges of queues, endpoints, slots, members and the view lease

Operators could not see the admission counts of a service, ejected endpoints, slots held, the applied offset or records skipped for a newer schema. Totals carry pool and service, because a service that moves has counts in two queues.

--- a/internal/flow/admit/counts.go
+++ b/internal/flow/admit/counts.go
@@ -18,6 +18,15 @@
 	Refused   [reasons]uint64 // by Reason
 }
 
+// RefusedTotal returns the number of refusals of all reasons.
+func (c Counts) RefusedTotal() uint64 {
+	var n uint64
+	for _, one := range c.Refused {
+		n += one
+	}
+	return n
+}
+
 // Waiting returns the number of waiting tickets of all services.
 func (q *Queue) Waiting() int { return len(q.expiry) }
 
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -173,6 +173,12 @@
 // Free returns the number of slots that Pick can still take.
 func (r *Router) Free() int { return r.room }
 
+// Sums returns the number of listed targets, of those that are neither leaving nor
+// blocked, and of the ejected ones among the latter.
+func (r *Router) Sums() (listed, able, ejected int) {
+	return len(r.listed), r.able, r.ejected
+}
+
 // Done frees the slot that Pick took at the target and records how the attempt
 // ended. The latency is the time from the send to the end. A call without a slot
 // in use is ignored.
--- a/internal/serve/admin/status.go
+++ b/internal/serve/admin/status.go
@@ -19,7 +19,7 @@
 	r := &opspb.StatusReply{Entry: s.name, Applied: v.State.Applied(), Ready: s.control.MaySend()}
 	addPools(r, v.State)
 	addInstances(r, v.State, a.GetPool())
-	addMembers(r, v)
+	s.addMembers(r, v)
 	addWaves(r, v.State)
 	for j := range v.State.Jobs() {
 		r.Jobs = append(r.Jobs, &opspb.JobStatus{
@@ -66,13 +66,21 @@
 	}
 }
 
-func addMembers(r *opspb.StatusReply, v *ctrl.View) {
+func (s *Server) addMembers(r *opspb.StatusReply, v *ctrl.View) {
 	for m := range v.State.Members() {
 		r.Members = append(r.Members, &opspb.MemberStatus{
-			Name: m.Name, Incarnation: m.Number, Evicted: m.Evicted, Applied: v.Applied[m.Name]})
+			Name: m.Name, Incarnation: m.Number, Evicted: m.Evicted, Applied: s.applied(v, m.Name)})
 	}
 }
 
+// applied returns the highest offset that a member reported, for this entry its own.
+func (s *Server) applied(v *ctrl.View, name string) uint64 {
+	if name == s.name {
+		return v.State.Applied()
+	}
+	return v.Applied[name]
+}
+
 func addWaves(r *opspb.StatusReply, st *state.State) {
 	for w := range st.Waves() {
 		r.Waves = append(r.Waves, &opspb.WaveStatus{
@@ -108,11 +116,7 @@
 	v := s.control.View()
 	var out []string
 	for m := range v.State.Members() {
-		applied := v.Applied[m.Name]
-		if m.Name == s.name {
-			applied = v.State.Applied()
-		}
-		if !m.Evicted && applied < version {
+		if !m.Evicted && s.applied(v, m.Name) < version {
 			out = append(out, m.Name)
 		}
 	}
--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -124,6 +124,11 @@
 	return int64(c.Clock.Now()) < c.until.Load()
 }
 
+// Remaining returns how long the view lease is valid from now on, 0 if it is not.
+func (c *Core) Remaining() time.Duration {
+	return max(0, time.Duration(c.until.Load())-c.Clock.Now())
+}
+
 // never is a time before every read of the log.
 const never = -time.Hour
 
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -32,6 +32,7 @@
 	"chervilgauge.example/chervilgauge/internal/serve/plans"
 	"chervilgauge.example/chervilgauge/internal/setup/certs"
 	"chervilgauge.example/chervilgauge/internal/setup/config"
+	"chervilgauge.example/chervilgauge/internal/watch/gauge"
 	"chervilgauge.example/chervilgauge/internal/watch/meter"
 	"chervilgauge.example/chervilgauge/internal/watch/trace"
 )
@@ -59,6 +60,7 @@
 	claims   *claims.Service
 	lends    *lends.Service
 	planner  *plans.Planner
+	gauges   *gauge.Publisher
 
 	callers   *caller.Server
 	operators *admin.Server
@@ -152,6 +154,7 @@
 		Self:      e.self,
 	})
 	e.lends.Start(ctx, e.engine)
+	e.gauges = gauge.Start(ctx, e.clk, e.meter.Scope(), e.measure)
 	e.tasks = newTasks(ctx)
 	e.tasks.start(e.join)
 	e.tasks.start(e.tend)
--- a/internal/serve/entry/stop.go
+++ b/internal/serve/entry/stop.go
@@ -60,6 +60,7 @@
 func (e *Entry) release() error {
 	var group errs.Group
 	e.tasks.close()
+	e.gauges.Close()
 	e.planner.Close()
 	e.lends.Close()
 	e.claims.Close()
--- /dev/null
+++ b/internal/serve/flows/counts.go
@@ -0,0 +1,33 @@
+package flows
+
+import "chervilgauge.example/chervilgauge/internal/flow/admit"
+
+// PoolCounts is what one pool's queue and router count.
+type PoolCounts struct {
+	Pool string
+	// Listed is the number of endpoints, Able the number of those that are not
+	// leaving, and Ejected the number of ejected ones among the latter.
+	Listed, Able, Ejected int
+	// Services holds the admission counts by service.
+	Services map[string]admit.Counts
+}
+
+// Counts returns the counts of every pool.
+func (e *Engine) Counts() []PoolCounts {
+	var out []PoolCounts
+	for _, p := range e.all() {
+		out = append(out, p.counts())
+	}
+	return out
+}
+
+func (p *pool) counts() PoolCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := PoolCounts{Pool: p.name, Services: map[string]admit.Counts{}}
+	c.Listed, c.Able, c.Ejected = p.router.Sums()
+	for name, one := range p.queue.Services() {
+		c.Services[name] = one
+	}
+	return c
+}
