Write a span for a peer's call that arrives with a trace

A claim or an outcome that another entry answered showed only the asker's span: the trace context arrived but nothing was written. Gossip and slot asks carry no trace and get no span. Tests cover calls with and without TLS, refused strangers, the trace context and the span file.

--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
@@ -36,9 +38,15 @@
 	done   chan error
 }
 
+// Option changes how a Server works.
+type Option func(*extracting)
+
+// WithTracer writes a span for each call that arrives with a trace.
+func WithTracer(t trace.Tracer) Option { return func(h *extracting) { h.tracer = t } }
+
 // Serve accepts connections until Close. A nil TLS configuration means plain TCP.
 // It returns an Err.
-func Serve(ctx context.Context, lis net.Listener, h peerpb.DRPCPeerServer, conf *tls.Config) (*Server, error) {
+func Serve(ctx context.Context, lis net.Listener, h peerpb.DRPCPeerServer, conf *tls.Config, opts ...Option) (*Server, error) {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, h); err != nil {
 		return nil, Err.Wrap(err)
@@ -48,7 +56,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
-	srv := drpcserver.New(extracting{mux})
+	traced := extracting{mux, noop.NewTracerProvider().Tracer("peers")}
+	for _, o := range opts {
+		o(&traced)
+	}
+	srv := drpcserver.New(traced)
 	go func() { s.done <- srv.Serve(ctx, lis) }()
 	return s, nil
 }
--- /dev/null
+++ b/internal/serve/peers/peers_test.go
@@ -0,0 +1,130 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	oteltrace "go.opentelemetry.io/otel/trace"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/fake/issuer"
+	"chervilgauge.example/chervilgauge/internal/setup/certs"
+	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
+)
+
+// callTimeout is above the time that a call takes even with the race detector.
+const callTimeout = 10 * time.Second
+
+// echoing answers gossip and keeps the span that each call came with.
+type echoing struct {
+	peerpb.DRPCPeerUnimplementedServer
+	spans chan oteltrace.SpanContext
+}
+
+func (e *echoing) Gossip(ctx context.Context, d *peerpb.Digest) (*peerpb.Digest, error) {
+	e.spans <- oteltrace.SpanContextFromContext(ctx)
+	return &peerpb.Digest{Name: "answer to " + d.GetName()}, nil
+}
+
+// serve starts a server and returns its address and the spans that arrive.
+func serve(t *testing.T, conf *tls.Config, opts ...Option) (string, chan oteltrace.SpanContext) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &echoing{spans: make(chan oteltrace.SpanContext, 1)}
+	s, err := Serve(context.Background(), lis, e, conf, opts...)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	return lis.Addr().String(), e.spans
+}
+
+func gossip(t *testing.T, ctx context.Context, addr string, conf func() (*tls.Config, error)) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c := NewClient(conf)
+	defer func() { assert.NilError(t, c.Close()) }()
+	d, err := c.To(ctx, addr).Gossip(ctx, &peerpb.Digest{Name: "a"})
+	return d.GetName(), err
+}
+
+func source(t *testing.T, a *issuer.Authority, name string) *certs.Source {
+	t.Helper()
+	f, err := a.Issue(name)
+	assert.NilError(t, err)
+	s, err := certs.Open(f)
+	assert.NilError(t, err)
+	return s
+}
+
+func authority(t *testing.T) *issuer.Authority {
+	t.Helper()
+	a, err := issuer.New(t.TempDir())
+	assert.NilError(t, err)
+	return a
+}
+
+// Guards against a peers' listener that works only with, or only without, TLS.
+func TestCall(t *testing.T) {
+	a := authority(t)
+	plain, _ := serve(t, nil)
+	secure, _ := serve(t, source(t, a, "b").Server())
+	for addr, conf := range map[string]func() (*tls.Config, error){
+		plain: nil, secure: source(t, a, "a").Client,
+	} {
+		name, err := gossip(t, context.Background(), addr, conf)
+		assert.NilError(t, err)
+		assert.Equal(t, name, "answer to a")
+	}
+}
+
+// Guards against a listener with TLS that serves a peer of another authority or one
+// without a certificate.
+func TestStrangersAreRefused(t *testing.T) {
+	addr, spans := serve(t, source(t, authority(t), "b").Server())
+	for name, conf := range map[string]func() (*tls.Config, error){
+		"other authority": source(t, authority(t), "a").Client,
+		"plain TCP":       nil,
+		"no certificate":  func() (*tls.Config, error) { return &tls.Config{InsecureSkipVerify: true}, nil },
+	} {
+		_, err := gossip(t, context.Background(), addr, conf)
+		assert.Assert(t, err != nil, name)
+	}
+	assert.Equal(t, len(spans), 0)
+}
+
+// Guards against a trace that ends at the entry that was asked first, and against
+// spans for gossip, which belongs to no request.
+func TestTraceContextArrives(t *testing.T) {
+	written := tracetest.NewInMemoryExporter()
+	provider := trace.NewTracerProvider(trace.WithSyncer(written))
+	addr, spans := serve(t, nil, WithTracer(provider.Tracer("")))
+
+	_, err := gossip(t, context.Background(), addr, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, !(<-spans).IsValid())
+
+	ctx, asker := trace.NewTracerProvider().Tracer("").Start(context.Background(), "asker")
+	_, err = gossip(t, ctx, addr, nil)
+	assert.NilError(t, err)
+	own := <-spans
+	assert.Equal(t, own.TraceID(), asker.SpanContext().TraceID())
+	// The span ends after the answer; closing the provider does not wait for it.
+	waitFor(t, func() bool { return len(written.GetSpans()) == 1 })
+	s := written.GetSpans()[0]
+	assert.Equal(t, s.Name, "peer Gossip")
+	assert.Equal(t, s.Parent.SpanID(), asker.SpanContext().SpanID())
+	assert.Equal(t, s.SpanContext.SpanID(), own.SpanID())
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(callTimeout); !ok(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "not reached in time")
+	}
+}
--- a/internal/serve/peers/trace.go
+++ b/internal/serve/peers/trace.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"path"
 
 	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcpool"
@@ -25,7 +27,10 @@
 }
 
 // extracting restores the trace context before a call is handled.
-type extracting struct{ drpc.Handler }
+type extracting struct {
+	drpc.Handler
+	tracer oteltrace.Tracer
+}
 
 // HandleRPC handles one call.
 func (h extracting) HandleRPC(stream drpc.Stream, rpc string) error {
@@ -34,6 +39,11 @@
 		return h.Handler.HandleRPC(stream, rpc)
 	}
 	ctx := trace.Propagator().Extract(stream.Context(), propagation.MapCarrier(data))
+	if !oteltrace.SpanContextFromContext(ctx).IsValid() {
+		return h.Handler.HandleRPC(stream, rpc)
+	}
+	ctx, span := h.tracer.Start(ctx, "peer "+path.Base(rpc), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+	defer span.End()
 	return h.Handler.HandleRPC(traced{stream, ctx}, rpc)
 }
 
