--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -228,7 +228,8 @@
 
 func (e *Entry) serve(ctx context.Context, ls listeners, operatorTLS, peerTLS *tls.Config) error {
 	var err error
-	if e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS); err != nil {
+	e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS, peers.WithTracer(e.tracer))
+	if err != nil {
 		return err
 	}
 	e.operators = admin.Serve(ls.operators, e.core, e.clk, e.cfg.Name, operatorTLS)
--- a/internal/serve/entry/gauge.go
+++ b/internal/serve/entry/gauge.go
@@ -83,12 +83,19 @@
 	}
 }
 
+// unlisted is the label of requests whose service left the pool while they were on
+// their way to its queue. No service has a name with an underscore.
+const unlisted = "_unlisted"
+
 func measurePool(r *gauge.Round, c flows.PoolCounts) {
 	tags := gauge.Tags{"pool": c.Pool}
 	r.Value("endpoints_listed", float64(c.Listed), tags)
 	r.Value("endpoints_leaving", float64(c.Listed-c.Able), tags)
 	r.Value("endpoints_ejected", float64(c.Ejected), tags)
 	for service, s := range c.Services {
+		if service == "" {
+			service = unlisted
+		}
 		tags := gauge.Tags{"pool": c.Pool, "service": service}
 		r.Value("queue_waiting", float64(s.Waiting), tags)
 		r.Value("queue_running", float64(s.Running), tags)
