--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -34,6 +34,7 @@
 	"chervilgauge.example/chervilgauge/internal/serve/plans"
 	"chervilgauge.example/chervilgauge/internal/setup/certs"
 	"chervilgauge.example/chervilgauge/internal/setup/config"
+	"chervilgauge.example/chervilgauge/internal/watch/gauge"
 	"chervilgauge.example/chervilgauge/internal/watch/meter"
 	"chervilgauge.example/chervilgauge/internal/watch/trace"
 )
@@ -62,6 +63,7 @@
 	claims   *claims.Service
 	lends    *lends.Service
 	planner  *plans.Planner
+	gauges   *gauge.Publisher
 
 	callers   *caller.Server
 	operators *admin.Server
@@ -156,6 +158,7 @@
 		Self:      e.self,
 	})
 	e.lends.Start(ctx, e.engine)
+	e.gauges = gauge.Start(ctx, e.clk, e.meter.Scope(), e.measure)
 	e.tasks = newTasks(ctx)
 	e.tasks.start(e.join)
 	e.tasks.start(e.tend)
@@ -241,7 +244,8 @@
 
 func (e *Entry) serve(ctx context.Context, ls listeners, operatorTLS, peerTLS *tls.Config) error {
 	var err error
-	if e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS); err != nil {
+	e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS, peers.WithTracer(e.tracer))
+	if err != nil {
 		return err
 	}
 	e.operators = admin.Serve(ls.operators, e.core, e.clk, e.cfg.Name, operatorTLS)
