Poke holders that have news, gossip calmly while the log confirms the view

An idle entry asked every custodian several times a second, and gossiped four times a second although the log already confirmed its view. Custodians now poke the holders for which a reply made a difference, and gossip is slow until the last complete read of the log is older than 1.1 s. A custodian is asked one thing at a time, since the reply to an older ask does not count. Claim slices set a timer only while a batch waits.

--- a/internal/flow/share/custodian.go
+++ b/internal/flow/share/custodian.go
@@ -125,6 +125,18 @@
 // under the epoch and no slots are held back.
 func (c *Custodian) Whole() bool { return c.whole }
 
+// Pending returns the names of the active members that have a grant to learn of.
+func (c *Custodian) Pending() []string {
+	var names []string
+	for m, p := range c.parties {
+		if len(p.pending) > 0 {
+			names = append(names, m.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Answer processes an ask and returns the limits that the asking entry needs to
 // know. Asks of another epoch and of entries that are not active are answered with
 // the epoch alone.
--- a/internal/proof/procs/capacity_test.go
+++ b/internal/proof/procs/capacity_test.go
@@ -95,7 +95,10 @@
 	for _, n := range names {
 		c.order("PUT", c.list+"/instances/"+n, map[string]any{"phase": "live"})
 	}
-	c.until("instances are not up", func() bool { return c.serving(c.entries[0]) > len(names) })
+	for end := time.Now().Add(3 * time.Minute); c.serving(c.entries[0]) <= len(names); {
+		assert.Assert(c.t, time.Now().Before(end), "instances are not up")
+		time.Sleep(time.Second)
+	}
 	return c.list
 }
 
--- a/internal/serve/claims/slice.go
+++ b/internal/serve/claims/slice.go
@@ -17,6 +17,8 @@
 	// batchWindow is the least time between the starts of two appends to a slice. With
 	// 8 slices and a full load it keeps the system under 400 appends a second.
 	batchWindow = 20 * time.Millisecond
+	// tidyInterval is how often old ids are forgotten.
+	tidyInterval = time.Second
 	// maxBatch bounds the claims of one append.
 	maxBatch = 512
 	// readWait is the longest wait of a read for new records.
@@ -65,6 +67,7 @@
 	waiting map[uint64][]*ask
 	batch   []*recpb.Claim
 	posting bool
+	timer   *clock.Subscription
 	last    time.Duration
 	marked  time.Duration
 }
@@ -129,8 +132,9 @@
 func (s *slice) run(ctx context.Context, tail *sync.WaitGroup) {
 	defer close(s.done)
 	defer tail.Wait()
-	sub := s.clk.Subscribe(batchWindow)
+	sub := s.clk.Subscribe(tidyInterval)
 	defer sub.Close()
+	defer s.disarm()
 	for {
 		select {
 		case <-ctx.Done():
@@ -148,6 +152,8 @@
 		case <-sub.C:
 			s.index.Forget(s.wall())
 			s.mark()
+		case <-s.window():
+			s.disarm()
 		}
 		s.flush(ctx)
 	}
@@ -247,7 +253,11 @@
 // flush appends the batch unless an append is under way or the window is not over.
 func (s *slice) flush(ctx context.Context) {
 	now := s.clk.Now()
-	if s.posting || !s.caught || now-s.last < batchWindow {
+	if s.posting || !s.caught || len(s.batch) == 0 {
+		return
+	}
+	if rest := s.last + batchWindow - now; rest > 0 {
+		s.arm(rest)
 		return
 	}
 	batch := s.take()
@@ -257,6 +267,29 @@
 	s.post(ctx, now, batch)
 }
 
+// arm wakes the slice when the window is over.
+func (s *slice) arm(rest time.Duration) {
+	if s.timer == nil {
+		s.timer = s.clk.After(rest)
+	}
+}
+
+// disarm ends the timer of the window.
+func (s *slice) disarm() {
+	if s.timer != nil {
+		s.timer.Close()
+		s.timer = nil
+	}
+}
+
+// window delivers the end of the window, or nothing if no batch waits for it.
+func (s *slice) window() <-chan time.Duration {
+	if s.timer == nil {
+		return nil
+	}
+	return s.timer.C
+}
+
 // take returns the claims of the next batch whose askers still wait.
 func (s *slice) take() []*recpb.Claim {
 	var out []*recpb.Claim
--- a/internal/serve/ctrl/gossip.go
+++ b/internal/serve/ctrl/gossip.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// fanout is the number of peers asked each interval, independent of the number
+	// fanout is the number of peers asked in a fast round, independent of the number
 	// of entries. What a peer has heard is passed on, so that with 8 entries evidence
 	// about all of them is under 1 s old.
-	fanout = 1
+	fanout = 2
 	// gossipTimeout bounds one exchange.
 	gossipTimeout = 500 * time.Millisecond
 	// leavingKeep is how long an instance is gossiped as leaving. The instance list or
@@ -31,7 +31,7 @@
 // tick gossips, asks peers for records, and evicts and fences members.
 func (l *loop) tick() {
 	now := l.core.Clock.Now()
-	for _, addr := range l.targets() {
+	for _, addr := range l.targets(l.pace(now)) {
 		l.core.goroutine(func() { l.core.exchange(addr) })
 	}
 	l.expireLeaving(now)
@@ -62,9 +62,21 @@
 	l.core.view.Store(&v)
 }
 
-// targets returns the addresses of two random peers, or of a seed while no peer is
-// known.
-func (l *loop) targets() []string {
+// pace returns how many peers to ask now: one every third interval while the log
+// confirms the view, otherwise two each interval.
+func (l *loop) pace(now time.Duration) int {
+	l.rounds++
+	if now-time.Duration(l.core.linked.Load()) > calmAge {
+		return fanout
+	}
+	if l.rounds%calmRounds == 0 {
+		return 1
+	}
+	return 0
+}
+
+// targets returns the addresses of random peers, or of seeds while no peer is known.
+func (l *loop) targets(n int) []string {
 	var addrs []string
 	for m := range l.state.Members() {
 		if m.Name != l.core.Self.Name {
@@ -75,7 +87,7 @@
 		addrs = slices.Clone(l.core.Seeds)
 	}
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:min(fanout, len(addrs))]
+	return addrs[:min(n, len(addrs))]
 }
 
 // exchange asks a peer for its digest. The reply counts as of the time at which the
--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -14,8 +14,18 @@
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
 )
 
-// gossipInterval is how often this entry asks two peers for their digest.
-const gossipInterval = 250 * time.Millisecond
+const (
+	// gossipInterval is how often this entry asks peers for their digest while it
+	// can't read the log.
+	gossipInterval = 250 * time.Millisecond
+	// calmRounds is the number of intervals between two rounds of gossip while the log
+	// confirms the view.
+	calmRounds = 3
+	// calmAge is the age of the last complete read of the log up to which gossip is
+	// calm. A read takes at most readWait, so that it is under twice that in normal
+	// operation, and what is left of the view lease is enough for three fast rounds.
+	calmAge = 1100 * time.Millisecond
+)
 
 // loop is what only the control goroutine touches.
 type loop struct {
@@ -34,6 +44,8 @@
 	marks hashes
 	// leaving holds when instances were seen to be leaving.
 	leaving map[string]time.Duration
+	// rounds counts the intervals.
+	rounds int
 	// fetching says that a peer is being asked for records.
 	fetching bool
 	// snapshot is the highest offset of a snapshot seen whole in the stream.
--- a/internal/serve/entry/peers.go
+++ b/internal/serve/entry/peers.go
@@ -39,6 +39,12 @@
 	return h.entry.lends.Answer(a), nil
 }
 
+// Poke makes this entry ask a custodian that has news for it.
+func (h peerHandler) Poke(_ context.Context, a *peerpb.PokeAsk) (*peerpb.PokeReply, error) {
+	h.entry.lends.Poked(a.GetName())
+	return &peerpb.PokeReply{}, nil
+}
+
 // Records returns control records or the whole state.
 func (h peerHandler) Records(ctx context.Context, a *peerpb.RecordsAsk) (*peerpb.RecordsReply, error) {
 	return h.entry.core.Records(ctx, a), nil
--- a/internal/serve/lends/lends.go
+++ b/internal/serve/lends/lends.go
@@ -22,10 +22,12 @@
 	// it within 1 s.
 	interval = 250 * time.Millisecond
 	// askEvery is the number of intervals after which every custodian is asked, also
-	// with nothing to report, because its answer may carry a recall.
-	askEvery = 3
+	// with nothing to report, in case its poke was lost.
+	askEvery = 12
 	// hurryInterval is the least time between reports while requests wait for slots.
 	hurryInterval = 50 * time.Millisecond
+	// maxPokes bounds the pokes that wait to be sent.
+	maxPokes = 64
 	// askTimeout bounds one exchange with a custodian.
 	askTimeout = 400 * time.Millisecond
 )
@@ -64,6 +66,7 @@
 	Parts
 	engine Engine
 	hurry  chan struct{}
+	pokes  chan string
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -73,6 +76,12 @@
 	pools     map[string][]string
 	slots     map[string]int
 	rounds    int
+	// news names the custodians that have poked this entry, and poked holds when this
+	// entry has last poked others.
+	news map[string]bool
+	// asking names the custodians with an ask under way.
+	asking map[string]bool
+	poked  map[string]time.Duration
 }
 
 // New returns a service that is idle until Start.
@@ -81,8 +90,12 @@
 		Parts:     p,
 		done:      make(chan struct{}),
 		hurry:     make(chan struct{}, 1),
+		pokes:     make(chan string, maxPokes),
 		holder:    share.NewHolder(p.Self.Name, p.Self.Incarnation),
 		custodian: share.NewCustodian(p.Self.Name, p.MaxRun),
+		news:      map[string]bool{},
+		asking:    map[string]bool{},
+		poked:     map[string]time.Duration{},
 	}
 }
 
@@ -129,11 +142,39 @@
 	return s.holder.Limit(instance)
 }
 
-// Answer answers another entry's ask as the custodian.
+// Answer answers another entry's ask as the custodian. Entries for which that made a
+// difference are poked.
 func (s *Service) Answer(a *peerpb.SlotAsk) *peerpb.SlotReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.custodian.Answer(s.Clock.Now(), a)
+	r := s.custodian.Answer(s.Clock.Now(), a)
+	for _, name := range s.custodian.Pending() {
+		if name != a.GetName() {
+			s.poke(name)
+		}
+	}
+	return r
+}
+
+// poke marks an entry to be told that there is news for it. The caller holds mu.
+func (s *Service) poke(name string) {
+	now := s.Clock.Now()
+	if last, ok := s.poked[name]; ok && now-last < hurryInterval {
+		return
+	}
+	s.poked[name] = now
+	select {
+	case s.pokes <- name:
+	default:
+	}
+}
+
+// Poked asks a custodian that has news for this entry.
+func (s *Service) Poked(name string) {
+	s.mu.Lock()
+	s.news[name] = true
+	s.mu.Unlock()
+	s.Hurry()
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -152,6 +193,13 @@
 			if s.Clock.Now()-last < hurryInterval {
 				continue
 			}
+		case name := <-s.pokes:
+			asks.Add(1)
+			go func() {
+				defer asks.Done()
+				s.tell(ctx, name)
+			}()
+			continue
 		}
 		last = s.Clock.Now()
 		s.round(ctx, &asks)
@@ -164,17 +212,40 @@
 	s.send(ctx, asks, s.collect())
 }
 
-// send makes each ask in a goroutine of its own.
+// send makes each ask in a goroutine of its own. A custodian is asked one thing at a
+// time, because the reply to an older ask does not count; what a skipped ask reports is
+// repeated by the next one.
 func (s *Service) send(ctx context.Context, asks *sync.WaitGroup, list map[string]*peerpb.SlotAsk) {
 	for name, a := range list {
+		if !s.begin(name) {
+			continue
+		}
 		asks.Add(1)
 		go func() {
 			defer asks.Done()
-			s.ask(ctx, asks, name, a)
+			r := s.answer(ctx, name, a)
+			s.end(name)
+			s.taken(ctx, asks, name, r)
 		}()
 	}
 }
 
+func (s *Service) begin(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asking[name] {
+		return false
+	}
+	s.asking[name] = true
+	return true
+}
+
+func (s *Service) end(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asking, name)
+}
+
 // enforce puts the present limits into force.
 func (s *Service) enforce() {
 	s.mu.Lock()
@@ -198,10 +269,28 @@
 	}
 	s.setUse(use)
 	s.rounds++
-	if s.rounds%askEvery == 0 {
-		return s.holder.Asks()
+	asks := s.holder.Asks()
+	if s.rounds%askEvery != 0 {
+		maps.DeleteFunc(asks, func(name string, a *peerpb.SlotAsk) bool {
+			return len(a.GetSlots()) == 0 && !s.news[name]
+		})
+	}
+	clear(s.news)
+	return asks
+}
+
+// tell pokes another entry, or this one.
+func (s *Service) tell(ctx context.Context, name string) {
+	if name == s.Self.Name {
+		s.Poked(name)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if c, ok := s.Peers.Named(ctx, name); ok {
+		// A lost poke is made up for by the next full round.
+		_, _ = c.Poke(ctx, &peerpb.PokeAsk{Name: s.Self.Name})
 	}
-	return s.holder.Reports()
 }
 
 // use returns the requests in flight at each endpoint.
@@ -222,10 +311,9 @@
 	}
 }
 
-// ask makes one ask. A change of limits is put into force and reported at once, because
-// others may wait for the slots.
-func (s *Service) ask(ctx context.Context, asks *sync.WaitGroup, name string, a *peerpb.SlotAsk) {
-	r := s.answer(ctx, name, a)
+// taken takes in a reply. A change of limits is put into force and reported at once,
+// because others may wait for the slots.
+func (s *Service) taken(ctx context.Context, asks *sync.WaitGroup, name string, r *peerpb.SlotReply) {
 	if r == nil {
 		s.Scope.Counter("slot_asks_failed").Inc(1)
 		return
