--- a/internal/fake/worker/faults.go
+++ b/internal/fake/worker/faults.go
@@ -157,7 +157,7 @@
 		Began  float64 `json:"began"`
 	}
 	runs := []run{}
-	for _, one := range f.Runs(r.PathValue("job")) {
+	for _, one := range f.Runs(r.URL.Query().Get("job")) {
 		runs = append(runs, run{one.Worker, one.Token, float64(one.Began) / float64(time.Millisecond)})
 	}
 	local.WriteJSON(w, http.StatusOK, runs)
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -108,6 +108,7 @@
 // begin starts a task.
 func (f *Workers) begin(w http.ResponseWriter, r *http.Request) {
 	var o struct {
+		Job        string  `json:"job"`
 		Token      uint64  `json:"token"`
 		Boot       uint64  `json:"boot"`
 		Lease      float64 `json:"lease"`
@@ -118,7 +119,7 @@
 		return
 	}
 	f.call(w, r, func(x *worker) (int, any) {
-		return f.run(x, r.PathValue("job"), o.Token, o.Boot, ports.Size(o.Need))
+		return f.run(x, o.Job, o.Token, o.Boot, ports.Size(o.Need))
 	})
 }
 
@@ -223,6 +224,7 @@
 // ask throttles, restores, checkpoints or stops a task.
 func (f *Workers) ask(w http.ResponseWriter, r *http.Request) {
 	var o struct {
+		Job   string `json:"job"`
 		Token uint64 `json:"token"`
 	}
 	if !local.ReadOrder(w, r, &o) {
@@ -230,7 +232,7 @@
 	}
 	m := ports.Means(r.PathValue("means"))
 	f.call(w, r, func(x *worker) (int, any) {
-		t := x.find(r.PathValue("job"), o.Token)
+		t := x.find(o.Job, o.Token)
 		if t == nil {
 			return http.StatusGone, refusal{Error: "task"}
 		}
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -123,13 +123,13 @@
 func (f *Workers) routes() *http.ServeMux {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /workers", f.list)
-	m.HandleFunc("PUT /workers/{name}/tasks/{job}", f.begin)
-	m.HandleFunc("POST /workers/{name}/tasks/{job}/{means}", f.ask)
+	m.HandleFunc("PUT /workers/{name}/tasks", f.begin)
+	m.HandleFunc("POST /workers/{name}/tasks/{means}", f.ask)
 	m.HandleFunc("POST /workers/{name}/{order}", f.order)
 	m.HandleFunc("GET /faults", f.showFaults)
 	m.HandleFunc("PUT /faults", f.orderFaults)
 	m.HandleFunc("DELETE /faults", f.clearFaults)
-	m.HandleFunc("GET /runs/{job}", f.showRuns)
+	m.HandleFunc("GET /runs", f.showRuns)
 	return m
 }
 
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -83,13 +83,14 @@
 // Start starts a task. It returns a *ports.StaleTaskError, a *ports.NotStartedError or
 // a ports.ErrWorkers.
 func (c *Client) Start(ctx context.Context, k ports.TaskKey, s ports.TaskSpec) error {
-	status, body, err := c.do(ctx, http.MethodPut, c.task(k), struct {
+	status, body, err := c.do(ctx, http.MethodPut, c.tasks(k), struct {
+		Job        string  `json:"job"`
 		Token      uint64  `json:"token"`
 		Boot       uint64  `json:"boot"`
 		Lease      float64 `json:"lease"`
 		Need       size    `json:"need"`
 		Checkpoint bool    `json:"checkpoint"`
-	}{k.Token, s.Boot, float64(s.Lease) / float64(time.Millisecond), size(s.Need), s.Checkpoint})
+	}{k.Job, k.Token, s.Boot, float64(s.Lease) / float64(time.Millisecond), size(s.Need), s.Checkpoint})
 	if err != nil {
 		return err
 	}
@@ -107,9 +108,10 @@
 // Ask throttles, restores, checkpoints or stops a task. It returns a
 // *ports.NoTaskError or a ports.ErrWorkers.
 func (c *Client) Ask(ctx context.Context, k ports.TaskKey, m ports.Means) error {
-	status, _, err := c.do(ctx, http.MethodPost, c.task(k).JoinPath(string(m)), struct {
+	status, _, err := c.do(ctx, http.MethodPost, c.tasks(k).JoinPath(string(m)), struct {
+		Job   string `json:"job"`
 		Token uint64 `json:"token"`
-	}{k.Token})
+	}{k.Job, k.Token})
 	if err != nil {
 		return err
 	}
@@ -122,8 +124,10 @@
 	return ports.ErrWorkers.New("%s of %q on %s: status %d", m, k.Job, k.Worker, status)
 }
 
-func (c *Client) task(k ports.TaskKey) *url.URL {
-	return c.base.JoinPath("workers", url.PathEscape(k.Worker), "tasks", url.PathEscape(k.Job))
+// tasks returns the URL of a worker's tasks. The job is named in the body, because
+// operators may choose any name, and one such as ".." has no place in a path.
+func (c *Client) tasks(k ports.TaskKey) *url.URL {
+	return c.base.JoinPath("workers", url.PathEscape(k.Worker), "tasks")
 }
 
 // stale reads the newest token from a refusal.
--- a/internal/plat/worker/worker_test.go
+++ b/internal/plat/worker/worker_test.go
@@ -28,7 +28,7 @@
 
 var spec = ports.TaskSpec{Boot: 1, Lease: time.Minute, Need: ports.Size{Cores: 1000, Memory: 1 << 30}}
 
-func key(token uint64) ports.TaskKey { return ports.TaskKey{Worker: "w", Job: "a b/c", Token: token} }
+func key(token uint64) ports.TaskKey { return ports.TaskKey{Worker: "w", Job: "../b c", Token: token} }
 
 func start(t *testing.T) *rig {
 	t.Helper()
@@ -68,7 +68,7 @@
 	w := r.worker()
 	assert.DeepEqual(t, w, ports.Worker{
 		Name: "w", Rack: "r", Centre: "c", Boot: 1, Size: ports.Size{Cores: 4000, Memory: 8 << 30, Accelerators: 1},
-		Tasks: []ports.Task{{Job: "a b/c", Token: 5, Phase: ports.TaskRunning, Used: ports.Size{Cores: 1000, Memory: 1 << 30}}},
+		Tasks: []ports.Task{{Job: "../b c", Token: 5, Phase: ports.TaskRunning, Used: ports.Size{Cores: 1000, Memory: 1 << 30}}},
 	})
 	var stale *ports.StaleTaskError
 	assert.Assert(t, errors.As(r.start(4), &stale))
