Gossip fast while an operator waits for a change

With calm gossip a change was in force within 2 s, but the answer to Wait came after 2.5 s (TestChangeIsInForceInTime), because a slow entry's report was seen only at the next calm round.

--- a/internal/serve/ctrl/gossip.go
+++ b/internal/serve/ctrl/gossip.go
@@ -66,7 +66,8 @@
 // confirms the view, otherwise two each interval.
 func (l *loop) pace(now time.Duration) int {
 	l.rounds++
-	if now-time.Duration(l.core.linked.Load()) > calmAge {
+	unlinked := now-time.Duration(l.core.linked.Load()) > calmAge
+	if unlinked || int64(now) < l.core.hasty.Load() {
 		return fanout
 	}
 	if l.rounds%calmRounds == 0 {
