--- a/internal/serve/admin/admin_test.go
+++ b/internal/serve/admin/admin_test.go
@@ -38,6 +38,8 @@
 
 func (f *fakeControl) MaySend() bool { return true }
 
+func (f *fakeControl) Hasten() {}
+
 // dial serves a Control over gRPC and returns a client.
 func dial(t *testing.T, c Control) opspb.OperatorsClient {
 	t.Helper()
--- a/internal/serve/ctrl/submit.go
+++ b/internal/serve/ctrl/submit.go
@@ -68,6 +68,10 @@
 
 const (
 	idLength = 16
+	// writtenSchema is the lowest schema version that reads every body of today. A body
+	// that needs a newer one must say so by itself: if all records of an upgraded entry
+	// carried the newest version, older entries would skip its join as well.
+	writtenSchema = 1
 	// repeatAfter is how long a writer waits for its record to be read back before it
 	// appends it again. A doubled record is one change.
 	repeatAfter = time.Second
@@ -81,7 +85,7 @@
 func (c *Core) Submit(ctx context.Context, r *recpb.Record) (Settled, error) {
 	r.Id = make([]byte, idLength)
 	_, _ = rand.Read(r.Id)
-	r.Schema = state.Schema
+	r.Schema = writtenSchema
 	r.By = c.Self.Name
 	r.At = c.Clock.Wall().UnixMilli()
 	data, err := proto.Marshal(r)
--- a/internal/serve/entry/peers.go
+++ b/internal/serve/entry/peers.go
@@ -95,7 +95,7 @@
 // Run carries a call to its result while the entry is a member.
 func (e *Entry) Run(ctx context.Context, c *flows.Call) flows.Result {
 	if !e.core.View().Joined {
-		return flows.NotRun{Reason: flows.Unconfirmed, After: joinPause}
+		return e.engine.Refuse(flows.NotRun{Reason: flows.Unconfirmed, After: joinPause})
 	}
 	return e.engine.Run(ctx, c)
 }
--- a/internal/serve/flows/run.go
+++ b/internal/serve/flows/run.go
@@ -24,6 +24,12 @@
 	return r
 }
 
+// Refuse counts a call that is refused before it enters the engine.
+func (e *Engine) Refuse(r NotRun) Result {
+	e.meters.count(r)
+	return r
+}
+
 func (e *Engine) run(ctx context.Context, c *Call) Result {
 	p, ok := e.table.Load().services[c.Service]
 	if !ok {
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -121,11 +121,15 @@
 		return
 	}
 	p.acknowledge(ctx, v.State)
+	if v.State.Skipped().Newer > 0 {
+		// This entry can't read all that plans depend on. A newer one takes the lease.
+		return
+	}
 	p.watchLease(ctx, v)
 	if !v.State.Planner(p.Self) {
 		p.jobs = nil
 	}
-	if !v.State.Planner(p.Self) || !p.Control.MaySend() || v.State.Skipped().Newer > 0 {
+	if !v.State.Planner(p.Self) || !p.Control.MaySend() {
 		return
 	}
 	p.observe(ctx, v.State)
