Take back placements of workers that return, and end throttles of a former planner

Calls to workers that are silent are held back: each would wait for its timeout and take one of the 64 places, so that the loss of many workers would delay the starts on others.

--- a/internal/core/ports/worker.go
+++ b/internal/core/ports/worker.go
@@ -41,6 +41,8 @@
 	Phase TaskPhase
 	// Used is the present use. Accelerators are not measured.
 	Used Size
+	// Throttled says that the task has half of its cores since a Throttle.
+	Throttled bool
 }
 
 // Worker is one worker as it last reported itself.
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -25,6 +25,8 @@
 	Token uint64          `json:"token"`
 	Phase ports.TaskPhase `json:"phase"`
 	Used  size            `json:"used"`
+	// Throttled is shown without the lag.
+	Throttled bool `json:"throttled"`
 }
 
 type listedWorker struct {
@@ -69,7 +71,7 @@
 		if t.began > at || t.dropped > 0 && t.dropped <= at {
 			continue
 		}
-		l.Tasks = append(l.Tasks, listedTask{t.job, t.token, t.phase(at), t.used(at)})
+		l.Tasks = append(l.Tasks, listedTask{t.job, t.token, t.phase(at), t.used(at), t.slow})
 	}
 	return l
 }
--- a/internal/plat/worker/list.go
+++ b/internal/plat/worker/list.go
@@ -22,6 +22,8 @@
 		Token uint64          `json:"token"`
 		Phase ports.TaskPhase `json:"phase"`
 		Used  size            `json:"used"`
+
+		Throttled bool `json:"throttled"`
 	} `json:"tasks"`
 }
 
@@ -78,7 +80,9 @@
 		default:
 			return w, ports.ErrWorkers.Wrap(errAnswer.New("task phase %q", t.Phase))
 		}
-		w.Tasks = append(w.Tasks, ports.Task{Job: t.Job, Token: t.Token, Phase: t.Phase, Used: ports.Size(t.Used)})
+		w.Tasks = append(w.Tasks, ports.Task{
+			Job: t.Job, Token: t.Token, Phase: t.Phase, Used: ports.Size(t.Used), Throttled: t.Throttled,
+		})
 	}
 	return w, nil
 }
--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -57,7 +57,9 @@
 	// settled is the offset of the last own record. It is not repeated before the view
 	// includes it.
 	settled uint64
-	task    task
+	// told is set once it was logged that the job does not fit.
+	told bool
+	task task
 }
 
 // jobWatch is the placement of jobs while this entry is the planner. A new planner
@@ -114,7 +116,7 @@
 	p.syncJobs(now, st)
 	p.jobs.loseSilent(now)
 	p.tend(ctx, now, st)
-	p.stopStrays(ctx, st)
+	p.stopStrays(ctx, now, st)
 	p.choose(now)
 	p.tend(ctx, now, st)
 	p.Scope.Gauge("jobs_unfit").Update(float64(len(p.jobs.unfit)))
@@ -278,6 +280,13 @@
 		w.set(h, running)
 		return
 	}
+	p.adopt(now, h)
+}
+
+// adopt takes over a placement that this planner did not choose.
+func (p *Planner) adopt(now time.Duration, h *heldJob) {
+	w := p.jobs
+	j := h.job
 	w.forget(now, h)
 	h.worker, h.token = j.Worker, j.Token
 	h.task = task{since: now, mayStart: j.Idempotent}
@@ -295,7 +304,10 @@
 		w.set(h, waiting)
 		return
 	}
-	p.Logger.Info().Str("job", h.job.Name).Str("reason", err.Error()).Msg("job cannot run at present")
+	if !h.told {
+		h.told = true
+		p.Logger.Info().Str("job", h.job.Name).Str("reason", err.Error()).Msg("job cannot run at present")
+	}
 	w.set(h, unfit)
 }
 
--- a/internal/serve/plans/jobs_test.go
+++ b/internal/serve/plans/jobs_test.go
@@ -168,3 +168,37 @@
 	assert.Equal(t, r.see("large").Phase, state.Queued)
 	assert.Equal(t, len(r.p.jobs.unfit), 1)
 }
+
+// Guards against a task that is thrown away although its worker came back before the
+// job could be placed elsewhere.
+func TestHolderRegainsLapsedTask(t *testing.T) {
+	r := newRig(t, 1, worker.Faults{Run: 20_000})
+	r.job(&recpb.Job{Name: "j", Cores: 3, Idempotent: true})
+	r.until(5*time.Second, func() bool { return len(r.workers.Runs("j")) == 1 })
+	r.workers.Pause("w0")
+	r.run(40 * time.Second)
+	assert.Equal(t, r.p.jobs.jobs["j"].mode, waiting)
+	r.workers.Resume("w0")
+	r.until(30*time.Second, r.all(state.Succeeded))
+	assert.Equal(t, len(r.workers.Runs("j")), 1)
+}
+
+// Guards against a throttle that no planner ends because the one that asked for it was
+// replaced.
+func TestThrottleEndsAfterReplacement(t *testing.T) {
+	r := newRig(t, 1, worker.Faults{Run: 60_000})
+	throttled := func() bool {
+		all, err := r.client.Workers(t.Context())
+		assert.NilError(t, err)
+		return len(all[0].Tasks) > 0 && all[0].Tasks[0].Job == "once" && all[0].Tasks[0].Throttled
+	}
+	r.job(&recpb.Job{Name: "once", Cores: 4})
+	r.until(5*time.Second, func() bool { return len(r.workers.Runs("once")) == 1 })
+	r.run(2 * time.Second)
+	r.job(&recpb.Job{Name: "u", Cores: 2, Urgency: 1})
+	r.until(10*time.Second, func() bool { return len(r.workers.Runs("u")) == 1 })
+	assert.Assert(t, throttled())
+	r.replace()
+	r.cancel("u")
+	r.until(10*time.Second, func() bool { return !throttled() })
+}
--- a/internal/serve/plans/offers.go
+++ b/internal/serve/plans/offers.go
@@ -60,6 +60,7 @@
 		return
 	}
 	h.task.means = means[a.Means]
+	h.task.slow = a.Means == place.Throttle || h.task.slow && a.Means != place.Restore
 	h.task.called = 0
 }
 
@@ -82,16 +83,23 @@
 
 // stopStrays stops the listed tasks that no placement in the state holds: those whose
 // lease lapsed, and ended ones, which are then not listed any more.
-func (p *Planner) stopStrays(ctx context.Context, st *state.State) {
+func (p *Planner) stopStrays(ctx context.Context, now time.Duration, st *state.State) {
 	w := p.jobs
 	if !w.workers.news {
 		return
 	}
 	w.workers.news = false
 	for _, s := range w.workers.seen {
+		if w.silent(s.Name) > freshness {
+			continue
+		}
 		for i := range s.Tasks {
 			t := &s.Tasks[i]
-			if t.Token > st.Applied() || holds(st, s.Name, t) {
+			if t.Token > st.Applied() {
+				continue
+			}
+			if holds(st, s.Name, t) {
+				p.regain(now, t)
 				continue
 			}
 			p.stopStray(ctx, ports.TaskKey{Worker: s.Name, Job: t.Job, Token: t.Token})
@@ -99,6 +107,15 @@
 	}
 }
 
+// regain takes back a placement that was given up, if its worker is heard again before
+// the job was placed elsewhere.
+func (p *Planner) regain(now time.Duration, t *ports.Task) {
+	h := p.jobs.jobs[t.Job]
+	if h != nil && h.mode == waiting && h.job.Phase == state.Placed && h.job.Token == t.Token {
+		p.adopt(now, h)
+	}
+}
+
 // holds says whether a task is the present placement of its job.
 func holds(st *state.State, worker string, t *ports.Task) bool {
 	j, ok := st.Job(t.Job)
--- a/internal/serve/plans/tasks.go
+++ b/internal/serve/plans/tasks.go
@@ -42,6 +42,8 @@
 	called      time.Duration // time of the last call
 	// means is what the worker is asked to do, empty for nothing.
 	means ports.Means
+	// slow says that this planner wants the task to be throttled.
+	slow bool
 	// over says that the placement has ended with a result.
 	over   bool
 	result place.Outcome
@@ -132,6 +134,8 @@
 	}
 	switch {
 	case t.called > 0 && now-t.called < repeatCall:
+	case p.jobs.silent(h.worker) > freshness:
+		// A call would wait for its timeout and take the place of others.
 	case t.means == ports.Stop && !t.sent && t.own:
 		t.end(place.Paused)
 	case t.means != "":
@@ -150,6 +154,10 @@
 	}
 	if l := s.tasks[h.job.Name]; l != nil && l.Token == h.token {
 		t.known, t.seen = true, s.reported
+		if l.Throttled && !t.slow && t.means == "" {
+			// A former planner throttled it.
+			t.means = ports.Restore
+		}
 		switch l.Phase {
 		case ports.TaskSucceeded:
 			t.end(place.Done)
--- a/internal/setup/config/config_test.go
+++ b/internal/setup/config/config_test.go
@@ -20,6 +20,8 @@
 	want := Default()
 	assert.Equal(t, cfg.Limits, want.Limits)
 	assert.Equal(t, cfg.Stop, want.Stop)
+	assert.Equal(t, cfg.Workers, Remote{URL: "http://127.0.0.1:9002", Timeout: want.Workers.Timeout})
+	assert.Equal(t, want.Workers.URL, "", "jobs stay queued by default")
 }
 
 // Guards against problems that are lost, misplaced or reported one at a time.
