--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -311,9 +311,8 @@
 	w.set(h, unfit)
 }
 
-// urgencies holds the classes of the numbers in records. 0 is the normal one, so that
-// a job that does not name its urgency is not urgent.
-var urgencies = []place.Urgency{place.Normal, place.Urgent, place.Morning}
+// urgencies holds the classes of the numbers in records, as operators give them.
+var urgencies = []place.Urgency{place.Morning, place.Normal, place.Urgent}
 
 // placeJob converts a job. A job that is not idempotent is never stopped at a
 // checkpoint, because the state allows it only one placement.
--- a/internal/serve/plans/jobs_test.go
+++ b/internal/serve/plans/jobs_test.go
@@ -126,11 +126,11 @@
 func TestUrgentJobGetsRoom(t *testing.T) {
 	r := newRig(t, 2, worker.Faults{Run: 3600_000, Lag: 200})
 	for i := range 8 {
-		r.job(&recpb.Job{Name: fmt.Sprint("j", i), Cores: 1, Idempotent: true, Checkpoint: true, Urgency: 2})
+		r.job(&recpb.Job{Name: fmt.Sprint("j", i), Cores: 1, Idempotent: true, Checkpoint: true})
 	}
 	r.until(5*time.Second, func() bool { return r.count(state.Placed) == 8 })
 	r.run(5 * time.Second)
-	r.job(&recpb.Job{Name: "u", Cores: 2, Urgency: 1})
+	r.job(&recpb.Job{Name: "u", Cores: 2, Urgency: 2})
 	took := r.until(10*time.Second, func() bool { return len(r.workers.Runs("u")) == 1 })
 	assert.Assert(t, took <= 3100*time.Millisecond, "%v", took)
 }
@@ -195,7 +195,7 @@
 	r.job(&recpb.Job{Name: "once", Cores: 4})
 	r.until(5*time.Second, func() bool { return len(r.workers.Runs("once")) == 1 })
 	r.run(2 * time.Second)
-	r.job(&recpb.Job{Name: "u", Cores: 2, Urgency: 1})
+	r.job(&recpb.Job{Name: "u", Cores: 2, Urgency: 2})
 	r.until(10*time.Second, func() bool { return len(r.workers.Runs("u")) == 1 })
 	assert.Assert(t, throttled())
 	r.replace()
