--- a/internal/serve/plans/chaos_test.go
+++ b/internal/serve/plans/chaos_test.go
@@ -39,6 +39,8 @@
 		r.onceOnly()
 	}
 	r.workers.SetFaults(worker.Faults{Run: 3000, Lag: 400})
+	r.flush()
+	r.lateAppends, r.lateStarts = 0, 0
 	for i := range chaosWorkers {
 		r.workers.Resume(fmt.Sprint("w", i))
 	}
@@ -64,7 +66,7 @@
 func (r *rig) fault(rng *rand.Rand) {
 	r.t.Helper()
 	w := fmt.Sprint("w", rng.IntN(chaosWorkers))
-	switch rng.IntN(9) {
+	switch rng.IntN(11) {
 	case 0:
 		r.workers.Pause(w)
 	case 1, 2:
@@ -84,6 +86,10 @@
 	case 7:
 		r.lose, r.drop = rng.IntN(4), rng.IntN(4)
 	case 8:
+		r.lateAppends, r.lateStarts = rng.IntN(4), rng.IntN(4)
+	case 9:
+		r.flush()
+	case 10:
 		j := r.see(fmt.Sprint("j", rng.IntN(chaosJobs)))
 		if j.Phase == state.Queued || j.Phase == state.Placed {
 			r.cancel(j.Name)
--- a/internal/serve/plans/rig_test.go
+++ b/internal/serve/plans/rig_test.go
@@ -39,6 +39,10 @@
 	// lose and drop are the numbers of appends whose answer is lost after and before
 	// they take effect.
 	lose, drop int
+	// lateAppends and lateStarts are the numbers of appends and starts that take effect
+	// only when late is flushed.
+	lateAppends, lateStarts int
+	late                    []func()
 }
 
 func newRig(t testing.TB, workers int, o worker.Faults) *rig {
@@ -69,7 +73,7 @@
 	self := state.Incarnation{Name: fmt.Sprint("e", r.n), Number: r.n}
 	r.put(&recpb.Record{Body: &recpb.Record_Join{Join: &recpb.Join{Name: self.Name, Incarnation: self.Number, Addr: "127.0.0.1:2"}}})
 	r.put(&recpb.Record{Body: &recpb.Record_Lease{Lease: &recpb.Lease{Holder: self.Name, Incarnation: self.Number, Prev: r.st.Lease().Offset}}})
-	parts := Parts{Control: r, Engine: r, Instances: r, Endpoint: r, Workers: r.client, Clock: r.clk,
+	parts := Parts{Control: r, Engine: r, Instances: r, Endpoint: r, Workers: lateWorkers{r.client, r}, Clock: r.clk,
 		Scope: r.scope, Logger: zerolog.Nop(), Self: self}
 	r.p = &Planner{Parts: parts, busy: map[string]bool{}, list: newListWatch(), waves: newWaveWatch(), orders: map[string]time.Duration{}}
 }
@@ -166,6 +170,11 @@
 		r.drop--
 		return ctrl.Settled{}, &ctrl.UnsettledError{}
 	}
+	if r.lateAppends > 0 {
+		r.lateAppends--
+		r.late = append(r.late, func() { r.apply(rec) })
+		return ctrl.Settled{}, &ctrl.UnsettledError{}
+	}
 	s := r.apply(rec)
 	if r.lose > 0 {
 		r.lose--
@@ -174,6 +183,33 @@
 	return s, nil
 }
 
+// flush carries out what was late.
+func (r *rig) flush() {
+	late := r.late
+	r.late = nil
+	for _, f := range late {
+		f()
+	}
+}
+
+// lateWorkers holds starts back.
+type lateWorkers struct {
+	*plat.Client
+	r *rig
+}
+
+func (w lateWorkers) Start(ctx context.Context, k ports.TaskKey, s ports.TaskSpec) error {
+	w.r.mu.Lock()
+	defer w.r.mu.Unlock()
+	if w.r.lateStarts > 0 {
+		w.r.lateStarts--
+		// Its answer is lost.
+		w.r.late = append(w.r.late, func() { _ = w.Client.Start(w.r.t.Context(), k, s) })
+		return ports.ErrWorkers.New("late")
+	}
+	return w.Client.Start(ctx, k, s)
+}
+
 func (r *rig) View() *ctrl.View {
 	st := r.state()
 	return &ctrl.View{State: st, Joined: true, Snapshot: st.Applied()}
