Keep the tasks of a worker whose instance was removed

An instance may be removed once it is not available, while its tasks run on. They were given up at once, which ended jobs that must not run again as broken. The worker is now closed, and dropped when its last task has ended.

--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -300,7 +301,8 @@
 	h.token = h.job.Token
 	h.task = task{}
 	err := w.placer.Submit(p.placeJob(now, h.job))
-	if err == nil {
+	var queued *place.DuplicateError
+	if err == nil || errors.As(err, &queued) {
 		w.set(h, waiting)
 		return
 	}
@@ -359,12 +361,11 @@
 // forget takes a job out of the placer whatever became of it.
 func (w *jobWatch) forget(now time.Duration, h *heldJob) {
 	name := h.job.Name
-	switch {
-	case h.mode == offered:
-		w.placer.Reject(name)
-	case h.mode == running && h.task.inside:
+	if h.mode == running && h.task.inside {
 		_ = w.placer.Result(now, name, h.token, place.Paused)
 	}
+	// The placer may have an offer that was not taken from it yet.
+	w.placer.Reject(name)
 	w.placer.Cancel(name)
 	w.placer.Forget(name)
 	w.set(h, fresh)
--- a/internal/serve/plans/offers.go
+++ b/internal/serve/plans/offers.go
@@ -22,7 +22,7 @@
 		case *place.Ask:
 			w.asked(a)
 		case *place.Ended:
-			p.left(a)
+			p.left(now, a)
 		case *place.Quarantine:
 			p.Logger.Warn().Str("worker", a.Worker).Strs("failed", a.Failed).Msg("worker is quarantined")
 			p.Scope.Counter("workers_quarantined").Inc(1)
@@ -66,7 +66,7 @@
 
 // left handles a job that the placer will not place. One that is too large at present
 // is kept until workers or quotas change; others are cancelled.
-func (p *Planner) left(a *place.Ended) {
+func (p *Planner) left(now time.Duration, a *place.Ended) {
 	h := p.jobs.jobs[a.Job]
 	if h == nil || h.mode != waiting {
 		return
@@ -78,6 +78,10 @@
 		p.Logger.Info().Str("job", a.Job).Str("reason", a.Reason.Error()).Msg("job is cancelled")
 		p.Scope.Counter("jobs_set_aside").Inc(1)
 		p.jobs.set(h, dropped)
+	case *place.Unknown, *place.GaveUp, *place.Cancelled:
+		// The worker was lost before the offer was taken from the placer.
+		p.jobs.placer.Forget(a.Job)
+		p.submitJob(now, h)
 	}
 }
 
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -122,8 +122,9 @@
 	}
 	p.acknowledge(ctx, v.State)
 	p.watchLease(ctx, v)
-	if !v.State.Planner(p.Self) {
+	if p.jobs != nil && !v.State.Planner(p.Self) {
 		p.jobs = nil
+		p.Scope.Gauge("jobs_unfit").Update(0)
 	}
 	if !v.State.Planner(p.Self) || !p.Control.MaySend() || v.State.Skipped().Newer > 0 {
 		return
--- a/internal/serve/plans/workers.go
+++ b/internal/serve/plans/workers.go
@@ -96,6 +96,13 @@
 		}
 		w.workers.seen[l.Name] = s
 	}
+	for name, s := range w.workers.seen {
+		_, put := w.workers.put[name]
+		if !put && asked-s.reported > 2*taskLease {
+			// All placements there have been given up.
+			delete(w.workers.seen, name)
+		}
+	}
 	for _, h := range w.active {
 		w.measure(h)
 	}
@@ -129,7 +136,7 @@
 
 // syncWorkers brings the placer up to date with the workers. Only registered instances
 // are workers, and one takes new jobs only while it is available and not under a
-// grant.
+// grant. One that was removed is kept until its tasks have ended.
 func (w *jobWatch) syncWorkers(now time.Duration, st *state.State) {
 	clear(w.workers.draining)
 	for name, s := range w.workers.seen {
@@ -137,32 +144,42 @@
 		if ok && i.Grant != nil && i.Grant.Target == "" {
 			w.workers.draining[name] = true
 		}
-		if _, put := w.workers.put[name]; !ok && put {
-			w.lose(now, name)
+		old, put := w.workers.put[name]
+		if !ok && put && !w.used(name) {
 			w.placer.DropWorker(now, name)
 			delete(w.workers.put, name)
 			w.fleet++
+			continue
 		}
-		if !ok || s.Size == (ports.Size{}) {
+		if !ok && !put || s.Size == (ports.Size{}) {
 			continue
 		}
 		n := place.Worker{
 			Name:   name,
 			Size:   place.Amount(s.Size),
-			Closed: !i.Available() || i.Grant != nil || w.silent(name) > freshness,
+			Closed: !ok || !i.Available() || i.Grant != nil || w.silent(name) > freshness,
 		}
-		old, ok := w.workers.put[name]
 		if old == n {
 			continue
 		}
 		w.workers.put[name] = n
 		w.placer.PutWorker(n)
-		if !ok || old.Size != n.Size {
+		if old.Size != n.Size {
 			w.fleet++
 		}
 	}
 }
 
+// used says whether a worker has a placement or an offer.
+func (w *jobWatch) used(name string) bool {
+	for _, h := range w.active {
+		if h.worker == name && h.mode != dropped {
+			return true
+		}
+	}
+	return false
+}
+
 // loseSilent gives up the placements on workers whose leases have lapsed.
 func (w *jobWatch) loseSilent(now time.Duration) {
 	var names []string
