plans: walk the queue and the state in the same order

Cause: the comparison of 100,000 queued jobs with the state spent most of its time in map look-ups, and its cost delayed the next one by 1 s. Conclusion: new jobs are noticed within about 0.3 s at that size.

--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -21,7 +21,7 @@
 	maxOffers = 48
 	// scanPause is the pause between comparisons of all jobs with the state, as a
 	// multiple of what one takes, so that it takes at most a twentieth of a core. With
-	// a queue of 100,000 jobs one takes 40 ms. Placed jobs are compared at every step.
+	// a queue of 100,000 jobs one takes 13 ms. Placed jobs are compared at every step.
 	scanPause = 20
 	// maxCalls bounds the calls to workers at a time.
 	maxCalls = 64
@@ -50,7 +50,8 @@
 	// job is the job in the state that was seen last.
 	job  *state.Job
 	mode jobMode
-	pass uint64
+	// gone is set once the job is not held any more.
+	gone bool
 	// worker and token are those of the placement. For an offer, the worker is the
 	// chosen one and the token that of the previous placement.
 	worker string
@@ -75,7 +76,9 @@
 	// when that may be done again.
 	applied uint64
 	rescan  time.Duration
-	pass    uint64
+	// order holds the jobs by name as they were last compared, and possibly some that
+	// are gone. spare is reused for the next order.
+	order, spare []*heldJob
 	// fleet counts the changes of workers and teams, tried is its value when unfit
 	// jobs were last submitted.
 	fleet, tried uint64
@@ -190,18 +193,39 @@
 func (p *Planner) scanJobs(now time.Duration, st *state.State) {
 	w := p.jobs
 	w.applied = st.Applied()
-	w.pass++
+	old, next := w.order, w.spare[:0]
 	for j := range st.Jobs() {
+		for len(old) > 0 && old[0].job.Name < j.Name {
+			w.missing(now, old[0].job.Name)
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].job == j && !old[0].gone {
+			next = append(next, old[0])
+			old = old[1:]
+			continue
+		}
+		if len(old) > 0 && old[0].job.Name == j.Name {
+			old = old[1:]
+		}
 		p.syncJob(now, j)
-	}
-	for _, h := range w.jobs {
-		if h.pass != w.pass {
-			w.drop(now, h)
+		if h := w.jobs[j.Name]; h != nil {
+			next = append(next, h)
 		}
 	}
+	for _, h := range old {
+		w.missing(now, h.job.Name)
+	}
+	w.order, w.spare = next, w.order
 	w.rescan = now + scanPause*(p.Clock.Now()-now)
 }
 
+// missing forgets a job that is not in the state any more.
+func (w *jobWatch) missing(now time.Duration, name string) {
+	if h := w.jobs[name]; h != nil {
+		w.drop(now, h)
+	}
+}
+
 func (p *Planner) syncJob(now time.Duration, j *state.Job) {
 	w := p.jobs
 	h := w.jobs[j.Name]
@@ -216,7 +240,6 @@
 		h = &heldJob{}
 		w.jobs[j.Name] = h
 	}
-	h.pass = w.pass
 	if h.job == j {
 		return
 	}
@@ -390,6 +413,7 @@
 func (w *jobWatch) drop(now time.Duration, h *heldJob) {
 	w.forget(now, h)
 	delete(w.jobs, h.job.Name)
+	h.gone = true
 }
 
 // record appends a record about a job unless one is being appended. Then settled is
--- a/internal/serve/plans/tasks.go
+++ b/internal/serve/plans/tasks.go
@@ -211,7 +211,7 @@
 	if p.Workers == nil {
 		return false
 	}
-	if p.jobs == nil || !p.jobs.workers.known || p.jobs.pass == 0 {
+	if p.jobs == nil || !p.jobs.workers.known || p.jobs.applied == 0 {
 		for j := range st.Jobs() {
 			if j.Worker == name && (j.Phase == state.Placed || j.Phase == state.Cancelling) {
 				return true
