Learn the end of a stopped task from the answer of its worker

Cause: the planner learned that a task had made room from the list, up to 1.3 s later, while the placer takes a worker that makes no room for 1.2 s as deaf for 30 s and turns to another. A stop of a task that had just succeeded also took it off the list, and its result was lost. Conclusion: the answer to a call holds the phase of the task, and taking a task off the list is a call of its own.

--- a/internal/core/ports/worker.go
+++ b/internal/core/ports/worker.go
@@ -34,7 +34,7 @@
 }
 
 // Task is one task as its worker last reported it. A worker lists an ended task until
-// it is told to stop it.
+// it is told to forget it.
 type Task struct {
 	Job   string
 	Token uint64
@@ -82,12 +82,14 @@
 // Means is what a worker is asked to do with a task.
 type Means string
 
-// Means of making room, and Restore, which ends a throttle.
+// Means of making room, Restore, which ends a throttle, and Forget, which takes an
+// ended task off the list.
 const (
 	Throttle   Means = "throttle"
 	Restore    Means = "restore"
 	Checkpoint Means = "checkpoint"
 	Stop       Means = "stop"
+	Forget     Means = "forget"
 )
 
 // Workers runs tasks on the platform's workers. The list lags behind the truth.
@@ -98,9 +100,10 @@
 	// returns a *StaleTaskError or a *NotStartedError, after which the call started
 	// nothing, or an ErrWorkers.
 	Start(ctx context.Context, k TaskKey, s TaskSpec) error
-	// Ask throttles, restores, checkpoints or stops a task. A task that ended is taken
-	// off the list by Stop. It returns a *NoTaskError or an ErrWorkers.
-	Ask(ctx context.Context, k TaskKey, m Means) error
+	// Ask throttles, restores, checkpoints, stops or forgets a task, and returns the
+	// phase that the task then has. A task that has ended before keeps its phase. It
+	// returns a *NoTaskError or an ErrWorkers.
+	Ask(ctx context.Context, k TaskKey, m Means) (TaskPhase, error)
 }
 
 // StaleTaskError says that the worker has seen a newer token for the job, or has
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -223,7 +223,7 @@
 	}
 }
 
-// ask throttles, restores, checkpoints or stops a task.
+// ask throttles, restores, checkpoints, stops or forgets a task.
 func (f *Workers) ask(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Job   string `json:"job"`
@@ -241,25 +241,22 @@
 		if !slices.Contains(f.faults.Deaf, x.Name) {
 			x.carryOut(t, m, x.time(f.now()))
 		}
-		return http.StatusOK, struct{}{}
+		return http.StatusOK, struct {
+			Phase ports.TaskPhase `json:"phase"`
+		}{t.phase(x.time(f.now()))}
 	})
 }
 
-// carryOut does what was asked. A stopped task stays on the list until it is stopped
-// once more.
+// carryOut does what was asked.
 func (w *worker) carryOut(t *task, m ports.Means, now time.Duration) {
 	switch m {
 	case ports.Throttle:
 		t.slow = true
 	case ports.Restore:
 		t.slow = false
-	case ports.Checkpoint:
-		t.end(now)
-	case ports.Stop:
-		if now >= t.ends {
-			w.drop(t, now)
-			return
-		}
+	case ports.Checkpoint, ports.Stop:
 		t.end(now)
+	case ports.Forget:
+		w.drop(t, now)
 	}
 }
--- a/internal/plat/worker/list.go
+++ b/internal/plat/worker/list.go
@@ -67,18 +67,15 @@
 	return all, nil
 }
 
-// worker converts a worker. A phase that is not known is refused, because taking it
-// for another one would end a job wrongly.
+// worker converts a worker. It returns a ports.ErrWorkers.
 func (l *listed) worker() (ports.Worker, error) {
 	w := ports.Worker{
 		Name: l.Name, Size: ports.Size(l.Size), Rack: l.Rack, Centre: l.Centre, Boot: l.Boot,
 		Age: time.Duration(max(0, l.Age) * float64(time.Millisecond)),
 	}
 	for _, t := range l.Tasks {
-		switch t.Phase {
-		case ports.TaskRunning, ports.TaskSucceeded, ports.TaskFailed, ports.TaskStopped:
-		default:
-			return w, ports.ErrWorkers.Wrap(errAnswer.New("task phase %q", t.Phase))
+		if err := known(t.Phase); err != nil {
+			return w, err
 		}
 		w.Tasks = append(w.Tasks, ports.Task{
 			Job: t.Job, Token: t.Token, Phase: t.Phase, Used: ports.Size(t.Used), Throttled: t.Throttled,
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -105,23 +105,23 @@
 	return ports.ErrWorkers.New("start of %q on %s: status %d", k.Job, k.Worker, status)
 }
 
-// Ask throttles, restores, checkpoints or stops a task. It returns a
-// *ports.NoTaskError or a ports.ErrWorkers.
-func (c *Client) Ask(ctx context.Context, k ports.TaskKey, m ports.Means) error {
-	status, _, err := c.do(ctx, http.MethodPost, c.tasks(k).JoinPath(string(m)), struct {
+// Ask throttles, restores, checkpoints, stops or forgets a task and returns its phase.
+// It returns a *ports.NoTaskError or a ports.ErrWorkers.
+func (c *Client) Ask(ctx context.Context, k ports.TaskKey, m ports.Means) (ports.TaskPhase, error) {
+	status, body, err := c.do(ctx, http.MethodPost, c.tasks(k).JoinPath(string(m)), struct {
 		Job   string `json:"job"`
 		Token uint64 `json:"token"`
 	}{k.Job, k.Token})
 	if err != nil {
-		return err
+		return "", err
 	}
 	switch status {
 	case http.StatusOK:
-		return nil
+		return phase(body)
 	case http.StatusNotFound, http.StatusGone:
-		return &ports.NoTaskError{Key: k}
+		return "", &ports.NoTaskError{Key: k}
 	}
-	return ports.ErrWorkers.New("%s of %q on %s: status %d", m, k.Job, k.Worker, status)
+	return "", ports.ErrWorkers.New("%s of %q on %s: status %d", m, k.Job, k.Worker, status)
 }
 
 // tasks returns the URL of a worker's tasks. The job is named in the body, because
@@ -130,6 +130,27 @@
 	return c.base.JoinPath("workers", url.PathEscape(k.Worker), "tasks")
 }
 
+// phase reads the phase of a task from an answer.
+func phase(body []byte) (ports.TaskPhase, error) {
+	var a struct {
+		Phase ports.TaskPhase `json:"phase"`
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
+		return "", ports.ErrWorkers.Wrap(errAnswer.Wrap(err))
+	}
+	return a.Phase, known(a.Phase)
+}
+
+// known refuses a phase that is not known, because taking it for another one would end
+// a job wrongly. It returns a ports.ErrWorkers.
+func known(p ports.TaskPhase) error {
+	switch p {
+	case ports.TaskRunning, ports.TaskSucceeded, ports.TaskFailed, ports.TaskStopped:
+		return nil
+	}
+	return ports.ErrWorkers.Wrap(errAnswer.New("task phase %q", p))
+}
+
 // stale reads the newest token from a refusal.
 func stale(k ports.TaskKey, body []byte) error {
 	var a struct {
--- a/internal/plat/worker/worker_test.go
+++ b/internal/plat/worker/worker_test.go
@@ -59,6 +59,13 @@
 
 func (r *rig) start(token uint64) error { return r.c.Start(r.t.Context(), key(token), spec) }
 
+func (r *rig) ask(token uint64, m ports.Means) ports.TaskPhase {
+	r.t.Helper()
+	p, err := r.c.Ask(r.t.Context(), key(token), m)
+	assert.NilError(r.t, err)
+	return p
+}
+
 // Guards against two tasks for one token, and against a task under an older token than
 // the worker has seen.
 func TestTokensFence(t *testing.T) {
@@ -75,7 +82,9 @@
 	assert.Equal(t, stale.Newest, uint64(5))
 	r.clk.Advance(2 * time.Second)
 	assert.Equal(t, r.worker().Tasks[0].Phase, ports.TaskSucceeded)
-	assert.NilError(t, r.c.Ask(t.Context(), key(5), ports.Stop))
+	assert.Equal(t, r.ask(5, ports.Stop), ports.TaskSucceeded, "a late stop does not hide the result")
+	assert.Equal(t, r.worker().Tasks[0].Phase, ports.TaskSucceeded)
+	assert.Equal(t, r.ask(5, ports.Forget), ports.TaskSucceeded)
 	assert.Equal(t, len(r.worker().Tasks), 0)
 	assert.Assert(t, errors.As(r.start(5), &stale), "a token is not used again after its task was forgotten")
 }
@@ -92,10 +101,11 @@
 	assert.Assert(t, errors.As(r.start(2), &refused))
 	assert.Equal(t, refused.Reason, "boot")
 	var none *ports.NoTaskError
-	assert.Assert(t, errors.As(r.c.Ask(t.Context(), key(1), ports.Throttle), &none))
+	_, err := r.c.Ask(t.Context(), key(1), ports.Throttle)
+	assert.Assert(t, errors.As(err, &none))
 	r.order("PUT", "/faults", `{"down":true}`)
 	assert.Assert(t, ports.ErrWorkers.Has(r.start(2)))
-	_, err := r.c.Workers(t.Context())
+	_, err = r.c.Workers(t.Context())
 	assert.Assert(t, ports.ErrWorkers.Has(err))
 }
 
@@ -110,7 +120,8 @@
 	w := r.worker()
 	assert.Equal(t, w.Age, time.Minute)
 	assert.Equal(t, w.Tasks[0].Phase, ports.TaskRunning)
-	assert.Assert(t, ports.ErrWorkers.Has(r.c.Ask(t.Context(), key(1), ports.Stop)))
+	_, err := r.c.Ask(t.Context(), key(1), ports.Stop)
+	assert.Assert(t, ports.ErrWorkers.Has(err))
 	r.order("POST", "/workers/w/resume", "")
 	r.clk.Advance(time.Second)
 	assert.Equal(t, r.worker().Age, 250*time.Millisecond)
--- a/internal/serve/plans/offers.go
+++ b/internal/serve/plans/offers.go
@@ -86,7 +86,7 @@
 }
 
 // stopStrays stops the listed tasks that no placement in the state holds: those whose
-// lease lapsed, and ended ones, which are then not listed any more.
+// lease lapsed. Ended ones are taken off the list.
 func (p *Planner) stopStrays(ctx context.Context, now time.Duration, st *state.State) {
 	w := p.jobs
 	if !w.workers.news {
@@ -106,7 +106,11 @@
 				p.regain(now, t)
 				continue
 			}
-			p.stopStray(ctx, ports.TaskKey{Worker: s.Name, Job: t.Job, Token: t.Token})
+			m := ports.Stop
+			if t.Phase != ports.TaskRunning {
+				m = ports.Forget
+			}
+			p.stopStray(ctx, ports.TaskKey{Worker: s.Name, Job: t.Job, Token: t.Token}, m)
 		}
 	}
 }
@@ -129,7 +133,7 @@
 	return j.Phase == state.Placed || j.Phase == state.Cancelling
 }
 
-func (p *Planner) stopStray(ctx context.Context, k ports.TaskKey) {
+func (p *Planner) stopStray(ctx context.Context, k ports.TaskKey, m ports.Means) {
 	w := p.jobs
 	subject := "stray/" + k.Worker + "/" + k.Job
 	if w.calls >= maxCalls || !p.begin(subject) {
@@ -141,7 +145,7 @@
 		defer p.work.Done()
 		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 		defer cancel()
-		err := p.Workers.Ask(ctx, k, ports.Stop)
+		_, err := p.Workers.Ask(ctx, k, m)
 		p.end(subject)
 		w.done <- func(time.Duration) {
 			w.calls--
--- a/internal/serve/plans/tasks.go
+++ b/internal/serve/plans/tasks.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// reached notes the phase of the task on its worker.
+func (t *task) reached(p ports.TaskPhase) {
+	switch p {
+	case ports.TaskSucceeded:
+		t.end(place.Done)
+	case ports.TaskFailed:
+		t.end(place.Failed)
+	case ports.TaskStopped:
+		t.end(place.Stopped)
+	case ports.TaskRunning:
+	}
+}
+
 // outcome returns the result, or another if the placement was ended by someone else.
 func (t *task) outcome(other place.Outcome) place.Outcome {
 	if t.over {
@@ -158,14 +171,7 @@
 			// A former planner throttled it.
 			t.means = ports.Restore
 		}
-		switch l.Phase {
-		case ports.TaskSucceeded:
-			t.end(place.Done)
-		case ports.TaskFailed:
-			t.end(place.Failed)
-		case ports.TaskStopped:
-			t.end(place.Stopped)
-		}
+		t.reached(l.Phase)
 		return
 	}
 	switch {
@@ -263,16 +269,18 @@
 }
 
 // ask asks a worker to throttle, restore, checkpoint or stop a task. A checkpoint or
-// stop is repeated until the task is reported as ended.
+// stop is repeated until the task has ended.
 func (p *Planner) ask(ctx context.Context, now time.Duration, h *heldJob) {
 	m := h.task.means
 	k := ports.TaskKey{Worker: h.worker, Job: h.job.Name, Token: h.token}
-	p.call(ctx, now, h, func(ctx context.Context) error { return p.Workers.Ask(ctx, k, m) }, func(now time.Duration, err error) {
-		p.askAnswered(now, h, m, err)
-	})
+	var phase ports.TaskPhase
+	p.call(ctx, now, h, func(ctx context.Context) (err error) {
+		phase, err = p.Workers.Ask(ctx, k, m)
+		return err
+	}, func(_ time.Duration, err error) { p.askAnswered(h, m, phase, err) })
 }
 
-func (p *Planner) askAnswered(now time.Duration, h *heldJob, m ports.Means, err error) {
+func (p *Planner) askAnswered(h *heldJob, m ports.Means, phase ports.TaskPhase, err error) {
 	t := &h.task
 	var none *ports.NoTaskError
 	switch {
@@ -282,6 +290,8 @@
 		}
 	case err != nil:
 		p.Scope.Counter("asks_unconfirmed").Inc(1)
+	case phase != ports.TaskRunning:
+		t.reached(phase)
 	case m == ports.Throttle || m == ports.Restore:
 		if t.means == m {
 			t.means = ""
