--- a/internal/serve/plans/chaos_test.go
+++ b/internal/serve/plans/chaos_test.go
@@ -39,6 +39,8 @@
 		r.onceOnly()
 	}
 	r.workers.SetFaults(worker.Faults{Run: 3000, Lag: 400})
+	r.flush()
+	r.lateAppends, r.lateStarts = 0, 0
 	for i := range chaosWorkers {
 		r.workers.Resume(fmt.Sprint("w", i))
 	}
@@ -64,7 +66,7 @@
 func (r *rig) fault(rng *rand.Rand) {
 	r.t.Helper()
 	w := fmt.Sprint("w", rng.IntN(chaosWorkers))
-	switch rng.IntN(9) {
+	switch rng.IntN(11) {
 	case 0:
 		r.workers.Pause(w)
 	case 1, 2:
@@ -76,6 +78,8 @@
 	case 5:
 		o := r.workers.Faults()
 		o.Lose, o.Drop = 0.5*rng.Float64(), 0.5*rng.Float64()
+		o.Fail, o.Deaf = []string{w}[:rng.IntN(2)], []string{w}[:rng.IntN(2)]
+		o.Factor = map[string]float64{"j0": 3, "j1": 0.1, "j2": 2}
 		r.workers.SetFaults(o)
 	case 6:
 		o := r.workers.Faults()
@@ -84,6 +88,10 @@
 	case 7:
 		r.lose, r.drop = rng.IntN(4), rng.IntN(4)
 	case 8:
+		r.lateAppends, r.lateStarts = rng.IntN(4), rng.IntN(4)
+	case 9:
+		r.flush()
+	case 10:
 		j := r.see(fmt.Sprint("j", rng.IntN(chaosJobs)))
 		if j.Phase == state.Queued || j.Phase == state.Placed {
 			r.cancel(j.Name)
--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -18,6 +19,10 @@
 	maxAppends = 64
 	// maxOffers bounds the jobs whose placement is not recorded yet.
 	maxOffers = 48
+	// scanPause is the pause between comparisons of all jobs with the state, as a
+	// multiple of what one takes, so that it takes at most a twentieth of a core. With
+	// a queue of 100,000 jobs one takes 13 ms. Placed jobs are compared at every step.
+	scanPause = 20
 	// maxCalls bounds the calls to workers at a time.
 	maxCalls = 64
 )
@@ -45,7 +50,8 @@
 	// job is the job in the state that was seen last.
 	job  *state.Job
 	mode jobMode
-	pass uint64
+	// gone is set once the job is not held any more.
+	gone bool
 	// worker and token are those of the placement. For an offer, the worker is the
 	// chosen one and the token that of the previous placement.
 	worker string
@@ -53,7 +59,9 @@
 	// settled is the offset of the last own record. It is not repeated before the view
 	// includes it.
 	settled uint64
-	task    task
+	// told is set once it was logged that the job does not fit.
+	told bool
+	task task
 }
 
 // jobWatch is the placement of jobs while this entry is the planner. A new planner
@@ -64,8 +72,13 @@
 	active  map[string]*heldJob // those that are offered, running or dropped
 	teams   map[string]place.Team
 	workers workerWatch
+	// applied is the offset of the state that all jobs were last compared with, rescan
+	// when that may be done again.
 	applied uint64
-	pass    uint64
+	rescan  time.Duration
+	// order holds the jobs by name as they were last compared, and possibly some that
+	// are gone. spare is reused for the next order.
+	order, spare []*heldJob
 	// fleet counts the changes of workers and teams, tried is its value when unfit
 	// jobs were last submitted.
 	fleet, tried uint64
@@ -107,9 +120,9 @@
 	p.syncJobs(now, st)
 	p.jobs.loseSilent(now)
 	p.tend(ctx, now, st)
+	p.stopStrays(ctx, now, st)
 	p.choose(now)
 	p.tend(ctx, now, st)
-	p.stopStrays(ctx, st)
 	p.Scope.Gauge("jobs_unfit").Update(float64(len(p.jobs.unfit)))
 }
 
@@ -159,19 +172,58 @@
 			p.submitJob(now, h)
 		}
 	}
-	if w.pass > 0 && w.applied == st.Applied() {
+	if w.applied == st.Applied() {
 		return
 	}
+	if now < w.rescan {
+		for _, h := range slices.Collect(maps.Values(w.active)) {
+			j, ok := st.Job(h.job.Name)
+			if !ok {
+				w.drop(now, h)
+				continue
+			}
+			p.syncJob(now, j)
+		}
+		return
+	}
+	p.scanJobs(now, st)
+}
+
+// scanJobs compares all jobs with the state.
+func (p *Planner) scanJobs(now time.Duration, st *state.State) {
+	w := p.jobs
 	w.applied = st.Applied()
-	w.pass++
+	old, next := w.order, w.spare[:0]
 	for j := range st.Jobs() {
+		for len(old) > 0 && old[0].job.Name < j.Name {
+			w.missing(now, old[0].job.Name)
+			old = old[1:]
+		}
+		if len(old) > 0 && old[0].job == j && !old[0].gone {
+			next = append(next, old[0])
+			old = old[1:]
+			continue
+		}
+		if len(old) > 0 && old[0].job.Name == j.Name {
+			old = old[1:]
+		}
 		p.syncJob(now, j)
-	}
-	for _, h := range w.jobs {
-		if h.pass != w.pass {
-			w.drop(now, h)
+		if h := w.jobs[j.Name]; h != nil {
+			next = append(next, h)
 		}
 	}
+	for _, h := range old {
+		w.missing(now, h.job.Name)
+	}
+	w.order, w.spare = next, w.order
+	w.rescan = now + scanPause*(p.Clock.Now()-now)
+}
+
+// missing forgets a job that is not in the state any more.
+func (w *jobWatch) missing(now time.Duration, name string) {
+	if h := w.jobs[name]; h != nil {
+		w.drop(now, h)
+	}
 }
 
 func (p *Planner) syncJob(now time.Duration, j *state.Job) {
@@ -188,7 +240,9 @@
 		h = &heldJob{}
 		w.jobs[j.Name] = h
 	}
-	h.pass = w.pass
+	if h.job == j {
+		return
+	}
 	h.job = j
 	switch {
 	case j.Phase.Final():
@@ -250,6 +304,13 @@
 		w.set(h, running)
 		return
 	}
+	p.adopt(now, h)
+}
+
+// adopt takes over a placement that this planner did not choose.
+func (p *Planner) adopt(now time.Duration, h *heldJob) {
+	w := p.jobs
+	j := h.job
 	w.forget(now, h)
 	h.worker, h.token = j.Worker, j.Token
 	h.task = task{since: now, mayStart: j.Idempotent}
@@ -263,17 +324,20 @@
 	h.token = h.job.Token
 	h.task = task{}
 	err := w.placer.Submit(p.placeJob(now, h.job))
-	if err == nil {
+	var queued *place.DuplicateError
+	if err == nil || errors.As(err, &queued) {
 		w.set(h, waiting)
 		return
 	}
-	p.Logger.Info().Str("job", h.job.Name).Str("reason", err.Error()).Msg("job cannot run at present")
+	if !h.told {
+		h.told = true
+		p.Logger.Info().Str("job", h.job.Name).Str("reason", err.Error()).Msg("job cannot run at present")
+	}
 	w.set(h, unfit)
 }
 
-// urgencies holds the classes of the numbers in records. 0 is the normal one, so that
-// a job that does not name its urgency is not urgent.
-var urgencies = []place.Urgency{place.Normal, place.Urgent, place.Morning}
+// urgencies holds the classes of the numbers in records, as operators give them.
+var urgencies = []place.Urgency{place.Morning, place.Normal, place.Urgent}
 
 // placeJob converts a job. A job that is not idempotent is never stopped at a
 // checkpoint, because the state allows it only one placement.
@@ -320,12 +384,11 @@
 // forget takes a job out of the placer whatever became of it.
 func (w *jobWatch) forget(now time.Duration, h *heldJob) {
 	name := h.job.Name
-	switch {
-	case h.mode == offered:
-		w.placer.Reject(name)
-	case h.mode == running && h.task.inside:
+	if h.mode == running && h.task.inside {
 		_ = w.placer.Result(now, name, h.token, place.Paused)
 	}
+	// The placer may have an offer that was not taken from it yet.
+	w.placer.Reject(name)
 	w.placer.Cancel(name)
 	w.placer.Forget(name)
 	w.set(h, fresh)
@@ -350,6 +413,7 @@
 func (w *jobWatch) drop(now time.Duration, h *heldJob) {
 	w.forget(now, h)
 	delete(w.jobs, h.job.Name)
+	h.gone = true
 }
 
 // record appends a record about a job unless one is being appended. Then settled is
--- a/internal/serve/plans/offers.go
+++ b/internal/serve/plans/offers.go
@@ -22,7 +22,7 @@
 		case *place.Ask:
 			w.asked(a)
 		case *place.Ended:
-			p.left(a)
+			p.left(now, a)
 		case *place.Quarantine:
 			p.Logger.Warn().Str("worker", a.Worker).Strs("failed", a.Failed).Msg("worker is quarantined")
 			p.Scope.Counter("workers_quarantined").Inc(1)
@@ -60,12 +60,13 @@
 		return
 	}
 	h.task.means = means[a.Means]
+	h.task.slow = a.Means == place.Throttle || h.task.slow && a.Means != place.Restore
 	h.task.called = 0
 }
 
 // left handles a job that the placer will not place. One that is too large at present
 // is kept until workers or quotas change; others are cancelled.
-func (p *Planner) left(a *place.Ended) {
+func (p *Planner) left(now time.Duration, a *place.Ended) {
 	h := p.jobs.jobs[a.Job]
 	if h == nil || h.mode != waiting {
 		return
@@ -77,28 +78,52 @@
 		p.Logger.Info().Str("job", a.Job).Str("reason", a.Reason.Error()).Msg("job is cancelled")
 		p.Scope.Counter("jobs_set_aside").Inc(1)
 		p.jobs.set(h, dropped)
+	case *place.Unknown, *place.GaveUp, *place.Cancelled:
+		// The worker was lost before the offer was taken from the placer.
+		p.jobs.placer.Forget(a.Job)
+		p.submitJob(now, h)
 	}
 }
 
 // stopStrays stops the listed tasks that no placement in the state holds: those whose
-// lease lapsed, and ended ones, which are then not listed any more.
-func (p *Planner) stopStrays(ctx context.Context, st *state.State) {
+// lease lapsed. Ended ones are taken off the list.
+func (p *Planner) stopStrays(ctx context.Context, now time.Duration, st *state.State) {
 	w := p.jobs
 	if !w.workers.news {
 		return
 	}
 	w.workers.news = false
 	for _, s := range w.workers.seen {
+		if w.silent(s.Name) > freshness {
+			continue
+		}
 		for i := range s.Tasks {
 			t := &s.Tasks[i]
-			if t.Token > st.Applied() || holds(st, s.Name, t) {
+			if t.Token > st.Applied() {
+				continue
+			}
+			if holds(st, s.Name, t) {
+				p.regain(now, t)
 				continue
 			}
-			p.stopStray(ctx, ports.TaskKey{Worker: s.Name, Job: t.Job, Token: t.Token})
+			m := ports.Stop
+			if t.Phase != ports.TaskRunning {
+				m = ports.Forget
+			}
+			p.stopStray(ctx, ports.TaskKey{Worker: s.Name, Job: t.Job, Token: t.Token}, m)
 		}
 	}
 }
 
+// regain takes back a placement that was given up, if its worker is heard again before
+// the job was placed elsewhere.
+func (p *Planner) regain(now time.Duration, t *ports.Task) {
+	h := p.jobs.jobs[t.Job]
+	if h != nil && h.mode == waiting && h.job.Phase == state.Placed && h.job.Token == t.Token {
+		p.adopt(now, h)
+	}
+}
+
 // holds says whether a task is the present placement of its job.
 func holds(st *state.State, worker string, t *ports.Task) bool {
 	j, ok := st.Job(t.Job)
@@ -108,7 +133,7 @@
 	return j.Phase == state.Placed || j.Phase == state.Cancelling
 }
 
-func (p *Planner) stopStray(ctx context.Context, k ports.TaskKey) {
+func (p *Planner) stopStray(ctx context.Context, k ports.TaskKey, m ports.Means) {
 	w := p.jobs
 	subject := "stray/" + k.Worker + "/" + k.Job
 	if w.calls >= maxCalls || !p.begin(subject) {
@@ -120,7 +145,7 @@
 		defer p.work.Done()
 		ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 		defer cancel()
-		err := p.Workers.Ask(ctx, k, ports.Stop)
+		_, err := p.Workers.Ask(ctx, k, m)
 		p.end(subject)
 		w.done <- func(time.Duration) {
 			w.calls--
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -126,8 +126,9 @@
 		return
 	}
 	p.watchLease(ctx, v)
-	if !v.State.Planner(p.Self) {
+	if p.jobs != nil && !v.State.Planner(p.Self) {
 		p.jobs = nil
+		p.Scope.Gauge("jobs_unfit").Update(0)
 	}
 	if !v.State.Planner(p.Self) || !p.Control.MaySend() {
 		return
--- a/internal/serve/plans/tasks.go
+++ b/internal/serve/plans/tasks.go
@@ -42,6 +42,8 @@
 	called      time.Duration // time of the last call
 	// means is what the worker is asked to do, empty for nothing.
 	means ports.Means
+	// slow says that this planner wants the task to be throttled.
+	slow bool
 	// over says that the placement has ended with a result.
 	over   bool
 	result place.Outcome
@@ -56,6 +58,19 @@
 	}
 }
 
+// reached notes the phase of the task on its worker.
+func (t *task) reached(p ports.TaskPhase) {
+	switch p {
+	case ports.TaskSucceeded:
+		t.end(place.Done)
+	case ports.TaskFailed:
+		t.end(place.Failed)
+	case ports.TaskStopped:
+		t.end(place.Stopped)
+	case ports.TaskRunning:
+	}
+}
+
 // outcome returns the result, or another if the placement was ended by someone else.
 func (t *task) outcome(other place.Outcome) place.Outcome {
 	if t.over {
@@ -74,13 +89,22 @@
 		case offered:
 			p.tendOffer(ctx, h)
 		case running:
-			p.tendTask(ctx, now, st, h)
+			if !p.jobs.steady(h) {
+				p.tendTask(ctx, now, h)
+			}
 		case dropped:
 			p.cancelJob(ctx, h)
 		}
 	}
 }
 
+// steady says whether a task runs on and nothing was heard of it since the last step.
+func (w *jobWatch) steady(h *heldJob) bool {
+	t := &h.task
+	return !w.workers.news && t.known && !t.over && t.means == "" &&
+		h.job.Phase == state.Placed && !w.workers.draining[h.worker]
+}
+
 // tendOffer records a placement. If the view includes the record and the job is still
 // on offer, the record was refused.
 func (p *Planner) tendOffer(ctx context.Context, h *heldJob) {
@@ -108,7 +132,7 @@
 
 // tendTask starts a task, looks for its end, and asks its worker to do what is
 // called for.
-func (p *Planner) tendTask(ctx context.Context, now time.Duration, st *state.State, h *heldJob) {
+func (p *Planner) tendTask(ctx context.Context, now time.Duration, h *heldJob) {
 	t := &h.task
 	if !t.over {
 		p.look(now, h)
@@ -117,12 +141,14 @@
 		p.recordEnd(ctx, h)
 		return
 	}
-	p.drainTask(now, st, h)
+	p.jobs.drainTask(now, h)
 	if h.job.Phase == state.Cancelling {
 		t.means = ports.Stop
 	}
 	switch {
 	case t.called > 0 && now-t.called < repeatCall:
+	case p.jobs.silent(h.worker) > freshness:
+		// A call would wait for its timeout and take the place of others.
 	case t.means == ports.Stop && !t.sent && t.own:
 		t.end(place.Paused)
 	case t.means != "":
@@ -141,14 +167,11 @@
 	}
 	if l := s.tasks[h.job.Name]; l != nil && l.Token == h.token {
 		t.known, t.seen = true, s.reported
-		switch l.Phase {
-		case ports.TaskSucceeded:
-			t.end(place.Done)
-		case ports.TaskFailed:
-			t.end(place.Failed)
-		case ports.TaskStopped:
-			t.end(place.Stopped)
+		if l.Throttled && !t.slow && t.means == "" {
+			// A former planner throttled it.
+			t.means = ports.Restore
 		}
+		t.reached(l.Phase)
 		return
 	}
 	switch {
@@ -169,10 +192,9 @@
 
 // drainTask frees a worker that is under a grant. Jobs that are not idempotent run to
 // their end, and the reboot waits for them.
-func (p *Planner) drainTask(now time.Duration, st *state.State, h *heldJob) {
+func (w *jobWatch) drainTask(now time.Duration, h *heldJob) {
 	t := &h.task
-	i, ok := st.Instance(h.worker)
-	if !ok || i.Grant == nil || i.Grant.Target != "" || !h.job.Idempotent {
+	if !w.workers.draining[h.worker] || !h.job.Idempotent {
 		t.drains = 0
 		return
 	}
@@ -195,7 +217,7 @@
 	if p.Workers == nil {
 		return false
 	}
-	if p.jobs == nil || !p.jobs.workers.known || p.jobs.pass == 0 {
+	if p.jobs == nil || !p.jobs.workers.known || p.jobs.applied == 0 {
 		for j := range st.Jobs() {
 			if j.Worker == name && (j.Phase == state.Placed || j.Phase == state.Cancelling) {
 				return true
@@ -247,16 +269,18 @@
 }
 
 // ask asks a worker to throttle, restore, checkpoint or stop a task. A checkpoint or
-// stop is repeated until the task is reported as ended.
+// stop is repeated until the task has ended.
 func (p *Planner) ask(ctx context.Context, now time.Duration, h *heldJob) {
 	m := h.task.means
 	k := ports.TaskKey{Worker: h.worker, Job: h.job.Name, Token: h.token}
-	p.call(ctx, now, h, func(ctx context.Context) error { return p.Workers.Ask(ctx, k, m) }, func(now time.Duration, err error) {
-		p.askAnswered(now, h, m, err)
-	})
+	var phase ports.TaskPhase
+	p.call(ctx, now, h, func(ctx context.Context) (err error) {
+		phase, err = p.Workers.Ask(ctx, k, m)
+		return err
+	}, func(_ time.Duration, err error) { p.askAnswered(h, m, phase, err) })
 }
 
-func (p *Planner) askAnswered(now time.Duration, h *heldJob, m ports.Means, err error) {
+func (p *Planner) askAnswered(h *heldJob, m ports.Means, phase ports.TaskPhase, err error) {
 	t := &h.task
 	var none *ports.NoTaskError
 	switch {
@@ -266,6 +290,8 @@
 		}
 	case err != nil:
 		p.Scope.Counter("asks_unconfirmed").Inc(1)
+	case phase != ports.TaskRunning:
+		t.reached(phase)
 	case m == ports.Throttle || m == ports.Restore:
 		if t.means == m {
 			t.means = ""
