--- a/internal/proof/procs/faults_test.go
+++ b/internal/proof/procs/faults_test.go
@@ -163,6 +163,24 @@
 	c.until("stopped entry is still a member", func() bool { return len(c.status(c.entries[1]).GetMembers()) == 2 })
 }
 
+// Guards against a planned stop that cuts off requests because the leave can't be
+// recorded.
+func TestPlannedStopInOutage(t *testing.T) {
+	c := newCluster(t, 3, 4, 700)
+	c.order(http.MethodPut, c.log+"/faults", map[string]any{"down": true})
+	const n = 8
+	replies := make(chan world.Reply, n)
+	for range n {
+		go func() { replies <- c.call(c.entries[0], world.Call{Idempotent: true}) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.entries[0].stop(t, syscall.SIGTERM)
+	for range n {
+		r := <-replies
+		assert.Equal(t, r.Outcome, "answered", "%v %s", r.Err, r.Body)
+	}
+}
+
 // Guards against new work for a leaving endpoint more than 3 s after it said so, also
 // through an entry that is cut off from the log.
 func TestLeavingEndpoint(t *testing.T) {
@@ -178,10 +196,11 @@
 }
 
 // Guards against an entry that does not learn of changes, or stops, when it alone is
-// cut off from the log.
+// cut off from the log, and against a second execution or a false "not run" through it.
 func TestEntryCutFromLog(t *testing.T) {
 	c := newCluster(t, 3, 4, 5)
 	c.order(http.MethodPut, c.log+"/faults?client=entry-0", map[string]any{"down": true})
+	tr := c.drive(8, 3, false)
 	time.Sleep(3 * time.Second)
 	change, err := c.operators(c.entries[1]).PutTeam(context.Background(), &recpb.Team{Name: "a", Weight: 1})
 	assert.NilError(t, err)
@@ -193,6 +212,7 @@
 	assert.Assert(t, c.isReady(c.entries[0]))
 	r := c.call(c.entries[0], world.Call{ID: world.NewID()})
 	assert.Equal(t, r.Outcome, "answered", "%s", r.Body)
+	assert.Assert(t, c.verify(tr.stop()) > 0)
 }
 
 // Guards against a second execution, and against a configuration that reverts, when
