Keep the home pool of spare instances in the state

The folded state did not tell which pool a moved instance came from, so that a new planner could not return it. An instance now has a home: the spare pool in which it was registered or which it entered or left. The memory of the planner was ruled out, because it is lost with it.

--- a/internal/fleet/state/drains.go
+++ b/internal/fleet/state/drains.go
@@ -226,7 +226,9 @@
 	}
 	g := *i.Grant
 	g.Moved = true
-	s.setInstance(i.WithPool(g.Target).WithPhase(Drained, &g).WithVersion(offset))
+	// The pool that it leaves may have become a spare pool after the registration.
+	n := s.settle(s.settle(i).WithPool(g.Target))
+	s.setInstance(n.WithPhase(Drained, &g).WithVersion(offset))
 	return accepted
 }
 
--- a/internal/fleet/state/instances.go
+++ b/internal/fleet/state/instances.go
@@ -57,8 +57,11 @@
 	// operators' changes conflict.
 	Version uint64
 	// Addr is the IP address and port of the endpoint.
-	Addr   string
-	Pool   string
+	Addr string
+	Pool string
+	// Home is the spare pool that the instance belongs to wherever it serves, empty if
+	// it never was in one. The pool may have been removed or changed since.
+	Home   string
 	Rack   string
 	Centre string
 	Slots  uint32
@@ -105,6 +108,13 @@
 	return &n
 }
 
+// WithHome returns the instance as one of a spare pool.
+func (i *Instance) WithHome(pool string) *Instance {
+	n := *i
+	n.Home = pool
+	return &n
+}
+
 func (i *Instance) key() string { return i.Name }
 
 func (i *Instance) code(c *coder) {
@@ -112,6 +122,7 @@
 	c.u64(&i.Version)
 	c.str(&i.Addr)
 	c.str(&i.Pool)
+	c.str(&i.Home)
 	c.str(&i.Rack)
 	c.str(&i.Centre)
 	c.u32(&i.Slots)
@@ -168,12 +179,20 @@
 		Centre: r.GetCentre(), Slots: r.GetSlots(), Conns: r.GetConns(), Phase: Serving,
 	}
 	if ok {
-		return s.replaceInstance(old, n)
+		return s.replaceInstance(old, s.settle(n.WithHome(old.Home)))
 	}
-	s.setInstance(n)
+	s.setInstance(s.settle(n))
 	return accepted
 }
 
+// settle returns the instance with its pool as its home if that is a spare pool.
+func (s *State) settle(i *Instance) *Instance {
+	if p, ok := s.pools.get(i.Pool); ok && p.Spare {
+		return i.WithHome(i.Pool)
+	}
+	return i
+}
+
 // replaceInstance refuses to change the place or the address of an available
 // instance, because the new address has unknown health: the change would take the
 // instance out without regard to the budget.
--- a/internal/fleet/state/naive_test.go
+++ b/internal/fleet/state/naive_test.go
@@ -25,6 +25,7 @@
 	team    map[string]*recpb.Team
 	inst    map[string]*recpb.Instance
 	in      map[string]string // pool of an instance
+	home    map[string]string // spare pool of an instance
 	health  map[string]*recpb.Health
 	grant   map[string]*ngrant
 	member  map[string]*nmember
@@ -94,7 +95,7 @@
 func (n *naive) replay() *world {
 	w := &world{
 		map[string]uint64{}, map[string]*recpb.Pool{}, map[string]*recpb.Service{}, map[string]*recpb.Team{},
-		map[string]*recpb.Instance{}, map[string]string{}, map[string]*recpb.Health{}, map[string]*ngrant{},
+		map[string]*recpb.Instance{}, map[string]string{}, map[string]string{}, map[string]*recpb.Health{}, map[string]*ngrant{},
 		map[string]*nmember{}, map[Incarnation]bool{}, map[string]*nwave{}, nil, 0, map[string]*njob{},
 	}
 	for _, e := range n.log {
@@ -131,6 +132,9 @@
 		}
 		if i.Edit.GetRemove() {
 			delete(w.grant, i.Name)
+			delete(w.home, i.Name)
+		} else if w.pool[i.Pool].Spare {
+			w.home[i.Name] = i.Pool
 		}
 		w.in[i.Name] = i.Pool
 		put(w, w.inst, "inst/", i.Name, i.Edit, off, i)
@@ -173,6 +177,11 @@
 		w.ver["inst/"+b.Back.Name] = off
 	case *recpb.Record_Moved:
 		g := w.grant[b.Moved.Name]
+		for _, pool := range []string{w.in[b.Moved.Name], g.target} {
+			if w.pool[pool].Spare {
+				w.home[b.Moved.Name] = pool
+			}
+		}
 		g.moved, w.in[b.Moved.Name], w.ver["inst/"+b.Moved.Name] = true, g.target, off
 	case *recpb.Record_Cancel:
 		delete(w.grant, b.Cancel.Name)
--- a/internal/fleet/state/rapid_test.go
+++ b/internal/fleet/state/rapid_test.go
@@ -39,7 +39,7 @@
 	all := []proto.Message{&recpb.Team{Name: "t0", Weight: 1}, join("e0", 1), join("e1", 2)}
 	for n := range 3 {
 		b := &recpb.Budget{Total: 1 + uint32(h.num(2)), Rack: uint32(h.num(2)), Centre: uint32(h.num(2))}
-		all = append(all, &recpb.Pool{Name: fmt.Sprint("p", n), Budget: b})
+		all = append(all, &recpb.Pool{Name: fmt.Sprint("p", n), Budget: b, Spare: h.chance(40)})
 	}
 	for n := range 7 {
 		i := inst(fmt.Sprint("i", n), h.name("p", 3))
@@ -116,7 +116,7 @@
 			p = &Pool{}
 		}
 		b := &recpb.Budget{Total: uint32(h.num(3)), Rack: uint32(h.num(2)), Centre: uint32(h.num(2))}
-		return &recpb.Pool{Edit: h.edit(p.Version, 10), Name: n, Budget: b}
+		return &recpb.Pool{Edit: h.edit(p.Version, 10), Name: n, Budget: b, Spare: h.chance(40)}
 	case 2:
 		v, _ := h.s.Service("s0")
 		if v == nil {
@@ -225,7 +225,7 @@
 }
 
 // TestAgainstNaive guards against verdicts that differ from a replay of the whole
-// history, records whose repetition changes the state, accepted drains beyond the
+// history, homes of instances that differ from it, records whose repetition changes the state, accepted drains beyond the
 // budget, and snapshots that behave otherwise than the state.
 func TestAgainstNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -255,6 +255,10 @@
 			assert.Assert(t, again == next && v == refused(OutOfOrder))
 			s, h.s = next, next
 		}
+		w := n.replay()
+		for i := range s.Instances() {
+			assert.Equal(t, i.Home, w.home[i.Name], i.Name)
+		}
 	})
 }
 
--- a/internal/fleet/state/snapshot.go
+++ b/internal/fleet/state/snapshot.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// format is the version of the encoding of snapshots.
-	format = 1
+	// format is the version of the encoding of snapshots. Version 2 added the home of
+	// instances.
+	format = 2
 	// maxParts is the largest number of parts of a snapshot.
 	maxParts = 1 << 16
 	// maxPending is the number of incomplete snapshots that a Collector keeps.
