Move spare instances as the spare policy decides

The planner asks every member for its demand once a second, gives it with the state to the spare policy and appends the drains of its moves. Gossip was ruled out as the carrier: while the log confirms the view it reaches one random peer each 0.75 s, so that with 8 entries a report is 5 s old on average.

--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -44,6 +44,8 @@
 	Changed func(*View)
 	// Leaving is called with instances that a peer has seen to be leaving.
 	Leaving func(instances []string)
+	// Demands returns the demand of the pools for which this entry has requests.
+	Demands func() []*peerpb.Demand
 }
 
 // View is an immutable snapshot of the control state.
--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -44,6 +44,8 @@
 	marks hashes
 	// leaving holds when instances were seen to be leaving.
 	leaving map[string]time.Duration
+	// demands holds what members told about their demand.
+	demands demands
 	// rounds counts the intervals.
 	rounds int
 	// fetching says that a peer is being asked for records.
@@ -69,6 +71,7 @@
 		meters:  newMeters(c.Scope),
 		marks:   hashes{},
 		leaving: map[string]time.Duration{},
+		demands: demands{},
 	}
 }
 
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -156,6 +156,7 @@
 		Scope:     e.meter.Scope(),
 		Logger:    e.logger,
 		Self:      e.self,
+		Weights:   plans.Weights(e.cfg.Spare),
 	})
 	e.lends.Start(ctx, e.engine)
 	e.gauges = gauge.Start(ctx, e.clk, e.meter.Scope(), e.measure)
@@ -179,6 +180,7 @@
 		Seeds:   e.cfg.Seeds,
 		Changed: e.changed,
 		Leaving: e.peerSaw,
+		Demands: e.demands,
 	})
 }
 
--- a/internal/serve/entry/peers.go
+++ b/internal/serve/entry/peers.go
@@ -15,8 +15,12 @@
 }
 
 // Gossip answers with this entry's digest. The asker sends none of its own: it may wait
-// in a buffer for any time, so that it would be no evidence.
-func (h peerHandler) Gossip(ctx context.Context, _ *peerpb.DigestAsk) (*peerpb.Digest, error) {
+// in a buffer for any time, so that it would be no evidence. To an asker for the demand it
+// tells only that.
+func (h peerHandler) Gossip(ctx context.Context, a *peerpb.DigestAsk) (*peerpb.Digest, error) {
+	if a.GetDemand() {
+		return h.entry.core.OwnDemand(), nil
+	}
 	d := h.entry.core.Digest(ctx)
 	if d == nil {
 		return nil, Err.New("entry is stopping")
@@ -92,6 +96,17 @@
 	}
 }
 
+// demands returns the demand of the pools for which this entry has requests.
+func (e *Entry) demands() []*peerpb.Demand {
+	var out []*peerpb.Demand
+	for _, d := range e.engine.Demands() {
+		if d.Waiting+d.Running > 0 {
+			out = append(out, &peerpb.Demand{Pool: d.Pool, Waiting: uint32(d.Waiting), Running: uint32(d.Running)})
+		}
+	}
+	return out
+}
+
 // Run carries a call to its result while the entry is a member.
 func (e *Entry) Run(ctx context.Context, c *flows.Call) flows.Result {
 	if !e.core.View().Joined {
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -1,7 +1,7 @@
 // Package plans turns the decisions of the fleet packages into records and orders.
 // Every entry acknowledges drains; one entry at a time, the planner, also observes
-// instances, advances drains and moves, runs waves, and places jobs. Two planners at
-// once do no harm, because each record's precondition decides.
+// instances, advances drains and moves, runs waves, moves spare instances, and places
+// jobs. Two planners at once do no harm, because each record's precondition decides.
 package plans
 
 import (
@@ -14,6 +14,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/fleet/spare"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
 	"chervilgauge.example/chervilgauge/internal/serve/ctrl"
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
@@ -24,6 +25,8 @@
 	Submit(ctx context.Context, r *recpb.Record) (ctrl.Settled, error)
 	View() *ctrl.View
 	MaySend() bool
+	AskDemand()
+	Demand(ctx context.Context) map[string]ctrl.Demand
 }
 
 // Engine tells what this entry has in flight.
@@ -43,6 +46,8 @@
 	Scope   tally.Scope
 	Logger  zerolog.Logger
 	Self    state.Incarnation
+	// Weights state what the moves of spare instances are to optimise.
+	Weights spare.Weights
 }
 
 const (
@@ -72,7 +77,8 @@
 	list   listWatch
 	waves  waveWatch
 	orders map[string]time.Duration
-	jobs   *jobWatch // nil while another entry is the planner
+	jobs   *jobWatch   // nil while another entry is the planner
+	spares *spareWatch // nil while another entry is the planner
 
 	snapshot snapshotWatch
 }
@@ -124,6 +130,7 @@
 	p.watchLease(ctx, v)
 	if !v.State.Planner(p.Self) {
 		p.jobs = nil
+		p.spares = nil
 	}
 	if !v.State.Planner(p.Self) || !p.Control.MaySend() || v.State.Skipped().Newer > 0 {
 		return
@@ -131,6 +138,7 @@
 	p.observe(ctx, v.State)
 	p.advance(ctx, v.State)
 	p.runWaves(ctx, v.State)
+	p.runSpares(ctx, v.State)
 	p.runJobs(ctx, v.State)
 	p.writeSnapshot(ctx, v)
 }
--- a/internal/serve/plans/rig_test.go
+++ b/internal/serve/plans/rig_test.go
@@ -16,6 +16,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/fake/worker"
+	"chervilgauge.example/chervilgauge/internal/fleet/spare"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
 	plat "chervilgauge.example/chervilgauge/internal/plat/worker"
 	"chervilgauge.example/chervilgauge/internal/serve/ctrl"
@@ -39,6 +40,8 @@
 	// lose and drop are the numbers of appends whose answer is lost after and before
 	// they take effect.
 	lose, drop int
+	// demand is what all entries together have.
+	demand map[string]ctrl.Demand
 }
 
 func newRig(t testing.TB, workers int, o worker.Faults) *rig {
@@ -70,7 +73,7 @@
 	r.put(&recpb.Record{Body: &recpb.Record_Join{Join: &recpb.Join{Name: self.Name, Incarnation: self.Number, Addr: "127.0.0.1:2"}}})
 	r.put(&recpb.Record{Body: &recpb.Record_Lease{Lease: &recpb.Lease{Holder: self.Name, Incarnation: self.Number, Prev: r.st.Lease().Offset}}})
 	parts := Parts{Control: r, Engine: r, Instances: r, Endpoint: r, Workers: r.client, Clock: r.clk,
-		Scope: r.scope, Logger: zerolog.Nop(), Self: self}
+		Scope: r.scope, Logger: zerolog.Nop(), Self: self, Weights: spare.Lakeshore()}
 	r.p = &Planner{Parts: parts, busy: map[string]bool{}, list: newListWatch(), waves: newWaveWatch(), orders: map[string]time.Duration{}}
 }
 
@@ -186,6 +189,10 @@
 	return r.st
 }
 
+func (r *rig) AskDemand() {}
+
+func (r *rig) Demand(context.Context) map[string]ctrl.Demand { return r.demand }
+
 func (r *rig) MaySend() bool       { return true }
 func (r *rig) InFlight(string) int { return 0 }
 
