--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -38,6 +38,8 @@
 	Run float64
 	// Exp draws exponential run times.
 	Exp bool
+	// Spare marks the spare pool.
+	Spare bool
 }
 
 // slots returns the number of slots of each endpoint.
@@ -252,7 +254,7 @@
 }
 
 func (w *World) pool(ctx context.Context, c opspb.OperatorsClient, p Pool) error {
-	_, err := c.PutPool(ctx, &recpb.Pool{Name: p.Name, Budget: &recpb.Budget{Total: max(1, p.Budget)}})
+	_, err := c.PutPool(ctx, &recpb.Pool{Name: p.Name, Budget: &recpb.Budget{Total: max(1, p.Budget)}, Spare: p.Spare})
 	if err != nil {
 		return err
 	}
--- a/internal/serve/plans/quiet.go
+++ b/internal/serve/plans/quiet.go
@@ -10,6 +10,10 @@
 // itself values the time until the next one.
 const enoughPeaks = 3
 
+// calm is the share of a pool's own slots below which a peak has ended. The gap to all
+// slots keeps noise of the demand from splitting a peak.
+const calm = 0.8
+
 // quietWatch notes since when the demand of each pool has fitted its own slots. The
 // policy knows no future before it has seen some peaks and then leaves an instance
 // where it is. Until then an instance returns once its idle time has cost as much as
@@ -26,8 +30,10 @@
 
 func (q *quietWatch) see(now time.Duration, pools []spare.Pool) {
 	for _, pool := range pools {
-		over := pool.Demand > float64(pool.Slots)
-		if q.over[pool.Name] && !over {
+		slots := float64(pool.Slots)
+		was := q.over[pool.Name]
+		over := pool.Demand > slots || was && pool.Demand >= calm*slots
+		if was && !over {
 			q.peaks++
 		}
 		q.over[pool.Name] = over
