--- a/internal/serve/ctrl/loop.go
+++ b/internal/serve/ctrl/loop.go
@@ -44,6 +44,8 @@
 	marks hashes
 	// leaving holds when instances were seen to be leaving.
 	leaving map[string]time.Duration
+	// demands holds what members told about their demand.
+	demands demands
 	// rounds counts the intervals, and turn the rounds of gossip.
 	rounds, turn int
 	// fetching says that a peer is being asked for records.
@@ -69,6 +71,7 @@
 		meters:  newMeters(c.Scope),
 		marks:   hashes{},
 		leaving: map[string]time.Duration{},
+		demands: demands{},
 	}
 }
 
@@ -181,7 +184,7 @@
 	return true
 }
 
-// publish shows the state to the traffic goroutines before the lease is renewed, so
+// publish puts the state into force and then shows it, before the lease is renewed, so
 // that nothing is sent under an older view.
 func (l *loop) publish() {
 	l.members.Update(l.core.Clock.Now(), l.state)
@@ -194,9 +197,11 @@
 
 		Snapshot: l.snapshot,
 	}
+	// Who sees the view may rely on its being in force: an entry acknowledges a drain once
+	// it sees the grant and has nothing in flight.
+	l.core.Changed(v)
 	l.core.view.Store(v)
 	l.noteMembership(v.Joined)
-	l.core.Changed(v)
 }
 
 // noteMembership ends the lease at once when this entry is no longer a member.
