--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -123,7 +123,7 @@
 	p.stopStrays(ctx, now, st)
 	p.choose(now)
 	p.tend(ctx, now, st)
-	p.Scope.Gauge("jobs_unfit").Update(float64(len(p.jobs.unfit)))
+	p.showUnfit(len(p.jobs.unfit))
 }
 
 // collect takes in the calls and appends that have ended.
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -134,10 +134,7 @@
 	p.watchLease(ctx, v)
 	if !v.State.Planner(p.Self) {
 		p.spares = nil
-	}
-	if p.jobs != nil && !v.State.Planner(p.Self) {
-		p.jobs = nil
-		p.Scope.Gauge("jobs_unfit").Update(0)
+		p.dropJobs()
 	}
 	if !v.State.Planner(p.Self) || !p.Control.MaySend() {
 		return
--- a/internal/serve/plans/workers.go
+++ b/internal/serve/plans/workers.go
@@ -222,3 +222,15 @@
 		h.task.end(place.Stopped)
 	}
 }
+
+// dropJobs forgets the placement of jobs when this entry is no longer the planner.
+func (p *Planner) dropJobs() {
+	if p.jobs == nil {
+		return
+	}
+	p.jobs = nil
+	p.showUnfit(0)
+}
+
+// showUnfit shows the number of queued jobs that fit no worker or quota.
+func (p *Planner) showUnfit(n int) { p.Scope.Gauge("jobs_unfit").Update(float64(n)) }
