--- a/internal/proof/procs/faults_test.go
+++ b/internal/proof/procs/faults_test.go
@@ -83,6 +83,32 @@
 	assert.Equal(t, c.counts(c.endpoints[0]).Runs, before, "work was sent to a moved instance")
 }
 
+// Guards against an entry that acts on its old view right after it was frozen, before
+// it reads the log: requests that waited in its sockets must not reach an instance that
+// was moved meanwhile.
+func TestFrozenEntryResumes(t *testing.T) {
+	c := newCluster(t, 3, 4, 20)
+	tr := c.drive(8, 1, true)
+	time.Sleep(time.Second)
+	c.entries[0].signal(syscall.SIGSTOP)
+	tr.stop()
+	c.until("frozen entry is not evicted", func() bool { return len(c.status(c.entries[1]).GetMembers()) == 2 })
+	c.move(c.entries[1], "i0", "other")
+	before := c.counts(c.endpoints[0]).Runs
+	const n = 64
+	replies := make(chan world.Reply, n)
+	for range n {
+		go func() { replies <- c.call(c.entries[0], world.Call{Idempotent: true, Timeout: 2 * time.Second}) }()
+	}
+	// The requests reach the sockets of the frozen entry.
+	time.Sleep(300 * time.Millisecond)
+	c.entries[0].signal(syscall.SIGCONT)
+	for range n {
+		<-replies
+	}
+	assert.Equal(t, c.counts(c.endpoints[0]).Runs, before, "work was sent to a moved instance")
+}
+
 // move moves an instance and waits until it serves in the new pool.
 func (c *cluster) move(m *member, name, pool string) {
 	c.t.Helper()
