--- a/internal/proof/pools/drain_test.go
+++ b/internal/proof/pools/drain_test.go
@@ -50,3 +50,32 @@
 		return h[len(h)-1].Boot == 2 && find(t, c, "plan-00").GetPhase() == "serving"
 	})
 }
+
+// Guards against operators who together drain more instances than the budget allows,
+// each through another entry.
+func TestDrainsRaceForBudget(t *testing.T) {
+	const size = 4
+	w := start(t, world.WithPools(world.Pool{Name: "plan", Instances: size, Budget: 1, Run: 5}))
+	w.Fleet.SetFaults(fleet.Faults{Leave: 50, Reboot: 1000})
+	errs := make(chan error, size)
+	for n := range size {
+		c := operators(t, w, n%len(w.Entries))
+		name := world.InstanceName("plan", n)
+		base := find(t, c, name).GetVersion()
+		go func() {
+			_, err := c.Drain(context.Background(), &recpb.Drain{Edit: &recpb.Edit{Base: base}, Name: name})
+			errs <- err
+		}()
+	}
+	accepted := 0
+	for range size {
+		if <-errs == nil {
+			accepted++
+		}
+	}
+	assert.Assert(t, accepted >= 1)
+	until(t, "instances do not return", func() bool {
+		return w.Entries[0].Available() == size && w.Fleet.MostOut() > 0
+	})
+	assert.Equal(t, w.Fleet.MostOut(), 1)
+}
