--- a/internal/proof/pools/drain_test.go
+++ b/internal/proof/pools/drain_test.go
@@ -13,21 +13,22 @@
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
 )
 
-// Guards against a reboot that is ordered while an entry has requests in flight at the
-// instance: the endpoint loses them 50 ms after the order. They are not idempotent, so
+// Guards against new work for an instance under a grant, and against a reboot that is
+// ordered while an entry has requests in flight at the instance: the endpoint loses them 50 ms after the order. They are not idempotent, so
 // that no retry hides the loss.
 func TestDrainWaitsForRequests(t *testing.T) {
 	w := start(t, world.WithPools(world.Pool{Name: "plan", Instances: 2, Budget: 1, Run: 1500}))
 	w.Fleet.SetFaults(fleet.Faults{Leave: 50, Reboot: 200})
-	const n = 12
+	const n, more = 12, 6
 	h := &http.Client{}
 	defer h.CloseIdleConnections()
-	replies := make(chan world.Reply, n)
+	replies := make(chan world.Reply, n+more)
+	send := func(k int) {
+		replies <- world.Send(context.Background(), h, w.Entries[k%len(w.Entries)].Addrs().Callers,
+			world.Call{Service: "plan", ID: world.NewID(), Timeout: 8 * time.Second})
+	}
 	for k := range n {
-		go func() {
-			replies <- world.Send(context.Background(), h, w.Entries[k%len(w.Entries)].Addrs().Callers,
-				world.Call{Service: "plan", ID: world.NewID(), Timeout: 8 * time.Second})
-		}()
+		go send(k)
 	}
 	ep := w.Endpoints["plan-00"]
 	until(t, "no request runs", func() bool { return ep.Counts().Running >= 3 })
@@ -35,8 +36,15 @@
 	_, err := c.Drain(t.Context(), &recpb.Drain{
 		Edit: &recpb.Edit{Base: find(t, c, "plan-00").GetVersion()}, Name: "plan-00"})
 	assert.NilError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	before := ep.Counts().Runs
+	for k := range more {
+		go send(k)
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, ep.Counts().Runs, before, "work was sent to a draining instance")
 	answered := 0
-	for range n {
+	for range n + more {
 		r := <-replies
 		// Requests that find no slot in time are refused, which is no loss.
 		assert.Assert(t, r.Outcome == "answered" || r.Outcome == "not-run", "%v %s", r.Err, r.Body)
