--- a/internal/serve/ctrl/demand.go
+++ b/internal/serve/ctrl/demand.go
@@ -17,7 +17,9 @@
 	Waiting, Running int
 }
 
-// demands holds the newest demand that each other member reported.
+// demands holds the newest demand that each member reported, this entry included. The
+// own report is of the time of the question as well: requests move between entries, and
+// the sum over different times would count some twice and others not at all.
 type demands map[state.Incarnation]demandReport
 
 type demandReport struct {
@@ -35,11 +37,10 @@
 	d[id] = demandReport{sent, r.GetDemand()}
 }
 
-// sum returns the demand by pool over the entry's own and the reports of members that
-// are not stale. It forgets the other reports.
-func (d demands) sum(now time.Duration, st *state.State, own []*peerpb.Demand) map[string]Demand {
+// sum returns the demand by pool over the reports of members that are not stale. It
+// forgets the other reports.
+func (d demands) sum(now time.Duration, st *state.State) map[string]Demand {
 	out := map[string]Demand{}
-	add(out, own)
 	for id, r := range d {
 		if m, ok := st.Member(id.Name); !ok || m.Incarnation != id || now-r.sent >= demandStale {
 			delete(d, id)
@@ -59,7 +60,8 @@
 	}
 }
 
-// AskDemand asks every other member for its demand in the background.
+// AskDemand notes this entry's demand and asks every other member for its demand in the
+// background.
 //
 // The planner asks, because gossip while the log confirms the view reaches one random
 // peer each 0.75 s: with 8 entries, each of them every 5 s on average. To gossip faster
@@ -67,6 +69,8 @@
 // question and one reply per member. With 8 entries and 5 busy pools the reply has 100
 // bytes, with the evidence 326. It leaves out idle pools.
 func (c *Core) AskDemand() {
+	sent, own := c.Clock.Now(), c.OwnDemand()
+	c.goroutine(func() { c.do(c.ctx, func(l *loop) { l.demands.learn(sent, own) }) })
 	for m := range c.View().State.Members() {
 		if m.Name != c.Self.Name {
 			c.goroutine(func() { c.askDemand(m.Addr) })
@@ -86,11 +90,11 @@
 	c.do(ctx, func(l *loop) { l.demands.learn(sent, d) })
 }
 
-// Demand returns the demand by pool over all members that told theirs lately, this
-// entry included. It returns nil after Close.
+// Demand returns the demand by pool over all members that told theirs lately after
+// AskDemand. It returns nil after Close.
 func (c *Core) Demand(ctx context.Context) map[string]Demand {
 	var sum map[string]Demand
-	c.do(ctx, func(l *loop) { sum = l.demands.sum(c.Clock.Now(), l.state, c.Demands()) })
+	c.do(ctx, func(l *loop) { sum = l.demands.sum(c.Clock.Now(), l.state) })
 	return sum
 }
 
--- a/internal/serve/ctrl/demand_test.go
+++ b/internal/serve/ctrl/demand_test.go
@@ -22,17 +22,15 @@
 	told := func(name string, inc uint64, waiting uint32) *peerpb.Digest {
 		return &peerpb.Digest{Name: name, Incarnation: inc, Demand: []*peerpb.Demand{{Pool: "p", Waiting: waiting, Running: 1}}}
 	}
-	own := []*peerpb.Demand{{Pool: "p", Waiting: 1}, {Pool: "q", Running: 2}}
 	d := demands{}
 	d.learn(2*time.Second, told("a", 7, 10))
 	d.learn(time.Second, told("a", 7, 99))
 	d.learn(4*time.Second, told("b", 7, 100))
 	d.learn(4*time.Second, told("b", 6, 1000))
 	d.learn(4*time.Second, told("c", 7, 1000))
-	at := func(now time.Duration) map[string]Demand { return d.sum(now, st, own) }
-	assert.Equal(t, at(6 * time.Second)["p"], Demand{111, 2})
-	assert.Equal(t, at(7 * time.Second)["p"], Demand{101, 1})
-	assert.Equal(t, at(9 * time.Second)["p"], Demand{1, 0})
-	assert.Equal(t, at(9 * time.Second)["q"], Demand{0, 2})
+	at := func(now time.Duration) map[string]Demand { return d.sum(now, st) }
+	assert.Equal(t, at(6 * time.Second)["p"], Demand{110, 2})
+	assert.Equal(t, at(7 * time.Second)["p"], Demand{100, 1})
+	assert.Equal(t, at(9 * time.Second)["p"], Demand{})
 	assert.Equal(t, len(d), 0)
 }
--- a/internal/serve/plans/spares.go
+++ b/internal/serve/plans/spares.go
@@ -74,14 +74,16 @@
 		s.times.Add(d)
 		p.Scope.Timer("spare_trip").Record(d)
 	}
-	if now-s.last < spareInterval {
-		return
-	}
-	s.last = now
 	if now-s.asked >= askInterval(st) {
+		// The answers are there at the next step.
 		s.asked = now
 		p.Control.AskDemand()
+		return
 	}
+	if now-s.last < spareInterval {
+		return
+	}
+	s.last = now
 	s.expire(now, st)
 	in := s.input(now, st, p.Control.Demand(ctx))
 	in.Trip = s.times.Trip(firstTrip)
