Look at the fleet once for each state, and at slots only where they changed

Four times a second every entry set the limits and read the use of every instance in every pool, and searched the fleet for drains; the planner also looked at all instances without a new state.

--- a/internal/flow/route/pick.go
+++ b/internal/flow/route/pick.go
@@ -60,6 +60,7 @@
 		return Target{}, r.reason()
 	}
 	n.flight++
+	r.flights++
 	r.settle(n)
 	return n.target, nil
 }
--- a/internal/flow/route/route.go
+++ b/internal/flow/route/route.go
@@ -55,6 +55,8 @@
 	// able counts the listed targets that are neither leaving nor blocked, and
 	// ejected those among them that are ejected.
 	able, ejected int
+	// flights is the number of slots in use.
+	flights int
 	// room is the number of free slots at the targets that can take work.
 	room int
 }
@@ -170,6 +172,18 @@
 	return n.flight
 }
 
+// Use adds the slots in use by this entry at each target that has any.
+func (r *Router) Use(out map[string]int) {
+	if r.flights == 0 {
+		return
+	}
+	for name, n := range r.nodes {
+		if n.flight > 0 {
+			out[name] += n.flight
+		}
+	}
+}
+
 // Free returns the number of slots that Pick can still take.
 func (r *Router) Free() int { return r.room }
 
@@ -188,6 +202,7 @@
 		return
 	}
 	n.flight--
+	r.flights--
 	switch o {
 	case Answered:
 		r.succeed(now, n, latency)
--- a/internal/serve/flows/engine.go
+++ b/internal/serve/flows/engine.go
@@ -208,6 +208,16 @@
 	return n
 }
 
+// Use returns the requests that this entry has in flight by instance, without the idle
+// instances.
+func (e *Engine) Use() map[string]int {
+	out := map[string]int{}
+	for _, p := range e.all() {
+		p.use(out)
+	}
+	return out
+}
+
 // Left records from any source that an instance is leaving.
 func (e *Engine) Left(instance string) {
 	for _, p := range e.all() {
--- a/internal/serve/flows/pool.go
+++ b/internal/serve/flows/pool.go
@@ -196,6 +196,13 @@
 	return p.router.InFlight(name)
 }
 
+// use adds the requests in flight by instance.
+func (p *pool) use(out map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.router.Use(out)
+}
+
 func (p *pool) demand() Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/serve/lends/lends.go
+++ b/internal/serve/lends/lends.go
@@ -35,7 +35,8 @@
 // Engine is what runs requests.
 type Engine interface {
 	Demands() []flows.Demand
-	InFlight(instance string) int
+	// Use returns the requests in flight by instance, without the idle ones.
+	Use() map[string]int
 	SetLimits(limits map[string]int)
 }
 
@@ -76,6 +77,10 @@
 	pools     map[string][]string
 	slots     map[string]int
 	rounds    int
+	// changed holds the instances whose limit is not in force yet, settling those whose
+	// use must be reported since, and used what was in use last.
+	changed, settling map[string]bool
+	used              map[string]int
 	// news names the custodians that have poked this entry, and poked holds when this
 	// entry has last poked others.
 	news map[string]bool
@@ -94,6 +99,8 @@
 		holder:    share.NewHolder(p.Self.Name, p.Self.Incarnation),
 		custodian: share.NewCustodian(p.Self.Name, p.MaxRun),
 		news:      map[string]bool{},
+		changed:   map[string]bool{},
+		settling:  map[string]bool{},
 		asking:    map[string]bool{},
 		poked:     map[string]time.Duration{},
 	}
@@ -122,7 +129,10 @@
 		s.pools[e.Pool] = append(s.pools[e.Pool], e.Instance)
 		s.slots[e.Instance] = e.Slots
 	}
-	s.holder.Epoch(v, s.slots)
+	s.mark(s.holder.Epoch(v, s.slots))
+	for name := range s.slots {
+		s.changed[name] = true
+	}
 	s.custodian.Epoch(s.Clock.Now(), v, s.slots)
 	s.Hurry()
 }
@@ -246,22 +256,26 @@
 	delete(s.asking, name)
 }
 
-// enforce puts the present limits into force.
+// enforce puts the limits that have changed into force.
 func (s *Service) enforce() {
 	s.mu.Lock()
-	limits := make(map[string]int, len(s.slots))
-	for name := range s.slots {
+	limits := make(map[string]int, len(s.changed))
+	for name := range s.changed {
 		limits[name] = s.holder.Limit(name)
+		s.settling[name] = true
 	}
+	clear(s.changed)
 	s.mu.Unlock()
-	s.engine.SetLimits(limits)
+	if len(limits) > 0 {
+		s.engine.SetLimits(limits)
+	}
 }
 
 // collect returns the next asks. Use is read after the limits were put into force,
 // because it confirms a recall.
 func (s *Service) collect() map[string]*peerpb.SlotAsk {
 	demands := s.engine.Demands()
-	use := s.use()
+	use := s.engine.Use()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, d := range demands {
@@ -293,22 +307,20 @@
 	}
 }
 
-// use returns the requests in flight at each endpoint.
-func (s *Service) use() map[string]int {
-	s.mu.Lock()
-	names := maps.Clone(s.slots)
-	s.mu.Unlock()
-	for name := range names {
-		names[name] = s.engine.InFlight(name)
-	}
-	return names
-}
-
-// setUse tells the holder what is in flight. The caller holds mu.
+// setUse tells the holder what is in flight, also where nothing is any more and where a
+// limit was put into force, because that confirms a recall. The caller holds mu.
 func (s *Service) setUse(use map[string]int) {
+	for name := range s.settling {
+		s.holder.InFlight(name, use[name])
+	}
+	for name := range s.used {
+		s.holder.InFlight(name, use[name])
+	}
 	for name, n := range use {
 		s.holder.InFlight(name, n)
 	}
+	clear(s.settling)
+	s.used = use
 }
 
 // taken takes in a reply. A change of limits is put into force and reported at once,
@@ -320,12 +332,13 @@
 	}
 	s.mu.Lock()
 	changed := s.holder.Take(name, r)
+	s.mark(changed)
 	s.mu.Unlock()
 	if len(changed) == 0 {
 		return
 	}
 	s.enforce()
-	use := s.use()
+	use := s.engine.Use()
 	s.mu.Lock()
 	s.setUse(use)
 	reports := s.holder.Reports()
@@ -333,6 +346,13 @@
 	s.send(ctx, asks, reports)
 }
 
+// mark notes instances whose limit must be put into force. The caller holds mu.
+func (s *Service) mark(names []string) {
+	for _, n := range names {
+		s.changed[n] = true
+	}
+}
+
 func (s *Service) answer(ctx context.Context, name string, a *peerpb.SlotAsk) *peerpb.SlotReply {
 	if name == s.Self.Name {
 		return s.Answer(a)
--- a/internal/serve/plans/advance.go
+++ b/internal/serve/plans/advance.go
@@ -15,11 +15,13 @@
 
 // advance takes every drained instance one step further.
 func (p *Planner) advance(ctx context.Context, st *state.State) {
+	p.hasGrants = false
 	for i := range st.Instances() {
 		if i.Grant == nil {
 			delete(p.orders, i.Name)
 			continue
 		}
+		p.hasGrants = true
 		switch {
 		case i.Phase == state.Drained && i.Grant.Target != "" && !i.Grant.Moved:
 			p.append(ctx, "moved/"+i.Name, &recpb.Record{Body: &recpb.Record_Moved{
--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -77,6 +77,11 @@
 	list   listWatch
 	waves  waveWatch
 	orders map[string]time.Duration
+	drains drainWatch
+	// planned is the state that the last step has looked at.
+	planned *state.State
+	// hasGrants says that the last state had instances under grants.
+	hasGrants bool
 	jobs   *jobWatch   // nil while another entry is the planner
 	spares *spareWatch // nil while another entry is the planner
 
@@ -140,8 +145,12 @@
 		return
 	}
 	p.observe(ctx, v.State)
-	p.advance(ctx, v.State)
-	p.runWaves(ctx, v.State)
+	fresh := v.State != p.planned
+	p.planned = v.State
+	if fresh || len(p.orders) > 0 || p.hasGrants {
+		p.advance(ctx, v.State)
+	}
+	p.runWaves(ctx, v.State, fresh)
 	p.runSpares(ctx, v.State)
 	p.runJobs(ctx, v.State)
 	p.writeSnapshot(ctx, v)
@@ -150,10 +159,7 @@
 // acknowledge confirms the drains that this entry has nothing in flight for. The view
 // was put into force before it was published, so no new request can follow.
 func (p *Planner) acknowledge(ctx context.Context, st *state.State) {
-	for i := range st.Instances() {
-		if i.Grant == nil || i.Phase != state.Draining || !waitsFor(i.Grant, p.Self) {
-			continue
-		}
+	for _, i := range p.drains.of(st, p.Self) {
 		if p.Engine.InFlight(i.Name) > 0 {
 			continue
 		}
@@ -162,6 +168,26 @@
 	}
 }
 
+// drainWatch holds the instances whose drain waits for this entry, so that the fleet is
+// searched once for each state.
+type drainWatch struct {
+	st   *state.State
+	list []*state.Instance
+}
+
+func (d *drainWatch) of(st *state.State, self state.Incarnation) []*state.Instance {
+	if d.st == st {
+		return d.list
+	}
+	d.st, d.list = st, nil
+	for i := range st.Instances() {
+		if i.Grant != nil && i.Phase == state.Draining && waitsFor(i.Grant, self) {
+			d.list = append(d.list, i)
+		}
+	}
+	return d.list
+}
+
 func waitsFor(g *state.Grant, self state.Incarnation) bool {
 	for _, m := range g.Waiting {
 		if m == self {
--- a/internal/serve/plans/waves.go
+++ b/internal/serve/plans/waves.go
@@ -42,15 +42,17 @@
 }
 
 // runWaves carries out the next step of every wave that is not finished.
-func (p *Planner) runWaves(ctx context.Context, st *state.State) {
+func (p *Planner) runWaves(ctx context.Context, st *state.State, fresh bool) {
 	now := p.Clock.Now()
-	for i := range st.Instances() {
-		p.waves.see(now, i)
+	if fresh {
+		for i := range st.Instances() {
+			p.waves.see(now, i)
+		}
 	}
-	in := p.input(now, st)
-	if len(in.Waves) == 0 {
+	if !hasWaves(st) {
 		return
 	}
+	in := p.input(now, st)
 	for _, d := range waves.Plan(in) {
 		w, ok := st.Wave(d.Wave)
 		if ok && w.Phase == state.Running {
@@ -59,6 +61,16 @@
 	}
 }
 
+// hasWaves says whether a wave is not finished.
+func hasWaves(st *state.State) bool {
+	for w := range st.Waves() {
+		if w.Phase != state.Finished {
+			return true
+		}
+	}
+	return false
+}
+
 // see notes when an instance changed its phase or health.
 func (s *waveWatch) see(now time.Duration, i *state.Instance) {
 	old, ok := s.instances[i.Name]
