--- a/internal/serve/plans/plans.go
+++ b/internal/serve/plans/plans.go
@@ -82,8 +82,8 @@
 	planned *state.State
 	// hasGrants says that the last state had instances under grants.
 	hasGrants bool
-	jobs   *jobWatch   // nil while another entry is the planner
-	spares *spareWatch // nil while another entry is the planner
+	jobs      *jobWatch   // nil while another entry is the planner
+	spares    *spareWatch // nil while another entry is the planner
 
 	snapshot snapshotWatch
 }
