--- a/cmd/chervilgauge/cmds/serve.go
+++ b/cmd/chervilgauge/cmds/serve.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"flag"
+	"io"
+	"log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -36,6 +39,7 @@
 		return err
 	}
 	logger := logs.New(e.errOut, cfg.Logs.Level, cfg.Name)
+	tune()
 	for {
 		again, err := serveOnce(e, cfg, logger)
 		if err != nil || !again {
@@ -44,6 +48,27 @@
 	}
 }
 
+const (
+	// gcPercent trades memory for processor time: the heap of an entry is small, and at
+	// the default of 100 the collector runs several times a second under load.
+	gcPercent = 300
+	// memoryLimit makes the collector work harder before the heap grows beyond it, in
+	// bytes.
+	memoryLimit = 512 << 20
+)
+
+// tune sets up the runtime unless the environment does, and silences the standard
+// logger: the HTTP transport prints bytes of answers that an endpoint sent unasked.
+func tune() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+	log.SetOutput(io.Discard)
+}
+
 // serveOnce runs an entry until a signal, or until it lost its membership and must
 // start again as a new incarnation.
 func serveOnce(e *env, cfg config.Config, logger zerolog.Logger) (bool, error) {
--- a/internal/proof/procs/capacity_test.go
+++ b/internal/proof/procs/capacity_test.go
@@ -17,8 +17,8 @@
 // usage is what a process has used so far.
 type usage struct {
 	cpu time.Duration
-	// bytes is what it has read and written, nearly all of it on sockets.
-	bytes int64
+	// read and written are bytes, nearly all of them on sockets.
+	read, written int64
 	// memory is its resident memory in bytes.
 	memory int64
 }
@@ -31,9 +31,8 @@
 	dir := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
 	stat := fieldsOf(t, dir+"stat")
 	u := usage{cpu: time.Duration(number(t, stat[13])+number(t, stat[14])) * clockTick}
-	for _, line := range strings.Split(strings.Join(fieldsOf(t, dir+"io"), " "), "char: ")[1:] {
-		u.bytes += number(t, strings.Fields(line)[0])
-	}
+	io := fieldsOf(t, dir+"io")
+	u.read, u.written = number(t, io[1]), number(t, io[3])
 	statm := fieldsOf(t, dir+"statm")
 	u.memory = number(t, statm[1]) * int64(os.Getpagesize())
 	return u
@@ -62,11 +61,8 @@
 	if os.Getenv("CAPACITY") == "" {
 		t.Skip("set CAPACITY=1 to measure what control costs")
 	}
-	t.Logf("%7s %9s %9s | %8s %8s %8s | planner: %8s %8s %8s", "entries", "instances", "changes/s",
-		"core %", "KB/s", "MB", "core %", "KB/s", "MB")
-	for _, size := range []struct{ entries, instances, changes int }{
-		{3, 50, 0}, {8, 50, 0}, {8, 400, 0}, {8, 1500, 0}, {8, 1500, 10},
-	} {
+	t.Logf("%7s %9s %9s | %s | planner: %s", "entries", "instances", "changes/s", header, header)
+	for _, size := range sizes(t) {
 		c := newCluster(t, size.entries, 1, 0)
 		c.grow(size.instances)
 		time.Sleep(3 * time.Second)
@@ -77,6 +73,27 @@
 	}
 }
 
+const header = "  core %  in KB/s out KB/s       MB"
+
+// size is one measurement.
+type size struct{ entries, instances, changes int }
+
+// sizes reads CAPACITY, such as "3x50x0,8x1500x10" or 1 for the sizes of the page.
+func sizes(t testing.TB) []size {
+	list := os.Getenv("CAPACITY")
+	if list == "1" {
+		list = "3x50x0,8x50x0,8x400x0,8x1500x0,8x1500x10"
+	}
+	var out []size
+	for _, text := range strings.Split(list, ",") {
+		var s size
+		_, err := fmt.Sscanf(text, "%dx%dx%d", &s.entries, &s.instances, &s.changes)
+		assert.NilError(t, err, "%s", text)
+		out = append(out, s)
+	}
+	return out
+}
+
 // grow registers instances that share the one endpoint.
 func (c *cluster) grow(n int) {
 	names := make([]string, n)
@@ -113,17 +130,20 @@
 	for n, m := range c.entries {
 		u := usageOf(c.t, m.process)
 		u.cpu -= before[n].cpu
-		u.bytes -= before[n].bytes
-		rest.cpu, rest.bytes, rest.memory = rest.cpu+u.cpu, rest.bytes+u.bytes, rest.memory+u.memory
-		if u.bytes > most.bytes {
+		u.read -= before[n].read
+		u.written -= before[n].written
+		rest = usage{rest.cpu + u.cpu, rest.read + u.read, rest.written + u.written, rest.memory + u.memory}
+		if u.read+u.written > most.read+most.written {
 			most = u
 		}
 	}
-	k := time.Duration(len(c.entries) - 1)
-	rest = usage{(rest.cpu - most.cpu) / k, (rest.bytes - most.bytes) / int64(k), (rest.memory - most.memory) / int64(k)}
+	k := int64(len(c.entries) - 1)
+	rest = usage{(rest.cpu - most.cpu) / time.Duration(k), (rest.read - most.read) / k,
+		(rest.written - most.written) / k, (rest.memory - most.memory) / k}
 	row := func(u usage) string {
-		return fmt.Sprintf("%8.2f %8.2f %8.1f", 100*u.cpu.Seconds()/capacityWindow.Seconds(),
-			float64(u.bytes)/1000/capacityWindow.Seconds(), float64(u.memory)/1e6)
+		rate := func(n int64) float64 { return float64(n) / 1000 / capacityWindow.Seconds() }
+		return fmt.Sprintf("%8.2f %8.2f %8.2f %8.1f", 100*u.cpu.Seconds()/capacityWindow.Seconds(),
+			rate(u.read), rate(u.written), float64(u.memory)/1e6)
 	}
 	c.t.Logf("%7d %9d %9d | %s | planner: %s", len(c.entries), instances, changes, row(rest), row(most))
 }
