Share the platform adapters' client; write a span for each append of claims

Three adapters had the same base URL checks and the same single-attempt client. Names that were figurative (poke, hurry, tend, hasten) became notify, report soon, maintain and gossip fast.

--- a/internal/flow/route/eject.go
+++ b/internal/flow/route/eject.go
@@ -101,7 +101,7 @@
 	n.record(true)
 	n.run++
 	n.failed = now
-	if n.ejected || !n.rotten() {
+	if n.ejected || !n.mustEject() {
 		return
 	}
 	if !n.able || r.ejected+1 > r.most() {
@@ -115,8 +115,8 @@
 	r.settle(n)
 }
 
-// rotten reports whether the node fails so much that it should be ejected.
-func (n *node) rotten() bool {
+// mustEject reports whether the node fails so much that it should be ejected.
+func (n *node) mustEject() bool {
 	if n.run >= maxRun || n.trial > 0 {
 		return true
 	}
--- a/internal/plat/lister/lister.go
+++ b/internal/plat/lister/lister.go
@@ -5,36 +5,30 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/plat/remote"
 )
 
-var (
-	// ErrBase is the class of base URLs that are not usable.
-	ErrBase = errs.Class("instance list base URL")
-	// errAnswer is the class of answers that break the protocol. It is wrapped in
-	// a ports.ErrList.
-	errAnswer = errs.Class("malformed instance list")
-)
+// errAnswer is the class of answers that break the protocol. It is wrapped in a
+// ports.ErrList.
+var errAnswer = errs.Class("malformed instance list")
 
 const (
 	defaultTimeout = 5 * time.Second
-	// maxAnswer bounds the bytes of an answer that are read into memory.
-	maxAnswer = 16 << 20
+	// maxIdle is the number of idle connections kept: one for the list and some for
+	// orders.
+	maxIdle = 4
 )
 
 // Client is a ports.Instances. It makes exactly one attempt for each call.
 type Client struct {
-	base    *url.URL
-	http    http.Client
-	owned   *http.Transport
+	remote  *remote.Client
 	timeout time.Duration
 
 	// mu guards the last list and its entity tag. At the two-year size a list takes
@@ -49,61 +43,45 @@
 // Option changes a Client at construction.
 type Option func(*Client)
 
-// WithHTTP sets the HTTP client. Its redirect policy is replaced, and it is not closed
-// by Close.
-func WithHTTP(h *http.Client) Option { return func(c *Client) { c.http = *h } }
-
 // WithTimeout bounds each call.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
 // New returns a client of the list at a base URL such as http://10.0.0.1:9001. It
-// returns an ErrBase.
+// returns a remote.ErrBase.
 func New(base string, opts ...Option) (*Client, error) {
-	u, err := url.Parse(base)
+	r, err := remote.New(base, maxIdle)
 	if err != nil {
-		return nil, ErrBase.Wrap(err)
-	}
-	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return nil, ErrBase.New("%q is not an absolute HTTP URL", base)
+		return nil, err
 	}
-	c := &Client{base: u, timeout: defaultTimeout}
+	c := &Client{remote: r, timeout: defaultTimeout}
 	for _, o := range opts {
 		o(c)
 	}
-	if c.http.Transport == nil {
-		c.owned = &http.Transport{IdleConnTimeout: time.Minute}
-		c.http.Transport = c.owned
-	}
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c, nil
 }
 
-// Close closes the idle connections unless the HTTP client was given by WithHTTP.
-func (c *Client) Close() {
-	if c.owned != nil {
-		c.owned.CloseIdleConnections()
-	}
-}
+// Close closes the idle connections.
+func (c *Client) Close() { c.remote.Close() }
 
 // List returns the listed instances, which must not be modified. A list that has not
 // changed is not sent again. It returns a ports.ErrList.
 func (c *Client) List(ctx context.Context) ([]ports.Listed, error) {
 	tag, last := c.cached()
-	r, err := c.do(ctx, http.MethodGet, c.base.JoinPath("instances"), tag)
+	r, err := c.do(ctx, http.MethodGet, tag, "instances")
 	if err != nil {
 		return nil, err
 	}
-	if r.status == http.StatusNotModified && tag != "" {
+	if r.Status == http.StatusNotModified && tag != "" {
 		return last, nil
 	}
-	if r.status != http.StatusOK {
-		return nil, ports.ErrList.New("status %d", r.status)
+	if r.Status != http.StatusOK {
+		return nil, ports.ErrList.New("status %d", r.Status)
 	}
-	list, err := parseList(r.body)
+	list, err := parseList(r.Body)
 	if err != nil {
 		return nil, err
 	}
-	c.cache(r.tag, list)
+	c.cache(r.Tag, list)
 	return list, nil
 }
 
@@ -122,46 +100,26 @@
 // Reboot orders a reboot. It returns a ports.ErrList, after which the order may or may
 // not have been carried out.
 func (c *Client) Reboot(ctx context.Context, name string) error {
-	r, err := c.do(ctx, http.MethodPost, c.base.JoinPath("instances", url.PathEscape(name), "reboot"), "")
+	r, err := c.do(ctx, http.MethodPost, "", "instances", name, "reboot")
 	if err != nil {
 		return err
 	}
-	if r.status != http.StatusAccepted {
-		return ports.ErrList.New("reboot of %q: status %d", name, r.status)
+	if r.Status != http.StatusAccepted {
+		return ports.ErrList.New("reboot of %q: status %d", name, r.Status)
 	}
 	return nil
 }
 
-// reply is a whole answer.
-type reply struct {
-	status int
-	tag    string
-	body   []byte
-}
-
-// do makes one attempt and reads the whole answer. A tag, if not empty, is that of the
-// list at hand. A POST without an Idempotency-Key
-// header is not replayed by the transport once a byte was written.
-func (c *Client) do(ctx context.Context, method string, u *url.URL, tag string) (reply, error) {
+// do makes one attempt. A tag, if not empty, is that of the list at hand.
+func (c *Client) do(ctx context.Context, method, tag string, path ...string) (remote.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), http.NoBody)
-	if err != nil {
-		return reply{}, ports.ErrList.Wrap(err)
-	}
+	head := http.Header{}
 	if tag != "" {
-		req.Header.Set("If-None-Match", tag)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return reply{}, ports.ErrList.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return reply{}, ports.ErrList.Wrap(err)
+		head.Set("If-None-Match", tag)
 	}
-	return reply{resp.StatusCode, resp.Header.Get("ETag"), body}, nil
+	a, err := c.remote.Do(ctx, method, c.remote.URL(path...), nil, head)
+	return a, ports.ErrList.Wrap(err)
 }
 
 // parseList parses the list. A phase that is not known is taken as down, because an
--- a/internal/plat/stream/stream.go
+++ b/internal/plat/stream/stream.go
@@ -2,10 +2,8 @@
 package stream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,20 +12,15 @@
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/plat/remote"
 )
 
-var (
-	// ErrBase is the class of base URLs that are not usable.
-	ErrBase = errs.Class("log base URL")
-	// errAnswer is the class of answers that break the protocol. It is wrapped in
-	// a ports.ErrLog.
-	errAnswer = errs.Class("malformed answer of the log")
-)
+// errAnswer is the class of answers that break the protocol. It is wrapped in a
+// ports.ErrLog.
+var errAnswer = errs.Class("malformed answer of the log")
 
 const (
 	defaultTimeout = 5 * time.Second
-	// maxAnswer bounds the bytes of an answer that are read into memory.
-	maxAnswer = 64 << 20
 	// maxIdle is the number of idle connections kept: an entry tails up to 9
 	// streams and appends at the same time.
 	maxIdle = 16
@@ -35,9 +28,7 @@
 
 // Client is a ports.Log. It makes exactly one attempt for each call.
 type Client struct {
-	base    *url.URL
-	http    http.Client
-	owned   *http.Transport
+	remote  *remote.Client
 	timeout time.Duration
 	name    string
 }
@@ -47,10 +38,6 @@
 // Option changes a Client at construction.
 type Option func(*Client)
 
-// WithHTTP sets the HTTP client. Its redirect policy is replaced, because a redirected
-// append would be a second attempt, and it is not closed by Close.
-func WithHTTP(h *http.Client) Option { return func(c *Client) { c.http = *h } }
-
 // WithTimeout bounds each call; a read may take this time on top of its wait.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
@@ -59,33 +46,21 @@
 func WithName(name string) Option { return func(c *Client) { c.name = name } }
 
 // New returns a client of the log at a base URL such as http://10.0.0.1:9000. It
-// returns an ErrBase.
+// returns a remote.ErrBase.
 func New(base string, opts ...Option) (*Client, error) {
-	u, err := url.Parse(base)
+	r, err := remote.New(base, maxIdle)
 	if err != nil {
-		return nil, ErrBase.Wrap(err)
-	}
-	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return nil, ErrBase.New("%q is not an absolute HTTP URL", base)
+		return nil, err
 	}
-	c := &Client{base: u, timeout: defaultTimeout}
+	c := &Client{remote: r, timeout: defaultTimeout}
 	for _, o := range opts {
 		o(c)
 	}
-	if c.http.Transport == nil {
-		c.owned = &http.Transport{MaxIdleConns: maxIdle, MaxIdleConnsPerHost: maxIdle, IdleConnTimeout: time.Minute}
-		c.http.Transport = c.owned
-	}
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c, nil
 }
 
-// Close closes the idle connections unless the HTTP client was given by WithHTTP.
-func (c *Client) Close() {
-	if c.owned != nil {
-		c.owned.CloseIdleConnections()
-	}
-}
+// Close closes the idle connections.
+func (c *Client) Close() { c.remote.Close() }
 
 // Append adds a record to the end of a stream and returns its offset. It returns a
 // ports.ErrThrottled if the log refused the record and a ports.ErrLog if the outcome
@@ -93,7 +68,7 @@
 func (c *Client) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	status, body, err := c.do(ctx, http.MethodPost, c.base.JoinPath("streams", url.PathEscape(stream)), data)
+	status, body, err := c.do(ctx, http.MethodPost, c.remote.URL("streams", stream), data)
 	if err != nil {
 		return 0, err
 	}
@@ -113,7 +88,7 @@
 	wait = max(wait, 0)
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
 	defer cancel()
-	u := c.base.JoinPath("streams", url.PathEscape(stream))
+	u := c.remote.URL("streams", stream)
 	q := url.Values{"from": {strconv.FormatUint(from, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	if limit > 0 {
 		q.Set("limit", strconv.Itoa(limit))
@@ -134,25 +109,12 @@
 
 // do makes one attempt and reads the whole answer.
 func (c *Client) do(ctx context.Context, method string, u *url.URL, data []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(data))
-	if err != nil {
-		return 0, nil, ports.ErrLog.Wrap(err)
-	}
-	// Without GetBody the transport can't replay an append.
-	req.GetBody = nil
+	head := http.Header{}
 	if c.name != "" {
-		req.Header.Set("Client", c.name)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, nil, ports.ErrLog.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return 0, nil, ports.ErrLog.Wrap(err)
+		head.Set("Client", c.name)
 	}
-	return resp.StatusCode, body, nil
+	a, err := c.remote.Do(ctx, method, u, data, head)
+	return a.Status, a.Body, ports.ErrLog.Wrap(err)
 }
 
 // parseOffset parses the answer to an append.
--- a/internal/plat/worker/list.go
+++ b/internal/plat/worker/list.go
@@ -29,7 +29,7 @@
 
 // Workers returns all workers. It returns a ports.ErrWorkers.
 func (c *Client) Workers(ctx context.Context) ([]ports.Worker, error) {
-	status, body, err := c.do(ctx, http.MethodGet, c.base.JoinPath("workers"), nil)
+	status, body, err := c.do(ctx, http.MethodGet, c.remote.URL("workers"), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -3,10 +3,8 @@
 package worker
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -14,21 +12,15 @@
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/core/ports"
+	"chervilgauge.example/chervilgauge/internal/plat/remote"
 )
 
-var (
-	// ErrBase is the class of base URLs that are not usable.
-	ErrBase = errs.Class("workers base URL")
-	// errAnswer is the class of answers that break the protocol. It is wrapped in a
-	// ports.ErrWorkers.
-	errAnswer = errs.Class("malformed answer of the workers")
-)
+// errAnswer is the class of answers that break the protocol. It is wrapped in a
+// ports.ErrWorkers.
+var errAnswer = errs.Class("malformed answer of the workers")
 
 const (
 	defaultTimeout = 5 * time.Second
-	// maxAnswer bounds the bytes of an answer that are read into memory. A list of
-	// 1,500 workers with 64 tasks each is about 12 MB.
-	maxAnswer = 64 << 20
 	// maxIdle bounds the idle connections that are kept. The planner makes up to 64
 	// calls at a time.
 	maxIdle = 64
@@ -36,9 +28,7 @@
 
 // Client is a ports.Workers. It makes exactly one attempt for each call.
 type Client struct {
-	base    *url.URL
-	http    http.Client
-	owned   *http.Transport
+	remote  *remote.Client
 	timeout time.Duration
 }
 
@@ -51,27 +41,21 @@
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
 // New returns a client of the workers at a base URL such as http://10.0.0.1:9002. It
-// returns an ErrBase.
+// returns a remote.ErrBase.
 func New(base string, opts ...Option) (*Client, error) {
-	u, err := url.Parse(base)
+	r, err := remote.New(base, maxIdle)
 	if err != nil {
-		return nil, ErrBase.Wrap(err)
-	}
-	if u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-		return nil, ErrBase.New("%q is not an absolute HTTP URL", base)
+		return nil, err
 	}
-	c := &Client{base: u, timeout: defaultTimeout}
+	c := &Client{remote: r, timeout: defaultTimeout}
 	for _, o := range opts {
 		o(c)
 	}
-	c.owned = &http.Transport{IdleConnTimeout: time.Minute, MaxIdleConnsPerHost: maxIdle}
-	c.http.Transport = c.owned
-	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c, nil
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.owned.CloseIdleConnections() }
+func (c *Client) Close() { c.remote.Close() }
 
 // size is an amount of resources in the protocol.
 type size struct {
@@ -127,7 +111,7 @@
 // tasks returns the URL of a worker's tasks. The job is named in the body, because
 // operators may choose any name, and one such as ".." has no place in a path.
 func (c *Client) tasks(k ports.TaskKey) *url.URL {
-	return c.base.JoinPath("workers", url.PathEscape(k.Worker), "tasks")
+	return c.remote.URL("workers", k.Worker, "tasks")
 }
 
 // phase reads the phase of a task from an answer.
@@ -179,26 +163,14 @@
 func (c *Client) do(ctx context.Context, method string, u *url.URL, v any) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var body io.Reader = http.NoBody
+	var body []byte
 	if v != nil {
 		data, err := json.Marshal(v)
 		if err != nil {
 			return 0, nil, ports.ErrWorkers.Wrap(err)
 		}
-		body = io.NopCloser(bytes.NewReader(data))
-	}
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), body)
-	if err != nil {
-		return 0, nil, ports.ErrWorkers.Wrap(err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return 0, nil, ports.ErrWorkers.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return 0, nil, ports.ErrWorkers.Wrap(err)
+		body = data
 	}
-	return resp.StatusCode, answer, nil
+	a, err := c.remote.Do(ctx, method, u, body, nil)
+	return a.Status, a.Body, ports.ErrWorkers.Wrap(err)
 }
--- a/internal/plat/worker/worker_test.go
+++ b/internal/plat/worker/worker_test.go
@@ -14,6 +14,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/fake/local"
 	"chervilgauge.example/chervilgauge/internal/fake/worker"
+	"chervilgauge.example/chervilgauge/internal/plat/remote"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -144,5 +145,5 @@
 		assert.Assert(t, ports.ErrWorkers.Has(err), "%q", body)
 	}
 	_, err = New("workers")
-	assert.Assert(t, ErrBase.Has(err))
+	assert.Assert(t, remote.ErrBase.Has(err))
 }
--- a/internal/serve/admin/admin.go
+++ b/internal/serve/admin/admin.go
@@ -27,8 +27,8 @@
 	Submit(ctx context.Context, r *recpb.Record) (ctrl.Settled, error)
 	View() *ctrl.View
 	MaySend() bool
-	// Hasten asks for fresher reports of what the other entries have applied.
-	Hasten()
+	// GossipFast asks for fresher reports of what the other entries have applied.
+	GossipFast()
 }
 
 // Server is the operators' listener.
--- a/internal/serve/admin/admin_test.go
+++ b/internal/serve/admin/admin_test.go
@@ -38,7 +38,7 @@
 
 func (f *fakeControl) MaySend() bool { return true }
 
-func (f *fakeControl) Hasten() {}
+func (f *fakeControl) GossipFast() {}
 
 // dial serves a Control over gRPC and returns a client.
 func dial(t *testing.T, c Control) opspb.OperatorsClient {
--- a/internal/serve/admin/status.go
+++ b/internal/serve/admin/status.go
@@ -103,7 +103,7 @@
 		if len(lagging) == 0 {
 			return &opspb.WaitReply{Reached: true}, nil
 		}
-		s.control.Hasten()
+		s.control.GossipFast()
 		select {
 		case <-sub.C:
 		case <-ctx.Done():
--- a/internal/serve/claims/claims.go
+++ b/internal/serve/claims/claims.go
@@ -194,16 +194,16 @@
 	}
 	o, ok := s.slices[n]
 	if !ok {
-		o = &opened{slice: openSlice(s.ctx, n, s.Log, s.Clock)}
+		o = &opened{slice: openSlice(s.ctx, n, s.Log, s.Clock, s.Tracer)}
 		s.slices[n] = o
 	}
 	o.used = s.Clock.Now()
 	return o
 }
 
-// Tend opens the slices of which this entry is the claimer, so that they have caught
+// Maintain opens the slices of which this entry is the claimer, so that they have caught
 // up before the first claim, and closes those that are no longer used.
-func (s *Service) Tend() {
+func (s *Service) Maintain() {
 	for n := range claim.Slices {
 		if s.claimers(n)[0].Name == s.Self.Name {
 			s.open(n)
--- a/internal/serve/claims/slice.go
+++ b/internal/serve/claims/slice.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
@@ -40,6 +42,8 @@
 type ask struct {
 	claim *recpb.Claim
 	reply chan result
+	// span is the span of the request that asks.
+	span trace.SpanContext
 }
 
 // result is the verdict of a slice.
@@ -53,6 +57,8 @@
 	name string
 	log  ports.Log
 	clk  clock.Clock
+	// tracer writes a span for each append of claims.
+	tracer trace.Tracer
 
 	asks   chan *ask
 	gone   chan *ask
@@ -72,12 +78,13 @@
 	marked  time.Duration
 }
 
-func openSlice(ctx context.Context, n int, log ports.Log, clk clock.Clock) *slice {
+func openSlice(ctx context.Context, n int, log ports.Log, clk clock.Clock, tracer trace.Tracer) *slice {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &slice{
 		name:    claim.Stream(n),
 		log:     log,
 		clk:     clk,
+		tracer:  tracer,
 		asks:    make(chan *ask),
 		gone:    make(chan *ask),
 		read:    make(chan ports.Batch),
@@ -106,7 +113,7 @@
 
 // claim asks for a verdict and waits for it.
 func (s *slice) claim(ctx context.Context, c *recpb.Claim) (result, bool) {
-	a := &ask{claim: c, reply: make(chan result, 1)}
+	a := &ask{claim: c, reply: make(chan result, 1), span: trace.SpanContextFromContext(ctx)}
 	select {
 	case s.asks <- a:
 	case <-ctx.Done():
@@ -312,6 +319,25 @@
 	s.post(context.Background(), now, nil)
 }
 
+// span starts the span of an append. It belongs to the first request of the batch that is
+// traced, and is linked to the others.
+func (s *slice) span(ctx context.Context, batch []*recpb.Claim) (context.Context, trace.Span) {
+	var links []trace.Link
+	for _, c := range batch {
+		for _, a := range s.waiting[c.GetToken()] {
+			if a.span.IsValid() {
+				links = append(links, trace.Link{SpanContext: a.span})
+			}
+		}
+	}
+	if len(links) == 0 {
+		return ctx, trace.SpanFromContext(context.Background())
+	}
+	ctx = trace.ContextWithRemoteSpanContext(ctx, links[0].SpanContext)
+	return s.tracer.Start(ctx, "log append", trace.WithLinks(links[1:]...),
+		trace.WithAttributes(attribute.String("stream", s.name), attribute.Int("claims", len(batch))))
+}
+
 // posted is the end of an append.
 type posted struct {
 	batch []*recpb.Claim
@@ -338,7 +364,9 @@
 	s.posting = true
 	s.last = now
 	s.marked = now
+	ctx, span := s.span(ctx, batch)
 	go func() {
+		defer span.End()
 		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		_, err := s.log.Append(ctx, s.name, data)
--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -71,8 +71,8 @@
 	until atomic.Int64
 	// linked is when the log was last read to its end.
 	linked atomic.Int64
-	// hasty is the time until which gossip is fast.
-	hasty atomic.Int64
+	// fastUntil is the time until which gossip is fast.
+	fastUntil atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -141,13 +141,13 @@
 	return c.Clock.Now()-time.Duration(c.linked.Load()) < logStale
 }
 
-// Hasten makes gossip fast for a while, because someone waits for what peers report.
-func (c *Core) Hasten() {
-	c.hasty.Store(int64(c.Clock.Now() + hasteTime))
+// GossipFast makes gossip fast for a while, because someone waits for what peers report.
+func (c *Core) GossipFast() {
+	c.fastUntil.Store(int64(c.Clock.Now() + fastTime))
 }
 
-// hasteTime is how long gossip stays fast after Hasten.
-const hasteTime = time.Second
+// fastTime is how long gossip stays fast after GossipFast.
+const fastTime = time.Second
 
 // do runs a function in the control goroutine and waits for it. It reports false if
 // the control goroutine or the context has ended.
--- a/internal/serve/ctrl/gossip.go
+++ b/internal/serve/ctrl/gossip.go
@@ -67,7 +67,7 @@
 func (l *loop) pace(now time.Duration) int {
 	l.rounds++
 	unlinked := now-time.Duration(l.core.linked.Load()) > calmAge
-	if unlinked || int64(now) < l.core.hasty.Load() {
+	if unlinked || int64(now) < l.core.fastUntil.Load() {
 		return fanout
 	}
 	if l.rounds%calmRounds == 0 {
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -142,7 +142,7 @@
 		Scope:    e.meter.Scope(),
 		Tracer:   e.tracer,
 		Centre:   e.cfg.Centre,
-		Short:    e.lends.Hurry,
+		Short:    e.lends.ReportSoon,
 		Leaving:  func(instance string) { e.core.Left(instance) },
 	}, flows.Limits{Queue: e.cfg.Limits.Queue, Claim: e.cfg.Limits.Claim, Waiting: e.cfg.Limits.Waiting})
 	e.control(ctx)
@@ -162,7 +162,7 @@
 	e.gauges = gauge.Start(ctx, e.clk, e.meter.Scope(), e.measure)
 	e.tasks = newTasks(ctx)
 	e.tasks.start(e.join)
-	e.tasks.start(e.tend)
+	e.tasks.start(e.maintain)
 	return e.serve(ctx, ls, operatorTLS, peerTLS)
 }
 
--- a/internal/serve/entry/peers.go
+++ b/internal/serve/entry/peers.go
@@ -43,10 +43,10 @@
 	return h.entry.lends.Answer(a), nil
 }
 
-// Poke makes this entry ask a custodian that has news for it.
-func (h peerHandler) Poke(_ context.Context, a *peerpb.PokeAsk) (*peerpb.PokeReply, error) {
-	h.entry.lends.Poked(a.GetName())
-	return &peerpb.PokeReply{}, nil
+// Notify makes this entry ask a custodian that has news for it.
+func (h peerHandler) Notify(_ context.Context, a *peerpb.NotifyAsk) (*peerpb.NotifyReply, error) {
+	h.entry.lends.Notified(a.GetName())
+	return &peerpb.NotifyReply{}, nil
 }
 
 // Records returns control records or the whole state.
--- a/internal/serve/entry/tasks.go
+++ b/internal/serve/entry/tasks.go
@@ -65,12 +65,12 @@
 	}
 }
 
-// tendInterval is how often claim slices are opened and closed.
-const tendInterval = time.Second
+// maintainInterval is how often claim slices are opened and closed.
+const maintainInterval = time.Second
 
-// tend keeps the claim slices of this entry open, and notices the loss of membership.
-func (e *Entry) tend(ctx context.Context) {
-	sub := e.clk.Subscribe(tendInterval)
+// maintain keeps the claim slices of this entry open, and notices the loss of membership.
+func (e *Entry) maintain(ctx context.Context) {
+	sub := e.clk.Subscribe(maintainInterval)
 	defer sub.Close()
 	joined := false
 	for {
@@ -86,7 +86,7 @@
 		}
 		joined = v.Joined
 		if joined {
-			e.claims.Tend()
+			e.claims.Maintain()
 		}
 	}
 }
--- a/internal/serve/lends/lends.go
+++ b/internal/serve/lends/lends.go
@@ -22,12 +22,12 @@
 	// it within 1 s.
 	interval = 250 * time.Millisecond
 	// askEvery is the number of intervals after which every custodian is asked, also
-	// with nothing to report, in case its poke was lost.
+	// with nothing to report, in case its notice was lost.
 	askEvery = 12
-	// hurryInterval is the least time between reports while requests wait for slots.
-	hurryInterval = 50 * time.Millisecond
-	// maxPokes bounds the pokes that wait to be sent.
-	maxPokes = 64
+	// soonInterval is the least time between reports while requests wait for slots.
+	soonInterval = 50 * time.Millisecond
+	// maxNotices bounds the notices that wait to be sent.
+	maxNotices = 64
 	// askTimeout bounds one exchange with a custodian.
 	askTimeout = 400 * time.Millisecond
 )
@@ -65,11 +65,11 @@
 // is safe for concurrent use.
 type Service struct {
 	Parts
-	engine Engine
-	hurry  chan struct{}
-	pokes  chan string
-	cancel context.CancelFunc
-	done   chan struct{}
+	engine  Engine
+	soon    chan struct{}
+	notices chan string
+	cancel  context.CancelFunc
+	done    chan struct{}
 
 	mu        sync.Mutex
 	holder    *share.Holder
@@ -81,12 +81,12 @@
 	// use must be reported since, and used what was in use last.
 	changed, settling map[string]bool
 	used              map[string]int
-	// news names the custodians that have poked this entry, and poked holds when this
-	// entry has last poked others.
+	// news names the custodians that have notified this entry, and notified holds when this
+	// entry has last notified others.
 	news map[string]bool
 	// asking names the custodians with an ask under way.
-	asking map[string]bool
-	poked  map[string]time.Duration
+	asking   map[string]bool
+	notified map[string]time.Duration
 }
 
 // New returns a service that is idle until Start.
@@ -94,15 +94,15 @@
 	return &Service{
 		Parts:     p,
 		done:      make(chan struct{}),
-		hurry:     make(chan struct{}, 1),
-		pokes:     make(chan string, maxPokes),
+		soon:      make(chan struct{}, 1),
+		notices:   make(chan string, maxNotices),
 		holder:    share.NewHolder(p.Self.Name, p.Self.Incarnation),
 		custodian: share.NewCustodian(p.Self.Name, p.MaxRun),
 		news:      map[string]bool{},
 		changed:   map[string]bool{},
 		settling:  map[string]bool{},
 		asking:    map[string]bool{},
-		poked:     map[string]time.Duration{},
+		notified:  map[string]time.Duration{},
 	}
 }
 
@@ -134,13 +134,13 @@
 		s.changed[name] = true
 	}
 	s.custodian.Epoch(s.Clock.Now(), v, s.slots)
-	s.Hurry()
+	s.ReportSoon()
 }
 
-// Hurry reports demand soon instead of at the next interval.
-func (s *Service) Hurry() {
+// ReportSoon reports demand soon instead of at the next interval.
+func (s *Service) ReportSoon() {
 	select {
-	case s.hurry <- struct{}{}:
+	case s.soon <- struct{}{}:
 	default:
 	}
 }
@@ -153,38 +153,38 @@
 }
 
 // Answer answers another entry's ask as the custodian. Entries for which that made a
-// difference are poked.
+// difference are notified.
 func (s *Service) Answer(a *peerpb.SlotAsk) *peerpb.SlotReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.custodian.Answer(s.Clock.Now(), a)
 	for _, name := range s.custodian.Pending() {
 		if name != a.GetName() {
-			s.poke(name)
+			s.notify(name)
 		}
 	}
 	return r
 }
 
-// poke marks an entry to be told that there is news for it. The caller holds mu.
-func (s *Service) poke(name string) {
+// notify marks an entry to be told that there is news for it. The caller holds mu.
+func (s *Service) notify(name string) {
 	now := s.Clock.Now()
-	if last, ok := s.poked[name]; ok && now-last < hurryInterval {
+	if last, ok := s.notified[name]; ok && now-last < soonInterval {
 		return
 	}
-	s.poked[name] = now
+	s.notified[name] = now
 	select {
-	case s.pokes <- name:
+	case s.notices <- name:
 	default:
 	}
 }
 
-// Poked asks a custodian that has news for this entry.
-func (s *Service) Poked(name string) {
+// Notified asks a custodian that has news for this entry.
+func (s *Service) Notified(name string) {
 	s.mu.Lock()
 	s.news[name] = true
 	s.mu.Unlock()
-	s.Hurry()
+	s.ReportSoon()
 }
 
 func (s *Service) run(ctx context.Context) {
@@ -199,11 +199,11 @@
 		case <-ctx.Done():
 			return
 		case <-sub.C:
-		case <-s.hurry:
-			if s.Clock.Now()-last < hurryInterval {
+		case <-s.soon:
+			if s.Clock.Now()-last < soonInterval {
 				continue
 			}
-		case name := <-s.pokes:
+		case name := <-s.notices:
 			asks.Add(1)
 			go func() {
 				defer asks.Done()
@@ -293,17 +293,17 @@
 	return asks
 }
 
-// tell pokes another entry, or this one.
+// tell notifies another entry, or this one.
 func (s *Service) tell(ctx context.Context, name string) {
 	if name == s.Self.Name {
-		s.Poked(name)
+		s.Notified(name)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	if c, ok := s.Peers.Named(ctx, name); ok {
-		// A lost poke is made up for by the next full round.
-		_, _ = c.Poke(ctx, &peerpb.PokeAsk{Name: s.Self.Name})
+		// A lost notice is made up for by the next full round.
+		_, _ = c.Notify(ctx, &peerpb.NotifyAsk{Name: s.Self.Name})
 	}
 }
 
--- a/internal/serve/plans/jobs.go
+++ b/internal/serve/plans/jobs.go
@@ -119,10 +119,10 @@
 	p.jobs.syncWorkers(now, st)
 	p.syncJobs(now, st)
 	p.jobs.loseSilent(now)
-	p.tend(ctx, now, st)
+	p.maintain(ctx, now, st)
 	p.stopStrays(ctx, now, st)
 	p.choose(now)
-	p.tend(ctx, now, st)
+	p.maintain(ctx, now, st)
 	p.showUnfit(len(p.jobs.unfit))
 }
 
--- a/internal/serve/plans/tasks.go
+++ b/internal/serve/plans/tasks.go
@@ -79,8 +79,8 @@
 	return other
 }
 
-// tend takes every offered, running and dropped job one step further.
-func (p *Planner) tend(ctx context.Context, now time.Duration, st *state.State) {
+// maintain takes every offered, running and dropped job one step further.
+func (p *Planner) maintain(ctx context.Context, now time.Duration, st *state.State) {
 	for _, h := range p.jobs.active {
 		if h.settled > st.Applied() {
 			continue
