--- a/_scripts/test.sh
+++ b/_scripts/test.sh
@@ -1,11 +1,23 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector, except those listed in KNOWN-RED.txt.
+# Runs all tests with the race detector and with a fixed seed for property tests, except
+# the tests listed in KNOWN-RED.txt. Arguments are passed on to go test.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+
 # Each entry starts with the name of a test; every part of the name is matched whole.
 red=$(grep -E '^Test' KNOWN-RED.txt | sed -e 's#/#$/^#g' -e 's#^#^#' -e 's#$#$#' | paste -sd'|' - || true)
-skip=()
+opts=(-race -count=1 -timeout 15m)
 if [ -n "$red" ]; then
-  skip=(-skip "$red")
+  opts+=(-skip "$red")
 fi
-exec go test -race -count=1 -timeout 15m "${skip[@]}" ./... "$@"
+
+# Only the tests of packages that use rapid know its seed flag.
+find='{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{"\n"}}{{end}}'
+uses="{{range .TestImports}}$find{{end}}{{range .XTestImports}}$find{{end}}"
+mapfile -t seeded < <(go list -f "$uses" ./... | grep . | sort -u)
+mapfile -t plain < <(go list ./... | grep -vxF "$(printf '%s\n' "${seeded[@]}")")
+
+status=0
+go test "${opts[@]}" "$@" "${seeded[@]}" -rapid.seed=1 || status=1
+go test "${opts[@]}" "$@" "${plain[@]}" || status=1
+exit "$status"
