Read the log in one place; drop what the reading found to be dead or done twice

The control loop and the claim slices had the same loop that tails a stream, now in serve/follow.

A digest's mark and hash were computed twice, the second time by scanning the kept hashes. A single entry, which has no reports of others, put its whole view into force again four times a second. Three commands repeated the connection to an entry. Two unused accessors are gone.

--- a/cmd/chervilgauge/cmds/change.go
+++ b/cmd/chervilgauge/cmds/change.go
@@ -197,12 +197,7 @@
 	if err != nil || rest[0] != "wait" {
 		return errUsage.New("expected wait VERSION")
 	}
-	c, done, err := t.dial()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel := context.WithTimeout(e.ctx, t.timeout)
-	defer cancel()
-	return inForce(ctx, e, c, version, t.timeout)
+	return t.with(e, func(ctx context.Context, c opspb.OperatorsClient) error {
+		return inForce(ctx, e, c, version, t.timeout)
+	})
 }
--- a/cmd/chervilgauge/cmds/client.go
+++ b/cmd/chervilgauge/cmds/client.go
@@ -95,6 +95,21 @@
 
 // send makes one change and prints its version.
 func (t *target) send(e *env, call func(ctx context.Context, c opspb.OperatorsClient) (*opspb.Change, error)) error {
+	return t.with(e, func(ctx context.Context, c opspb.OperatorsClient) error {
+		change, err := call(ctx, c)
+		if err != nil {
+			return explain(err)
+		}
+		say(e.out, "accepted as version %d (change %s)\n", change.GetVersion(), change.GetChange())
+		if !t.wait {
+			return nil
+		}
+		return inForce(ctx, e, c, change.GetVersion(), t.timeout)
+	})
+}
+
+// with runs a function with a client of the entry, within the timeout.
+func (t *target) with(e *env, f func(ctx context.Context, c opspb.OperatorsClient) error) error {
 	c, done, err := t.dial()
 	if err != nil {
 		return err
@@ -102,15 +117,7 @@
 	defer done()
 	ctx, cancel := context.WithTimeout(e.ctx, t.timeout)
 	defer cancel()
-	change, err := call(ctx, c)
-	if err != nil {
-		return explain(err)
-	}
-	say(e.out, "accepted as version %d (change %s)\n", change.GetVersion(), change.GetChange())
-	if !t.wait {
-		return nil
-	}
-	return inForce(ctx, e, c, change.GetVersion(), t.timeout)
+	return f(ctx, c)
 }
 
 // inForce waits until every entry has applied a version.
--- a/cmd/chervilgauge/cmds/status.go
+++ b/cmd/chervilgauge/cmds/status.go
@@ -18,22 +18,17 @@
 	if _, err := parse(fs, args, 0); err != nil {
 		return err
 	}
-	c, done, err := t.dial()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel := context.WithTimeout(e.ctx, t.timeout)
-	defer cancel()
-	r, err := c.Status(ctx, &opspb.StatusAsk{Pool: *pool})
-	if err != nil {
-		return explain(err)
-	}
-	if *asJSON {
-		say(e.out, "%s\n", protojson.Format(r))
-		return nil
-	}
-	return table(e, r)
+	return t.with(e, func(ctx context.Context, c opspb.OperatorsClient) error {
+		r, err := c.Status(ctx, &opspb.StatusAsk{Pool: *pool})
+		if err != nil {
+			return explain(err)
+		}
+		if *asJSON {
+			say(e.out, "%s\n", protojson.Format(r))
+			return nil
+		}
+		return table(e, r)
+	})
 }
 
 // table prints the state in columns.
--- a/internal/flow/admit/admit.go
+++ b/internal/flow/admit/admit.go
@@ -144,11 +144,6 @@
 	}
 }
 
-// Pushed returns when the ticket entered the queue.
-func (t *Ticket) Pushed() time.Duration {
-	return t.pushed
-}
-
 // Expiry returns when the ticket is dropped if it still waits.
 func (t *Ticket) Expiry() time.Duration {
 	return t.expiry
--- a/internal/flow/admit/counts.go
+++ b/internal/flow/admit/counts.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"time"
 )
 
 // Counts are the counters of a service. Waiting and Running are present values, the others
@@ -46,8 +45,3 @@
 		}
 	}
 }
-
-// RunTime returns the run time that the queue expects of a service.
-func (q *Queue) RunTime(service string) time.Duration {
-	return duration(q.service(service).run.mean)
-}
--- a/internal/serve/claims/slice.go
+++ b/internal/serve/claims/slice.go
@@ -12,6 +12,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/flow/claim"
+	"chervilgauge.example/chervilgauge/internal/serve/follow"
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
 )
 
@@ -25,10 +26,6 @@
 	maxBatch = 512
 	// readWait is the longest wait of a read for new records.
 	readWait = time.Second
-	// readLimit bounds the records of one read.
-	readLimit = 1024
-	// retryPause is the pause after the log could not be read.
-	retryPause = 100 * time.Millisecond
 	// markInterval is how often a claimer appends an empty batch, so that the age of
 	// the first retained record of an idle stream shows how long records are retained.
 	markInterval = 2 * time.Minute
@@ -63,7 +60,6 @@
 	asks   chan *ask
 	gone   chan *ask
 	read   chan ports.Batch
-	lost   chan uint64
 	posted chan posted
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -88,7 +84,6 @@
 		asks:    make(chan *ask),
 		gone:    make(chan *ask),
 		read:    make(chan ports.Batch),
-		lost:    make(chan uint64),
 		posted:  make(chan posted, 1),
 		cancel:  cancel,
 		done:    make(chan struct{}),
@@ -99,7 +94,11 @@
 	tail.Add(1)
 	go func() {
 		defer tail.Done()
-		s.tail(ctx)
+		follow.Run(ctx, follow.Stream{
+			Log: log, Clock: clk, Name: s.name, Wait: readWait,
+			Next: func() uint64 { return 1 },
+			Give: func(b ports.Batch, _ time.Duration) { s.hand(ctx, b) },
+		})
 	}()
 	go s.run(ctx, &tail)
 	return s
@@ -152,8 +151,6 @@
 			s.drop(a)
 		case b := <-s.read:
 			s.fold(b)
-		case first := <-s.lost:
-			s.index.Cut(first, 0, s.wall())
 		case p := <-s.posted:
 			s.ended(p)
 		case <-sub.C:
@@ -207,8 +204,21 @@
 	s.waiting[token] = rest
 }
 
-// fold applies records that were read and answers the asks that they decide.
+// hand gives a batch to the slice's goroutine.
+func (s *slice) hand(ctx context.Context, b ports.Batch) {
+	select {
+	case s.read <- b:
+	case <-ctx.Done():
+	}
+}
+
+// fold applies records that were read and answers the asks that they decide. If there
+// are none, and records before the read are no longer retained, nothing shows for how
+// long records are retained.
 func (s *slice) fold(b ports.Batch) {
+	if len(b.Items) == 0 {
+		s.index.Cut(b.First, 0, s.wall())
+	}
 	for _, item := range b.Items {
 		r := &recpb.Claims{}
 		// A record that can't be decoded claims nothing, for every reader alike.
--- a/internal/serve/ctrl/ctrl.go
+++ b/internal/serve/ctrl/ctrl.go
@@ -16,12 +16,17 @@
 	"chervilgauge.example/chervilgauge/internal/core/ports"
 	"chervilgauge.example/chervilgauge/internal/fleet/state"
 	"chervilgauge.example/chervilgauge/internal/flow/share"
+	"chervilgauge.example/chervilgauge/internal/serve/follow"
 	"chervilgauge.example/chervilgauge/internal/wire/peerpb"
 )
 
 // Stream is the name of the control stream.
 const Stream = "control"
 
+// readWait is the longest wait of a read. A read confirms the view as of its start, so
+// the wait must be well below the view lease of 2 s.
+const readWait = 500 * time.Millisecond
+
 // Peers reaches other entries.
 type Peers interface {
 	To(ctx context.Context, addr string) peerpb.DRPCPeerClient
@@ -99,11 +104,25 @@
 	c.view.Store(&View{State: state.New()})
 	c.linked.Store(int64(never))
 	l := newLoop(c)
-	c.goroutine(func() { c.tail(ctx) })
+	c.goroutine(func() {
+		follow.Run(ctx, follow.Stream{
+			Log: p.Log, Clock: p.Clock, Name: Stream, Wait: readWait,
+			Next: func() uint64 { return c.View().State.Applied() + 1 },
+			Give: func(b ports.Batch, issued time.Duration) { c.give(ctx, read{b, issued}) },
+		})
+	})
 	go l.run(ctx)
 	return c
 }
 
+// give hands a batch to the control goroutine.
+func (c *Core) give(ctx context.Context, r read) {
+	select {
+	case c.reads <- r:
+	case <-ctx.Done():
+	}
+}
+
 // Close ends the control goroutine and waits for it and for what it has started.
 func (c *Core) Close() {
 	c.cancel()
--- a/internal/serve/ctrl/gossip.go
+++ b/internal/serve/ctrl/gossip.go
@@ -53,7 +53,7 @@
 // publishLive publishes a new view if the live members have changed.
 func (l *loop) publishLive() {
 	old := l.core.View()
-	if !slices.Equal(old.Live, l.live()) || len(old.Applied) == 0 {
+	if !slices.Equal(old.Live, l.live()) {
 		l.publish()
 		return
 	}
@@ -136,10 +136,8 @@
 func (l *loop) digest() *peerpb.Digest {
 	now := l.core.Clock.Now()
 	d := l.members.Digest(now)
-	// The newest mark is an offset whose hash is kept for the comparison.
 	d.Linked = l.core.Linked()
 	d.Ready = l.joined() && now < l.lease()
-	d.Mark, d.Hash = l.marks.newest()
 	for name := range l.leaving {
 		d.Leaving = append(d.Leaving, name)
 	}
--- a/internal/serve/ctrl/recent.go
+++ b/internal/serve/ctrl/recent.go
@@ -52,13 +52,6 @@
 	delete(h, oldest)
 }
 
-func (h hashes) newest() (offset, hash uint64) {
-	for o := range h {
-		offset = max(offset, o)
-	}
-	return offset, h[offset]
-}
-
 // meters are the counters of the control goroutine.
 type meters struct {
 	records, badSnapshots, stateDiffers tally.Counter
