--- a/_scripts/generate.sh
+++ b/_scripts/generate.sh
@@ -12,4 +12,5 @@
 gen "$(template "$(plugin protoc-gen-go)")" proto/record.proto
 gen "$(template "$(plugin protoc-gen-go)" "$(plugin protoc-gen-go-grpc)")" proto/operator.proto
 gen "$(template "$(plugin protoc-gen-go)" "$(plugin protoc-gen-go-drpc)")" proto/peer.proto
+gen "$(template "$(plugin protoc-gen-go)" "$(plugin protoc-gen-go-drpc)")" proto/work.proto
 _scripts/schemasum.sh > internal/wire/schema.sha256
--- /dev/null
+++ b/cmd/chervilgauge/cmds/agent.go
@@ -0,0 +1,47 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"chervilgauge.example/chervilgauge/internal/serve/agent"
+	"chervilgauge.example/chervilgauge/internal/watch/logs"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// agentGC is the collector's pace for an entry on the operators' platform, in percent.
+// Memory is priced there, and its heap is a few MB.
+const agentGC = 100
+
+// runAgent runs an entry on the operators' platform until SIGTERM.
+func runAgent(e *env, fs *flag.FlagSet, args []string) error {
+	if _, err := parse(fs, args, 0); err != nil {
+		return err
+	}
+	set, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(agentGC)
+	sink := logs.NewSink(e.out)
+	defer sink.Close()
+	log := logs.New(sink, "", set.Node)
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	a, err := agent.Start(context.WithoutCancel(e.ctx), set, log)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-hup:
+			log.Info().Msg("settings are read again")
+		case <-e.ctx.Done():
+			return a.Close()
+		}
+	}
+}
--- a/cmd/chervilgauge/cmds/cmds.go
+++ b/cmd/chervilgauge/cmds/cmds.go
@@ -48,6 +48,7 @@
 
 func commands() []command {
 	return []command{
+		{"agent", "", "run an entry on the operators' platform, with the settings that it hands over", runAgent},
 		{"serve", "FILE", "run an entry instance with the settings in FILE", runServe},
 		{"check", "FILE", "check a settings file", runCheck},
 		{"pool", "put|delete NAME", "change a pool", runPool},
--- a/cmd/chervilgauge/cmds/platform.go
+++ b/cmd/chervilgauge/cmds/fakes.go
@@ -23,8 +23,8 @@
 	rebootTime   = 5000
 )
 
-// platform is a log, an instance list and endpoints in one process.
-type platform struct {
+// fakes is a log, an instance list and endpoints in one process.
+type fakes struct {
 	host     string
 	port     int
 	count    int
@@ -34,12 +34,12 @@
 }
 
 // addr returns the address of a port counted from that of the log.
-func (p platform) addr(offset int) string {
+func (p fakes) addr(offset int) string {
 	return net.JoinHostPort(p.host, strconv.Itoa(p.port+offset))
 }
 
 // serve runs the fakes until a signal. It returns a local.ErrListen.
-func (p platform) serve(e *env) error {
+func (p fakes) serve(e *env) error {
 	if p.count > maxEndpoints {
 		return errUsage.New("-endpoints must not be above %d", maxEndpoints)
 	}
@@ -83,7 +83,7 @@
 	return nil
 }
 
-func (p platform) endpoint(n int) *endpt.Endpoint {
+func (p fakes) endpoint(n int) *endpt.Endpoint {
 	opts := []endpt.Option{
 		endpt.WithAddr(p.addr(endpointPort + n)),
 		endpt.WithControl(p.addr(controlPort + n)),
@@ -97,7 +97,7 @@
 }
 
 // show prints the addresses as JSON.
-func (p platform) show(e *env, logURL, listURL string, endpoints map[string]*endpt.Endpoint) error {
+func (p fakes) show(e *env, logURL, listURL string, endpoints map[string]*endpt.Endpoint) error {
 	type addresses struct {
 		Addr    string `json:"addr"`
 		Control string `json:"control"`
--- a/cmd/chervilgauge/cmds/standin.go
+++ b/cmd/chervilgauge/cmds/standin.go
@@ -35,7 +35,7 @@
 	case "list":
 		return standinList(e, *addr, split(*instances), split(*controls))
 	case "all":
-		p := platform{host: "127.0.0.1", port: *port, count: *count, slots: *slots, services: split(*services), run: *run}
+		p := fakes{host: "127.0.0.1", port: *port, count: *count, slots: *slots, services: split(*services), run: *run}
 		return p.serve(e)
 	case "endpoint":
 		return standinEndpoint(e, *addr, split(*services), *slots, *run)
--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -2,7 +2,11 @@
 // to, with a system version and a fake version for tests.
 package clock
 
-import "time"
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // Clock tells the time and delivers ticks.
 type Clock interface {
@@ -30,13 +34,33 @@
 // System is the Clock of the operating system.
 type System struct {
 	start time.Time
+	// boot is the start in time since the boot, 0 for a clock that stands still while
+	// the machine is suspended.
+	boot time.Duration
 }
 
 // NewSystem returns a system clock whose monotonic time starts at zero.
 func NewSystem() *System { return &System{start: time.Now()} }
 
-// Now returns the monotonic time since NewSystem.
-func (s *System) Now() time.Duration { return time.Since(s.start) }
+// NewBoot returns a system clock that goes on while the machine is suspended, as leases
+// held by other machines do.
+func NewBoot() *System { return &System{start: time.Now(), boot: sinceBoot()} }
+
+// sinceBoot returns the time since the boot, including suspensions.
+func sinceBoot() time.Duration {
+	var ts unix.Timespec
+	// The call fails only for a clock that the system does not know.
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return time.Duration(ts.Nano())
+}
+
+// Now returns the monotonic time since NewSystem or NewBoot.
+func (s *System) Now() time.Duration {
+	if s.boot != 0 {
+		return sinceBoot() - s.boot
+	}
+	return time.Since(s.start)
+}
 
 // Wall returns the wall-clock time.
 func (s *System) Wall() time.Time { return time.Now() }
--- /dev/null
+++ b/internal/jobs/assign/assign.go
@@ -0,0 +1,285 @@
+// Package assign decides which waiting task starts on which executor. It answers the
+// load of queues that in turn ask several times what their pool holds: work that can
+// still meet its objective goes before work that is late, and begun jobs before new
+// ones.
+package assign
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/internal/jobs/crew"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+)
+
+// Start is one task to start. Members of a gang share an attempt above 0.
+type Start struct {
+	Task    *book.Task
+	Member  *crew.Member
+	Attempt int
+}
+
+// class is the order in which kinds of work get room.
+type class uint8
+
+const (
+	// lasting work earns all the time that it is at work.
+	lasting class = iota
+	// timely jobs can still meet their objective.
+	timely
+	// late jobs can't.
+	late
+)
+
+// rank is the place of a job in the order of its service.
+type rank struct {
+	job      *book.Job
+	class    class
+	priority int
+	begun    bool
+	// laxity is how long the job can wait and meet its objective.
+	laxity time.Duration
+}
+
+// Chain returns the estimated time of the longest chain of steps that are not done.
+func Chain(o *book.Occurrence) time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(o.Steps))
+	for i, s := range o.Steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if s.Left > 0 && !s.Lasts {
+			ends[i] += s.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// total returns the estimated time of the longest chain of all steps.
+func total(o *book.Occurrence) time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(o.Steps))
+	for i, s := range o.Steps {
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Deadline returns when an occurrence is late, in Unix time.
+func Deadline(o *book.Occurrence, q *model.Queue) time.Duration {
+	from := o.Job.Accepted
+	if o.Due > 0 {
+		from = o.Due
+	}
+	return from + time.Duration(q.Slack*float64(total(o))) + q.Objective
+}
+
+func rankOf(j *book.Job, q *model.Queue, wall time.Duration) rank {
+	r := rank{job: j, class: late, priority: q.Priority, begun: j.HasBegun()}
+	if j.Work.Lasts() {
+		r.class = lasting
+		r.laxity = j.Accepted
+		return r
+	}
+	for i, o := range j.Open {
+		lax := Deadline(o, q) - wall - Chain(o)
+		if i == 0 || lax < r.laxity {
+			r.laxity = lax
+		}
+	}
+	if r.laxity >= 0 {
+		r.class = timely
+	}
+	return r
+}
+
+func compare(a, b rank) int {
+	if c := cmp.Compare(a.class, b.class); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.priority, b.priority); c != 0 {
+		return c
+	}
+	if a.begun != b.begun {
+		if a.begun {
+			return -1
+		}
+		return 1
+	}
+	if a.class == late {
+		// The ones that became late last are the most likely to be worth something.
+		return cmp.Compare(b.laxity, a.laxity)
+	}
+	return cmp.Compare(a.laxity, b.laxity)
+}
+
+// Plan returns the tasks of a service's jobs to start now, best first, at most limit.
+// rules returns the settings of a job's queue.
+func Plan(jobs []*book.Job, members []*crew.Member, rules func(*book.Job) *model.Queue, now, wall time.Duration, limit int) []Start {
+	ranks := make([]rank, 0, len(jobs))
+	for _, j := range jobs {
+		ranks = append(ranks, rankOf(j, rules(j), wall))
+	}
+	slices.SortFunc(ranks, compare)
+	p := plan{now: now, limit: limit}
+	for _, m := range members {
+		if m.Takes(now) {
+			p.slots = append(p.slots, &slot{m: m, free: m.Free()})
+		}
+	}
+	for _, r := range ranks {
+		for _, o := range r.job.Open {
+			for _, s := range o.Steps {
+				if len(p.out) >= limit || len(p.slots) == 0 {
+					return p.out
+				}
+				if s.IsReady() {
+					p.step(s)
+				}
+			}
+		}
+	}
+	return p.out
+}
+
+// slot is an executor with the room that the plan has left.
+type slot struct {
+	m    *crew.Member
+	free model.Amount
+}
+
+type plan struct {
+	now   time.Duration
+	limit int
+	slots []*slot
+	out   []Start
+}
+
+// step places the waiting tasks of a step as far as there is room.
+func (p *plan) step(s *book.Step) {
+	if s.Gang {
+		p.gang(s)
+		return
+	}
+	var on map[string]int
+	if s.Spread > 0 {
+		on = spread(s)
+	}
+	for _, t := range s.Tasks {
+		if !t.IsWaiting() || p.now < t.NotBefore {
+			continue
+		}
+		if len(p.out) >= p.limit {
+			return
+		}
+		sl := p.best(s, t, on)
+		if sl == nil {
+			if len(t.Shunned) == 0 {
+				// The other tasks of the step need as much.
+				return
+			}
+			continue
+		}
+		p.place(sl, s, t, on, 0)
+	}
+}
+
+func (p *plan) place(sl *slot, s *book.Step, t *book.Task, on map[string]int, attempt int) {
+	sl.free = sl.free.Minus(s.Room())
+	if on != nil {
+		on[sl.m.Key]++
+	}
+	p.out = append(p.out, Start{t, sl.m, attempt})
+}
+
+// gang places all members of a gang or none.
+func (p *plan) gang(s *book.Step) {
+	attempt := 0
+	for _, t := range s.Tasks {
+		if !t.IsWaiting() || p.now < t.NotBefore {
+			return
+		}
+		attempt = max(attempt, t.Attempt)
+	}
+	if len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
+		return
+	}
+	saved := make([]model.Amount, len(p.slots))
+	for i, sl := range p.slots {
+		saved[i] = sl.free
+	}
+	n := len(p.out)
+	on := spread(s)
+	for _, t := range s.Tasks {
+		sl := p.best(s, t, on)
+		if sl == nil {
+			p.out = p.out[:n]
+			for i, sl := range p.slots {
+				sl.free = saved[i]
+			}
+			return
+		}
+		p.place(sl, s, t, on, attempt+1)
+	}
+}
+
+// spread counts the tasks of a step on each executor.
+func spread(s *book.Step) map[string]int {
+	on := map[string]int{}
+	for _, t := range s.Tasks {
+		for _, r := range t.Runs {
+			on[r.Executor]++
+		}
+	}
+	return on
+}
+
+// Weights of an executor's choice, as shares of its free room after the start.
+const (
+	// farWeight is what another rack than the data's costs: such a run takes 1.5 times
+	// as long, which is worse than any packing.
+	farWeight = 10.0
+	// shunWeight keeps a task away from where it failed, unless nothing else is left.
+	shunWeight = 100.0
+	// slowWeight is for each multiple of the usual run time.
+	slowWeight = 2.0
+)
+
+// best returns the executor for a task, or nil if there is no room.
+func (p *plan) best(s *book.Step, t *book.Task, on map[string]int) *slot {
+	var best *slot
+	var least float64
+	need := s.Room()
+	for _, sl := range p.slots {
+		if !need.Within(sl.free) || !sl.m.HasLabel(s.Label) {
+			continue
+		}
+		if s.Spread > 0 && on[sl.m.Key] >= s.Spread {
+			continue
+		}
+		cost := sl.free.Minus(need).Share(sl.m.Capacity)
+		if s.Lasts {
+			// Work that serves shares what its room does not show, so it is spread.
+			cost = -cost
+		}
+		if s.Rack != "" && s.Rack != sl.m.Rack {
+			cost += farWeight
+		}
+		if slices.Contains(t.Shunned, sl.m.Key) {
+			cost += shunWeight
+		}
+		cost += slowWeight * max(sl.m.Slow-1, 0)
+		if best == nil || cost < least {
+			best, least = sl, cost
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/jobs/tenure/tenure.go
@@ -0,0 +1,88 @@
+// Package tenure decides when an entry claims the leadership, and how long a leader may
+// act. The store's log of claims decides between entries that claim at the same time;
+// the token of a claim fences earlier leaders at executors and in the store.
+package tenure
+
+import "time"
+
+const (
+	// RenewEvery is the time between renewals. Two of them fit into Silence with the
+	// store's answer time of some milliseconds.
+	RenewEvery = 500 * time.Millisecond
+	// Silence is how long the log of claims stands still before another entry claims.
+	// A false claim costs one read of all jobs and one call to each executor.
+	Silence = 1500 * time.Millisecond
+	// Valid is how long a leader acts after a renewal that succeeded, measured from
+	// when it was sent. Outages of the store last some seconds; a new leader waits for
+	// it only for executors that it can't reach.
+	Valid = 6 * time.Second
+	// HoldFor is the lease of all that runs on an executor. It outlasts a change of the
+	// leader after a loss of power: Silence, the claim and the first calls.
+	HoldFor = 4 * time.Second
+	// ClockDrift is how much slower the steady clock of an executor may be.
+	ClockDrift = 0.02
+	// Step is the time between claims of entries with another place in the order.
+	Step = 60 * time.Millisecond
+	// Spread is how far the claims of entries of the same place lie apart.
+	Spread = 50 * time.Millisecond
+)
+
+// View is what an entry knows of the present leader.
+type View struct {
+	// Moved is when the log of claims was last seen to grow, and Read when it was last
+	// read with success. Both are times of the entry's clock.
+	Moved, Read time.Duration
+	// Resigned says that the last record is a resignation.
+	Resigned bool
+	// Ended says that the leader's process is gone: its address refuses connections.
+	Ended bool
+	// Empty says that nobody ever claimed.
+	Empty bool
+}
+
+// Delay returns how long an entry waits before it claims, so that larger instances
+// lead. place is 0 for the largest; draw is a random number in [0, 1).
+func Delay(place int, draw float64) time.Duration {
+	return time.Duration(place)*Step + time.Duration(draw*float64(Spread))
+}
+
+// endedAfter is how long the log stands still before an entry claims whose leader's
+// process is gone. The process may be another one's that was started at the address.
+const endedAfter = RenewEvery + 150*time.Millisecond
+
+// MayClaim says whether an entry should claim now, delay after the first moment at
+// which any entry may.
+func MayClaim(v View, now, delay time.Duration) bool {
+	still := now - v.Moved - delay
+	switch {
+	case v.Empty, v.Resigned:
+		return still >= 0
+	case v.Ended:
+		return still >= endedAfter
+	}
+	return still >= Silence
+}
+
+// IsValid says whether a leader may act that sent its last successful renewal at sent.
+func IsValid(sent, now time.Duration) bool { return now < sent+Valid }
+
+// Settled returns when all that an earlier leader had started on an executor that can't
+// be reached has ended, for a leader that claimed at claimed.
+func Settled(claimed time.Duration) time.Duration {
+	return claimed + Valid + time.Duration(float64(HoldFor)*(1+2*ClockDrift)) + 100*time.Millisecond
+}
+
+// LeaseEnd returns the latest local time at which the lease of an executor ends, whose
+// clock showed clock in an answer that arrived at got.
+func LeaseEnd(got, clock, deadline time.Duration) time.Duration {
+	return got + time.Duration(float64(deadline-clock)*(1+2*ClockDrift)) + 50*time.Millisecond
+}
+
+// fenceBits is how many orders to void unanswered starts a token has room for.
+const fenceBits = 16
+
+// Fence returns the fencing token for an executor: it is above that of every earlier
+// leader, and rises with each time that unanswered orders are voided.
+func Fence(token uint64, voided int) uint64 {
+	return token<<fenceBits + uint64(min(voided, 1<<fenceBits-1))
+}
--- /dev/null
+++ b/internal/serve/agent/agent.go
@@ -0,0 +1,199 @@
+// Package agent runs one entry on the operators' platform: it serves callers, takes
+// part in the choice of the leader, and leads when it is chosen.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/serve/front"
+	"chervilgauge.example/chervilgauge/internal/serve/lead"
+	"chervilgauge.example/chervilgauge/internal/serve/leader"
+	"chervilgauge.example/chervilgauge/internal/serve/orders"
+	"chervilgauge.example/chervilgauge/internal/serve/peers"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// Err is the class of failures to start or stop an entry.
+var Err = errs.Class("entry")
+
+const (
+	// largeCores is the share of a core from which an instance is a preferred leader: a
+	// leader of 350 executors needs about half a core.
+	largeCores = 0.7
+	// leaveLag is how long new connections are served after the start of a stop: the
+	// platform asks each second whether the entry is ready, and needs two answers.
+	leaveLag = 2500 * time.Millisecond
+	// stopSlack is kept of the grace time for the end of the process.
+	stopSlack = 500 * time.Millisecond
+	// resignLimit bounds the wait for a successor.
+	resignLimit = 1200 * time.Millisecond
+)
+
+// Agent is a running entry.
+type Agent struct {
+	set      platform.Settings
+	log      zerolog.Logger
+	clk      clock.Clock
+	client   *platform.Client
+	peers    *relay.Client
+	orders   *orders.Orders
+	elector  *lead.Elector
+	relay    *peers.Server
+	front    *front.Server
+	ready    *http.Server
+	readyEnd chan error
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	leader   *leader.Leader
+	digest   relay.Digest
+	digestAt time.Duration
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Start starts an entry. It returns an Err.
+func Start(ctx context.Context, set platform.Settings, log zerolog.Logger) (*Agent, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	a := &Agent{
+		set: set, log: log, clk: clock.NewBoot(), client: platform.NewClient(set), peers: relay.NewClient(),
+		cancel: cancel, done: make(chan struct{}), readyEnd: make(chan error, 1),
+	}
+	addr := net.JoinHostPort(set.IP, strconv.Itoa(set.Peers.First))
+	var ls [3]net.Listener
+	for i, at := range []string{set.Front, set.Ready, addr} {
+		lis, err := net.Listen("tcp", at)
+		if err != nil {
+			cancel()
+			return nil, Err.Wrap(err)
+		}
+		ls[i] = lis
+	}
+	a.orders = orders.Start(ctx, a.client, a.clk, log)
+	place := 1
+	if set.Cores >= largeCores {
+		place = 0
+	}
+	a.elector = lead.Start(ctx, a.client, a.peers, a.clk, log, lead.Self{Name: set.Node, Addr: addr, Place: place}, a.version, a.heard)
+	var err error
+	if a.relay, err = relay.Serve(ctx, ls[2], (*desk)(a)); err != nil {
+		cancel()
+		return nil, Err.Wrap(err)
+	}
+	a.front = front.Serve(ls[0], a, log)
+	a.ready = &http.Server{Handler: http.HandlerFunc(a.readyz), ReadHeaderTimeout: time.Second}
+	go func() { a.readyEnd <- a.ready.Serve(ls[1]) }()
+	go a.run(ctx)
+	log.Info().Str("front", set.Front).Str("peers", addr).Float64("cores", set.Cores).Int64("memory", set.Memory).Msg("entry starts")
+	return a, nil
+}
+
+func (a *Agent) version() int64 {
+	if c := a.orders.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// heard takes over a digest of the leader.
+func (a *Agent) heard(d relay.Digest) {
+	if len(d.Config) > 0 {
+		if err := a.orders.Put(d.Config); err != nil {
+			a.log.Error().Err(err).Msg("configuration of the leader can't be read")
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.digest, a.digestAt = d, a.clk.Now()
+}
+
+func (a *Agent) readyz(w http.ResponseWriter, _ *http.Request) {
+	if a.stopping.Load() || a.orders.Config() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// run starts and ends leading as the seat changes.
+func (a *Agent) run(ctx context.Context) {
+	defer close(a.done)
+	for {
+		seat := a.elector.Seat()
+		a.mu.Lock()
+		l := a.leader
+		a.mu.Unlock()
+		switch {
+		case seat.Mine && l == nil:
+			l = leader.Start(ctx, leader.Parts{
+				Client: a.client, Settings: a.set, Orders: a.orders, Clock: a.clk, Log: a.log, Renewed: a.elector.Renewed,
+			}, seat.Token)
+			a.setLeader(l)
+		case !seat.Mine && l != nil:
+			a.setLeader(nil)
+			l.Close()
+		}
+		select {
+		case <-a.elector.Changed():
+		case <-ctx.Done():
+			a.mu.Lock()
+			l := a.leader
+			a.leader = nil
+			a.mu.Unlock()
+			if l != nil {
+				l.Close()
+			}
+			return
+		}
+	}
+}
+
+func (a *Agent) setLeader(l *leader.Leader) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leader = l
+}
+
+// leads returns the leader if it is this entry, or nil.
+func (a *Agent) leads() *leader.Leader {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leader
+}
+
+// Close stops the entry: it is not ready any more, hands the leadership over, answers
+// what is in flight and ends. It returns an Err.
+func (a *Agent) Close() error {
+	a.log.Info().Bool("leads", a.leads() != nil).Msg("entry stops")
+	begin := a.clk.Now()
+	a.stopping.Store(true)
+	a.elector.Resign()
+	a.front.KeepAlive(false)
+	lag := a.clk.After(leaveLag)
+	<-lag.C
+	lag.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), a.set.Bounds.Grace-stopSlack-(a.clk.Now()-begin))
+	defer cancel()
+	err := a.front.Close(ctx)
+	a.cancel()
+	<-a.done
+	a.elector.Close()
+	a.orders.Close()
+	err = errs.Combine(err, a.relay.Close(), a.ready.Close(), a.peers.Close())
+	<-a.readyEnd
+	a.client.Close()
+	a.log.Info().Err(err).Dur("took", a.clk.Now()-begin).Msg("entry has stopped")
+	return Err.Wrap(err)
+}
--- /dev/null
+++ b/internal/serve/agent/route.go
@@ -0,0 +1,202 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/serve/leader"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+const (
+	// relayTimeout bounds a call to the leader. It stores within some 30 ms, or 500 ms
+	// while the store is slow.
+	relayTimeout = 900 * time.Millisecond
+	// queryTimeout bounds a question to the leader, which answers from memory.
+	queryTimeout = 400 * time.Millisecond
+	// retryPause is the time between questions while nobody leads.
+	retryPause = 60 * time.Millisecond
+	// loneTimeout bounds an append of an entry without a leader.
+	loneTimeout = 700 * time.Millisecond
+	// comeBack is when a caller may try again after a refusal.
+	comeBack = 1 * time.Second
+	// freshFor is how old the number of pending jobs may be.
+	freshFor = 2 * time.Second
+)
+
+// Config returns the configuration in force.
+func (a *Agent) Config() *model.Config { return a.orders.Config() }
+
+// Submit has a job stored by the leader, or stores it itself if nobody leads.
+func (a *Agent) Submit(ctx context.Context, s relay.Submission, q *model.Queue) relay.Answer {
+	ans, err := a.toLeader(ctx, s)
+	if err == nil && ans.Verdict != relay.Elsewhere && ans.Verdict != relay.Unsure {
+		return ans
+	}
+	if ctx.Err() != nil {
+		return relay.Answer{Verdict: relay.Unsure, Cause: "the leader did not answer in time"}
+	}
+	a.log.Info().Err(err).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
+	wall := time.Duration(a.clk.Wall().UnixNano())
+	return a.lone(ctx, book.LoneEntry(s.ID, *q, s.Body, wall), err == nil && ans.Verdict == relay.Elsewhere)
+}
+
+func (a *Agent) toLeader(ctx context.Context, s relay.Submission) (relay.Answer, error) {
+	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	if l := a.leads(); l != nil {
+		return l.Submit(call, s), nil
+	}
+	seat := a.elector.Seat()
+	if seat.Addr == "" || seat.Mine {
+		return relay.Answer{Verdict: relay.Elsewhere}, nil
+	}
+	return a.peers.Submit(call, seat.Addr, s)
+}
+
+// lone stores a record. notRun says that nothing was stored for the request before.
+func (a *Agent) lone(ctx context.Context, e book.Entry, notRun bool) relay.Answer {
+	call, cancel := context.WithTimeout(ctx, loneTimeout)
+	defer cancel()
+	_, _, err := a.client.Append(call, platform.Append{
+		Topic: leader.Topic, Records: [][]byte{platform.KeyedRecord(e.Key, e.Value)}, At: -1,
+	})
+	refused := (*platform.RefusedError)(nil)
+	switch {
+	case err == nil:
+		return relay.Answer{Verdict: relay.Taken}
+	case errors.As(err, &refused) && notRun:
+		return relay.Answer{Verdict: relay.Refused, After: comeBack, Cause: "store: " + err.Error()}
+	}
+	return relay.Answer{Verdict: relay.Unsure, Cause: "store: " + err.Error()}
+}
+
+// Query asks the leader for a job's state until the caller's time is up.
+func (a *Agent) Query(ctx context.Context, id string) (model.State, bool) {
+	for {
+		if s, ok := a.queryOnce(ctx, id); ok {
+			return s, true
+		}
+		p := a.clk.After(retryPause)
+		select {
+		case <-p.C:
+			p.Close()
+		case <-ctx.Done():
+			p.Close()
+			return model.Unknown, false
+		}
+	}
+}
+
+func (a *Agent) queryOnce(ctx context.Context, id string) (model.State, bool) {
+	call, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	if l := a.leads(); l != nil {
+		return l.Query(call, id)
+	}
+	seat := a.elector.Seat()
+	if seat.Addr == "" || seat.Mine {
+		return model.Unknown, false
+	}
+	s, ok, err := a.peers.Query(call, seat.Addr, id)
+	if err != nil {
+		a.log.Debug().Err(err).Str("job", id).Msg("leader did not answer")
+	}
+	return s, ok && err == nil
+}
+
+// Cancel has a cancel stored by the leader, or stores it itself if nobody leads.
+func (a *Agent) Cancel(ctx context.Context, id string) relay.Verdict {
+	v, err := a.cancelAtLeader(ctx, id)
+	if err == nil && v != relay.Elsewhere && v != relay.Unsure {
+		return v
+	}
+	if ctx.Err() != nil {
+		return relay.Unsure
+	}
+	a.log.Info().Err(err).Str("job", id).Msg("cancel is stored without the leader")
+	wall := time.Duration(a.clk.Wall().UnixNano())
+	return a.lone(ctx, book.CancelEntry(id, wall), false).Verdict
+}
+
+func (a *Agent) cancelAtLeader(ctx context.Context, id string) (relay.Verdict, error) {
+	call, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	if l := a.leads(); l != nil {
+		return l.Cancel(call, id), nil
+	}
+	seat := a.elector.Seat()
+	if seat.Addr == "" || seat.Mine {
+		return relay.Elsewhere, nil
+	}
+	return a.peers.Cancel(call, seat.Addr, id, relayTimeout)
+}
+
+// Pending returns the pending jobs of a queue.
+func (a *Agent) Pending(queue string) (int, bool) {
+	if l := a.leads(); l != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+		defer cancel()
+		p := l.Pending(ctx)
+		return p[queue], p != nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.digest.Backlog[queue], a.digestAt > 0 && a.clk.Now()-a.digestAt < freshFor
+}
+
+// desk answers other entries.
+type desk Agent
+
+func (d *desk) agent() *Agent { return (*Agent)(d) }
+
+// Submit stores a job if this entry leads.
+func (d *desk) Submit(ctx context.Context, s relay.Submission) relay.Answer {
+	if l := d.agent().leads(); l != nil {
+		return l.Submit(ctx, s)
+	}
+	return relay.Answer{Verdict: relay.Elsewhere}
+}
+
+// Query returns a job's state if this entry leads.
+func (d *desk) Query(ctx context.Context, id string) (model.State, bool) {
+	if l := d.agent().leads(); l != nil {
+		return l.Query(ctx, id)
+	}
+	return model.Unknown, false
+}
+
+// Cancel cancels a job if this entry leads.
+func (d *desk) Cancel(ctx context.Context, id string, _ time.Duration) relay.Verdict {
+	if l := d.agent().leads(); l != nil {
+		return l.Cancel(ctx, id)
+	}
+	return relay.Elsewhere
+}
+
+// Digest says what this entry knows of the leader, and of the jobs if it leads.
+func (d *desk) Digest(ctx context.Context, version int64) relay.Digest {
+	a := d.agent()
+	seat := a.elector.Seat()
+	out := relay.Digest{Token: seat.Token, Addr: seat.Addr}
+	if a.version() > version {
+		out.Config = a.orders.Raw()
+	}
+	l := a.leads()
+	if l == nil {
+		return out
+	}
+	out.Leads = true
+	out.Age = a.clk.Now() - a.elector.Renewed()
+	out.Backlog = l.Pending(ctx)
+	return out
+}
+
+// Announce takes over who leads.
+func (d *desk) Announce(token uint64, name, addr string) {
+	d.agent().elector.Announced(token, name, addr)
+}
--- /dev/null
+++ b/internal/serve/lead/lead.go
@@ -0,0 +1,374 @@
+// Package lead finds out which entry leads. Claims, renewals and resignations are
+// records in a topic of the store, each appended only if the topic ends where the
+// writer thinks, so that of several claims one succeeds.
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/tenure"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+const (
+	// topic holds the claims.
+	topic = "chervilgauge.leader"
+	// callTimeout bounds a call to the store. It answers within some milliseconds, or
+	// within 300 ms when it is slow.
+	callTimeout = 700 * time.Millisecond
+	// askEvery is the time between questions to the leader, and askTimeout bounds them.
+	askEvery   = 300 * time.Millisecond
+	askTimeout = 250 * time.Millisecond
+	// readEvery is the time between reads of the topic while the leader does not answer.
+	readEvery = 200 * time.Millisecond
+)
+
+// Seat is who leads, as far as this entry knows.
+type Seat struct {
+	// Token is the fencing token, 0 if nobody is known to lead.
+	Token uint64
+	Name  string
+	Addr  string
+	// Mine says that this entry leads.
+	Mine bool
+}
+
+// record is one record of the topic.
+type record struct {
+	Kind string `json:"kind"` // claim, renew or resign
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+	// Nonce tells processes of the same name apart.
+	Nonce string `json:"nonce"`
+	// Token is that of the claim that a renewal belongs to.
+	Token uint64 `json:"token"`
+}
+
+// Self is what other entries learn of this one.
+type Self struct {
+	Name string
+	Addr string
+	// Place is 0 for the largest instances, which lead if they can.
+	Place int
+}
+
+// Elector follows and takes part in the choice of the leader.
+type Elector struct {
+	client *platform.Client
+	peers  *relay.Client
+	clk    clock.Clock
+	log    zerolog.Logger
+	self   Self
+	nonce  string
+	heard  func(relay.Digest)
+	vers   func() int64
+
+	mu      sync.Mutex
+	seat    Seat
+	renewed time.Duration
+	quit    bool // resign and claim no more
+
+	end   int64 // where the topic ends, as far as it was read
+	known bool  // end was read
+	view  tenure.View
+	delay time.Duration
+	// claimed is when the last claim was sent.
+	claimed time.Duration
+
+	changed chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// Start takes part until Close. heard is told each digest of the leader, and version
+// returns the version of the configuration that is in force here.
+func Start(ctx context.Context, c *platform.Client, peers *relay.Client, clk clock.Clock, log zerolog.Logger, self Self,
+	version func() int64, heard func(relay.Digest)) *Elector {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Elector{
+		client: c, peers: peers, clk: clk, log: log, self: self, heard: heard, vers: version,
+		nonce: strconv.FormatUint(rand.Uint64(), 36), changed: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}),
+		delay: tenure.Delay(self.Place, rand.Float64()),
+	}
+	go e.run(ctx)
+	return e
+}
+
+// Close stops taking part and waits. It does not resign.
+func (e *Elector) Close() {
+	e.cancel()
+	<-e.done
+}
+
+// Seat returns who leads.
+func (e *Elector) Seat() Seat {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.seat
+}
+
+// Renewed returns when the last renewal that succeeded was sent.
+func (e *Elector) Renewed() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.renewed
+}
+
+// Changed is sent to after each change of the seat.
+func (e *Elector) Changed() <-chan struct{} { return e.changed }
+
+// Resign ends the leadership of this entry, if it leads, and claims no more.
+func (e *Elector) Resign() {
+	e.mu.Lock()
+	e.quit = true
+	e.mu.Unlock()
+}
+
+// Announced takes over what another entry says of the leader.
+func (e *Elector) Announced(token uint64, name, addr string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if token > e.seat.Token {
+		e.set(Seat{Token: token, Name: name, Addr: addr})
+	}
+}
+
+// set changes the seat. The caller holds mu.
+func (e *Elector) set(s Seat) {
+	if s == e.seat {
+		return
+	}
+	e.log.Info().Uint64("token", s.Token).Str("leader", s.Name).Str("addr", s.Addr).Bool("mine", s.Mine).
+		Uint64("former", e.seat.Token).Msg("leader changed")
+	e.seat = s
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Elector) run(ctx context.Context) {
+	defer close(e.done)
+	e.view.Moved = e.clk.Now()
+	for ctx.Err() == nil {
+		var next time.Duration
+		if e.Seat().Mine {
+			next = e.lead(ctx)
+		} else {
+			next = e.follow(ctx)
+		}
+		s := e.clk.After(next)
+		select {
+		case <-s.C:
+		case <-ctx.Done():
+		}
+		s.Close()
+	}
+}
+
+// lead renews the lease or resigns, and returns when to go on.
+func (e *Elector) lead(ctx context.Context) time.Duration {
+	e.mu.Lock()
+	quit, seat := e.quit, e.seat
+	e.mu.Unlock()
+	kind := "renew"
+	if quit {
+		kind = "resign"
+	}
+	sent := e.clk.Now()
+	err := e.append(ctx, kind, seat.Token)
+	end := (*platform.EndError)(nil)
+	switch {
+	case err == nil && quit:
+		e.lose("resigned")
+	case err == nil:
+		e.mu.Lock()
+		e.renewed = sent
+		e.mu.Unlock()
+	case errors.As(err, &end):
+		if !e.caughtUp(ctx, seat.Token) {
+			e.lose("another entry claimed")
+			return 0
+		}
+		return 0
+	default:
+		e.log.Warn().Err(err).Str("kind", kind).Uint64("token", seat.Token).Msg("leader record was not stored")
+		return readEvery
+	}
+	return tenure.RenewEvery
+}
+
+func (e *Elector) lose(cause string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.log.Info().Str("cause", cause).Uint64("token", e.seat.Token).Msg("leadership ended")
+	e.set(Seat{Token: e.seat.Token})
+	e.view.Moved = e.clk.Now()
+}
+
+// caughtUp reads the topic after a record of an unknown outcome, and says whether the
+// last record belongs to this entry's leadership.
+func (e *Elector) caughtUp(ctx context.Context, token uint64) bool {
+	last, err := e.read(ctx)
+	if err != nil {
+		return true // not known; the next renewal tells
+	}
+	return last == nil || last.Nonce == e.nonce && last.Token == token
+}
+
+// append adds a record where the topic ends.
+func (e *Elector) append(ctx context.Context, kind string, token uint64) error {
+	if kind == "claim" {
+		token = uint64(e.end) + 1
+	}
+	data, err := json.Marshal(record{kind, e.self.Name, e.self.Addr, e.nonce, token})
+	if err != nil {
+		return platform.ErrFormat.Wrap(err)
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, end, err := e.client.Append(call, platform.Append{Topic: topic, Records: [][]byte{data}, At: e.end})
+	if err != nil {
+		return err
+	}
+	e.end = end
+	return nil
+}
+
+// read reads the topic to its end, and returns its last record if that is new.
+func (e *Elector) read(ctx context.Context) (*record, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rs, end, err := e.client.Read(call, topic, 0, e.end, 0)
+	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
+		rs, end, err = e.client.Read(call, topic, 0, gone.First, 0)
+		if err == nil && len(rs) == 0 {
+			e.end = max(gone.First, end)
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	e.known = true
+	if len(rs) == 0 {
+		e.end = max(e.end, end)
+		return nil, nil
+	}
+	e.end = rs[len(rs)-1].Offset + 1
+	var last record
+	if err := json.Unmarshal(rs[len(rs)-1].Value, &last); err != nil {
+		e.log.Error().Err(err).Int64("offset", e.end-1).Msg("leader record can't be read")
+		return nil, platform.ErrFormat.Wrap(err)
+	}
+	return &last, nil
+}
+
+// follow asks the leader whether it leads, reads the topic if that is not known, claims
+// if nobody does, and returns when to go on.
+func (e *Elector) follow(ctx context.Context) time.Duration {
+	seat := e.Seat()
+	if seat.Addr != "" && e.ask(ctx, seat) {
+		return askEvery
+	}
+	last, err := e.read(ctx)
+	now := e.clk.Now()
+	if err != nil {
+		// Without the store nobody can claim, and its silence says nothing of the leader.
+		e.view.Moved = max(e.view.Moved, now-tenure.Silence/2)
+		return readEvery
+	}
+	e.view.Read = now
+	if last != nil {
+		e.saw(*last, now)
+		return readEvery / 4
+	}
+	e.view.Empty = e.end == 0
+	e.mu.Lock()
+	quit := e.quit
+	e.mu.Unlock()
+	if quit || !tenure.MayClaim(e.view, now, e.delay) {
+		return readEvery / 4
+	}
+	e.claim(ctx)
+	return readEvery / 4
+}
+
+// saw takes over the last record of the topic.
+func (e *Elector) saw(last record, now time.Duration) {
+	e.view.Moved = now
+	e.view.Resigned = last.Kind == "resign"
+	e.view.Ended = false
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.view.Resigned {
+		e.set(Seat{Token: last.Token})
+		return
+	}
+	if last.Nonce == e.nonce && last.Kind == "claim" {
+		// The answer to the claim was lost.
+		e.renewed = e.claimed
+		e.set(Seat{Token: last.Token, Name: e.self.Name, Addr: e.self.Addr, Mine: true})
+		return
+	}
+	if last.Nonce == e.nonce {
+		return
+	}
+	if last.Name == e.self.Name {
+		// An earlier process of this entry led.
+		e.view.Ended = true
+		e.set(Seat{Token: last.Token})
+		return
+	}
+	e.set(Seat{Token: last.Token, Name: last.Name, Addr: last.Addr})
+}
+
+// ask asks the leader for its digest and says whether it leads.
+func (e *Elector) ask(ctx context.Context, seat Seat) bool {
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sent := e.clk.Now()
+	d, err := e.peers.Digest(call, seat.Addr, e.vers())
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			e.view.Ended = true
+		}
+		return false
+	}
+	e.view.Ended = false
+	if !d.Leads {
+		return false
+	}
+	e.heard(d)
+	if d.Age > tenure.Silence/2 {
+		return false
+	}
+	e.view.Moved = sent - d.Age
+	return true
+}
+
+func (e *Elector) claim(ctx context.Context) {
+	sent := e.clk.Now()
+	e.claimed = sent
+	at := e.end
+	err := e.append(ctx, "claim", 0)
+	if err != nil {
+		e.log.Info().Err(err).Int64("offset", at).Msg("claim failed")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.view.Resigned, e.view.Ended, e.view.Empty = false, false, false
+	e.renewed = sent
+	e.set(Seat{Token: uint64(at) + 1, Name: e.self.Name, Addr: e.self.Addr, Mine: true})
+}
--- /dev/null
+++ b/internal/serve/leader/starts.go
@@ -0,0 +1,238 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/internal/jobs/crew"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+const (
+	// planEvery groups what changed before tasks are placed.
+	planEvery = 4 * time.Millisecond
+	// planLimit bounds the starts of one round and service.
+	planLimit = 64
+	// startTimeout bounds a start. Executors answer within 2 ms; a start without an
+	// answer is resolved by a call that voids it.
+	startTimeout = 350 * time.Millisecond
+	// stopTimeout bounds the call, not the stopping.
+	stopTimeout = 500 * time.Millisecond
+	// stopRetry is the time to the next call if the end is not listed.
+	stopRetry = 700 * time.Millisecond
+	// roomPause holds a task back that did not fit where there seemed to be room.
+	roomPause = 60 * time.Millisecond
+	// badPause holds a task back whose order was refused as invalid.
+	badPause = 1 * time.Second
+	// attemptSkip is how far an attempt rises after one that was too low.
+	attemptSkip = 2
+)
+
+// counters are what the metrics show.
+type counters struct {
+	accepted, refused, appends, holds, starts, rejected, stops, cloud int64
+	ends                                                              [7]int64
+	execLost                                                          bool
+}
+
+// plan starts waiting tasks of the services where something changed.
+func (l *Leader) plan() {
+	if len(l.planDue) == 0 || l.now < l.lastPlan+planEvery || l.Orders.Config() == nil {
+		return
+	}
+	l.lastPlan = l.now
+	jobs := map[string][]*book.Job{}
+	for _, j := range l.book.Active() {
+		if s := l.rules(j).Service; l.planDue[s] {
+			jobs[s] = append(jobs[s], j)
+		}
+	}
+	members := map[string][]*crew.Member{}
+	for _, m := range l.members {
+		if l.planDue[m.Service] {
+			members[m.Service] = append(members[m.Service], &m.Member)
+		}
+	}
+	clear(l.planDue)
+	for s, js := range jobs {
+		starts := assign.Plan(js, members[s], l.rules, l.now, l.wall, planLimit)
+		for _, st := range starts {
+			l.startRun(st)
+		}
+		if len(starts) == planLimit {
+			l.planDue[s] = true
+		}
+	}
+}
+
+func (l *Leader) startRun(st assign.Start) {
+	m := l.members[st.Member.Key]
+	r := l.book.Begin(st.Task, m.Key, st.Attempt, l.now)
+	m.Used = m.Used.Plus(st.Task.Step.Room())
+	deadline := m.deadline(l.now)
+	m.extend(deadline)
+	order := platform.Start{
+		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Work.Spec, Deadline: deadline, Saved: st.Task.Saved,
+	}
+	to := l.to(m)
+	l.counts.starts++
+	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
+		Int64("cores", st.Task.Step.Room().Cores).Int64("free", m.Free().Cores).Msg("run is ordered")
+	m.starting++
+	l.call(func(ctx context.Context) event {
+		call, cancel := context.WithTimeout(ctx, startTimeout)
+		defer cancel()
+		clk, err := l.Client.Start(call, to, order)
+		return startedRun{m: m, run: r, clock: clk, fence: to.Fence, err: err}
+	})
+}
+
+// startedRun is the answer to a start.
+type startedRun struct {
+	report
+	m     *member
+	run   *book.Run
+	clock time.Duration
+	fence uint64
+	err   error
+}
+
+func (l *Leader) onStarted(ev startedRun) {
+	m, r := ev.m, ev.run
+	m.starting--
+	if !l.isOn(r) {
+		// A list told first, or the executor has ended.
+		return
+	}
+	if ev.err == nil {
+		if r.Phase == book.Starting || r.Phase == book.Uncertain {
+			l.book.Confirm(r, l.now)
+		}
+		if r.Task.Step.Occ.Job.IsOver() {
+			l.stop(r, "job is over")
+		}
+		return
+	}
+	l.counts.rejected++
+	refused, other := (*platform.OrderError)(nil), (*platform.OtherLifeError)(nil)
+	switch {
+	case errors.As(ev.err, &other):
+		l.bury(m, "another incarnation is at its address")
+		return
+	case !errors.As(ev.err, &refused):
+		l.Log.Warn().Err(ev.err).Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Msg("start has no answer")
+		if r.Phase == book.Starting {
+			r.Phase, r.Since = book.Uncertain, l.now
+		}
+		m.doubt = true
+		m.due = l.now
+		return
+	}
+	l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
+		Stringer("reason", refused.Reason).Msg("start is refused")
+	t := r.Task
+	l.drop(r)
+	switch refused.Reason {
+	case platform.ReasonOld:
+		t.Attempt += attemptSkip
+	case platform.ReasonRoom:
+		// What takes the room is listed at the next look.
+		t.NotBefore = l.now + roomPause
+		m.AsideUntil = max(m.AsideUntil, l.now+roomPause)
+		m.due = l.now
+	case platform.ReasonUnwell:
+		m.Unwell(l.now)
+	case platform.ReasonLate, platform.ReasonTicket, platform.ReasonOther, platform.ReasonBusy, platform.ReasonWave:
+		t.NotBefore = l.now + roomPause
+		m.due = l.now
+	case platform.ReasonBad:
+		t.NotBefore = l.now + badPause
+	case platform.ReasonFence:
+		t.NotBefore = l.now + roomPause
+		m.AsideUntil = max(m.AsideUntil, l.now+roomPause)
+	}
+}
+
+// isOn says whether the book still has a run.
+func (l *Leader) isOn(r *book.Run) bool {
+	_, ok := l.book.On(r.Executor)[r]
+	return ok
+}
+
+// stop tells an executor to stop a run. Its end is listed later.
+func (l *Leader) stop(r *book.Run, cause string) {
+	m := l.members[r.Executor]
+	if m == nil {
+		return
+	}
+	if r.Phase != book.Stopping {
+		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Str("cause", cause).Msg("run is to stop")
+	}
+	r.Phase, r.Since = book.Stopping, l.now
+	l.sendStop(m, r.Task.ID, r.Attempt)
+}
+
+// stopStray stops a run that nothing needs.
+func (l *Leader) stopStray(m *member, row model.Run) {
+	l.Log.Info().Stringer("task", row.Task).Int("attempt", row.Attempt).Str("executor", m.ID).Msg("unneeded run is to stop")
+	l.sendStop(m, row.Task, row.Attempt)
+	m.due = l.now + stopRetry
+}
+
+func (l *Leader) sendStop(m *member, t model.TaskID, attempt int) {
+	if !l.isValid() {
+		return
+	}
+	to := l.to(m)
+	l.counts.stops++
+	l.call(func(ctx context.Context) event {
+		call, cancel := context.WithTimeout(ctx, stopTimeout)
+		defer cancel()
+		return stoppedRun{m: m, err: l.Client.Stop(call, to, t, attempt)}
+	})
+}
+
+// stoppedRun is the answer to a stop.
+type stoppedRun struct {
+	report
+	m   *member
+	err error
+}
+
+func (l *Leader) onStopped(ev stoppedRun) {
+	other := (*platform.OtherLifeError)(nil)
+	if errors.As(ev.err, &other) {
+		l.bury(ev.m, "another incarnation is at its address")
+	}
+}
+
+// retryStops repeats stops whose end was not listed.
+func (l *Leader) retryStops() {
+	for _, m := range l.members {
+		if m.Contact != crew.Live {
+			continue
+		}
+		for r := range l.book.On(m.Key) {
+			switch {
+			case r.Phase == book.Stopping && l.now > r.Since+stopRetry:
+				r.Since = l.now
+				l.sendStop(m, r.Task.ID, r.Attempt)
+			case r.Phase == book.Running && r.Task.Step.Occ.Job.IsOver():
+				l.stop(r, "job is over")
+			}
+		}
+	}
+}
+
+// evacuate stops what would not end before a draining executor leaves.
+func (l *Leader) evacuate(m *member) {
+	for r := range l.book.On(m.Key) {
+		if r.Phase == book.Running && r.Task.Step.Lasts {
+			l.stop(r, "executor drains")
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/leader/store.go
@@ -0,0 +1,324 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+const (
+	// appendEvery groups what is stored: each call is paid for, and 20 ms are a thirtieth
+	// of the shortest objective.
+	appendEvery = 20 * time.Millisecond
+	// appendTimeout bounds one attempt, and appendPause is the time to the next.
+	appendTimeout = 900 * time.Millisecond
+	appendPause   = 50 * time.Millisecond
+	// troubleAfter is how long an append may take until new jobs are refused: they could
+	// not be stored in time.
+	troubleAfter = 700 * time.Millisecond
+	// tailEvery is the time between reads of what others store.
+	tailEvery = 250 * time.Millisecond
+	// jobsEvery is the time between reads of jobs that entries stored by themselves. It
+	// is far below the time after which they must be visible.
+	jobsEvery = 1 * time.Second
+)
+
+// storing is the state of the leader's appends. One is under way at a time.
+type storing struct {
+	seq     int64
+	pending []book.Entry
+	accepts []*submitted
+	cancels []*cancelled
+	busy    bool
+	since   time.Duration // when the append under way was sent first
+	next    time.Duration // when the next one may be sent
+	// underway are the jobs in the append under way.
+	underway map[string]*submitted
+}
+
+// appended is the outcome of an append.
+type appended struct {
+	report
+	batch      book.Batch
+	accepts    []*submitted
+	cancels    []*cancelled
+	seen       map[*member]int64
+	first, end int64
+	hasOffset  bool
+	sent       time.Duration
+	err        error
+	entries    int
+	attempts   int
+	// last is the sequence number of the last append.
+	last int64
+}
+
+// tailing is the state of reading a topic.
+type tailing struct {
+	from int64
+	busy bool
+	next time.Duration
+}
+
+// flush stores what changed, unless an append is under way.
+func (l *Leader) flush() {
+	s := &l.store
+	if s.busy || l.now < s.next {
+		return
+	}
+	if len(s.pending)+len(s.accepts)+len(s.cancels) == 0 && !l.book.HasChanges() {
+		return
+	}
+	ev := appended{batch: l.book.Take(), accepts: s.accepts, cancels: s.cancels, seen: map[*member]int64{}, sent: l.now}
+	entries := s.pending
+	for _, a := range s.accepts {
+		entries = append(entries, book.WorkEntry(a.ID, a.rules, a.Body, l.wall))
+		a.accepted = l.wall
+	}
+	for _, c := range s.cancels {
+		entries = append(entries, book.CancelEntry(c.id, l.wall))
+		c.at = l.wall
+	}
+	entries = append(entries, ev.batch.Entries...)
+	for _, m := range l.members {
+		if m.seen > m.acked {
+			ev.seen[m] = m.seen
+		}
+	}
+	s.underway = map[string]*submitted{}
+	for _, a := range s.accepts {
+		s.underway[a.ID] = a
+	}
+	s.pending, s.accepts, s.cancels = nil, nil, nil
+	s.busy, s.since = true, l.now
+	s.next = l.now + appendEvery
+	records := make([][]byte, len(entries))
+	for i, e := range entries {
+		records[i] = platform.KeyedRecord(e.Key, e.Value)
+	}
+	ev.entries = len(records)
+	seq := s.seq
+	l.call(func(ctx context.Context) event { return l.append(ctx, ev, records, seq) })
+}
+
+// append tries until the records are stored, or certainly are not and never will be. A
+// repeated append with the same sequence number is stored once.
+func (l *Leader) append(ctx context.Context, ev appended, records [][]byte, seq int64) event {
+	chunks := split(records, l.Settings.Store.CallBytes)
+	for i, chunk := range chunks {
+		seq++
+		for {
+			call, cancel := context.WithTimeout(ctx, appendTimeout)
+			first, end, err := l.Client.Append(call, platform.Append{
+				Topic: Topic, Records: chunk, At: -1, Writer: writer, Epoch: l.token, Seq: seq,
+			})
+			cancel()
+			ev.attempts++
+			ev.err = err
+			wrong := (*platform.SequenceError)(nil)
+			if errors.As(err, &wrong) {
+				if wrong.Expected > seq {
+					// An earlier attempt was carried out and its answer is not kept any more.
+					ev.err, ev.last = nil, seq
+					break
+				}
+				seq = wrong.Expected
+			}
+			if err == nil {
+				ev.last = seq
+				if i == 0 {
+					ev.first, ev.hasOffset = first, len(chunks) == 1
+				}
+				ev.end = end
+				break
+			}
+			fenced := (*platform.FencedError)(nil)
+			if ctx.Err() != nil || errors.As(err, &fenced) {
+				return ev
+			}
+			s := l.Clock.After(appendPause)
+			select {
+			case <-s.C:
+			case <-ctx.Done():
+			}
+			s.Close()
+		}
+	}
+	return ev
+}
+
+// split divides records into calls of at most limit bytes.
+func split(records [][]byte, limit int) [][][]byte {
+	var out [][][]byte
+	size, from := 0, 0
+	for i, r := range records {
+		n := len(r) + 4
+		if size > 0 && size+n > limit {
+			out = append(out, records[from:i])
+			size, from = 0, i
+		}
+		size += n
+	}
+	return append(out, records[from:])
+}
+
+func (l *Leader) onAppended(ev appended) {
+	s := &l.store
+	s.busy, s.underway = false, nil
+	if ev.err != nil {
+		l.Log.Warn().Err(ev.err).Int("records", ev.entries).Msg("append failed for good")
+		l.unsure(ev)
+		return
+	}
+	s.seq = ev.last
+	l.counts.appends++
+	if took := l.now - ev.sent; took > troubleAfter {
+		l.Log.Warn().Dur("took", took).Int("attempts", ev.attempts).Int("records", ev.entries).Msg("append was slow")
+	}
+	if ev.hasOffset && ev.first == l.jobsTop.from {
+		l.jobsTop.from = ev.end
+	}
+	for m, n := range ev.seen {
+		m.acked = max(m.acked, n)
+		m.due = min(m.due, l.now)
+	}
+	for _, a := range ev.accepts {
+		l.accepted(a)
+	}
+	for _, c := range ev.cancels {
+		l.cancelStored(c)
+	}
+	for _, j := range l.book.Stored(ev.batch) {
+		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Stringer("state", j.State()).
+			Dur("age", l.wall-j.Accepted).Msg("job is over")
+	}
+}
+
+// unsure answers requests whose records may be stored.
+func (l *Leader) unsure(ev appended) {
+	for _, a := range ev.accepts {
+		a.answer(unsureAnswer)
+	}
+	for _, c := range ev.cancels {
+		c.answer(false)
+	}
+}
+
+// storeTrouble says whether new jobs can't be stored in time at present.
+func (l *Leader) storeTrouble() bool {
+	return l.store.busy && l.now-l.store.since > troubleAfter
+}
+
+type readExecutors struct {
+	report
+	records []platform.Record
+	from    int64
+	again   bool // the topic was read as a whole
+	err     error
+}
+
+type readJobs struct {
+	report
+	records []platform.Record
+	from    int64
+	err     error
+}
+
+// tail reads what others stored.
+func (l *Leader) tail() {
+	if t := &l.execTop; !t.busy && l.now >= t.next {
+		t.busy = true
+		t.next = l.now + tailEvery
+		from := t.from
+		l.call(func(ctx context.Context) event { return l.readExecutors(ctx, from) })
+	}
+	if t := &l.jobsTop; !t.busy && l.now >= t.next && !l.store.busy {
+		t.busy = true
+		t.next = l.now + jobsEvery
+		from := t.from
+		l.call(func(ctx context.Context) event {
+			call, cancel := context.WithTimeout(ctx, appendTimeout)
+			defer cancel()
+			rs, _, err := l.Client.Read(call, Topic, 0, from, 0)
+			return readJobs{records: rs, from: from, err: err}
+		})
+	}
+}
+
+func (l *Leader) readExecutors(ctx context.Context, from int64) event {
+	call, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	rs, _, err := l.Client.Read(call, platform.ExecutorTopic, 0, from, 0)
+	out := readExecutors{records: rs, from: from + int64(len(rs)), err: err}
+	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
+		out.records, out.again = nil, true
+		out.from, out.err = l.pages(call, platform.ExecutorTopic, func(r platform.Record) { out.records = append(out.records, r) })
+	}
+	return out
+}
+
+func (l *Leader) onExecutors(ev readExecutors) {
+	l.execTop.busy = false
+	if ev.err != nil {
+		if !l.counts.execLost {
+			l.Log.Warn().Err(ev.err).Msg("executors can't be read")
+		}
+		l.counts.execLost = true
+		return
+	}
+	if l.counts.execLost {
+		l.counts.execLost = false
+		l.Log.Info().Msg("executors can be read again")
+	}
+	l.execTop.from = ev.from
+	seen := map[string]bool{}
+	for _, r := range ev.records {
+		l.takeExecutor(r)
+		seen[r.Key] = true
+	}
+	if ev.again {
+		for id, m := range l.byID {
+			if !seen[id] && m.Listed {
+				l.unlist(m)
+			}
+		}
+	}
+}
+
+// onJobs takes over jobs and cancels that entries stored by themselves.
+func (l *Leader) onJobs(ev readJobs) {
+	l.jobsTop.busy = false
+	if gone := (*platform.GoneError)(nil); errors.As(ev.err, &gone) {
+		l.jobsTop.from = max(l.jobsTop.from, gone.First)
+		return
+	}
+	if ev.err != nil {
+		return // counted with the appends, which go to the same topic
+	}
+	for _, r := range ev.records {
+		if r.Offset >= l.jobsTop.from {
+			l.takeLone(r)
+		}
+	}
+	l.jobsTop.from = max(l.jobsTop.from, ev.from+int64(len(ev.records)))
+}
+
+// takeLone takes over a record of an entry that had no leader.
+func (l *Leader) takeLone(r platform.Record) {
+	lone, err := book.DecodeLone(r.Key, r.Value, platform.DecodeWork)
+	if err != nil {
+		l.Log.Error().Err(err).Str("key", r.Key).Msg("job record can't be read")
+		return
+	}
+	switch {
+	case lone.Work != nil && l.book.Job(lone.ID) == nil:
+		j := l.book.Accept(lone.ID, lone.Rules, *lone.Work, lone.Accepted, l.now)
+		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-lone.Accepted).Msg("job of an entry without a leader is taken over")
+		l.planDue[l.rules(j).Service] = true
+	case lone.Cancelled:
+		l.cancelJob(lone.ID)
+	}
+}
--- /dev/null
+++ b/internal/serve/orders/orders.go
@@ -0,0 +1,211 @@
+// Package orders follows what operators write in the platform's store: the
+// configuration and the waves.
+package orders
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+const (
+	// readWait is how long a read waits for a change. A connection that went silent is
+	// noticed after it and readSlack, which together stay below the 2 s in which a
+	// configuration must be in force.
+	readWait  = 800 * time.Millisecond
+	readSlack = 500 * time.Millisecond
+	// retryPause is the time between reads after a failure.
+	retryPause = 100 * time.Millisecond
+)
+
+// Wave is an operator's wave as it is followed.
+type Wave struct {
+	model.Wave
+	// Seen is when this entry first saw it.
+	Seen time.Duration
+}
+
+// Orders are what operators ordered, as far as it was read.
+type Orders struct {
+	client *platform.Client
+	log    zerolog.Logger
+	clk    clock.Clock
+
+	conf atomic.Pointer[model.Config]
+	raw  atomic.Pointer[[]byte]
+	read atomic.Int64 // when the store last answered, on the clock
+
+	mu    sync.Mutex
+	waves map[int64]Wave
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Start follows the operators' orders until Close.
+func Start(ctx context.Context, c *platform.Client, clk clock.Clock, log zerolog.Logger) *Orders {
+	ctx, cancel := context.WithCancel(ctx)
+	o := &Orders{client: c, log: log, clk: clk, waves: map[int64]Wave{}, cancel: cancel, done: make(chan struct{})}
+	go o.run(ctx)
+	return o
+}
+
+// Close stops following and waits.
+func (o *Orders) Close() {
+	o.cancel()
+	<-o.done
+}
+
+// Config returns the newest configuration, or nil if none was read.
+func (o *Orders) Config() *model.Config { return o.conf.Load() }
+
+// Raw returns the configuration as operators wrote it, for entries that lag.
+func (o *Orders) Raw() []byte {
+	if p := o.raw.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// Age returns how long ago the store last answered.
+func (o *Orders) Age() time.Duration { return o.clk.Now() - time.Duration(o.read.Load()) }
+
+// Waves returns the waves by number.
+func (o *Orders) Waves() map[int64]Wave {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.waves)
+}
+
+func (o *Orders) run(ctx context.Context) {
+	defer close(o.done)
+	from, ok := int64(0), false
+	lost := false
+	for ctx.Err() == nil {
+		var err error
+		if !ok {
+			from, err = o.load(ctx)
+		} else {
+			from, err = o.next(ctx, from)
+		}
+		ok = err == nil
+		if gone := (*platform.GoneError)(nil); !ok && !errors.As(err, &gone) && from > 0 {
+			// What was read stays in force, and reading goes on where it was.
+			ok = true
+		}
+		if err != nil && ctx.Err() == nil {
+			if !lost {
+				o.log.Warn().Err(err).Msg("operators' orders can't be read")
+			}
+			lost = true
+			pause(ctx, o.clk, retryPause)
+			continue
+		}
+		if lost && ctx.Err() == nil {
+			o.log.Info().Msg("operators' orders can be read again")
+		}
+		lost = false
+		o.read.Store(int64(o.clk.Now()))
+	}
+}
+
+func pause(ctx context.Context, clk clock.Clock, d time.Duration) {
+	s := clk.After(d)
+	defer s.Close()
+	select {
+	case <-s.C:
+	case <-ctx.Done():
+	}
+}
+
+func (o *Orders) load(ctx context.Context) (int64, error) {
+	from, after := int64(-1), ""
+	for {
+		call, cancel := context.WithTimeout(ctx, readWait+readSlack)
+		rs, more, end, err := o.client.Newest(call, platform.OperatorTopic, 0, after)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		if from < 0 {
+			from = end
+		}
+		for _, r := range rs {
+			o.take(r)
+			after = r.Key
+		}
+		if !more || len(rs) == 0 {
+			return from, nil
+		}
+	}
+}
+
+func (o *Orders) next(ctx context.Context, from int64) (int64, error) {
+	call, cancel := context.WithTimeout(ctx, readWait+readSlack)
+	defer cancel()
+	rs, _, err := o.client.Read(call, platform.OperatorTopic, 0, from, readWait)
+	if err != nil {
+		return from, err
+	}
+	for _, r := range rs {
+		o.take(r)
+	}
+	return from + int64(len(rs)), nil
+}
+
+func (o *Orders) take(r platform.Record) {
+	if len(r.Value) == 0 {
+		return
+	}
+	if r.Key == platform.ConfigKey {
+		if err := o.Put(r.Value); err != nil {
+			o.log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration can't be read")
+		}
+		return
+	}
+	if _, ok := platform.WaveKey(r.Key); !ok {
+		return
+	}
+	w, err := platform.DecodeWave(r.Value)
+	if err != nil {
+		o.log.Error().Err(err).Str("key", r.Key).Msg("wave can't be read")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if old, ok := o.waves[w.Number]; ok {
+		o.waves[w.Number] = Wave{w, old.Seen}
+		return
+	}
+	o.waves[w.Number] = Wave{w, o.clk.Now()}
+	o.log.Info().Str("wave", strconv.FormatInt(w.Number, 10)).Int("instances", len(w.Instances)).
+		Int("most", w.AtOnce).Dur("within", w.Within).Msg("wave is asked for")
+}
+
+// Put puts a configuration into force unless a newer one is. It returns an ErrFormat.
+func (o *Orders) Put(value []byte) error {
+	c, err := platform.DecodeConfig(value)
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	old := o.conf.Load()
+	if old != nil && old.Version >= c.Version {
+		return nil
+	}
+	o.conf.Store(c)
+	o.raw.Store(&value)
+	o.log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration is in force")
+	return nil
+}
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -51,6 +51,11 @@
 	if err := peerpb.DRPCRegisterPeer(mux, h); err != nil {
 		return nil, Err.Wrap(err)
 	}
+	return ServeMux(ctx, lis, mux, conf, opts...), nil
+}
+
+// ServeMux is Serve for the calls of a mux.
+func ServeMux(ctx context.Context, lis net.Listener, mux drpc.Handler, conf *tls.Config, opts ...Option) *Server {
 	if conf != nil {
 		lis = tls.NewListener(lis, conf)
 	}
@@ -62,7 +67,7 @@
 	}
 	srv := drpcserver.New(traced)
 	go func() { s.done <- srv.Serve(ctx, lis) }()
-	return s, nil
+	return s
 }
 
 // Close stops the server and waits for the calls that it serves. It returns an Err.
@@ -89,7 +94,12 @@
 
 // To returns the client for the entry that listens on an address.
 func (c *Client) To(ctx context.Context, addr string) peerpb.DRPCPeerClient {
-	return peerpb.NewDRPCPeerClient(injecting{c.pool.Get(ctx, addr, c.dial)})
+	return peerpb.NewDRPCPeerClient(c.Conn(ctx, addr))
+}
+
+// Conn returns a connection to an address, for the calls of any schema.
+func (c *Client) Conn(ctx context.Context, addr string) drpc.Conn {
+	return injecting{c.pool.Get(ctx, addr, c.dial)}
 }
 
 // Close closes all idle connections. It returns an Err.
