--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -171,8 +171,8 @@
 	if m.Contact != crew.Live || m.doubt || m.seen > m.acked {
 		wait, limit = 0, firstLook
 	}
-	if m.seen > m.acked && l.now < m.due+holdLate && l.store.busy {
-		return // the append under way lets this call take note of the ends
+	if m.seen > m.acked && l.now < m.due+holdLate {
+		return // ends that are not stored yet would be listed again at once
 	}
 	if m.acked > m.told && len(l.book.On(m.Key)) == 0 {
 		wait, limit = 0, firstLook
