Take instances down for waves, and move them to where the work is

Cause: 22 of 22 instances of the wave were left, and each queue's peak was above its pool. Ruled out: order of the queue alone, since the executors of the other pools were idle while jobs waited.

--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
@@ -29,6 +30,7 @@
 	executors []platform.Record
 	execFrom  int64
 	instances []model.Instance
+	waves     []platform.Record
 	err       error
 }
 
@@ -42,7 +44,12 @@
 			return err
 		},
 		func(ctx context.Context) (err error) {
+			out.waves = nil
 			out.from, err = l.pages(ctx, Topic, func(r platform.Record) {
+				if strings.HasPrefix(r.Key, waveKey) {
+					out.waves = append(out.waves, r)
+					return
+				}
 				if err := out.loader.Add(r.Key, r.Value); err != nil {
 					l.Log.Error().Err(err).Str("key", r.Key).Msg("job record can't be read")
 				}
@@ -131,6 +138,9 @@
 		l.takeExecutor(r)
 	}
 	l.takeInstances(ev.instances)
+	for _, r := range ev.waves {
+		l.loadWave(r.Key, r.Value)
+	}
 	l.ready = true
 	l.Log.Info().Int("jobs", b.Len()).Int("active", len(b.Active())).Int("executors", len(l.members)).
 		Dur("took", l.now-l.start).Msg("state is loaded")
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -182,6 +182,7 @@
 	l.counts.accepted++
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", w.Tasks()).Bool("lasts", w.Lasts()).Msg("job is accepted")
 	l.planDue[l.rules(j).Service] = true
+	l.noteArrival(j)
 	ev.answer(relay.Answer{Verdict: relay.Taken})
 }
 
