--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -11,6 +11,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/shift"
+	"chervilgauge.example/chervilgauge/internal/jobs/tenure"
 	"chervilgauge.example/chervilgauge/internal/jobs/upkeep"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -359,16 +360,23 @@
 func (l *Leader) isEmpty(e *errand, in model.Instance) bool {
 	m := l.memberOn(in)
 	if m == nil {
-		return true
+		// Nothing that this leader started can be there, but an earlier leader may have
+		// started what the executor was not asked for yet.
+		return in.Executor == "" || in.Phase != model.Up || l.now >= tenure.Settled(l.start)
 	}
 	m.Leaving = true
-	if m.Contact != crew.Live && m.Contact != crew.Unheard && l.now > e.since+giveUpAfter {
-		l.endErrand(e, "executor does not answer")
+	if m.Contact != crew.Live {
+		if l.now >= max(m.leaseEnd, tenure.Settled(l.start)) && len(l.book.On(m.Key)) == 0 {
+			return true
+		}
+		if e.pool != "" && l.now > e.since+giveUpAfter {
+			l.endErrand(e, "executor does not answer")
+		}
 		return false
 	}
 	runs := l.book.On(m.Key)
 	if len(runs) == 0 {
-		return m.starting == 0
+		return m.starting == 0 && !m.doubt
 	}
 	for r := range runs {
 		if r.Phase != book.Running {
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -223,7 +223,8 @@
 type readJobs struct {
 	report
 	records []platform.Record
-	from    int64
+	from    int64 // records before it were read earlier
+	next    int64
 	err     error
 }
 
@@ -239,15 +240,23 @@
 		t.busy = true
 		t.next = l.now + jobsEvery
 		from := t.from
-		l.call(func(ctx context.Context) event {
-			call, cancel := context.WithTimeout(ctx, appendTimeout)
-			defer cancel()
-			rs, _, err := l.Client.Read(call, Topic, 0, from, 0)
-			return readJobs{records: rs, from: from, err: err}
-		})
+		l.call(func(ctx context.Context) event { return l.readJobs(ctx, from) })
 	}
 }
 
+func (l *Leader) readJobs(ctx context.Context, from int64) event {
+	call, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	rs, _, err := l.Client.Read(call, Topic, 0, from, 0)
+	out := readJobs{records: rs, from: from, next: from + int64(len(rs)), err: err}
+	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
+		// What was deleted may hold jobs and cancels that this leader has not read.
+		out.records, out.from = nil, 0
+		out.next, out.err = l.pages(call, Topic, func(r platform.Record) { out.records = append(out.records, r) })
+	}
+	return out
+}
+
 func (l *Leader) readExecutors(ctx context.Context, from int64) event {
 	call, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
@@ -291,19 +300,14 @@
 // onJobs takes over jobs and cancels that entries stored by themselves.
 func (l *Leader) onJobs(ev readJobs) {
 	l.jobsTop.busy = false
-	if gone := (*platform.GoneError)(nil); errors.As(ev.err, &gone) {
-		l.jobsTop.from = max(l.jobsTop.from, gone.First)
-		return
-	}
 	if ev.err != nil {
-		return // counted with the appends, which go to the same topic
+		l.Log.Info().Err(ev.err).Int64("from", ev.from).Msg("jobs of entries without a leader can't be read")
+		return
 	}
 	for _, r := range ev.records {
-		if r.Offset >= l.jobsTop.from {
-			l.takeLone(r)
-		}
+		l.takeLone(r)
 	}
-	l.jobsTop.from = max(l.jobsTop.from, ev.from+int64(len(ev.records)))
+	l.jobsTop.from = max(l.jobsTop.from, ev.next)
 }
 
 // takeLone takes over a record of an entry that had no leader.
