--- a/internal/jobs/book/job.go
+++ b/internal/jobs/book/job.go
@@ -102,17 +102,6 @@
 	return true
 }
 
-// Away is the number of tasks of a step that lasts that are not at work.
-func (s *Step) Away() int {
-	n := 0
-	for _, t := range s.Tasks {
-		if !t.IsAtWork() {
-			n++
-		}
-	}
-	return n
-}
-
 // atWork is the percent at which a task that lasts is at work.
 const atWork = 100
 
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -171,7 +171,7 @@
 	d := &l.duty
 	d.listing = true
 	d.nextList = l.now + listEvery
-	if len(d.errands) > 0 {
+	if len(d.errands) > 0 || l.hasSilent() {
 		d.nextList = l.now + listSoon
 	}
 	sent := l.now
@@ -196,6 +196,16 @@
 	})
 }
 
+// hasSilent says whether the list could tell that an executor has ended.
+func (l *Leader) hasSilent() bool {
+	for _, m := range l.members {
+		if m.Contact == crew.Silent || m.Contact == crew.Unheard && m.failures > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Leader) onListed(ev listed) {
 	d := &l.duty
 	d.listing = false
@@ -220,19 +230,19 @@
 			}
 		}
 	}
-	l.buryMoved()
+	l.buryMoved(ev.sent)
 }
 
-// buryMoved drops runs on executors whose instance has another executor.
-func (l *Leader) buryMoved() {
+// buryMoved notes executors that no instance has any more: each is one life of an
+// instance. The list must have been asked for after the executor was known.
+func (l *Leader) buryMoved(sent time.Duration) {
+	alive := map[string]bool{}
 	for _, in := range l.duty.fleet {
-		if in.Executor == "" || in.Phase != model.Up {
-			continue
-		}
-		for _, m := range l.members {
-			if m.Instance == in.Name && m.ID != in.Executor && m.Contact == crew.Silent {
-				l.bury(m, "its instance has another executor")
-			}
+		alive[in.Executor] = true
+	}
+	for _, m := range l.members {
+		if m.Contact != crew.Live && m.Contact != crew.Dead && !alive[m.ID] && m.known < sent {
+			l.bury(m, "no instance has it")
 		}
 	}
 }
@@ -385,7 +395,7 @@
 		s := r.Task.Step
 		switch {
 		case s.Lasts:
-			if mayStop(r.Task) {
+			if l.mayStop(r.Task) {
 				l.stop(r, "instance is emptied")
 			}
 		case l.now > e.since+emptyFor:
@@ -398,14 +408,38 @@
 	return false
 }
 
+// freshFor is how old a look may be that a stop of a task that lasts relies on: another
+// task of its step may have ended since.
+const freshFor = 250 * time.Millisecond
+
 // mayStop says whether a task that lasts may be away: no more of its step are than the
-// job allows.
-func mayStop(t *book.Task) bool {
+// job allows. If that is not known well enough, it has the executors looked at.
+func (l *Leader) mayStop(t *book.Task) bool {
 	s := t.Step
 	if s.MayMiss < 0 || !t.IsAtWork() {
 		return true
 	}
-	return s.Away() < s.MayMiss
+	fresh, away := true, 0
+	for _, o := range s.Tasks {
+		if o == t {
+			continue
+		}
+		if !o.IsAtWork() {
+			away++
+			continue
+		}
+		for _, r := range o.Runs {
+			m := l.members[r.Executor]
+			if m == nil || m.Contact != crew.Live {
+				away++
+			} else if l.now-m.clockAt > freshFor {
+				m.hurry = true
+				m.due = min(m.due, l.now)
+				fresh = false
+			}
+		}
+	}
+	return fresh && away < s.MayMiss
 }
 
 func (l *Leader) onOrdered(ev ordered) {
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -45,6 +45,9 @@
 	told     int64         // the highest end that it was told is stored
 	failures int
 	adopted  bool
+	// hurry says that a look is needed at once, and known is when it was first listed.
+	hurry bool
+	known time.Duration
 	// starting counts starts under way, to bound the connections.
 	starting int
 	deadAt   time.Duration
@@ -89,7 +92,7 @@
 		if old != nil && old.Born > e.Born {
 			return // an earlier incarnation's report that came late
 		}
-		m = &member{Member: crew.Member{Key: key, Slow: 1}}
+		m = &member{Member: crew.Member{Key: key, Slow: 1}, known: l.now}
 		l.members[key] = m
 		l.Log.Info().Str("executor", e.ID).Int64("born", e.Born).Str("service", e.Service).Str("addr", e.Addr).Msg("executor is new")
 		if old != nil {
@@ -160,7 +163,7 @@
 // needsHold says whether an executor has to be called: idle ones are left alone, since
 // each look is paid for.
 func (l *Leader) needsHold(m *member) bool {
-	if !m.adopted || m.doubt || m.acked > m.told {
+	if !m.adopted || m.doubt || m.hurry || m.acked > m.told {
 		return true
 	}
 	return len(l.book.On(m.Key)) > 0
@@ -177,6 +180,10 @@
 	if m.acked > m.told && len(l.book.On(m.Key)) == 0 {
 		wait, limit = 0, firstLook
 	}
+	if m.hurry {
+		wait, limit = 0, firstLook
+		m.hurry = false
+	}
 	if m.doubt {
 		m.voided++
 	}
@@ -270,7 +277,7 @@
 	l.bury(m, "it started again")
 	key := keyOf(&e)
 	if l.members[key] == nil {
-		n := &member{Member: crew.Member{Executor: e, Key: key, Slow: 1, Listed: true}}
+		n := &member{Member: crew.Member{Executor: e, Key: key, Slow: 1, Listed: true}, known: l.now}
 		// Orders to the former incarnation that arrive late are below this fence.
 		n.voided = m.voided + 1
 		l.members[key] = n
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -67,7 +67,7 @@
 			return out
 		}
 	}
-	call, cancel := context.WithTimeout(ctx, loadPause)
+	call, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	// Without the list, runs on executors that the store does not show are waited for.
 	list, _, err := l.Client.Instances(call, "")
