--- a/internal/jobs/tenure/tenure.go
+++ b/internal/jobs/tenure/tenure.go
@@ -50,6 +50,10 @@
 // process is gone. The process may be another one's that was started at the address.
 const endedAfter = RenewEvery + 150*time.Millisecond
 
+// IsCertain says whether no other entry can have claimed since a leader sent its last
+// successful renewal.
+func IsCertain(sent, now time.Duration) bool { return now < sent+endedAfter }
+
 // MayClaim says whether an entry should claim now, delay after the first moment at
 // which any entry may.
 func MayClaim(v View, now, delay time.Duration) bool {
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -6,6 +6,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/tenure"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -195,8 +196,9 @@
 		ev.reply <- queryReply{j.State(), true}
 		return
 	}
-	// A job that is being stored is not known to its caller yet.
-	ev.reply <- queryReply{model.Unknown, true}
+	// A job that is being stored is not known to its caller yet. Another leader may know
+	// jobs that this one does not.
+	ev.reply <- queryReply{model.Unknown, tenure.IsCertain(l.Renewed(), l.now)}
 }
 
 func (l *Leader) onCancel(ev *cancelled) {
@@ -206,7 +208,11 @@
 	}
 	j := l.book.Job(ev.id)
 	if j == nil && l.beingStored(ev.id) == nil {
-		ev.reply <- relay.Gone
+		if tenure.IsCertain(l.Renewed(), l.now) {
+			ev.reply <- relay.Gone
+		} else {
+			ev.reply <- relay.Elsewhere
+		}
 		return
 	}
 	if j != nil && j.State().Final() {
