--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -181,6 +181,10 @@
 			return
 		}
 		sl := p.best(s, t, on)
+		if sl == nil && s.Lasts {
+			p.reserve(s, on)
+			continue
+		}
 		if sl == nil {
 			if len(t.Shunned) == 0 {
 				// The other tasks of the step need as much.
@@ -192,6 +196,24 @@
 	}
 }
 
+// reserve keeps the executor with the most room that a task fits on from work that is
+// less urgent. Otherwise smaller tasks take each core that becomes free, for as long as
+// there are any.
+func (p *plan) reserve(s *book.Step, on map[string]int) {
+	best := -1
+	for i, sl := range p.slots {
+		if !s.Room().Within(sl.m.Capacity) || !sl.m.HasLabel(s.Label) || s.Spread > 0 && on[sl.m.Key] >= s.Spread {
+			continue
+		}
+		if best < 0 || sl.free.Cores > p.slots[best].free.Cores {
+			best = i
+		}
+	}
+	if best >= 0 {
+		p.slots = slices.Delete(p.slots, best, best+1)
+	}
+}
+
 func (p *plan) place(sl *slot, s *book.Step, t *book.Task, on map[string]int, attempt int) {
 	sl.free = sl.free.Minus(s.Room())
 	if on != nil {
--- /dev/null
+++ b/internal/jobs/assign/assign_test.go
@@ -0,0 +1,115 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+)
+
+// Guards against a task that lasts and never gets room, because small tasks take each
+// core that becomes free (lra-tankrun, quiet-1 with seed 563088375518: 15 s without a
+// run).
+func TestLastingTaskGetsRoomUnderLoad(t *testing.T) {
+	r := newRig(t, 2, cores(8))
+	for i := range 200 {
+		r.accept(fmt.Sprintf("small%03d", i), model.Step{Need: cores(2), Estimate: 500*time.Millisecond + time.Duration(i%7)*time.Millisecond})
+	}
+	r.plan()
+	r.advance(130 * time.Millisecond)
+	lasting := r.accept("lasting", model.Step{Need: cores(4), Lasts: true})
+	r.plan()
+	r.advance(1200 * time.Millisecond)
+	assert.Equal(t, len(lasting.Open[0].Steps[0].Tasks[0].Runs), 1)
+}
+
+// Guards against starts that do not fit, on the wrong label or beyond the spread.
+func TestStartsKeepLimits(t *testing.T) {
+	r := newRig(t, 3, cores(8))
+	r.members[0].Labels = []string{"fast"}
+	r.accept("label", model.Step{Count: 3, Need: cores(4), Label: "fast", Estimate: time.Second})
+	r.accept("spread", model.Step{Count: 5, Need: cores(1), Spread: 1, Estimate: time.Second})
+	on := map[string]map[string]int{"label": {}, "spread": {}}
+	for _, s := range r.plan() {
+		on[s.Task.ID.Job][s.Member.Key]++
+	}
+	assert.DeepEqual(t, on["label"], map[string]int{"a": 2})
+	assert.DeepEqual(t, on["spread"], map[string]int{"b": 1, "c": 1})
+}
+
+// Guards against a gang that starts in part and waits for the rest.
+func TestGangStartsAsAWhole(t *testing.T) {
+	r := newRig(t, 2, cores(8))
+	j := r.accept("gang", model.Step{Count: 5, Need: cores(4), Gang: true, Estimate: time.Second})
+	assert.Equal(t, len(r.plan()), 0)
+	j2 := r.accept("fits", model.Step{Count: 4, Need: cores(4), Gang: true, Estimate: time.Second})
+	starts := r.plan()
+	assert.Equal(t, len(starts), 4)
+	for _, s := range starts {
+		assert.Equal(t, s.Attempt, 1)
+	}
+	assert.Equal(t, len(j.Open[0].Steps[0].Tasks[0].Runs)+len(j2.Open[0].Steps[0].Tasks[0].Runs), 1)
+}
+
+// Guards against a start before the steps that it needs are done.
+func TestStepWaitsForEarlierSteps(t *testing.T) {
+	r := newRig(t, 1, cores(8))
+	r.accept("chain", model.Step{Count: 2, Need: cores(1), Estimate: time.Second},
+		model.Step{Need: cores(1), Estimate: time.Second, After: []int{0}})
+	assert.Equal(t, len(r.plan()), 2)
+	assert.Equal(t, len(r.plan()), 0)
+	r.advance(time.Second)
+	r.advance(time.Second)
+	assert.Equal(t, r.ended["chain"], 2*time.Second)
+}
+
+// Guards against a task that runs again where it failed while there is another place.
+func TestTaskAvoidsWhereItFailed(t *testing.T) {
+	r := newRig(t, 2, cores(8))
+	j := r.accept("job", model.Step{Need: cores(1), Estimate: time.Second})
+	s := r.plan()[0]
+	task := j.Open[0].Steps[0].Tasks[0]
+	delete(r.ends, task.Runs[0])
+	s.Member.Used = model.Amount{}
+	r.b.End(s.Member.Key, model.End{Task: task.ID, Attempt: 1, How: model.EndedFailed}, false, r.now)
+	again := r.plan()
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Member.Key != s.Member.Key)
+}
+
+// Guards against an order that works on late jobs while others miss their objective: a
+// flood of three times the capacity for 4 s. The older rule is first come, first served.
+func TestFloodServesJobsInTime(t *testing.T) {
+	flood := func(naive bool) int {
+		r := newRig(t, 4, cores(8))
+		if naive {
+			// With this slack no job is ever late, and the oldest goes first.
+			r.queues["q"].Objective = time.Hour
+		}
+		n := 0
+		for r.now < 4*time.Second {
+			for range 6 {
+				r.accept(fmt.Sprintf("job%04d", n), model.Step{Count: 4, Need: cores(2), Estimate: 400 * time.Millisecond})
+				n++
+			}
+			r.plan()
+			r.advance(200 * time.Millisecond)
+		}
+		r.advance(30 * time.Second)
+		inTime := 0
+		for i := range n {
+			id := fmt.Sprintf("job%04d", i)
+			if at, ok := r.ended[id]; ok && at <= r.b.Job(id).Accepted+1240*time.Millisecond {
+				inTime++
+			}
+		}
+		assert.Equal(t, len(r.ended), n, "every job is served in the end")
+		return inTime
+	}
+	ours, naive := flood(false), flood(true)
+	t.Logf("in time: %d, first come first served: %d", ours, naive)
+	assert.Assert(t, ours > 2*naive, "in time %d, naive %d", ours, naive)
+}
