--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -100,6 +100,12 @@
 	return Err.Wrap(err)
 }
 
+// Cut closes the listener and all connections at once.
+func (s *Server) Cut() {
+	_ = s.srv.Close() // it is closed either way
+	<-s.done
+}
+
 func (h *handler) handle(c echo.Context) error {
 	r := c.Request()
 	conf := h.jobs.Config()
