Stop tasks that last only when their start is over; void failures from before a lapse

A wave whose pool had been moved away to the last instance hung (TestWave): an instance that is down for upkeep does not count as there. The tests of the whole path run against stand-ins in platform/fake; TestWave fails on the old code.

--- a/internal/jobs/tenure/tenure.go
+++ b/internal/jobs/tenure/tenure.go
@@ -15,10 +15,13 @@
 	// Valid is how long a leader acts after a renewal that succeeded, measured from
 	// when it was sent. Outages of the store last some seconds; a new leader waits for
 	// it only for executors that it can't reach.
-	Valid = 6 * time.Second
+	Valid = 5 * time.Second
 	// HoldFor is the lease of all that runs on an executor. It outlasts a change of the
-	// leader after a loss of power: Silence, the claim and the first calls.
-	HoldFor = 4 * time.Second
+	// leader after a loss of power: HoldEvery, Silence, the claim and the first calls.
+	HoldFor = 5 * time.Second
+	// HoldEvery is the most time between two extensions of the leases on an executor
+	// that answers.
+	HoldEvery = 1600 * time.Millisecond
 	// ClockDrift is how much slower the steady clock of an executor may be.
 	ClockDrift = 0.02
 	// Step is the time between claims of entries with another place in the order.
@@ -82,6 +85,12 @@
 	return got + time.Duration(float64(deadline-clock)*(1+2*ClockDrift)) + 50*time.Millisecond
 }
 
+// MayHaveLapsed says whether the leases on an executor may have ended since the former
+// leader's last renewal, which was gap ago.
+func MayHaveLapsed(gap time.Duration) bool {
+	return gap > HoldFor-HoldEvery
+}
+
 // fenceBits is how many orders to void unanswered starts a token has room for.
 const fenceBits = 16
 
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -28,6 +28,8 @@
 	entries []*Agent
 	fronts  []string
 	sets    []platform.Settings
+	// doors are each entry's own way to the store.
+	doors   []*fake.Door
 	log     *lines
 	version int
 }
@@ -86,6 +88,9 @@
 	ps := ports(t, 3*entries)
 	for i := range entries {
 		r.sets = append(r.sets, r.world.Settings(fmt.Sprintf("entry-%d", i), ps[3*i], ps[3*i+1], ps[3*i+2]))
+		door := r.world.Door()
+		r.sets[i].Store.Addr = door.Addr()
+		r.doors = append(r.doors, door)
 		r.fronts = append(r.fronts, fmt.Sprintf("127.0.0.1:%d", ps[3*i]))
 		r.entries = append(r.entries, nil)
 	}
--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -53,6 +53,8 @@
 	Nonce string `json:"nonce"`
 	// Token is that of the claim that a renewal belongs to.
 	Token uint64 `json:"token"`
+	// At is when it was written, in Unix milliseconds.
+	At int64 `json:"at"`
 }
 
 // Self is what other entries learn of this one.
@@ -77,7 +79,8 @@
 	mu      sync.Mutex
 	seat    Seat
 	renewed time.Duration
-	quit    bool // resign and claim no more
+	former  time.Duration // when another leader's last record was written, in Unix time
+	quit    bool          // resign and claim no more
 
 	end   int64 // where the topic ends, as far as it was read
 	known bool  // end was read
@@ -125,6 +128,14 @@
 	return e.renewed
 }
 
+// Former returns when the last record of another leadership was written, in Unix time,
+// 0 if there was none.
+func (e *Elector) Former() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.former
+}
+
 // Changed is sent to after each change of the seat.
 func (e *Elector) Changed() <-chan struct{} { return e.changed }
 
@@ -232,7 +243,7 @@
 	if kind == "claim" {
 		token = uint64(e.end) + 1
 	}
-	data, err := json.Marshal(record{kind, e.self.Name, e.self.Addr, e.nonce, token})
+	data, err := json.Marshal(record{kind, e.self.Name, e.self.Addr, e.nonce, token, e.clk.Wall().UnixMilli()})
 	if err != nil {
 		return platform.ErrFormat.Wrap(err)
 	}
@@ -311,6 +322,9 @@
 	e.view.Ended = false
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if last.Nonce != e.nonce || last.Kind != "claim" {
+		e.former = time.Duration(last.At) * time.Millisecond
+	}
 	if e.view.Resigned {
 		e.set(Seat{Token: last.Token})
 		return
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -416,7 +416,7 @@
 // job allows. If that is not known well enough, it has the executors looked at.
 func (l *Leader) mayStop(t *book.Task) bool {
 	s := t.Step
-	if s.MayMiss < 0 || !t.IsAtWork() {
+	if s.MayMiss < 0 || l.isStuck(t) {
 		return true
 	}
 	fresh, away := true, 0
@@ -442,6 +442,14 @@
 	return fresh && away < s.MayMiss
 }
 
+// stuckAfter is how long a task that lasts may take to be at work.
+const stuckAfter = 4 * time.Second
+
+// isStuck says whether a task did not get to work for so long that it will not.
+func (l *Leader) isStuck(t *book.Task) bool {
+	return !t.IsAtWork() && len(t.Runs) > 0 && l.now > t.Runs[0].Since+stuckAfter
+}
+
 func (l *Leader) onOrdered(ev ordered) {
 	e := ev.e
 	e.calling = false
@@ -615,8 +623,8 @@
 	var list []shift.Instance
 	var cores int64
 	for name, in := range fleet {
-		if e := l.duty.errands[name]; e != nil && e.pool != "" {
-			continue // it counts where it goes
+		if l.duty.errands[name] != nil {
+			continue // it counts where it goes, and not while it is down
 		}
 		cores = max(cores, in.Capacity.Cores)
 		m := l.memberOn(in.Instance)
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -243,6 +243,7 @@
 	m.due = l.now
 	first := !m.adopted
 	m.adopted = true
+	l.mayHaveLapsed = len(ev.list.Running) == 0 && l.Former > 0 && tenure.MayHaveLapsed(l.wall-l.Former)
 	l.ends(m, ev.list.Ended, first)
 	l.running(m, ev, first)
 }
@@ -287,10 +288,20 @@
 
 // ends applies the ends that an executor lists.
 func (l *Leader) ends(m *member, ends []model.End, first bool) {
+	lapsed := int64(0)
+	for _, e := range ends {
+		if e.How == model.EndedLapsed {
+			lapsed = max(lapsed, e.Seq)
+		}
+	}
 	for _, e := range ends {
 		if e.Seq <= m.seen {
 			continue
 		}
+		if first && e.How == model.EndedFailed && (e.Seq < lapsed || l.mayHaveLapsed) {
+			// A failure before the leases ended counts for nothing.
+			e.How = model.EndedOther
+		}
 		m.seen = e.Seq
 		if e.Task.Job == "" {
 			continue
