--- a/internal/fake/local/local.go
+++ b/internal/fake/local/local.go
@@ -168,3 +168,25 @@
 
 // Millis converts milliseconds to a duration.
 func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// FreeAddrs returns loopback addresses with distinct ports that nothing listens on. All
+// are held until the last one is chosen, so that none is given out twice. It returns an
+// ErrListen.
+func FreeAddrs(n int) ([]string, error) {
+	held := make([]net.Listener, 0, n)
+	defer func() {
+		for _, l := range held {
+			_ = l.Close()
+		}
+	}()
+	out := make([]string, n)
+	for i := range out {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, ErrListen.Wrap(err)
+		}
+		held = append(held, l)
+		out[i] = l.Addr().String()
+	}
+	return out, nil
+}
--- a/internal/proof/procs/cluster_test.go
+++ b/internal/proof/procs/cluster_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"gotest.tools/v3/poll"
 
 	"chervilgauge.example/chervilgauge/internal/bench/world"
+	"chervilgauge.example/chervilgauge/internal/fake/local"
 	"chervilgauge.example/chervilgauge/internal/wire/opspb"
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
 )
@@ -173,8 +173,10 @@
 
 // startEntry writes the settings of an entry and starts it.
 func (c *cluster) startEntry(n int) *member {
+	addrs, err := local.FreeAddrs(4)
+	assert.NilError(c.t, err)
 	m := &member{
-		callers: freeAddr(c.t), operators: freeAddr(c.t), peers: freeAddr(c.t), healthAt: freeAddr(c.t),
+		callers: addrs[0], operators: addrs[1], peers: addrs[2], healthAt: addrs[3],
 		file: filepath.Join(c.t.TempDir(), fmt.Sprintf("entry-%d.jsonc", n)),
 	}
 	text := fmt.Sprintf(`{"name": "entry-%d", "centre": "north",
@@ -187,13 +189,6 @@
 	return m
 }
 
-func freeAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // until polls a condition for at most 20 s.
 func (c *cluster) until(what string, cond func() bool) {
 	c.t.Helper()
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/fake/local"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
@@ -52,20 +53,16 @@
 	return l.b.String()
 }
 
-// ports returns free ports. All are held until the last is chosen, so that none is
-// given out twice.
+// ports returns free ports.
 func ports(t *testing.T, n int) []int {
 	t.Helper()
-	var out []int
-	var held []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	addrs, err := local.FreeAddrs(n)
+	assert.NilError(t, err)
+	out := make([]int, n)
+	for i, a := range addrs {
+		ap, err := netip.ParseAddrPort(a)
 		assert.NilError(t, err)
-		held = append(held, l)
-		out = append(out, l.Addr().(*net.TCPAddr).Port)
-	}
-	for _, l := range held {
-		assert.NilError(t, l.Close())
+		out[i] = int(ap.Port())
 	}
 	return out
 }
