--- /dev/null
+++ b/internal/jobs/tenure/tenure_test.go
@@ -0,0 +1,69 @@
+package tenure
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a claim while the leader renews, and against none when it does not.
+func TestClaimsWaitForSilence(t *testing.T) {
+	const moved = 10 * time.Second
+	for _, c := range []struct {
+		name  string
+		view  View
+		after time.Duration
+	}{
+		{"silent", View{Moved: moved}, Silence},
+		{"process gone", View{Moved: moved, Ended: true}, endedAfter},
+		{"resigned", View{Moved: moved, Resigned: true}, 0},
+		{"nobody ever", View{Moved: moved, Empty: true}, 0},
+	} {
+		delay := Delay(0, 0)
+		if c.after > 0 {
+			assert.Assert(t, !MayClaim(c.view, moved+c.after-time.Millisecond, delay), c.name)
+		}
+		assert.Assert(t, MayClaim(c.view, moved+c.after, delay), c.name)
+		assert.Assert(t, !MayClaim(c.view, moved+c.after, Delay(1, 0)), "%s: smaller instances wait", c.name)
+	}
+}
+
+// Guards against a new leader that starts a task again while the former one may still
+// extend its lease on an executor that only the former one reaches. Clocks of executors
+// are up to 2% slow; everything else is drawn.
+func TestSettledIsAfterEveryFormerLease(t *testing.T) {
+	draw := rand.New(rand.NewPCG(1, 2))
+	for range 100_000 {
+		claimed := 100 * time.Second
+		// The former leader's last renewal was sent before the claim, or the claim would
+		// have failed. It acts until Valid after it.
+		renewed := claimed - time.Duration(draw.Int64N(int64(Silence)))
+		lastHold := renewed + time.Duration(draw.Int64N(int64(Valid)))
+		// The executor's clock runs slow by up to ClockDrift.
+		rate := 1 - ClockDrift*draw.Float64()
+		lapse := lastHold + time.Duration(float64(HoldFor)/rate)
+		assert.Assert(t, lapse <= Settled(claimed), "lapse %s, settled %s", lapse, Settled(claimed))
+	}
+}
+
+// Guards against a lease that is thought to have ended while it has not.
+func TestLeaseEndIsLate(t *testing.T) {
+	draw := rand.New(rand.NewPCG(3, 4))
+	for range 100_000 {
+		got, clock := 50*time.Second, 7*time.Second
+		deadline := clock + time.Duration(draw.Int64N(int64(HoldFor)))
+		// The clock was read when the answer was sent, at most at got.
+		rate := 1 - ClockDrift*draw.Float64()
+		lapse := got + time.Duration(float64(deadline-clock)/rate)
+		assert.Assert(t, lapse <= LeaseEnd(got, clock, deadline))
+	}
+}
+
+// Guards against a fence that an earlier leader's orders pass.
+func TestFencesRise(t *testing.T) {
+	assert.Assert(t, Fence(2, 0) > Fence(1, 1<<fenceBits+5))
+	assert.Assert(t, Fence(1, 1) > Fence(1, 0))
+	assert.Assert(t, Fence(1<<36, 0) < 1<<53, "a fence is a whole number in JSON")
+}
--- a/internal/proof/rules/rules_test.go
+++ b/internal/proof/rules/rules_test.go
@@ -21,6 +21,7 @@
 var decisions = []string{
 	"fleet/state", "fleet/budget", "fleet/waves", "fleet/spare", "fleet/place", "fleet/member",
 	"flow/admit", "flow/route", "flow/share", "flow/claim",
+	"jobs/model", "jobs/book", "jobs/crew", "jobs/assign", "jobs/shift", "jobs/upkeep", "jobs/tenure",
 }
 
 // forbidden are import paths, or their prefixes, that decision packages must not use.
@@ -99,6 +100,39 @@
 	}
 }
 
+// wireWords are names of the operators' platform.
+var wireWords = []string{
+	"/chervilgauge/", "X-Duty-Holder", "X-Fencing-Token", "X-Expect-Instance", "X-Deadline-Ms", "keyed.op", "keyed.servers",
+	"keyed.status", "max_per_server", "max_unavailable", "long_running", "rack_local", "data_rack", "required_label",
+	"deadline_ms", "ack_seq", "clock_ms", "admission_control", "target_runtime_ms", "run-start", "machine-move", "CHERVILGAUGE_SETTINGS",
+}
+
+// Guards against names of the platform outside the folder that translates them, and
+// against a folder of translations that decides or that production code takes its
+// stand-ins from.
+func TestWireWordsStayInPlatform(t *testing.T) {
+	for _, dir := range []string{"internal", "cmd"} {
+		for _, path := range files(t, dir, isSource) {
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			for _, w := range wireWords {
+				for _, line := range strings.Split(string(data), "\n") {
+					isImport := strings.Contains(line, "chervilgauge.example/chervilgauge/")
+					assert.Assert(t, isImport || !strings.Contains(line, w), "%s: %s", path, line)
+				}
+			}
+			assert.Assert(t, !strings.Contains(string(data), "chervilgauge/platform/fake"), "%s imports the stand-ins", path)
+		}
+	}
+	for _, path := range files(t, "platform", isSource) {
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for _, area := range []string{"serve", "fleet", "flow", "jobs/book", "jobs/assign"} {
+			assert.Assert(t, !strings.Contains(string(data), "chervilgauge/internal/"+area), "%s imports internal/%s", path, area)
+		}
+	}
+}
+
 // Guards against packages outside internal/<area>/<name of 4 to 6 letters>.
 func TestPackagePaths(t *testing.T) {
 	for _, path := range files(t, "internal", func(string) bool { return true }) {
