Count each failed run once, and only when its executor knows that the end is stored

A failure now counts when the executor was told, and is void if the executor is lost before. TestFailuresCountOnce fails on the old code.

--- a/internal/jobs/book/book.go
+++ b/internal/jobs/book/book.go
@@ -207,6 +207,8 @@
 	Known bool
 	// Done says that a task is done now.
 	Done bool
+	// Failed says that a failure was noted that waits to be confirmed.
+	Failed bool
 	// Over says that the job is over now.
 	Over bool
 }
@@ -251,7 +253,8 @@
 		eff.Done = true
 		b.done(t, wall)
 	case e.How == model.EndedFailed:
-		b.failed(t, executor, e.Attempt, wall)
+		eff.Failed = true
+		b.failed(t, executor, e.Attempt)
 	}
 	eff.Over = j.IsOver()
 	return eff
@@ -299,25 +302,62 @@
 	}
 }
 
-func (b *Book) failed(t *Task, executor string, attempt int, wall time.Duration) {
-	s := t.Step
+// failed notes a failed run. A new leader can learn twice of it: from the store, and
+// from the executor that was not told that it is stored.
+func (b *Book) failed(t *Task, executor string, attempt int) {
 	t.shun(executor)
-	failed := 0
-	if s.Gang {
-		// All members of a run fail together.
-		if attempt > s.gangLast {
-			s.gangLast = attempt
-			s.gangFailed++
+	c := t.counted()
+	for i := range c.failures {
+		if c.failures[i].attempt == attempt {
+			c.failures[i].confirmed = false
+			return
+		}
+	}
+	c.failures = append(c.failures, failure{attempt: attempt})
+	b.touch(t.Step.Occ)
+}
+
+// ConfirmFailure makes a failure count for good, and ends the job if it was one too
+// many. It says whether the job is over now.
+func (b *Book) ConfirmFailure(id model.TaskID, attempt int, wall time.Duration) bool {
+	j := b.jobs[id.Job]
+	if j == nil || j.IsOver() {
+		return false
+	}
+	t := j.Task(id)
+	if t == nil {
+		return false
+	}
+	c := t.counted()
+	for i := range c.failures {
+		if c.failures[i].attempt == attempt {
+			c.failures[i].confirmed = true
 		}
-		failed = s.gangFailed
-		t.Failed = max(t.Failed, failed)
-	} else {
-		t.Failed++
-		failed = t.Failed
-	}
-	b.touch(s.Occ)
-	if failed >= s.Occ.Job.Rules.Attempts {
-		b.finish(s.Occ.Job, model.Failed, wall)
+	}
+	return b.giveUp(t, wall)
+}
+
+// giveUp ends the job of a task that failed as often as it may.
+func (b *Book) giveUp(t *Task, wall time.Duration) bool {
+	j := t.Step.Occ.Job
+	if j.IsOver() || t.Step.Lasts || t.confirmed() < j.attempts() {
+		return false
+	}
+	b.finish(j, model.Failed, wall)
+	return true
+}
+
+// VoidFailure drops a failure whose executor was lost before it knew that its end is
+// stored.
+func (b *Book) VoidFailure(id model.TaskID, attempt int) {
+	j := b.jobs[id.Job]
+	if j == nil || j.IsOver() {
+		return
+	}
+	if t := j.Task(id); t != nil {
+		c := t.counted()
+		c.failures = slices.DeleteFunc(c.failures, func(f failure) bool { return f.attempt == attempt && !f.confirmed })
+		b.touch(t.Step.Occ)
 	}
 }
 
--- a/internal/jobs/book/book_test.go
+++ b/internal/jobs/book/book_test.go
@@ -85,7 +85,7 @@
 			if j.IsOver() {
 				break
 			}
-			b.Release(func(*Job) bool { return true })
+			b.Release(func(*Job) bool { return true }, 0)
 			var ready []*Task
 			for _, s := range j.Open[0].Steps {
 				for _, task := range s.Tasks {
@@ -112,15 +112,32 @@
 			b.Confirm(r, 0)
 			how := rapid.SampledFrom([]model.Ending{model.EndedDone, model.EndedDone, model.EndedFailed, model.EndedStopped}).Draw(t, "how")
 			b.End("x", model.End{Task: task.ID, Attempt: r.Attempt, How: how}, false, 0)
+			told := true
 			switch how {
 			case model.EndedDone:
 				done[task.ID] = true
 			case model.EndedFailed:
-				failed[task.ID]++
+				told = rapid.Bool().Draw(t, "told")
 			}
 			batch := b.Take()
 			d.write(batch.Entries)
 			b.Stored(batch)
+			if how == model.EndedFailed {
+				if !told && rapid.Bool().Draw(t, "lost") {
+					b.VoidFailure(task.ID, r.Attempt)
+				} else {
+					if !told {
+						// The leader changes, and the executor lists the end again.
+						b = d.load(t)
+						b.End("x", model.End{Task: task.ID, Attempt: r.Attempt, How: how}, true, 0)
+					}
+					b.ConfirmFailure(task.ID, r.Attempt, 0)
+					failed[task.ID]++
+				}
+				batch := b.Take()
+				d.write(batch.Entries)
+				b.Stored(batch)
+			}
 			if rapid.Bool().Draw(t, "new leader") {
 				b = d.load(t)
 			}
@@ -159,7 +176,7 @@
 	w := steps(1)
 	d.write([]Entry{WorkEntry("j", queue, body(w), 0)})
 	b := d.load(t)
-	b.Release(func(*Job) bool { return true })
+	b.Release(func(*Job) bool { return true }, 0)
 	r := b.Begin(b.Job("j").Open[0].Steps[0].Tasks[0], "x", 0, 0)
 	b.End("x", model.End{Task: r.Task.ID, Attempt: r.Attempt, How: model.EndedDone}, false, 0)
 	d.write(b.Take().Entries)
@@ -216,6 +233,7 @@
 		}
 		b.End("x0", model.End{Task: tasks[0].ID, Attempt: round + 1, How: how}, false, 0)
 		if round == 0 {
+			assert.Assert(t, !b.ConfirmFailure(tasks[0].ID, 1, 0))
 			for i := 1; i < 3; i++ {
 				b.End(fmt.Sprint("x", i), model.End{Task: tasks[i].ID, Attempt: 1, How: model.EndedBroken}, false, 0)
 			}
@@ -226,3 +244,36 @@
 	b.Stored(b.Take())
 	assert.Equal(t, j.State(), model.Complete)
 }
+
+// Guards against a failure that counts twice after a change of the leader, which made
+// jobs fail that had an attempt left (lse-cuciture hunt-335d-7: LOST), and against one
+// that counts although its executor was lost before it was told that the end is stored.
+func TestFailuresCountOnce(t *testing.T) {
+	d := disk{}
+	d.write([]Entry{WorkEntry("j", queue, body(steps(1)), 0)})
+	b := d.load(t)
+	b.Release(func(*Job) bool { return true }, 0)
+	id := model.TaskID{Job: "j"}
+	r := b.Begin(b.Job("j").Task(id), "x", 0, 0)
+	end := model.End{Task: id, Attempt: r.Attempt, How: model.EndedFailed}
+	b.End("x", end, false, 0)
+	d.write(b.Take().Entries)
+	// The executor was not told, and lists the end to the next leader.
+	b = d.load(t)
+	b.End("x", end, true, 0)
+	assert.Assert(t, !b.ConfirmFailure(id, end.Attempt, 0))
+	b.Release(func(*Job) bool { return true }, 0)
+	j := b.Job("j")
+	assert.Assert(t, j.Task(id).IsWaiting(), "one attempt is left")
+
+	r = b.Begin(j.Task(id), "y", 0, 0)
+	b.End("y", model.End{Task: id, Attempt: r.Attempt, How: model.EndedFailed}, false, 0)
+	assert.Assert(t, !j.Task(id).IsWaiting() && !j.IsOver(), "the end is not confirmed")
+	b.VoidFailure(id, r.Attempt)
+	assert.Assert(t, j.Task(id).IsWaiting())
+	r = b.Begin(j.Task(id), "z", 0, 0)
+	b.End("z", model.End{Task: id, Attempt: r.Attempt, How: model.EndedFailed}, false, 0)
+	assert.Assert(t, b.ConfirmFailure(id, r.Attempt, 0))
+	b.Stored(b.Take())
+	assert.Equal(t, j.State(), model.Failed)
+}
--- a/internal/jobs/book/codec.go
+++ b/internal/jobs/book/codec.go
@@ -132,8 +132,8 @@
 				m.Done[i/8] |= 1 << (i % 8)
 				continue
 			}
-			if t.Failed > 0 {
-				m.Failed = append(m.Failed, &workpb.Count{Task: uint32(i), N: uint32(t.Failed)})
+			for _, f := range t.failures {
+				m.Failed = append(m.Failed, &workpb.Failure{Task: uint32(i), Attempt: uint32(f.attempt)})
 			}
 			if t.Saved != "" {
 				m.Saved = append(m.Saved, &workpb.Saved{Task: uint32(i), Value: t.Saved})
@@ -155,13 +155,10 @@
 			o.Left--
 		}
 	}
-	for _, c := range m.GetFailed() {
-		if int(c.GetTask()) < len(all) {
-			t := all[c.GetTask()]
-			t.Failed = int(c.GetN())
-			if t.Step.Gang {
-				t.Step.gangFailed = max(t.Step.gangFailed, t.Failed)
-			}
+	for _, f := range m.GetFailed() {
+		if int(f.GetTask()) < len(all) {
+			t := all[f.GetTask()]
+			t.failures = append(t.failures, failure{int(f.GetAttempt()), true})
 		}
 	}
 	for _, s := range m.GetSaved() {
@@ -293,9 +290,6 @@
 			for _, t := range s.Tasks {
 				t.Attempt = b.base
 				t.Unlocated = !t.Done
-				if t.Failed >= max(j.Rules.Attempts, 1) && !s.Lasts {
-					b.finish(j, model.Failed, wall)
-				}
 			}
 		}
 		b.close(o, wall)
@@ -328,9 +322,9 @@
 	return run
 }
 
-// Release makes the unlocated tasks of a service's jobs waiting. It returns how many
-// there were.
-func (b *Book) Release(of func(*Job) bool) int {
+// Release makes the unlocated tasks of a service's jobs waiting, and ends the jobs of
+// those that failed as often as they may. It returns how many there were.
+func (b *Book) Release(of func(*Job) bool, wall time.Duration) int {
 	n := 0
 	for _, j := range b.active {
 		if !of(j) {
@@ -342,6 +336,7 @@
 					if t.Unlocated {
 						t.Unlocated = false
 						n++
+						b.giveUp(t, wall)
 					}
 				}
 			}
--- a/internal/jobs/book/job.go
+++ b/internal/jobs/book/job.go
@@ -50,8 +50,9 @@
 	ID   model.TaskID
 	Step *Step
 	Done bool
-	// Failed counts the runs that ended as failed.
-	Failed int
+	// failures are the runs that ended as failed. Those of a gang are kept with its first
+	// task.
+	failures []failure
 	// Attempt is the highest attempt that was used.
 	Attempt int
 	// Saved is the checkpoint to resume from, empty for none.
@@ -65,11 +66,45 @@
 	NotBefore time.Duration
 }
 
+// failure is a run that failed. It counts for good once the executor knows that its end
+// is stored; until then it is void if the executor is lost.
+type failure struct {
+	attempt   int
+	confirmed bool
+}
+
 // IsWaiting says whether the task has no run and needs one.
 func (t *Task) IsWaiting() bool {
-	return !t.Done && len(t.Runs) == 0 && !t.Unlocated
+	return !t.Done && len(t.Runs) == 0 && !t.Unlocated && !t.isUsedUp()
+}
+
+// counted returns the task that the failures of t are kept with.
+func (t *Task) counted() *Task {
+	if t.Step.Gang {
+		return t.Step.Tasks[0]
+	}
+	return t
+}
+
+// isUsedUp says whether the task failed as often as it may, confirmed or not.
+func (t *Task) isUsedUp() bool {
+	return !t.Step.Lasts && len(t.counted().failures) >= t.Step.Occ.Job.attempts()
+}
+
+// confirmed counts the failures that count for good.
+func (t *Task) confirmed() int {
+	n := 0
+	for _, f := range t.counted().failures {
+		if f.confirmed {
+			n++
+		}
+	}
+	return n
 }
 
+// attempts is how often a task of the job may fail.
+func (j *Job) attempts() int { return max(j.Rules.Attempts, 1) }
+
 // index is the position of the task among all tasks of its occurrence.
 func (t *Task) index() int { return t.Step.first + t.ID.Index }
 
@@ -85,8 +120,6 @@
 	first int
 	// GangAttempt is the attempt of the present run of a gang.
 	GangAttempt int
-	gangFailed  int
-	gangLast    int // the last attempt that failed
 }
 
 // IsReady says whether all earlier steps that it needs are done, and it is not.
--- a/internal/jobs/tenure/tenure.go
+++ b/internal/jobs/tenure/tenure.go
@@ -19,9 +19,6 @@
 	// HoldFor is the lease of all that runs on an executor. It outlasts a change of the
 	// leader after a loss of power: HoldEvery, Silence, the claim and the first calls.
 	HoldFor = 5 * time.Second
-	// HoldEvery is the most time between two extensions of the leases on an executor
-	// that answers.
-	HoldEvery = 1600 * time.Millisecond
 	// ClockDrift is how much slower the steady clock of an executor may be.
 	ClockDrift = 0.02
 	// Step is the time between claims of entries with another place in the order.
@@ -85,12 +82,6 @@
 	return got + time.Duration(float64(deadline-clock)*(1+2*ClockDrift)) + 50*time.Millisecond
 }
 
-// MayHaveLapsed says whether the leases on an executor may have ended since the former
-// leader's last renewal, which was gap ago.
-func MayHaveLapsed(gap time.Duration) bool {
-	return gap > HoldFor-HoldEvery
-}
-
 // fenceBits is how many orders to void unanswered starts a token has room for.
 const fenceBits = 16
 
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -139,7 +139,6 @@
 		case seat.Mine && l == nil:
 			l = leader.Start(ctx, leader.Parts{
 				Client: a.client, Settings: a.set, Orders: a.orders, Clock: a.clk, Log: a.log, Renewed: a.elector.Renewed,
-				Former: a.elector.Former(),
 			}, seat.Token)
 			a.setLeader(l)
 		case !seat.Mine && l != nil:
--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -79,8 +79,7 @@
 	mu      sync.Mutex
 	seat    Seat
 	renewed time.Duration
-	former  time.Duration // when another leader's last record was written, in Unix time
-	quit    bool          // resign and claim no more
+	quit    bool // resign and claim no more
 
 	end   int64 // where the topic ends, as far as it was read
 	known bool  // end was read
@@ -128,14 +127,6 @@
 	return e.renewed
 }
 
-// Former returns when the last record of another leadership was written, in Unix time,
-// 0 if there was none.
-func (e *Elector) Former() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.former
-}
-
 // Changed is sent to after each change of the seat.
 func (e *Elector) Changed() <-chan struct{} { return e.changed }
 
@@ -322,9 +313,6 @@
 	e.view.Ended = false
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if last.Nonce != e.nonce || last.Kind != "claim" {
-		e.former = time.Duration(last.At) * time.Millisecond
-	}
 	if e.view.Resigned {
 		e.set(Seat{Token: last.Token})
 		return
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -386,7 +386,8 @@
 	}
 	runs := l.book.On(m.Key)
 	if len(runs) == 0 {
-		return m.starting == 0 && !m.doubt
+		// Ends that the executor does not know to be stored would be lost with it.
+		return m.starting == 0 && !m.doubt && m.told >= m.seen
 	}
 	for r := range runs {
 		if r.Phase != book.Running {
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -45,6 +45,7 @@
 	told     int64         // the highest end that it was told is stored
 	failures int
 	adopted  bool
+	failed   []unconfirmed
 	// hurry says that a look is needed at once, and known is when it was first listed.
 	hurry bool
 	known time.Duration
@@ -130,6 +131,7 @@
 	m.Listed = false
 	m.deadAt = l.now
 	l.Log.Info().Str("executor", m.ID).Int64("born", m.Born).Str("cause", cause).Int("runs", len(l.book.On(m.Key))).Msg("executor has ended")
+	l.void(m)
 	l.dropAll(m, cause)
 }
 
@@ -240,10 +242,10 @@
 	m.Contact, m.failures = crew.Live, 0
 	m.clock, m.clockAt = ev.list.Clock, l.now
 	m.told = max(m.told, ev.acked)
+	l.confirm(m)
 	m.due = l.now
 	first := !m.adopted
 	m.adopted = true
-	l.mayHaveLapsed = len(ev.list.Running) == 0 && l.Former > 0 && tenure.MayHaveLapsed(l.wall-l.Former)
 	l.ends(m, ev.list.Ended, first)
 	l.running(m, ev, first)
 }
@@ -288,20 +290,10 @@
 
 // ends applies the ends that an executor lists.
 func (l *Leader) ends(m *member, ends []model.End, first bool) {
-	lapsed := int64(0)
-	for _, e := range ends {
-		if e.How == model.EndedLapsed {
-			lapsed = max(lapsed, e.Seq)
-		}
-	}
 	for _, e := range ends {
 		if e.Seq <= m.seen {
 			continue
 		}
-		if first && e.How == model.EndedFailed && (e.Seq < lapsed || l.mayHaveLapsed) {
-			// A failure before the leases ended counts for nothing.
-			e.How = model.EndedOther
-		}
 		m.seen = e.Seq
 		if e.Task.Job == "" {
 			continue
@@ -326,6 +318,9 @@
 		return
 	}
 	l.planDue[l.rules(j).Service] = true
+	if eff.Failed {
+		m.failed = append(m.failed, unconfirmed{e.Seq, e.Task, e.Attempt})
+	}
 	if eff.Over {
 		l.stopJob(j)
 	}
@@ -341,6 +336,35 @@
 	}
 }
 
+// unconfirmed is a failure that its executor does not know to be stored.
+type unconfirmed struct {
+	seq     int64
+	task    model.TaskID
+	attempt int
+}
+
+// confirm makes the failures count that an executor knows to be stored.
+func (l *Leader) confirm(m *member) {
+	for len(m.failed) > 0 && m.failed[0].seq <= m.told {
+		f := m.failed[0]
+		m.failed = m.failed[1:]
+		if l.book.ConfirmFailure(f.task, f.attempt, l.wall) {
+			l.Log.Info().Stringer("task", f.task).Int("attempt", f.attempt).Msg("task failed as often as it may")
+			l.stopJob(l.book.Job(f.task.Job))
+		}
+	}
+}
+
+// void drops the failures that an executor that is lost does not know to be stored.
+func (l *Leader) void(m *member) {
+	for _, f := range m.failed {
+		l.Log.Info().Stringer("task", f.task).Int("attempt", f.attempt).Str("executor", m.ID).Msg("failure does not count")
+		l.book.VoidFailure(f.task, f.attempt)
+		l.planDue[m.Service] = true
+	}
+	m.failed = nil
+}
+
 // stopCopies stops the other runs of a task that is done.
 func (l *Leader) stopCopies(t *book.Task) {
 	for _, r := range t.Runs {
@@ -434,9 +458,10 @@
 // ended.
 func (l *Leader) expireLeases() {
 	for _, m := range l.members {
-		if m.Contact == crew.Live || m.Contact == crew.Dead || l.now < m.leaseEnd || len(l.book.On(m.Key)) == 0 {
+		if m.Contact == crew.Live || m.Contact == crew.Dead || l.now < m.leaseEnd || len(l.book.On(m.Key))+len(m.failed) == 0 {
 			continue
 		}
+		l.void(m)
 		l.dropAll(m, "its leases ended")
 		m.doubt = true
 	}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -39,9 +39,6 @@
 	Log      zerolog.Logger
 	// Renewed returns when the last renewal of the lease that succeeded was sent.
 	Renewed func() time.Duration
-	// Former is when the former leader wrote its last renewal, in Unix time, 0 if there
-	// was none.
-	Former time.Duration
 }
 
 // Leader leads from Start to Close.
@@ -71,15 +68,15 @@
 	execTop tailing
 	jobsTop tailing
 
-	// mayHaveLapsed says that the leases on the executor at hand may have ended before
-	// it was first heard.
-	mayHaveLapsed bool
-	waiting       []event // requests that came before the book was loaded
-	planDue       map[string]bool
-	lastPlan      time.Duration
-	forgetAt      time.Duration
-	duty          duties
-	counts        counters
+	// lapsed says that the leases on the executor at hand have probably ended before it
+	// was first heard.
+	lapsed   bool
+	waiting  []event // requests that came before the book was loaded
+	planDue  map[string]bool
+	lastPlan time.Duration
+	forgetAt time.Duration
+	duty     duties
+	counts   counters
 }
 
 // event is a message to the control goroutine.
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -165,7 +165,7 @@
 			continue
 		}
 		l.settled[s] = true
-		n := l.book.Release(func(j *book.Job) bool { return l.rules(j).Service == s })
+		n := l.book.Release(func(j *book.Job) bool { return l.rules(j).Service == s }, l.wall)
 		l.planDue[s] = true
 		l.Log.Info().Str("service", s).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
 			Msg("former runs are known")
