--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -42,7 +42,8 @@
 	due      time.Duration // when the next call is due
 	seen     int64         // the highest end that was applied
 	acked    int64         // the highest end that is stored
-	told     int64         // the highest end that it was told is stored
+	told     int64         // the highest end that it certainly knows to be stored
+	sentAck  int64         // the highest end that it was told is stored
 	failures int
 	adopted  bool
 	failed   []unconfirmed
@@ -179,7 +180,8 @@
 	if m.seen > m.acked && l.now < m.due+holdLate {
 		return // ends that are not stored yet would be listed again at once
 	}
-	if m.acked > m.told && len(l.book.On(m.Key)) == 0 {
+	if m.acked > m.told && (len(l.book.On(m.Key)) == 0 || len(m.failed) > 0) {
+		// The answer confirms failures, and nothing else is expected of an idle executor.
 		wait, limit = 0, firstLook
 	}
 	if m.hurry {
@@ -198,6 +200,7 @@
 	}
 	to, acked := l.to(m), m.acked
 	ev.acked = acked
+	m.sentAck = acked
 	m.holding = true
 	l.counts.holds++
 	l.call(func(ctx context.Context) event {
@@ -358,6 +361,13 @@
 // void drops the failures that an executor that is lost does not know to be stored.
 func (l *Leader) void(m *member) {
 	for _, f := range m.failed {
+		if f.seq <= m.sentAck {
+			// The executor was told, and was probably lost after that.
+			if l.book.ConfirmFailure(f.task, f.attempt, l.wall) {
+				l.stopJob(l.book.Job(f.task.Job))
+			}
+			continue
+		}
 		l.Log.Info().Stringer("task", f.task).Int("attempt", f.attempt).Str("executor", m.ID).Msg("failure does not count")
 		l.book.VoidFailure(f.task, f.attempt)
 		l.planDue[m.Service] = true
