--- a/cmd/chervilgauge/cmds/agent.go
+++ b/cmd/chervilgauge/cmds/agent.go
@@ -19,6 +19,7 @@
 
 // runAgent runs an entry on the operators' platform until SIGTERM.
 func runAgent(e *env, fs *flag.FlagSet, args []string) error {
+	port := fs.Int("metrics", 0, "port of the metrics page, 0 for none")
 	if _, err := parse(fs, args, 0); err != nil {
 		return err
 	}
@@ -32,7 +33,7 @@
 	log := logs.New(sink, "", set.Node)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	a, err := agent.Start(context.WithoutCancel(e.ctx), set, log)
+	a, err := agent.Start(context.WithoutCancel(e.ctx), set, log, agent.WithMetrics(*port))
 	if err != nil {
 		return err
 	}
--- a/internal/jobs/tenure/tenure.go
+++ b/internal/jobs/tenure/tenure.go
@@ -21,8 +21,9 @@
 	HoldFor = 5 * time.Second
 	// ClockDrift is how much slower the steady clock of an executor may be.
 	ClockDrift = 0.02
-	// Step is the time between claims of entries with another place in the order.
-	Step = 60 * time.Millisecond
+	// Step is how much later small instances claim: all instances start within 300 ms of
+	// one another.
+	Step = 500 * time.Millisecond
 	// Spread is how far the claims of entries of the same place lie apart.
 	Spread = 50 * time.Millisecond
 )
@@ -40,6 +41,19 @@
 	Empty bool
 }
 
+// smallCores is the share of a core below which an instance leads only if no larger one
+// does. A leader of 350 executors was measured at 0.27 cores, one of 50 at 0.1.
+const smallCores = 0.3
+
+// Place returns the place of an instance in the order of claims: 0 for those that can
+// carry the work of a leader, and 1 for the others.
+func Place(cores float64) int {
+	if cores < smallCores {
+		return 1
+	}
+	return 0
+}
+
 // Delay returns how long an entry waits before it claims, so that larger instances
 // lead. place is 0 for the largest; draw is a random number in [0, 1).
 func Delay(place int, draw float64) time.Duration {
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -15,12 +15,14 @@
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/tenure"
 	"chervilgauge.example/chervilgauge/internal/serve/front"
 	"chervilgauge.example/chervilgauge/internal/serve/lead"
 	"chervilgauge.example/chervilgauge/internal/serve/leader"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/internal/serve/peers"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/internal/watch/meter"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
@@ -28,9 +30,6 @@
 var Err = errs.Class("entry")
 
 const (
-	// largeCores is the share of a core from which an instance is a preferred leader: a
-	// leader of 350 executors needs about half a core.
-	largeCores = 0.7
 	// leaveLag is how long new connections are served after the start of a stop: the
 	// platform asks each second whether the entry is ready, and needs two answers.
 	leaveLag = 2500 * time.Millisecond
@@ -54,6 +53,12 @@
 	ready    *http.Server
 	readyEnd chan error
 
+	metricsPort int
+	metrics     *http.Server
+	metricsEnd  chan error
+
+	meter    *meter.Meter
+	meters   *leader.Meters
 	stopping atomic.Bool
 	mu       sync.Mutex
 	leader   *leader.Leader
@@ -64,13 +69,25 @@
 	done   chan struct{}
 }
 
+// Option changes how an entry runs.
+type Option func(*Agent)
+
+// WithMetrics serves metrics on a port of every address.
+func WithMetrics(port int) Option { return func(a *Agent) { a.metricsPort = port } }
+
 // Start starts an entry. It returns an Err.
-func Start(ctx context.Context, set platform.Settings, log zerolog.Logger) (*Agent, error) {
+func Start(ctx context.Context, set platform.Settings, log zerolog.Logger, opts ...Option) (*Agent, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &Agent{
 		set: set, log: log, clk: clock.NewBoot(), client: platform.NewClient(set), peers: relay.NewClient(),
 		cancel: cancel, done: make(chan struct{}), readyEnd: make(chan error, 1),
+		metricsEnd: make(chan error, 1),
+	}
+	for _, o := range opts {
+		o(a)
 	}
+	a.meter = meter.New(set.Node)
+	a.meters = leader.NewMeters(a.meter.Scope())
 	addr := net.JoinHostPort(set.IP, strconv.Itoa(set.Peers.First))
 	var ls [3]net.Listener
 	for i, at := range []string{set.Front, set.Ready, addr} {
@@ -82,10 +99,7 @@
 		ls[i] = lis
 	}
 	a.orders = orders.Start(ctx, a.client, a.clk, log)
-	place := 1
-	if set.Cores >= largeCores {
-		place = 0
-	}
+	place := tenure.Place(set.Cores)
 	a.elector = lead.Start(ctx, a.client, a.peers, a.clk, log, lead.Self{Name: set.Node, Addr: addr, Place: place}, a.version, a.heard)
 	var err error
 	if a.relay, err = relay.Serve(ctx, ls[2], (*desk)(a)); err != nil {
@@ -95,11 +109,40 @@
 	a.front = front.Serve(ls[0], a, log)
 	a.ready = &http.Server{Handler: http.HandlerFunc(a.readyz), ReadHeaderTimeout: time.Second}
 	go func() { a.readyEnd <- a.ready.Serve(ls[1]) }()
+	if err := a.serveMetrics(); err != nil {
+		// An entry serves callers without its metrics.
+		log.Error().Err(err).Int("port", a.metricsPort).Msg("metrics are not served")
+	}
 	go a.run(ctx)
 	log.Info().Str("front", set.Front).Str("peers", addr).Float64("cores", set.Cores).Int64("memory", set.Memory).Msg("entry starts")
 	return a, nil
 }
 
+func (a *Agent) serveMetrics() error {
+	if a.metricsPort == 0 {
+		return nil
+	}
+	lis, err := net.Listen("tcp", net.JoinHostPort(a.set.IP, strconv.Itoa(a.metricsPort)))
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", a.meter.Handler())
+	a.metrics = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { a.metricsEnd <- a.metrics.Serve(lis) }()
+	return nil
+}
+
+// closeMetrics ends the metrics. It returns an error of the listener or the scope.
+func (a *Agent) closeMetrics() error {
+	var err error
+	if a.metrics != nil {
+		err = a.metrics.Close()
+		<-a.metricsEnd
+	}
+	return errs.Combine(err, a.meter.Close())
+}
+
 func (a *Agent) version() int64 {
 	if c := a.orders.Config(); c != nil {
 		return c.Version
@@ -138,7 +181,8 @@
 		switch {
 		case seat.Mine && l == nil:
 			l = leader.Start(ctx, leader.Parts{
-				Client: a.client, Settings: a.set, Orders: a.orders, Clock: a.clk, Log: a.log, Renewed: a.elector.Renewed,
+				Client: a.client, Settings: a.set, Orders: a.orders, Clock: a.clk, Log: a.log,
+				Meters: a.meters, Renewed: a.elector.Renewed,
 			}, seat.Token)
 			a.setLeader(l)
 		case !seat.Mine && l != nil:
@@ -191,7 +235,7 @@
 	<-a.done
 	a.elector.Close()
 	a.orders.Close()
-	err = errs.Combine(err, a.relay.Close(), a.ready.Close(), a.peers.Close())
+	err = errs.Combine(err, a.relay.Close(), a.ready.Close(), a.peers.Close(), a.closeMetrics())
 	<-a.readyEnd
 	a.client.Close()
 	a.log.Info().Err(err).Dur("took", a.clk.Now()-begin).Msg("entry has stopped")
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -133,6 +133,7 @@
 	a.orders.Close()
 	_ = a.peers.Close()
 	a.client.Close()
+	_ = a.closeMetrics()
 }
 
 // leader returns the entry that leads, or -1.
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -7,6 +7,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/tenure"
 	"chervilgauge.example/chervilgauge/internal/serve/leader"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
@@ -179,7 +180,7 @@
 }
 
 // Digest says what this entry knows of the leader, and of the jobs if it leads.
-func (d *desk) Digest(ctx context.Context, version int64) relay.Digest {
+func (d *desk) Digest(ctx context.Context, version int64, place int) relay.Digest {
 	a := d.agent()
 	seat := a.elector.Seat()
 	out := relay.Digest{Token: seat.Token, Addr: seat.Addr}
@@ -190,6 +191,9 @@
 	if l == nil {
 		return out
 	}
+	if place < tenure.Place(a.set.Cores) {
+		a.elector.Yield()
+	}
 	out.Leads = true
 	out.Age = a.clk.Now() - a.elector.Renewed()
 	out.Backlog = l.Pending(ctx)
--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -80,6 +80,7 @@
 	seat    Seat
 	renewed time.Duration
 	quit    bool // resign and claim no more
+	yield   bool // resign for a larger instance
 
 	end   int64 // where the topic ends, as far as it was read
 	known bool  // end was read
@@ -137,6 +138,13 @@
 	e.mu.Unlock()
 }
 
+// Yield ends the leadership of this entry for a larger instance that follows it.
+func (e *Elector) Yield() {
+	e.mu.Lock()
+	e.yield = true
+	e.mu.Unlock()
+}
+
 // Announced takes over what another entry says of the leader.
 func (e *Elector) Announced(token uint64, name, addr string) {
 	e.mu.Lock()
@@ -182,7 +190,8 @@
 // lead renews the lease or resigns, and returns when to go on.
 func (e *Elector) lead(ctx context.Context) time.Duration {
 	e.mu.Lock()
-	quit, seat := e.quit, e.seat
+	quit, seat := e.quit || e.yield, e.seat
+	e.yield = false
 	e.mu.Unlock()
 	kind := "renew"
 	if quit {
@@ -340,7 +349,7 @@
 	call, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sent := e.clk.Now()
-	d, err := e.peers.Digest(call, seat.Addr, e.vers())
+	d, err := e.peers.Digest(call, seat.Addr, e.vers(), e.self.Place)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			e.view.Ended = true
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -175,7 +175,7 @@
 		d.nextList = l.now + listSoon
 	}
 	sent := l.now
-	l.counts.cloud++
+	l.Meters.cloud.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
@@ -299,6 +299,7 @@
 		if upkeep.IsComplete(view, fleet) {
 			state = "complete"
 		}
+		l.Meters.wave.Update(float64(len(w.Instances) - len(done)))
 		l.writeStatus(n, state)
 		if state == "complete" || !l.mayOrder() {
 			continue
@@ -353,7 +354,7 @@
 		return
 	}
 	e.ordered, e.calling = true, true
-	l.counts.cloud++
+	l.Meters.cloud.Inc(1)
 	l.Log.Info().Str("instance", e.instance).Str("to", e.pool).Int64("wave", e.wave).Msg("instance is ordered away")
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -487,6 +488,11 @@
 // accept notes that an order was carried out: all that ran there has ended.
 func (l *Leader) accept(e *errand) {
 	e.accepted, e.acceptedAt = true, l.now
+	if e.pool == "" {
+		l.Meters.order("upkeep")
+	} else {
+		l.Meters.order("move")
+	}
 	if m := l.byID[e.former]; m != nil {
 		l.bury(m, "its instance was ordered away")
 	}
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -140,6 +140,7 @@
 func (l *Leader) dropAll(m *member, cause string) {
 	for r := range l.book.On(m.Key) {
 		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Str("cause", cause).Msg("run is lost")
+		l.Meters.lost.Inc(1)
 		l.drop(r)
 	}
 }
@@ -202,7 +203,7 @@
 	ev.acked = acked
 	m.sentAck = acked
 	m.holding = true
-	l.counts.holds++
+	l.Meters.looks.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
@@ -313,7 +314,7 @@
 		m.Used = m.Used.Minus(r.Task.Step.Room())
 		l.judge(m, r, e)
 	}
-	l.counts.ends[e.How]++
+	l.Meters.ends[e.How].Inc(1)
 	l.Log.Info().Stringer("task", e.Task).Int("attempt", e.Attempt).Str("executor", m.ID).Stringer("how", e.How).
 		Bool("known", eff.Known).Bool("first", first).Msg("run ended")
 	l.planDue[m.Service] = true
@@ -400,6 +401,7 @@
 		m.Ran(took, time.Duration(float64(s.Estimate)*max(u.mean, 0.1)))
 	case model.EndedFailed:
 		if m.Failed(e.Task.Job, l.now) {
+			l.Meters.aside.Inc(1)
 			l.Log.Warn().Str("executor", m.ID).Dur("until", m.AsideUntil-l.now).Msg("executor fails what it runs and is set aside")
 		}
 	case model.EndedOther, model.EndedStopped, model.EndedLapsed, model.EndedBroken, model.EndedAlone:
@@ -426,7 +428,7 @@
 		}
 		listed[r] = true
 		if r.Phase == book.Uncertain || r.Phase == book.Starting && ev.sent > r.Begun {
-			l.book.Confirm(r, l.now)
+			l.confirmRun(r)
 		}
 		if row.Percent > r.Percent {
 			r.Progress = l.now
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -37,6 +37,7 @@
 	Orders   *orders.Orders
 	Clock    clock.Clock
 	Log      zerolog.Logger
+	Meters   *Meters
 	// Renewed returns when the last renewal of the lease that succeeded was sent.
 	Renewed func() time.Duration
 }
@@ -76,7 +77,7 @@
 	lastPlan time.Duration
 	forgetAt time.Duration
 	duty     duties
-	counts   counters
+	execLost bool // the executors' reports can't be read
 }
 
 // event is a message to the control goroutine.
@@ -247,8 +248,9 @@
 	}
 }
 
-// forgetEvery is the time between looks for jobs that ended long ago.
-const forgetEvery = 5 * time.Second
+// forgetEvery is the time between looks for jobs that ended long ago, and between
+// updates of gauges.
+const forgetEvery = 1 * time.Second
 
 // forgetSlack keeps ended jobs longer than their status must be shown.
 const forgetSlack = 30 * time.Second
@@ -258,6 +260,12 @@
 		return
 	}
 	l.forgetAt = l.now + forgetEvery
+	pending := 0
+	for _, n := range l.book.Pending() {
+		pending += n
+	}
+	l.Meters.active.Update(float64(len(l.book.Active())))
+	l.Meters.pending.Update(float64(pending))
 	for _, id := range l.book.Forget(l.wall - l.Settings.Bounds.Status - forgetSlack) {
 		l.store.pending = append(l.store.pending, book.ForgetEntries(id)...)
 	}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -142,6 +142,8 @@
 		l.loadWave(r.Key, r.Value)
 	}
 	l.ready = true
+	l.Meters.leads.Inc(1)
+	l.Meters.takeover.RecordDuration(l.now - l.start)
 	l.Log.Info().Int("jobs", b.Len()).Int("active", len(b.Active())).Int("executors", len(l.members)).
 		Dur("took", l.now-l.start).Msg("state is loaded")
 	for _, w := range l.waiting {
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -157,7 +157,7 @@
 		return
 	}
 	if l.storeTrouble() || !l.isValid() {
-		l.counts.refused++
+		l.Meters.refuse("store")
 		ev.answer(relay.Answer{Verdict: relay.Refused, After: comeBack, Cause: "store"})
 		return
 	}
@@ -180,7 +180,7 @@
 		return
 	}
 	j := l.book.Accept(ev.ID, ev.rules, w, ev.accepted, l.now)
-	l.counts.accepted++
+	l.Meters.accepted.Inc(1)
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", w.Tasks()).Bool("lasts", w.Lasts()).Msg("job is accepted")
 	l.planDue[l.rules(j).Service] = true
 	l.noteArrival(j)
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -32,13 +32,6 @@
 	attemptSkip = 2
 )
 
-// counters are what the metrics show.
-type counters struct {
-	accepted, refused, appends, holds, starts, rejected, stops, cloud int64
-	ends                                                              [7]int64
-	execLost                                                          bool
-}
-
 // plan starts waiting tasks of the services where something changed.
 func (l *Leader) plan() {
 	if len(l.planDue) == 0 || l.now < l.lastPlan+planEvery || l.Orders.Config() == nil {
@@ -79,7 +72,7 @@
 		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Work.Spec, Deadline: deadline, Saved: st.Task.Saved,
 	}
 	to := l.to(m)
-	l.counts.starts++
+	l.Meters.starts.Inc(1)
 	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
 		Int64("cores", st.Task.Step.Room().Cores).Int64("free", m.Free().Cores).Msg("run is ordered")
 	m.starting++
@@ -109,21 +102,19 @@
 		return
 	}
 	if ev.err == nil {
-		if r.Phase == book.Starting || r.Phase == book.Uncertain {
-			l.book.Confirm(r, l.now)
-		}
+		l.confirmRun(r)
 		if r.Task.Step.Occ.Job.IsOver() {
 			l.stop(r, "job is over")
 		}
 		return
 	}
-	l.counts.rejected++
 	refused, other := (*platform.OrderError)(nil), (*platform.OtherLifeError)(nil)
 	switch {
 	case errors.As(ev.err, &other):
 		l.bury(m, "another incarnation is at its address")
 		return
 	case !errors.As(ev.err, &refused):
+		l.Meters.reject("unanswered")
 		l.Log.Warn().Err(ev.err).Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Msg("start has no answer")
 		if r.Phase == book.Starting {
 			r.Phase, r.Since = book.Uncertain, l.now
@@ -134,6 +125,7 @@
 	}
 	l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
 		Stringer("reason", refused.Reason).Msg("start is refused")
+	l.Meters.reject(refused.Reason.String())
 	t := r.Task
 	l.drop(r)
 	switch refused.Reason {
@@ -157,6 +149,14 @@
 	}
 }
 
+// confirmRun notes that a run is there.
+func (l *Leader) confirmRun(r *book.Run) {
+	if j := r.Task.Step.Occ.Job; !j.HasBegun() {
+		l.Meters.waits.RecordDuration(l.wall - j.Accepted)
+	}
+	l.book.Confirm(r, l.now)
+}
+
 // isOn says whether the book still has a run.
 func (l *Leader) isOn(r *book.Run) bool {
 	_, ok := l.book.On(r.Executor)[r]
@@ -188,7 +188,7 @@
 		return
 	}
 	to := l.to(m)
-	l.counts.stops++
+	l.Meters.stops.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, stopTimeout)
 		defer cancel()
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -70,6 +70,10 @@
 		return
 	}
 	if len(s.pending)+len(s.accepts)+len(s.cancels) == 0 && !l.book.HasChanges() {
+		// What ended changed nothing that must last.
+		for _, m := range l.members {
+			m.acked = m.seen
+		}
 		return
 	}
 	ev := appended{batch: l.book.Take(), accepts: s.accepts, cancels: s.cancels, seen: map[*member]int64{}, sent: l.now}
@@ -174,8 +178,9 @@
 		return
 	}
 	s.seq = ev.last
-	l.counts.appends++
-	if took := l.now - ev.sent; took > troubleAfter {
+	took := l.now - ev.sent
+	l.Meters.store.RecordDuration(took)
+	if took > troubleAfter {
 		l.Log.Warn().Dur("took", took).Int("attempts", ev.attempts).Int("records", ev.entries).Msg("append was slow")
 	}
 	if ev.hasOffset && ev.first == l.jobsTop.from {
@@ -192,6 +197,7 @@
 		l.cancelStored(c)
 	}
 	for _, j := range l.book.Stored(ev.batch) {
+		l.Meters.whole.RecordDuration(l.wall - j.Accepted)
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Stringer("state", j.State()).
 			Dur("age", l.wall-j.Accepted).Msg("job is over")
 	}
@@ -236,7 +242,7 @@
 		from := t.from
 		l.call(func(ctx context.Context) event { return l.readExecutors(ctx, from) })
 	}
-	if t := &l.jobsTop; !t.busy && l.now >= t.next && !l.store.busy {
+	if t := &l.jobsTop; !t.busy && l.now >= t.next {
 		t.busy = true
 		t.next = l.now + jobsEvery
 		from := t.from
@@ -272,14 +278,14 @@
 func (l *Leader) onExecutors(ev readExecutors) {
 	l.execTop.busy = false
 	if ev.err != nil {
-		if !l.counts.execLost {
+		if !l.execLost {
 			l.Log.Warn().Err(ev.err).Msg("executors can't be read")
 		}
-		l.counts.execLost = true
+		l.execLost = true
 		return
 	}
-	if l.counts.execLost {
-		l.counts.execLost = false
+	if l.execLost {
+		l.execLost = false
 		l.Log.Info().Msg("executors can be read again")
 	}
 	l.execTop.from = ev.from
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -71,7 +71,7 @@
 	Submit(ctx context.Context, s Submission) Answer
 	Query(ctx context.Context, id string) (model.State, bool)
 	Cancel(ctx context.Context, id string, wait time.Duration) Verdict
-	Digest(ctx context.Context, version int64) Digest
+	Digest(ctx context.Context, version int64, place int) Digest
 	// Announce says that another entry leads.
 	Announce(token uint64, name, addr string)
 }
@@ -110,7 +110,7 @@
 }
 
 func (s *server) Digest(ctx context.Context, a *workpb.DigestAsk) (*workpb.DigestReply, error) {
-	d := s.desk.Digest(ctx, a.GetVersion())
+	d := s.desk.Digest(ctx, a.GetVersion(), int(a.GetPlace()))
 	out := &workpb.DigestReply{
 		Leads: d.Leads, Token: d.Token, Age: uint32(d.Age.Milliseconds()), Config: d.Config, Addr: d.Addr,
 	}
@@ -168,9 +168,10 @@
 	return Verdict(r.GetVerdict()), nil
 }
 
-// Digest asks an entry what it says of itself. It returns an Err.
-func (c *Client) Digest(ctx context.Context, addr string, version int64) (Digest, error) {
-	r, err := c.to(ctx, addr).Digest(ctx, &workpb.DigestAsk{Version: version})
+// Digest asks an entry what it says of itself, for an asker with a place in the order of
+// claims. It returns an Err.
+func (c *Client) Digest(ctx context.Context, addr string, version int64, place int) (Digest, error) {
+	r, err := c.to(ctx, addr).Digest(ctx, &workpb.DigestAsk{Version: version, Place: uint32(place)})
 	if err != nil {
 		return Digest{}, Err.Wrap(err)
 	}
--- a/internal/watch/logs/logs.go
+++ b/internal/watch/logs/logs.go
@@ -8,9 +8,13 @@
 	"github.com/rs/zerolog"
 )
 
+// timeFormat has milliseconds: decisions follow one another within some of them.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes JSON lines with a time and the entry's name. An
 // unknown level means info.
 func New(w io.Writer, level, name string) zerolog.Logger {
+	zerolog.TimeFieldFormat = timeFormat
 	l, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		l = zerolog.InfoLevel
