--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -135,6 +135,7 @@
 			p.slots = append(p.slots, &slot{m: m, free: m.Free()})
 		}
 	}
+	p.measure()
 	for _, r := range ranks {
 		for _, o := range r.job.Open {
 			for _, s := range o.Steps {
@@ -161,6 +162,16 @@
 	limit int
 	slots []*slot
 	out   []Start
+	// most is at least the most cores that are free on one executor: when a pool is
+	// full, most steps are passed over without a look at its executors.
+	most int64
+}
+
+func (p *plan) measure() {
+	p.most = 0
+	for _, sl := range p.slots {
+		p.most = max(p.most, sl.free.Cores)
+	}
 }
 
 // step places the waiting tasks of a step as far as there is room.
@@ -181,6 +192,9 @@
 			return
 		}
 		sl := p.best(s, t, on)
+		if sl == nil && s.Rack == "" && s.Label == "" && on == nil {
+			p.measure()
+		}
 		if sl == nil && s.Lasts {
 			p.reserve(s, on)
 			continue
@@ -280,6 +294,9 @@
 	var best *slot
 	var least float64
 	need := s.Room()
+	if need.Cores > p.most {
+		return nil
+	}
 	for _, sl := range p.slots {
 		if !need.Within(sl.free) || !sl.m.HasLabel(s.Label) {
 			continue
--- /dev/null
+++ b/internal/jobs/assign/bench_test.go
@@ -0,0 +1,42 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/internal/jobs/crew"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+)
+
+// BenchmarkPlan measures one decision on a full pool with a backlog, at the size of a
+// pool today (10 executors, 100 jobs), of the grown deployments (85, 400) and two years
+// on (300, 2,000).
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ executors, jobs int }{{10, 100}, {85, 400}, {300, 2000}} {
+		b.Run(fmt.Sprintf("%d/%d", size.executors, size.jobs), func(b *testing.B) {
+			q := &model.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 1.6, Objective: 600 * time.Millisecond}
+			bk := book.New(0)
+			var jobs []*book.Job
+			for i := range size.jobs {
+				w := model.Work{Repeats: 1, Steps: []model.Step{{Count: 8, Need: model.Amount{Cores: 3100, Memory: 2500}, Estimate: 640 * time.Millisecond}}}
+				jobs = append(jobs, bk.Accept(fmt.Sprint(i), *q, w, time.Duration(i)*time.Millisecond, 0))
+			}
+			var members []*crew.Member
+			for i := range size.executors {
+				m := &crew.Member{Executor: model.Executor{Capacity: model.Amount{Cores: 32000, Memory: 65536}}, Key: fmt.Sprint(i), Contact: crew.Live, Listed: true, Slow: 1}
+				// One executor in ten has room for one task.
+				m.Used = model.Amount{Cores: 31000}
+				if i%10 == 0 {
+					m.Used.Cores = 28000
+				}
+				members = append(members, m)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Plan(jobs, members, func(*book.Job) *model.Queue { return q }, time.Second, time.Second, 64)
+			}
+		})
+	}
+}
--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -235,6 +235,18 @@
 	// HeaderTimeout and IdleTimeout bound the callers' connections.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+
+	byName map[string]*Queue
+}
+
+// Indexed returns the configuration with an index of its queues: it is asked for a
+// queue with each decision about a job, and large ones have hundreds.
+func (c Config) Indexed() *Config {
+	c.byName = make(map[string]*Queue, len(c.Queues))
+	for i := range c.Queues {
+		c.byName[c.Queues[i].Name] = &c.Queues[i]
+	}
+	return &c
 }
 
 // Match returns the queue of a host and path, and what follows the queue's prefix. The
@@ -255,12 +267,7 @@
 
 // Queue returns the queue of a name, or nil.
 func (c *Config) Queue(name string) *Queue {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i]
-		}
-	}
-	return nil
+	return c.byName[name]
 }
 
 // Service returns the service of a name, or nil.
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -63,7 +63,9 @@
 	members map[string]*member // by key
 	byID    map[string]*member // the newest incarnation of an id
 	settled map[string]bool    // services whose former runs are known
-	usual   map[string]*ratio  // run times compared with estimates, by service
+	// allSettled says that no former run can go on anywhere.
+	allSettled bool
+	usual      map[string]*ratio // run times compared with estimates, by service
 
 	store   storing
 	execTop tailing
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -156,6 +156,10 @@
 // executor of their service has said what it runs, or all leases have ended.
 func (l *Leader) settle() {
 	late := l.now >= tenure.Settled(l.start)
+	if l.allSettled {
+		return
+	}
+	l.allSettled = late
 	for _, j := range l.book.Active() {
 		s := l.rules(j).Service
 		if _, ok := l.settled[s]; !ok {
