Look often at the executors of a step while one of its tasks is to stop

Traced by the new line on a wave's progress (emptying 37, lasting 37, down 0 for 10 s). They are now looked at every 120 ms for 2 s.

--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -247,3 +247,19 @@
 	r.until("job is complete", func() bool { return r.state(1-old, path("a", 1)) == "complete" })
 	r.noFaults()
 }
+
+// Guards against a wave that waits for ever because the executors of a wide step are
+// never all heard at the same time (lse-cuciture-grown, quiet day: 37 of 182 left).
+func TestWaveOfAWideStep(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 10, "pool-b": 1})
+	r.world.Plan = func(string, string) fake.RunEnd { return fake.RunEnd{} }
+	status, _, _ := r.call(0, http.MethodPost, path("a", 1),
+		`{"phases":[{"count":9,"cpu":1000,"long_running":true,"max_per_server":1,"max_unavailable":1}]}`)
+	assert.Equal(t, status, http.StatusOK)
+	id := fmt.Sprintf("%016x", 1)
+	r.until("all tasks run", func() bool { return r.world.Running(id) == 9 })
+	r.world.Store.Put(platform.OperatorTopic, "wave/1",
+		[]byte(`{"wave":1,"machines":["m-pool-a-0","m-pool-a-1","m-pool-a-2","m-pool-a-3"],"deadline_s":20,"max_count":4}`))
+	r.until("the wave is complete", func() bool { return len(r.world.Upkeeps(1)) == 4 })
+	r.noFaults()
+}
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -69,6 +69,7 @@
 	writing  bool
 	seq      int64 // of appends to the status topic
 	planner  shift.Planner
+	waveLog  time.Duration
 	refused  map[string]bool // pools that an instance can't join
 	arrived  map[string][]arrival
 }
@@ -304,12 +305,47 @@
 		if state == "complete" || !l.mayOrder() {
 			continue
 		}
+		l.logWave(n, view, fleet)
 		for _, name := range upkeep.Next(view, fleet) {
 			l.begin(&errand{instance: name, wave: n, since: l.now})
 		}
 	}
 }
 
+// waveLogEvery is the time between lines about a wave's progress.
+const waveLogEvery = 2 * time.Second
+
+// logWave says how far a wave is, and what keeps its instances from going down.
+func (l *Leader) logWave(n int64, w upkeep.Wave, fleet map[string]upkeep.Instance) {
+	if l.now < l.duty.waveLog {
+		return
+	}
+	l.duty.waveLog = l.now + waveLogEvery
+	var left, moving, notUp, emptying, down, blocked int
+	for _, name := range w.Instances {
+		in, ok := fleet[name]
+		e := l.duty.errands[name]
+		switch {
+		case ok && e != nil && e.pool == "" && e.accepted:
+			down++
+		case !ok || w.Done[name]:
+			continue
+		case e != nil && e.pool == "":
+			emptying++
+			if in.Lasting > 0 {
+				blocked++
+			}
+		case e != nil:
+			moving++
+		case in.Phase != model.Up:
+			notUp++
+		}
+		left++
+	}
+	l.Log.Info().Int64("wave", n).Int("left", left).Int("emptying", emptying).Int("lasting", blocked).Int("down", down).
+		Int("moving", moving).Int("not-up", notUp).Dur("time", w.Left).Msg("wave goes on")
+}
+
 // begin starts to empty an instance.
 func (l *Leader) begin(e *errand) {
 	l.duty.errands[e.instance] = e
@@ -412,7 +448,11 @@
 
 // freshFor is how old a look may be that a stop of a task that lasts relies on: another
 // task of its step may have ended since.
-const freshFor = 250 * time.Millisecond
+const freshFor = 300 * time.Millisecond
+
+// hurryFor is how long the executors of a step are looked at often: all of them must be
+// heard within freshFor, and one may be in a look of holdWait.
+const hurryFor = 2 * time.Second
 
 // mayStop says whether a task that lasts may be away: no more of its step are than the
 // job allows. If that is not known well enough, it has the executors looked at.
@@ -435,8 +475,7 @@
 			if m == nil || m.Contact != crew.Live {
 				away++
 			} else if l.now-m.clockAt > freshFor {
-				m.hurry = true
-				m.due = min(m.due, l.now)
+				m.hurry = l.now + hurryFor
 				fresh = false
 			}
 		}
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -17,6 +17,8 @@
 	// holdWait is how long an executor waits for an end before it lists what runs. The
 	// lease outlasts several of these calls.
 	holdWait = 1 * time.Second
+	// hurryWait replaces it while fresh looks are needed.
+	hurryWait = 120 * time.Millisecond
 	// holdSlack is how much longer than it waits an answer may take.
 	holdSlack = 600 * time.Millisecond
 	// holdRetry is the time to the next call after one without an answer.
@@ -47,8 +49,8 @@
 	failures int
 	adopted  bool
 	failed   []unconfirmed
-	// hurry says that a look is needed at once, and known is when it was first listed.
-	hurry bool
+	// hurry is until when looks must be fresh, and known when it was first listed.
+	hurry time.Duration
 	known time.Duration
 	// starting counts starts under way, to bound the connections.
 	starting int
@@ -167,7 +169,7 @@
 // needsHold says whether an executor has to be called: idle ones are left alone, since
 // each look is paid for.
 func (l *Leader) needsHold(m *member) bool {
-	if !m.adopted || m.doubt || m.hurry || m.acked > m.told {
+	if !m.adopted || m.doubt || m.acked > m.told {
 		return true
 	}
 	return len(l.book.On(m.Key)) > 0
@@ -185,9 +187,8 @@
 		// The answer confirms failures, and nothing else is expected of an idle executor.
 		wait, limit = 0, firstLook
 	}
-	if m.hurry {
-		wait, limit = 0, firstLook
-		m.hurry = false
+	if l.now < m.hurry {
+		wait, limit = min(wait, hurryWait), firstLook
 	}
 	if m.doubt {
 		m.voided++
