Replace a leader that the store turns away at once, and tell it so

Followers now claim 750 ms after the last renewal of such a leader, it sends jobs back to the entry that asked, and a new leader announces itself to all entries. Ruled out: load, the leader's processor was at 0.1 of 0.4 cores.

--- a/internal/jobs/tenure/tenure.go
+++ b/internal/jobs/tenure/tenure.go
@@ -12,6 +12,9 @@
 	// Silence is how long the log of claims stands still before another entry claims.
 	// A false claim costs one read of all jobs and one call to each executor.
 	Silence = 1500 * time.Millisecond
+	// Troubled is how long after its last renewal a leader that answers is known to be
+	// turned away by the store.
+	Troubled = RenewEvery + 250*time.Millisecond
 	// Valid is how long a leader acts after a renewal that succeeded, measured from
 	// when it was sent. Outages of the store last some seconds; a new leader waits for
 	// it only for executors that it can't reach.
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -65,8 +65,10 @@
 	digest   relay.Digest
 	digestAt time.Duration
 
-	cancel context.CancelFunc
-	done   chan struct{}
+	announcing sync.WaitGroup
+	presented  chan struct{}
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
 // Option changes how an entry runs.
@@ -106,6 +108,7 @@
 		cancel()
 		return nil, Err.Wrap(err)
 	}
+	a.present(ctx, addr)
 	a.front = front.Serve(ls[0], a, log)
 	a.ready = &http.Server{Handler: http.HandlerFunc(a.readyz), ReadHeaderTimeout: time.Second}
 	go func() { a.readyEnd <- a.ready.Serve(ls[1]) }()
@@ -185,6 +188,7 @@
 				Meters: a.meters, Renewed: a.elector.Renewed,
 			}, seat.Token)
 			a.setLeader(l)
+			a.announce(ctx, seat)
 		case !seat.Mine && l != nil:
 			a.setLeader(nil)
 			l.Close()
@@ -204,6 +208,72 @@
 	}
 }
 
+// entriesTopic holds the addresses of entries by name.
+const entriesTopic = "keyed.chervilgauge.entries"
+
+// announceTimeout bounds the calls that tell other entries who leads, and presentPause
+// is the time between attempts to store this entry's address.
+const (
+	announceTimeout = 800 * time.Millisecond
+	presentPause    = 500 * time.Millisecond
+)
+
+// present stores this entry's address until that succeeds.
+func (a *Agent) present(ctx context.Context, addr string) {
+	a.presented = make(chan struct{})
+	go func() {
+		defer close(a.presented)
+		for ctx.Err() == nil {
+			call, cancel := context.WithTimeout(ctx, announceTimeout)
+			_, _, err := a.client.Append(call, platform.Append{
+				Topic: entriesTopic, At: -1, Records: [][]byte{platform.KeyedRecord(a.set.Node, []byte(addr))},
+			})
+			cancel()
+			if err == nil {
+				return
+			}
+			a.log.Warn().Err(err).Msg("address of this entry is not stored yet")
+			s := a.clk.After(presentPause)
+			select {
+			case <-s.C:
+			case <-ctx.Done():
+			}
+			s.Close()
+		}
+	}()
+}
+
+// announce tells the other entries that this one leads: the store may turn some of them
+// away, the former leader among them. One call may take a while, so it is not waited
+// for here but at the end of the entry.
+func (a *Agent) announce(ctx context.Context, seat lead.Seat) {
+	a.announcing.Add(1)
+	go func() {
+		defer a.announcing.Done()
+		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+		defer cancel()
+		rs, _, _, err := a.client.Newest(ctx, entriesTopic, 0, "")
+		if err != nil {
+			a.log.Warn().Err(err).Msg("addresses of entries can't be read")
+			return
+		}
+		var all sync.WaitGroup
+		for _, r := range rs {
+			if r.Key == a.set.Node || len(r.Value) == 0 {
+				continue
+			}
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				if err := a.peers.Announce(ctx, string(r.Value), seat.Token, seat.Name, seat.Addr); err != nil {
+					a.log.Debug().Err(err).Str("peer", r.Key).Msg("entry was not told who leads")
+				}
+			}()
+		}
+		all.Wait()
+	}()
+}
+
 func (a *Agent) setLeader(l *leader.Leader) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -233,6 +303,8 @@
 	err := a.front.Close(ctx)
 	a.cancel()
 	<-a.done
+	<-a.presented
+	a.announcing.Wait()
 	a.elector.Close()
 	a.orders.Close()
 	err = errs.Combine(err, a.relay.Close(), a.ready.Close(), a.peers.Close(), a.closeMetrics())
--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -131,6 +131,12 @@
 		assert.Assert(t, status != http.StatusGone || r.entries[old].leads() == nil, "a leader that is cut off says that a job does not exist")
 	}
 	r.until("job is complete", func() bool { return r.state(other, path("a", 7)) == "complete" })
+	// The store still turns the old leader away, so that it can only be told who leads.
+	r.until("a job is accepted through the old leader's entry", func() bool {
+		status, _, _ := r.call(old, http.MethodPost, path("a", 9), oneStep)
+		return status == http.StatusOK
+	})
+	assert.Assert(t, r.entries[old].leads() == nil)
 	r.noFaults()
 }
 
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -129,6 +129,8 @@
 	_ = a.relay.Close()
 	_ = a.ready.Close()
 	<-a.done
+	<-a.presented
+	a.announcing.Wait()
 	a.elector.Close()
 	a.orders.Close()
 	_ = a.peers.Close()
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -23,6 +23,9 @@
 	retryPause = 60 * time.Millisecond
 	// loneTimeout bounds an append of an entry without a leader.
 	loneTimeout = 700 * time.Millisecond
+	// storeLost is how long ago the store last answered when it counts as lost: two reads
+	// of the operators' orders.
+	storeLost = 2 * time.Second
 	// comeBack is when a caller may try again after a refusal.
 	comeBack = 1 * time.Second
 	// freshFor is how old the number of pending jobs may be.
@@ -61,6 +64,13 @@
 
 // lone stores a record. notRun says that nothing was stored for the request before.
 func (a *Agent) lone(ctx context.Context, e book.Entry, notRun bool) relay.Answer {
+	if age := a.orders.Age(); age > storeLost {
+		// It would only be held for the time of a call that fails.
+		if notRun {
+			return relay.Answer{Verdict: relay.Refused, After: comeBack, Cause: "store does not answer"}
+		}
+		return relay.Answer{Verdict: relay.Unsure, Cause: "store does not answer"}
+	}
 	call, cancel := context.WithTimeout(ctx, loneTimeout)
 	defer cancel()
 	_, _, err := a.client.Append(call, platform.Append{
--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -81,6 +81,7 @@
 	renewed time.Duration
 	quit    bool // resign and claim no more
 	yield   bool // resign for a larger instance
+	told    bool // another entry announced a leader
 
 	end   int64 // where the topic ends, as far as it was read
 	known bool  // end was read
@@ -151,6 +152,7 @@
 	defer e.mu.Unlock()
 	if token > e.seat.Token {
 		e.set(Seat{Token: token, Name: name, Addr: addr})
+		e.told = true
 	}
 }
 
@@ -205,7 +207,9 @@
 		e.lose("resigned")
 	case err == nil:
 		e.mu.Lock()
-		e.renewed = sent
+		if e.seat.Token == seat.Token {
+			e.renewed = sent
+		}
 		e.mu.Unlock()
 	case errors.As(err, &end):
 		if !e.caughtUp(ctx, seat.Token) {
@@ -226,6 +230,7 @@
 	e.log.Info().Str("cause", cause).Uint64("token", e.seat.Token).Msg("leadership ended")
 	e.set(Seat{Token: e.seat.Token})
 	e.view.Moved = e.clk.Now()
+	e.view.Ended = false
 }
 
 // caughtUp reads the topic after a record of an unknown outcome, and says whether the
@@ -288,7 +293,13 @@
 // follow asks the leader whether it leads, reads the topic if that is not known, claims
 // if nobody does, and returns when to go on.
 func (e *Elector) follow(ctx context.Context) time.Duration {
-	seat := e.Seat()
+	e.mu.Lock()
+	seat, told := e.seat, e.told
+	e.told = false
+	e.mu.Unlock()
+	if told {
+		e.view.Moved, e.view.Ended, e.view.Resigned = e.clk.Now(), false, false
+	}
 	if seat.Addr != "" && e.ask(ctx, seat) {
 		return askEvery
 	}
@@ -322,6 +333,9 @@
 	e.view.Ended = false
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if last.Token < e.seat.Token {
+		return // another entry announced a later leader
+	}
 	if e.view.Resigned {
 		e.set(Seat{Token: last.Token})
 		return
@@ -361,7 +375,9 @@
 		return false
 	}
 	e.heard(d)
-	if d.Age > tenure.Silence/2 {
+	if d.Age > tenure.Troubled {
+		// It can't renew, so that a claim takes nothing from it.
+		e.view.Ended = true
 		return false
 	}
 	e.view.Moved = sent - d.Age
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -16,10 +16,6 @@
 	unsureAnswer    = relay.Answer{Verdict: relay.Unsure, Cause: "outcome of the append is not known"}
 )
 
-// comeBack is when a caller may try again that was refused while the store is in
-// trouble. Outages last some seconds, and callers try a few times.
-const comeBack = 1 * time.Second
-
 // submitted is a job that waits to be stored.
 type submitted struct {
 	relay.Submission
@@ -157,8 +153,9 @@
 		return
 	}
 	if l.storeTrouble() || !l.isValid() {
+		// The store may turn only this entry away; the one that asks can store it itself.
 		l.Meters.refuse("store")
-		ev.answer(relay.Answer{Verdict: relay.Refused, After: comeBack, Cause: "store"})
+		ev.answer(elsewhereAnswer)
 		return
 	}
 	ev.rules = model.Queue{Name: ev.Queue, Attempts: 1}
