--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -160,9 +160,12 @@
 			a.log.Error().Err(err).Msg("configuration of the leader can't be read")
 		}
 	}
+	if d.Backlog == nil {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.digest, a.digestAt = d, a.clk.Now()
+	a.digest, a.digestAt = d, a.clk.Now()-d.Age
 }
 
 func (a *Agent) readyz(w http.ResponseWriter, _ *http.Request) {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -134,6 +134,7 @@
 	l.book = b
 	l.jobsTop.from, l.execTop.from = ev.from, ev.execFrom
 	l.store.seq = 1
+	l.jobsTop.read = l.start
 	for _, r := range ev.executors {
 		l.takeExecutor(r)
 	}
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -253,8 +253,12 @@
 	})
 }
 
+// countedFor is how old the last read of jobs that entries stored by themselves may be
+// for the number of pending jobs to hold.
+const countedFor = 2 * time.Second
+
 func (l *Leader) onDigest(ev *digested) {
-	if !l.ready {
+	if !l.ready || !l.isValid() || l.now > l.jobsTop.read+countedFor {
 		ev.reply <- nil
 		return
 	}
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -61,6 +61,8 @@
 	from int64
 	busy bool
 	next time.Duration
+	read time.Duration // when the last read that succeeded was sent
+	sent time.Duration
 }
 
 // flush stores what changed, unless an append is under way.
@@ -245,6 +247,7 @@
 	if t := &l.jobsTop; !t.busy && l.now >= t.next {
 		t.busy = true
 		t.next = l.now + jobsEvery
+		t.sent = l.now
 		from := t.from
 		l.call(func(ctx context.Context) event { return l.readJobs(ctx, from) })
 	}
@@ -310,6 +313,7 @@
 		l.Log.Info().Err(ev.err).Int64("from", ev.from).Msg("jobs of entries without a leader can't be read")
 		return
 	}
+	l.jobsTop.read = l.jobsTop.sent
 	for _, r := range ev.records {
 		l.takeLone(r)
 	}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -58,7 +58,7 @@
 	Token uint64
 	// Age is how long ago its lease was renewed.
 	Age time.Duration
-	// Backlog has the pending jobs of each queue.
+	// Backlog has the pending jobs of each queue, nil if they are not known.
 	Backlog map[string]int
 	// Config is the leader's configuration where it is newer than the asker's.
 	Config []byte
@@ -113,6 +113,7 @@
 	d := s.desk.Digest(ctx, a.GetVersion(), int(a.GetPlace()))
 	out := &workpb.DigestReply{
 		Leads: d.Leads, Token: d.Token, Age: uint32(d.Age.Milliseconds()), Config: d.Config, Addr: d.Addr,
+		Counted: d.Backlog != nil,
 	}
 	for q, n := range d.Backlog {
 		out.Backlog = append(out.Backlog, &workpb.Backlog{Queue: q, N: uint32(n)})
@@ -177,7 +178,10 @@
 	}
 	d := Digest{
 		Leads: r.GetLeads(), Token: r.GetToken(), Age: time.Duration(r.GetAge()) * time.Millisecond,
-		Backlog: map[string]int{}, Config: r.GetConfig(), Addr: r.GetAddr(),
+		Config: r.GetConfig(), Addr: r.GetAddr(),
+	}
+	if r.GetCounted() {
+		d.Backlog = map[string]int{}
 	}
 	for _, b := range r.GetBacklog() {
 		d.Backlog[b.GetQueue()] = int(b.GetN())
