--- /dev/null
+++ b/cmd/chervilgauge/cmds/explain.go
@@ -0,0 +1,50 @@
+package cmds
+
+import (
+	"flag"
+	"os"
+
+	"chervilgauge.example/chervilgauge/internal/watch/trail"
+)
+
+// runExplain shows what the logs of entries say about a job, in order of time, and the
+// last decision.
+func runExplain(e *env, fs *flag.FlagSet, args []string) error {
+	if err := fs.Parse(args); err != nil {
+		return errUsage.Wrap(err)
+	}
+	if fs.NArg() < 2 {
+		return errUsage.New("the id of a job and at least one file are needed")
+	}
+	var all []trail.Line
+	for _, name := range fs.Args()[1:] {
+		ls, err := read(name, fs.Arg(0))
+		if err != nil {
+			return err
+		}
+		all = append(all, ls...)
+	}
+	if len(all) == 0 {
+		return errFailed.New("no line is about %s", fs.Arg(0))
+	}
+	trail.Sort(all)
+	for _, l := range all {
+		say(e.out, "%s\n", l)
+	}
+	say(e.out, "\nlast: %s\n", all[len(all)-1])
+	return nil
+}
+
+// read returns the lines of a file about a job. It returns an errFailed or a trail.Err.
+func read(name, job string) (ls []trail.Line, err error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errFailed.Wrap(err)
+	}
+	defer func() {
+		if e := f.Close(); err == nil && e != nil {
+			err = errFailed.Wrap(e)
+		}
+	}()
+	return trail.Find(f, job)
+}
--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -135,6 +135,7 @@
 			p.slots = append(p.slots, &slot{m: m, free: m.Free()})
 		}
 	}
+	p.all = slices.Clone(p.slots)
 	p.measure()
 	for _, r := range ranks {
 		for _, o := range r.job.Open {
@@ -161,7 +162,9 @@
 	now   time.Duration
 	limit int
 	slots []*slot
-	out   []Start
+	// all are the slots before any was reserved.
+	all []*slot
+	out []Start
 	// most is at least the most cores that are free on one executor: when a pool is
 	// full, most steps are passed over without a look at its executors.
 	most int64
@@ -283,12 +286,21 @@
 	// farWeight is what another rack than the data's costs: such a run takes 1.5 times
 	// as long, which is worse than any packing.
 	farWeight = 10.0
-	// shunWeight keeps a task away from where it failed, unless nothing else is left.
-	shunWeight = 100.0
 	// slowWeight is for each multiple of the usual run time.
 	slowWeight = 2.0
 )
 
+// hasOther says whether an executor takes tasks on which a task did not fail. It waits
+// for room there: another failure may be its last.
+func (p *plan) hasOther(t *book.Task) bool {
+	for _, sl := range p.all {
+		if !slices.Contains(t.Shunned, sl.m.Key) {
+			return true
+		}
+	}
+	return false
+}
+
 // best returns the executor for a task, or nil if there is no room.
 func (p *plan) best(s *book.Step, t *book.Task, on map[string]int) *slot {
 	var best *slot
@@ -304,6 +316,9 @@
 		if s.Spread > 0 && on[sl.m.Key] >= s.Spread {
 			continue
 		}
+		if slices.Contains(t.Shunned, sl.m.Key) && p.hasOther(t) {
+			continue
+		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
 		if s.Lasts {
 			// Work that serves shares what its room does not show, so it is spread.
@@ -312,9 +327,6 @@
 		if s.Rack != "" && s.Rack != sl.m.Rack {
 			cost += farWeight
 		}
-		if slices.Contains(t.Shunned, sl.m.Key) {
-			cost += shunWeight
-		}
 		cost += slowWeight * max(sl.m.Slow-1, 0)
 		if best == nil || cost < least {
 			best, least = sl, cost
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -113,3 +113,22 @@
 	t.Logf("in time: %d, first come first served: %d", ours, naive)
 	assert.Assert(t, ours > 2*naive, "in time %d, naive %d", ours, naive)
 }
+
+// Guards against a task that runs again where it failed because that executor has room
+// first (incident inc-3628 of lra-tankrun: both attempts on one executor that failed what
+// it ran).
+func TestTaskWaitsForAnotherExecutor(t *testing.T) {
+	r := newRig(t, 2, cores(8))
+	r.members[1].Used = cores(8)
+	j := r.accept("job", model.Step{Need: cores(1), Estimate: time.Second})
+	assert.Equal(t, len(r.plan()), 1)
+	task := j.Open[0].Steps[0].Tasks[0]
+	delete(r.ends, task.Runs[0])
+	r.members[0].Used = model.Amount{}
+	r.b.End("a", model.End{Task: task.ID, Attempt: 1, How: model.EndedFailed}, false, r.now)
+	assert.Equal(t, len(r.plan()), 0)
+	r.members[1].Used = model.Amount{}
+	again := r.plan()
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Member.Key, "b")
+}
--- a/internal/jobs/book/codec.go
+++ b/internal/jobs/book/codec.go
@@ -289,6 +289,9 @@
 		for _, s := range o.Steps {
 			for _, t := range s.Tasks {
 				t.Attempt = b.base
+				for _, f := range t.failures {
+					t.Attempt = max(t.Attempt, f.attempt)
+				}
 				t.Unlocated = !t.Done
 			}
 		}
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -56,7 +56,7 @@
 		return l.Submit(call, s), nil
 	}
 	seat := a.elector.Seat()
-	if seat.Addr == "" || seat.Mine {
+	if seat.Addr == "" || seat.Mine || a.elector.IsSilent() {
 		return relay.Answer{Verdict: relay.Elsewhere}, nil
 	}
 	return a.peers.Submit(call, seat.Addr, s)
--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -82,6 +82,7 @@
 	quit    bool // resign and claim no more
 	yield   bool // resign for a larger instance
 	told    bool // another entry announced a leader
+	silent  bool // the leader did not answer the last question
 
 	end   int64 // where the topic ends, as far as it was read
 	known bool  // end was read
@@ -122,6 +123,14 @@
 	return e.seat
 }
 
+// IsSilent says whether the leader did not answer the last question, or said that it
+// can't renew. Calls to it would only be held until they time out.
+func (e *Elector) IsSilent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silent
+}
+
 // Renewed returns when the last renewal that succeeded was sent.
 func (e *Elector) Renewed() time.Duration {
 	e.mu.Lock()
@@ -161,6 +170,7 @@
 	if s == e.seat {
 		return
 	}
+	e.silent = false
 	e.log.Info().Uint64("token", s.Token).Str("leader", s.Name).Str("addr", s.Addr).Bool("mine", s.Mine).
 		Uint64("former", e.seat.Token).Msg("leader changed")
 	e.seat = s
@@ -300,8 +310,14 @@
 	if told {
 		e.view.Moved, e.view.Ended, e.view.Resigned = e.clk.Now(), false, false
 	}
-	if seat.Addr != "" && e.ask(ctx, seat) {
-		return askEvery
+	if seat.Addr != "" {
+		leads := e.ask(ctx, seat)
+		e.mu.Lock()
+		e.silent = !leads
+		e.mu.Unlock()
+		if leads {
+			return askEvery
+		}
 	}
 	last, err := e.read(ctx)
 	now := e.clk.Now()
