Ask for advice and start with tickets where a queue's policy needs them

TestStartsNeedTickets plays an advice service that allows every other executor with tickets of 400 ms.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -121,15 +121,24 @@
 	return cmp.Compare(a.laxity, b.laxity)
 }
 
-// Plan returns the tasks of a service's jobs to start now, best first, at most limit.
-// rules returns the settings of a job's queue.
-func Plan(jobs []*book.Job, members []*crew.Member, rules func(*book.Job) *model.Queue, now, wall time.Duration, limit int) []Start {
+// Order puts jobs in the order in which they get room.
+func Order(jobs []*book.Job, rules func(*book.Job) *model.Queue, wall time.Duration) []*book.Job {
 	ranks := make([]rank, 0, len(jobs))
 	for _, j := range jobs {
 		ranks = append(ranks, rankOf(j, rules(j), wall))
 	}
 	slices.SortFunc(ranks, compare)
-	p := plan{now: now, limit: limit}
+	out := make([]*book.Job, len(ranks))
+	for i, r := range ranks {
+		out[i] = r.job
+	}
+	return out
+}
+
+// Plan returns the tasks of ordered jobs of a service to start now, best first, at most
+// limit. allowed says whether an executor may run a step.
+func Plan(jobs []*book.Job, members []*crew.Member, allowed func(*book.Step, *crew.Member) bool, now time.Duration, limit int) []Start {
+	p := plan{now: now, limit: limit, allowed: allowed}
 	for _, m := range members {
 		if m.Takes(now) {
 			p.slots = append(p.slots, &slot{m: m, free: m.Free()})
@@ -137,8 +146,8 @@
 	}
 	p.all = slices.Clone(p.slots)
 	p.measure()
-	for _, r := range ranks {
-		for _, o := range r.job.Open {
+	for _, j := range jobs {
+		for _, o := range j.Open {
 			for _, s := range o.Steps {
 				if len(p.out) >= limit || len(p.slots) == 0 {
 					return p.out
@@ -159,9 +168,10 @@
 }
 
 type plan struct {
-	now   time.Duration
-	limit int
-	slots []*slot
+	now     time.Duration
+	limit   int
+	allowed func(*book.Step, *crew.Member) bool
+	slots   []*slot
 	// all are the slots before any was reserved.
 	all []*slot
 	out []Start
@@ -316,7 +326,7 @@
 		if s.Spread > 0 && on[sl.m.Key] >= s.Spread {
 			continue
 		}
-		if slices.Contains(t.Shunned, sl.m.Key) && p.hasOther(t) {
+		if !p.allowed(s, sl.m) || slices.Contains(t.Shunned, sl.m.Key) && p.hasOther(t) {
 			continue
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
--- a/internal/jobs/assign/rig_test.go
+++ b/internal/jobs/assign/rig_test.go
@@ -52,7 +52,7 @@
 	for _, j := range r.b.Active() {
 		jobs = append(jobs, j)
 	}
-	starts := Plan(jobs, r.members, r.rules, r.now, r.now, 64)
+	starts := Plan(Order(jobs, r.rules, r.now), r.members, anywhere, r.now, 64)
 	for _, s := range starts {
 		run := r.b.Begin(s.Task, s.Member.Key, s.Attempt, r.now)
 		r.b.Confirm(run, r.now)
@@ -98,3 +98,5 @@
 }
 
 func cores(n int64) model.Amount { return model.Amount{Cores: n * 1000} }
+
+func anywhere(*book.Step, *crew.Member) bool { return true }
--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -269,3 +269,22 @@
 	r.until("the wave is complete", func() bool { return len(r.world.Upkeeps(1)) == 4 })
 	r.noFaults()
 }
+
+// Guards against a task that starts on an executor that the queue's policy does not
+// allow, without a ticket or with one that has run out.
+func TestStartsNeedTickets(t *testing.T) {
+	r := newRig(t, 1, map[string]int{"pool-a": 4, "pool-b": 1})
+	r.world.Advised = true
+	r.advice = `,"advice":{"decision_ms":5,"per_worker_ms":1,"valid_ms":400}`
+	r.configure("")
+	r.world.Plan = func(string, string) fake.RunEnd { return fake.RunEnd{After: 150 * time.Millisecond, How: "done"} }
+	r.until("the configuration is in force", func() bool { return r.entries[0].Config().Queues[0].Advice != nil })
+	for i := range 3 {
+		status, _, _ := r.call(0, http.MethodPost, path("a", i), `{"phases":[{"count":30,"cpu":2000,"estimate_ms":150},{"count":2,"cpu":500,"after":[0]}]}`)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for i := range 3 {
+		r.until("job is complete", func() bool { return r.state(0, path("a", i)) == "complete" })
+	}
+	r.noFaults()
+}
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -33,6 +33,8 @@
 	doors   []*fake.Door
 	log     *lines
 	version int
+	// advice is what the configuration says of advice, for all queues.
+	advice string
 }
 
 // lines keeps what entries log, for failed tests.
@@ -104,7 +106,7 @@
 	r.version++
 	route := func(name, prefix, service string) string {
 		return fmt.Sprintf(`{"name":"%s","host":"jobs.example","path_prefix":"%s","service":"%s","timeout_ms":3000,`+
-			`"target_runtime_ms":600,"priority":0,"max_attempts":2,"slack_factor":1.6}`, name, prefix, service)
+			`"target_runtime_ms":600,"priority":0,"max_attempts":2,"slack_factor":1.6%s}`, name, prefix, service, r.advice)
 	}
 	routes := []string{route("qa", "/a/", "pool-a"), route("qb", "/b/", "pool-b")}
 	if more != "" {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -79,6 +79,8 @@
 	lastPlan time.Duration
 	forgetAt time.Duration
 	duty     duties
+	advice   map[*book.Step]*advised
+	asking   int  // questions to the advice service under way
 	execLost bool // the executors' reports can't be read
 }
 
@@ -91,7 +93,7 @@
 	l := &Leader{
 		Parts: p, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		members: map[string]*member{}, byID: map[string]*member{}, settled: map[string]bool{}, usual: map[string]*ratio{},
-		planDue: map[string]bool{},
+		planDue: map[string]bool{}, advice: map[*book.Step]*advised{},
 	}
 	l.start = p.Clock.Now()
 	l.Log = p.Log.With().Uint64("token", token).Logger()
@@ -205,6 +207,8 @@
 		l.onStarted(ev)
 	case stoppedRun:
 		l.onStopped(ev)
+	case answeredAdvice:
+		l.onAdvice(ev)
 	case listed:
 		l.onListed(ev)
 	case ordered:
@@ -271,6 +275,7 @@
 	for _, id := range l.book.Forget(l.wall - l.Settings.Bounds.Status - forgetSlack) {
 		l.store.pending = append(l.store.pending, book.ForgetEntries(id)...)
 	}
+	l.forgetAdvice()
 	for key, m := range l.members {
 		if m.Contact == crew.Dead && len(l.book.On(key)) == 0 && !m.holding {
 			delete(l.members, key)
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -52,7 +52,11 @@
 	}
 	clear(l.planDue)
 	for s, js := range jobs {
-		starts := assign.Plan(js, members[s], l.rules, l.now, l.wall, planLimit)
+		js = assign.Order(js, l.rules, l.wall)
+		for _, j := range js {
+			l.seekAdvice(j, members[s])
+		}
+		starts := assign.Plan(js, members[s], l.isAllowed, l.now, planLimit)
 		for _, st := range starts {
 			l.startRun(st)
 		}
@@ -62,6 +66,11 @@
 	}
 }
 
+func (l *Leader) isAllowed(s *book.Step, m *crew.Member) bool {
+	_, ok := l.ticketFor(s, m)
+	return ok
+}
+
 func (l *Leader) startRun(st assign.Start) {
 	m := l.members[st.Member.Key]
 	r := l.book.Begin(st.Task, m.Key, st.Attempt, l.now)
@@ -71,6 +80,8 @@
 	order := platform.Start{
 		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Work.Spec, Deadline: deadline, Saved: st.Task.Saved,
 	}
+	// The plan placed the task only where there is a ticket, if one is needed.
+	order.Ticket, _ = l.ticketFor(st.Task.Step, st.Member)
 	to := l.to(m)
 	l.Meters.starts.Inc(1)
 	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
@@ -138,7 +149,11 @@
 		m.due = l.now
 	case platform.ReasonUnwell:
 		m.Unwell(l.now)
-	case platform.ReasonLate, platform.ReasonTicket, platform.ReasonOther, platform.ReasonBusy, platform.ReasonWave:
+	case platform.ReasonTicket:
+		if a := l.advice[t.Step]; a != nil {
+			delete(a.tickets, m.Key)
+		}
+	case platform.ReasonLate, platform.ReasonOther, platform.ReasonBusy, platform.ReasonWave:
 		t.NotBefore = l.now + roomPause
 		m.due = l.now
 	case platform.ReasonBad:
