--- a/internal/jobs/book/book.go
+++ b/internal/jobs/book/book.go
@@ -247,7 +247,7 @@
 	case t.Step.Lasts:
 		// It runs until the job is cancelled, however a run ends.
 		if e.How == model.EndedFailed {
-			t.shun(executor)
+			t.Shun(executor)
 		}
 	case e.How == model.EndedDone:
 		eff.Done = true
@@ -263,7 +263,8 @@
 // maxShunned bounds the executors that a task keeps away from.
 const maxShunned = 4
 
-func (t *Task) shun(executor string) {
+// Shun keeps the task away from an executor if there is another one.
+func (t *Task) Shun(executor string) {
 	if !slices.Contains(t.Shunned, executor) && len(t.Shunned) < maxShunned {
 		t.Shunned = append(t.Shunned, executor)
 	}
@@ -305,7 +306,7 @@
 // failed notes a failed run. A new leader can learn twice of it: from the store, and
 // from the executor that was not told that it is stored.
 func (b *Book) failed(t *Task, executor string, attempt int) {
-	t.shun(executor)
+	t.Shun(executor)
 	c := t.counted()
 	for i := range c.failures {
 		if c.failures[i].attempt == attempt {
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -238,11 +238,27 @@
 				l.sendStop(m, r.Task.ID, r.Attempt)
 			case r.Phase == book.Running && r.Task.Step.Occ.Job.IsOver():
 				l.stop(r, "job is over")
+			case crew.IsStalled(r, m.clockAt, l.usualTime(m, r)):
+				r.Task.Shun(m.Key)
+				if m.Stalled(r.Task.ID.Job, l.now) {
+					l.Meters.aside.Inc(1)
+					l.Log.Warn().Str("executor", m.ID).Dur("until", m.AsideUntil-l.now).Msg("runs stand still on an executor, which is set aside")
+				}
+				l.stop(r, "it stands still")
 			}
 		}
 	}
 }
 
+// usualTime returns how long runs of a task usually take.
+func (l *Leader) usualTime(m *member, r *book.Run) time.Duration {
+	u := l.usual[m.Service]
+	if u == nil {
+		return r.Task.Step.Estimate
+	}
+	return time.Duration(u.mean * float64(r.Task.Step.Estimate))
+}
+
 // evacuate stops what would not end before a draining executor leaves.
 func (l *Leader) evacuate(m *member) {
 	for r := range l.book.On(m.Key) {
