Keep lone records apart, wait for a leader that is heard, load in parallel

Lone records have a partition of their own, an entry waits for a leader that answers, a leader counts as turned away after 1.2 s, and state is loaded in parallel.

--- a/internal/jobs/book/codec.go
+++ b/internal/jobs/book/codec.go
@@ -60,9 +60,21 @@
 	return Entry{id + entrySuffix, workValue(q, body, accepted)}
 }
 
-// ForgetEntries returns the records that drop all keys of a job that ended.
+// ForgetEntries returns the records that drop what the leader stored of a job that ended.
 func ForgetEntries(id string) []Entry {
-	return []Entry{{id, nil}, {id + cancelSuffix, nil}, {id + entrySuffix, nil}}
+	return []Entry{{id, nil}, {id + cancelSuffix, nil}}
+}
+
+// ForgetLoneEntries returns the records that drop what entries without a leader stored of
+// a job.
+func ForgetLoneEntries(id string) []Entry {
+	return []Entry{{id + cancelSuffix, nil}, {id + entrySuffix, nil}}
+}
+
+// JobOf returns the job of a key.
+func JobOf(key string) string {
+	id, _, _ := strings.Cut(key, markSeparator)
+	return strings.TrimRight(id, cancelSuffix+entrySuffix)
 }
 
 func workValue(q model.Queue, body []byte, accepted time.Duration) []byte {
@@ -359,7 +371,7 @@
 
 // DecodeLone decodes a record if an entry stored it by itself. It returns an ErrRecord.
 func DecodeLone(key string, value []byte, decode func([]byte) (model.Work, error)) (Lone, error) {
-	id := strings.TrimRight(key, cancelSuffix+entrySuffix)
+	id := JobOf(key)
 	if id == key || len(value) == 0 {
 		return Lone{}, nil
 	}
--- a/internal/jobs/tenure/tenure.go
+++ b/internal/jobs/tenure/tenure.go
@@ -12,9 +12,9 @@
 	// Silence is how long the log of claims stands still before another entry claims.
 	// A false claim costs one read of all jobs and one call to each executor.
 	Silence = 1500 * time.Millisecond
-	// Troubled is how long after its last renewal a leader that answers is known to be
-	// turned away by the store.
-	Troubled = RenewEvery + 250*time.Millisecond
+	// Troubled is how long after its last renewal a leader that answers is taken to be
+	// turned away by the store. Renewals lie up to 1 s apart when the store is slow.
+	Troubled = 1200 * time.Millisecond
 	// Valid is how long a leader acts after a renewal that succeeded, measured from
 	// when it was sent. Outages of the store last some seconds; a new leader waits for
 	// it only for executors that it can't reach.
@@ -40,6 +40,9 @@
 	Resigned bool
 	// Ended says that the leader's process is gone: its address refuses connections.
 	Ended bool
+	// Troubled says that the leader answers, and that its last renewal is older than
+	// Troubled.
+	Troubled bool
 	// Empty says that nobody ever claimed.
 	Empty bool
 }
@@ -80,6 +83,8 @@
 		return still >= 0
 	case v.Ended:
 		return still >= endedAfter
+	case v.Troubled:
+		return still >= Troubled
 	}
 	return still >= Silence
 }
--- a/internal/jobs/tenure/tenure_test.go
+++ b/internal/jobs/tenure/tenure_test.go
@@ -18,6 +18,7 @@
 	}{
 		{"silent", View{Moved: moved}, Silence},
 		{"process gone", View{Moved: moved, Ended: true}, endedAfter},
+		{"turned away by the store", View{Moved: moved, Troubled: true}, Troubled},
 		{"resigned", View{Moved: moved, Resigned: true}, 0},
 		{"nobody ever", View{Moved: moved, Empty: true}, 0},
 	} {
@@ -67,3 +68,15 @@
 	assert.Assert(t, Fence(1, 1) > Fence(1, 0))
 	assert.Assert(t, Fence(1<<36, 0) < 1<<53, "a fence is a whole number in JSON")
 }
+
+// Guards against claims while a slow store puts the renewals apart (lra-tankrun, trouble-2:
+// three leaders within 2.4 s while each answer took 0.25 s).
+func TestSlowRenewalsAreNoReasonToClaim(t *testing.T) {
+	const answer = 250 * time.Millisecond
+	// The next renewal is sent RenewEvery after an answer, and seen after two more.
+	apart := RenewEvery + 2*answer
+	assert.Assert(t, apart < Troubled && apart < Silence)
+	for _, v := range []View{{}, {Troubled: true}} {
+		assert.Assert(t, !MayClaim(v, apart, 0))
+	}
+}
--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -181,8 +181,8 @@
 	id := fmt.Sprintf("%016x", 1)
 	r.until("all tasks run", func() bool { return r.world.Running(id) == 3 })
 	// An entry without a leader stores the cancel, and its record is gone at once.
-	r.world.Store.Put("keyed.chervilgauge.jobs", id+"!", []byte{0x22, 0x02, 0x08, 0x01})
-	r.world.Store.Drop("keyed.chervilgauge.jobs")
+	r.world.Store.PutIn("keyed.chervilgauge.jobs", 1, id+"!", []byte{0x22, 0x02, 0x08, 0x01})
+	r.world.Store.Drop("keyed.chervilgauge.jobs", 1)
 	r.until("no task runs", func() bool { return r.world.Running(id) == 0 })
 	r.until("the end is shown", func() bool { return r.state(0, path("a", 1)) == "cancelled" })
 }
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// relayTimeout bounds a call to the leader. It stores within some 30 ms, or 500 ms
-	// while the store is slow.
-	relayTimeout = 900 * time.Millisecond
+	// relayTimeout bounds a call to the leader. It stores within some 30 ms, or within
+	// 1 s while the store is slow; a second copy of each job would slow it further.
+	relayTimeout = 2500 * time.Millisecond
+	// silencePoll is how often a call to the leader looks whether that is silent by now.
+	silencePoll = 100 * time.Millisecond
 	// queryTimeout bounds a question to the leader, which answers from memory.
 	queryTimeout = 400 * time.Millisecond
 	// retryPause is the time between questions while nobody leads.
@@ -59,9 +61,37 @@
 	if seat.Addr == "" || seat.Mine || a.elector.IsSilent() {
 		return relay.Answer{Verdict: relay.Elsewhere}, nil
 	}
+	stop := a.whileHeard(cancel)
+	defer stop()
 	return a.peers.Submit(call, seat.Addr, s)
 }
 
+// whileHeard cancels a call to the leader when that is silent. The returned function
+// ends the watch.
+func (a *Agent) whileHeard(cancel context.CancelFunc) func() {
+	ticks := a.clk.Subscribe(silencePoll)
+	quit, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-ticks.C:
+				if a.elector.IsSilent() {
+					cancel()
+					return
+				}
+			case <-quit:
+				return
+			}
+		}
+	}()
+	return func() {
+		close(quit)
+		<-done
+		ticks.Close()
+	}
+}
+
 // lone stores a record. notRun says that nothing was stored for the request before.
 func (a *Agent) lone(ctx context.Context, e book.Entry, notRun bool) relay.Answer {
 	if age := a.orders.Age(); age > storeLost {
@@ -74,7 +104,7 @@
 	call, cancel := context.WithTimeout(ctx, loneTimeout)
 	defer cancel()
 	_, _, err := a.client.Append(call, platform.Append{
-		Topic: leader.Topic, Records: [][]byte{platform.KeyedRecord(e.Key, e.Value)}, At: -1,
+		Topic: leader.Topic, Part: leader.LonePart(a.set.Store.Parts), Records: [][]byte{platform.KeyedRecord(e.Key, e.Value)}, At: -1,
 	})
 	refused := (*platform.RefusedError)(nil)
 	switch {
@@ -141,9 +171,11 @@
 		return l.Cancel(call, id), nil
 	}
 	seat := a.elector.Seat()
-	if seat.Addr == "" || seat.Mine {
+	if seat.Addr == "" || seat.Mine || a.elector.IsSilent() {
 		return relay.Elsewhere, nil
 	}
+	stop := a.whileHeard(cancel)
+	defer stop()
 	return a.peers.Cancel(call, seat.Addr, id, relayTimeout)
 }
 
--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -308,7 +308,7 @@
 	e.told = false
 	e.mu.Unlock()
 	if told {
-		e.view.Moved, e.view.Ended, e.view.Resigned = e.clk.Now(), false, false
+		e.view.Moved, e.view.Ended, e.view.Troubled, e.view.Resigned = e.clk.Now(), false, false, false
 	}
 	if seat.Addr != "" {
 		leads := e.ask(ctx, seat)
@@ -346,7 +346,7 @@
 func (e *Elector) saw(last record, now time.Duration) {
 	e.view.Moved = now
 	e.view.Resigned = last.Kind == "resign"
-	e.view.Ended = false
+	e.view.Ended, e.view.Troubled = false, false
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if last.Token < e.seat.Token {
@@ -391,9 +391,8 @@
 		return false
 	}
 	e.heard(d)
-	if d.Age > tenure.Troubled {
-		// It can't renew, so that a claim takes nothing from it.
-		e.view.Ended = true
+	// A leader that can't renew loses nothing by a claim.
+	if e.view.Troubled = d.Age > tenure.Troubled; e.view.Troubled {
 		return false
 	}
 	e.view.Moved = sent - d.Age
@@ -411,7 +410,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.view.Resigned, e.view.Ended, e.view.Empty = false, false, false
+	e.view.Resigned, e.view.Ended, e.view.Troubled, e.view.Empty = false, false, false, false
 	e.renewed = sent
 	e.set(Seat{Token: uint64(at) + 1, Name: e.self.Name, Addr: e.self.Addr, Mine: true})
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -22,6 +22,9 @@
 const (
 	// Topic holds the jobs: accepted ones, their progress and their ends.
 	Topic = "keyed.chervilgauge.jobs"
+	// leaderPart is the partition that only the leader writes to. An append of another
+	// entry there would hold up its next one.
+	leaderPart = 0
 	// writer names the leader's appends, which are fenced by the token.
 	writer = "leader"
 	// tick is how often due times are looked at.
@@ -69,7 +72,8 @@
 
 	store   storing
 	execTop tailing
-	jobsTop tailing
+	loneTop tailing
+	lone    map[string]struct{} // jobs with keys in the partition of lone records
 
 	// lapsed says that the leases on the executor at hand have probably ended before it
 	// was first heard.
@@ -87,13 +91,17 @@
 // event is a message to the control goroutine.
 type event interface{ isEvent() }
 
+// LonePart returns the partition of Topic for jobs and cancels that an entry stores by
+// itself, of so many partitions.
+func LonePart(parts int) int { return min(1, parts-1) }
+
 // Start begins to lead under a token. It takes over what an earlier leader left.
 func Start(ctx context.Context, p Parts, token uint64) *Leader {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{
 		Parts: p, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		members: map[string]*member{}, byID: map[string]*member{}, settled: map[string]bool{}, usual: map[string]*ratio{},
-		planDue: map[string]bool{}, advice: map[*book.Step]*advised{},
+		planDue: map[string]bool{}, advice: map[*book.Step]*advised{}, lone: map[string]struct{}{},
 	}
 	l.start = p.Clock.Now()
 	l.Log = p.Log.With().Uint64("token", token).Logger()
@@ -199,14 +207,16 @@
 		l.onAppended(ev)
 	case readExecutors:
 		l.onExecutors(ev)
-	case readJobs:
-		l.onJobs(ev)
+	case readLone:
+		l.onLone(ev)
 	case held:
 		l.onHeld(ev)
 	case startedRun:
 		l.onStarted(ev)
 	case stoppedRun:
 		l.onStopped(ev)
+	case forgotLone:
+		l.onForgotLone(ev)
 	case answeredAdvice:
 		l.onAdvice(ev)
 	case listed:
@@ -273,6 +283,10 @@
 	l.Meters.active.Update(float64(len(l.book.Active())))
 	l.Meters.pending.Update(float64(pending))
 	for _, id := range l.book.Forget(l.wall - l.Settings.Bounds.Status - forgetSlack) {
+		if _, ok := l.lone[id]; ok {
+			l.forgetLone(id)
+			continue
+		}
 		l.store.pending = append(l.store.pending, book.ForgetEntries(id)...)
 	}
 	l.forgetAdvice()
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
+	"sync"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
@@ -26,7 +28,8 @@
 type loaded struct {
 	report
 	loader    *book.Loader
-	from      int64
+	from      int64    // where to read lone records on
+	lone      []string // jobs with lone records
 	executors []platform.Record
 	execFrom  int64
 	instances []model.Instance
@@ -38,44 +41,67 @@
 // until it succeeds or leading ends.
 func (l *Leader) load(ctx context.Context) event {
 	out := loaded{loader: book.NewLoader(platform.DecodeWork)}
+	out.err = l.persist(ctx, func(ctx context.Context) error {
+		_, _, err := l.Client.Append(ctx, platform.Append{Topic: Topic, Part: leaderPart, At: -1, Writer: writer, Epoch: l.token, Seq: 1})
+		return err
+	})
+	if out.err != nil {
+		return out
+	}
+	var all sync.WaitGroup
 	steps := []func(context.Context) error{
-		func(ctx context.Context) error {
-			_, _, err := l.Client.Append(ctx, platform.Append{Topic: Topic, At: -1, Writer: writer, Epoch: l.token, Seq: 1})
-			return err
-		},
-		func(ctx context.Context) (err error) {
-			out.waves = nil
-			out.from, err = l.pages(ctx, Topic, func(r platform.Record) {
-				if strings.HasPrefix(r.Key, waveKey) {
-					out.waves = append(out.waves, r)
-					return
-				}
-				if err := out.loader.Add(r.Key, r.Value); err != nil {
-					l.Log.Error().Err(err).Str("key", r.Key).Msg("job record can't be read")
-				}
-			})
-			return err
-		},
+		func(ctx context.Context) error { return l.loadJobs(ctx, &out) },
 		func(ctx context.Context) (err error) {
 			out.executors = nil
-			out.execFrom, err = l.pages(ctx, platform.ExecutorTopic, func(r platform.Record) { out.executors = append(out.executors, r) })
+			out.execFrom, err = l.pages(ctx, platform.ExecutorTopic, 0, func(r platform.Record) { out.executors = append(out.executors, r) })
 			return err
 		},
+		func(ctx context.Context) error {
+			// Without the list, runs on executors that the store does not show are waited for.
+			call, cancel := context.WithTimeout(ctx, listTimeout)
+			defer cancel()
+			list, _, err := l.Client.Instances(call, "")
+			if err != nil {
+				l.Log.Warn().Err(err).Msg("instances can't be listed")
+				return nil
+			}
+			out.instances = list
+			return nil
+		},
 	}
-	for _, step := range steps {
-		if out.err = l.persist(ctx, step); out.err != nil {
-			return out
-		}
+	errs := make([]error, len(steps))
+	for i, step := range steps {
+		all.Go(func() { errs[i] = l.persist(ctx, step) })
 	}
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	// Without the list, runs on executors that the store does not show are waited for.
-	list, _, err := l.Client.Instances(call, "")
+	all.Wait()
+	out.err = errors.Join(errs...)
+	return out
+}
+
+// loadJobs reads the leader's records and those that entries stored by themselves.
+func (l *Leader) loadJobs(ctx context.Context, out *loaded) error {
+	out.waves, out.lone = nil, nil
+	_, err := l.pages(ctx, Topic, leaderPart, func(r platform.Record) {
+		if strings.HasPrefix(r.Key, waveKey) {
+			out.waves = append(out.waves, r)
+			return
+		}
+		l.loadJob(out.loader, r)
+	})
 	if err != nil {
-		l.Log.Warn().Err(err).Msg("instances can't be listed")
+		return err
+	}
+	out.from, err = l.pages(ctx, Topic, LonePart(l.Settings.Store.Parts), func(r platform.Record) {
+		out.lone = append(out.lone, book.JobOf(r.Key))
+		l.loadJob(out.loader, r)
+	})
+	return err
+}
+
+func (l *Leader) loadJob(to *book.Loader, r platform.Record) {
+	if err := to.Add(r.Key, r.Value); err != nil {
+		l.Log.Error().Err(err).Str("key", r.Key).Msg("job record can't be read")
 	}
-	out.instances = list
-	return out
 }
 
 // persist tries a step until it succeeds. An error means that it never will.
@@ -101,10 +127,10 @@
 }
 
 // pages reads the newest record of each key, and returns from where to read on.
-func (l *Leader) pages(ctx context.Context, topic string, take func(platform.Record)) (int64, error) {
+func (l *Leader) pages(ctx context.Context, topic string, part int, take func(platform.Record)) (int64, error) {
 	from, after := int64(-1), ""
 	for {
-		rs, more, end, err := l.Client.Newest(ctx, topic, 0, after)
+		rs, more, end, err := l.Client.Newest(ctx, topic, part, after)
 		if err != nil {
 			return 0, err
 		}
@@ -132,9 +158,12 @@
 		l.Log.Error().Str("job", id).Msg("job can't be decoded")
 	}
 	l.book = b
-	l.jobsTop.from, l.execTop.from = ev.from, ev.execFrom
+	l.loneTop.from, l.execTop.from = ev.from, ev.execFrom
+	for _, id := range ev.lone {
+		l.lone[id] = struct{}{}
+	}
 	l.store.seq = 1
-	l.jobsTop.read = l.start
+	l.loneTop.read = l.start
 	for _, r := range ev.executors {
 		l.takeExecutor(r)
 	}
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -258,7 +258,7 @@
 const countedFor = 2 * time.Second
 
 func (l *Leader) onDigest(ev *digested) {
-	if !l.ready || !l.isValid() || l.now > l.jobsTop.read+countedFor {
+	if !l.ready || !l.isValid() || l.now > l.loneTop.read+countedFor {
 		ev.reply <- nil
 		return
 	}
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -114,12 +114,12 @@
 // repeated append with the same sequence number is stored once.
 func (l *Leader) append(ctx context.Context, ev appended, records [][]byte, seq int64) event {
 	chunks := split(records, l.Settings.Store.CallBytes)
-	for i, chunk := range chunks {
+	for _, chunk := range chunks {
 		seq++
 		for {
 			call, cancel := context.WithTimeout(ctx, appendTimeout)
-			first, end, err := l.Client.Append(call, platform.Append{
-				Topic: Topic, Records: chunk, At: -1, Writer: writer, Epoch: l.token, Seq: seq,
+			_, _, err := l.Client.Append(call, platform.Append{
+				Topic: Topic, Part: leaderPart, Records: chunk, At: -1, Writer: writer, Epoch: l.token, Seq: seq,
 			})
 			cancel()
 			ev.attempts++
@@ -135,10 +135,6 @@
 			}
 			if err == nil {
 				ev.last = seq
-				if i == 0 {
-					ev.first, ev.hasOffset = first, len(chunks) == 1
-				}
-				ev.end = end
 				break
 			}
 			fenced := (*platform.FencedError)(nil)
@@ -185,9 +181,6 @@
 	if took > troubleAfter {
 		l.Log.Warn().Dur("took", took).Int("attempts", ev.attempts).Int("records", ev.entries).Msg("append was slow")
 	}
-	if ev.hasOffset && ev.first == l.jobsTop.from {
-		l.jobsTop.from = ev.end
-	}
 	for m, n := range ev.seen {
 		m.acked = max(m.acked, n)
 		m.due = min(m.due, l.now)
@@ -228,7 +221,7 @@
 	err     error
 }
 
-type readJobs struct {
+type readLone struct {
 	report
 	records []platform.Record
 	from    int64 // records before it were read earlier
@@ -244,24 +237,25 @@
 		from := t.from
 		l.call(func(ctx context.Context) event { return l.readExecutors(ctx, from) })
 	}
-	if t := &l.jobsTop; !t.busy && l.now >= t.next {
+	if t := &l.loneTop; !t.busy && l.now >= t.next {
 		t.busy = true
 		t.next = l.now + jobsEvery
 		t.sent = l.now
 		from := t.from
-		l.call(func(ctx context.Context) event { return l.readJobs(ctx, from) })
+		l.call(func(ctx context.Context) event { return l.readLone(ctx, from) })
 	}
 }
 
-func (l *Leader) readJobs(ctx context.Context, from int64) event {
+func (l *Leader) readLone(ctx context.Context, from int64) event {
 	call, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	rs, _, err := l.Client.Read(call, Topic, 0, from, 0)
-	out := readJobs{records: rs, from: from, next: from + int64(len(rs)), err: err}
+	part := LonePart(l.Settings.Store.Parts)
+	rs, _, err := l.Client.Read(call, Topic, part, from, 0)
+	out := readLone{records: rs, from: from, next: from + int64(len(rs)), err: err}
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
 		// What was deleted may hold jobs and cancels that this leader has not read.
 		out.records, out.from = nil, 0
-		out.next, out.err = l.pages(call, Topic, func(r platform.Record) { out.records = append(out.records, r) })
+		out.next, out.err = l.pages(call, Topic, part, func(r platform.Record) { out.records = append(out.records, r) })
 	}
 	return out
 }
@@ -273,7 +267,7 @@
 	out := readExecutors{records: rs, from: from + int64(len(rs)), err: err}
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
 		out.records, out.again = nil, true
-		out.from, out.err = l.pages(call, platform.ExecutorTopic, func(r platform.Record) { out.records = append(out.records, r) })
+		out.from, out.err = l.pages(call, platform.ExecutorTopic, 0, func(r platform.Record) { out.records = append(out.records, r) })
 	}
 	return out
 }
@@ -306,18 +300,18 @@
 	}
 }
 
-// onJobs takes over jobs and cancels that entries stored by themselves.
-func (l *Leader) onJobs(ev readJobs) {
-	l.jobsTop.busy = false
+// onLone takes over jobs and cancels that entries stored by themselves.
+func (l *Leader) onLone(ev readLone) {
+	l.loneTop.busy = false
 	if ev.err != nil {
 		l.Log.Info().Err(ev.err).Int64("from", ev.from).Msg("jobs of entries without a leader can't be read")
 		return
 	}
-	l.jobsTop.read = l.jobsTop.sent
+	l.loneTop.read = l.loneTop.sent
 	for _, r := range ev.records {
 		l.takeLone(r)
 	}
-	l.jobsTop.from = max(l.jobsTop.from, ev.next)
+	l.loneTop.from = max(l.loneTop.from, ev.next)
 }
 
 // takeLone takes over a record of an entry that had no leader.
@@ -327,6 +321,9 @@
 		l.Log.Error().Err(err).Str("key", r.Key).Msg("job record can't be read")
 		return
 	}
+	if lone.ID != "" {
+		l.lone[lone.ID] = struct{}{}
+	}
 	switch {
 	case lone.Work != nil && l.book.Job(lone.ID) == nil:
 		j := l.book.Accept(lone.ID, lone.Rules, *lone.Work, lone.Accepted, l.now)
@@ -336,3 +333,35 @@
 		l.cancelJob(lone.ID)
 	}
 }
+
+// forgotLone is the outcome of dropping the lone records of a job.
+type forgotLone struct {
+	report
+	id  string
+	err error
+}
+
+// forgetLone drops the records of a job that entries stored by themselves. Its end is
+// dropped after them, or a next leader would take it for a new job.
+func (l *Leader) forgetLone(id string) {
+	l.call(func(ctx context.Context) event {
+		call, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
+		var records [][]byte
+		for _, e := range book.ForgetLoneEntries(id) {
+			records = append(records, platform.KeyedRecord(e.Key, e.Value))
+		}
+		_, _, err := l.Client.Append(call, platform.Append{Topic: Topic, Part: LonePart(l.Settings.Store.Parts), Records: records, At: -1})
+		return forgotLone{id: id, err: err}
+	})
+}
+
+func (l *Leader) onForgotLone(ev forgotLone) {
+	if ev.err != nil {
+		// The records of its end stay, and the next leader tries again.
+		l.Log.Warn().Err(ev.err).Str("job", ev.id).Msg("records of an old job were not dropped")
+		return
+	}
+	delete(l.lone, ev.id)
+	l.store.pending = append(l.store.pending, book.ForgetEntries(ev.id)...)
+}
