--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -88,6 +88,8 @@
 	known bool  // end was read
 	view  tenure.View
 	delay time.Duration
+	// synced says that the topic was read since the leader last answered.
+	synced bool
 	// claimed is when the last claim was sent.
 	claimed time.Duration
 
@@ -316,6 +318,7 @@
 		e.silent = !leads
 		e.mu.Unlock()
 		if leads {
+			e.synced = false
 			return askEvery
 		}
 	}
@@ -328,8 +331,16 @@
 	}
 	e.view.Read = now
 	if last != nil {
+		moved := e.view.Moved
 		e.saw(*last, now)
-		return readEvery / 4
+		if !e.synced && last.Token == seat.Token {
+			// These renewals are those that the leader told of while it answered.
+			e.view.Moved = moved
+		}
+		e.synced = true
+		if e.view.Moved == now {
+			return readEvery / 4
+		}
 	}
 	e.view.Empty = e.end == 0
 	e.mu.Lock()
--- /dev/null
+++ b/internal/serve/lead/lead_test.go
@@ -0,0 +1,74 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/fake/local"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
+)
+
+// follower returns an elector that follows a leader at an address where nothing listens
+// any more, whose renewals it has not read.
+func follower(t *testing.T, clk clock.Clock) *Elector {
+	t.Helper()
+	w := fake.NewWorld(nil)
+	t.Cleanup(w.Close)
+	c := platform.NewClient(w.Settings("self", 1, 2, 3))
+	t.Cleanup(c.Close)
+	addrs, err := local.FreeAddrs(1)
+	assert.NilError(t, err)
+	for i := range int64(10) {
+		kind := "renew"
+		if i == 0 {
+			kind = "claim"
+		}
+		data, err := json.Marshal(record{Kind: kind, Name: "other", Addr: addrs[0], Nonce: "o", Token: 1})
+		assert.NilError(t, err)
+		_, _, err = c.Append(context.Background(), platform.Append{Topic: topic, Records: [][]byte{data}, At: i})
+		assert.NilError(t, err)
+	}
+	peers := relay.NewClient()
+	t.Cleanup(func() { assert.NilError(t, peers.Close()) })
+	return &Elector{
+		client: c, peers: peers, clk: clk, log: zerolog.Nop(), self: Self{Name: "self", Addr: "x"}, nonce: "s",
+		heard: func(relay.Digest) {}, vers: func() int64 { return 0 }, changed: make(chan struct{}, 1),
+		seat: Seat{Token: 1, Name: "other", Addr: addrs[0]}, end: 1,
+	}
+}
+
+// Guards against renewals that were written long ago and are read only when the leader
+// has ended, and pass for signs of life (lra-tankrun trouble-1: 2.4 s without a leader).
+func TestOldRenewalsAreNoSignOfLife(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := follower(t, clk)
+	// The leader last answered at 0, and its process is gone.
+	clk.Advance(700 * time.Millisecond)
+	e.follow(context.Background())
+	assert.Assert(t, e.Seat().Mine)
+	assert.Equal(t, e.Seat().Token, uint64(11))
+}
+
+// Guards against a claim while another entry's renewals go on that this entry reads.
+func TestRenewalsAreSignsOfLife(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := follower(t, clk)
+	e.follow(context.Background())
+	for i := range int64(8) {
+		data, err := json.Marshal(record{Kind: "renew", Name: "other", Addr: e.Seat().Addr, Nonce: "o", Token: 1})
+		assert.NilError(t, err)
+		_, _, err = e.client.Append(context.Background(), platform.Append{Topic: topic, Records: [][]byte{data}, At: 10 + i})
+		assert.NilError(t, err)
+		clk.Advance(500 * time.Millisecond)
+		e.follow(context.Background())
+		assert.Assert(t, !e.Seat().Mine)
+	}
+}
