--- a/internal/serve/lead/lead.go
+++ b/internal/serve/lead/lead.go
@@ -331,11 +331,11 @@
 	}
 	e.view.Read = now
 	if last != nil {
-		moved := e.view.Moved
+		before := e.view
 		e.saw(*last, now)
 		if !e.synced && last.Token == seat.Token {
 			// These renewals are those that the leader told of while it answered.
-			e.view.Moved = moved
+			e.view.Moved, e.view.Ended, e.view.Troubled = before.Moved, before.Ended, before.Troubled
 		}
 		e.synced = true
 		if e.view.Moved == now {
