--- a/cmd/chervilgauge/cmds/agent.go
+++ b/cmd/chervilgauge/cmds/agent.go
@@ -7,7 +7,9 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/serve/agent"
 	"chervilgauge.example/chervilgauge/internal/watch/logs"
 	"chervilgauge.example/chervilgauge/platform"
@@ -17,6 +19,10 @@
 // Memory is priced there, and its heap is a few MB.
 const agentGC = 100
 
+// reloadEvery is the time between looks at the settings file, which can change without a
+// signal.
+const reloadEvery = 2 * time.Second
+
 // runAgent runs an entry on the operators' platform until SIGTERM.
 func runAgent(e *env, fs *flag.FlagSet, args []string) error {
 	port := fs.Int("metrics", 0, "port of the metrics page, 0 for none")
@@ -37,12 +43,22 @@
 	if err != nil {
 		return err
 	}
+	ticks := clock.NewSystem().Subscribe(reloadEvery)
+	defer ticks.Close()
 	for {
 		select {
 		case <-hup:
-			log.Info().Msg("settings are read again")
+		case <-ticks.C:
 		case <-e.ctx.Done():
 			return a.Close()
 		}
+		next, err := platform.LoadSettings(platform.SettingsPath())
+		switch {
+		case err != nil:
+			log.Error().Err(err).Msg("settings can't be read again, the former ones hold")
+		case next != set:
+			set = next
+			a.Reload(set)
+		}
 	}
 }
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -290,6 +290,13 @@
 	return a.leader
 }
 
+// Reload takes over what can change in the settings while an entry runs: the addresses
+// of the platform's services. Its own addresses and bounds hold until it starts again.
+func (a *Agent) Reload(set platform.Settings) {
+	a.client.Use(set)
+	a.log.Info().Str("store", set.Store.Addr).Str("instances", set.Cloud.Addr).Str("advice", set.Advice).Msg("settings are read again")
+}
+
 // Close stops the entry: it is not ready any more, hands the leadership over, answers
 // what is in flight and ends. It returns an Err.
 func (a *Agent) Close() error {
--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -288,3 +288,19 @@
 	}
 	r.noFaults()
 }
+
+// Guards against changed settings that are not taken over: the store is at another
+// address from now on.
+func TestReloadTakesOverAddresses(t *testing.T) {
+	r := newRig(t, 1, map[string]int{"pool-a": 1, "pool-b": 1})
+	moved := r.world.Door()
+	set := r.sets[0]
+	set.Store.Addr = moved.Addr()
+	r.doors[0].Set(fake.Faults{Busy: true})
+	r.entries[0].Reload(set)
+	r.until("a job is accepted", func() bool {
+		status, _, _ := r.call(0, http.MethodPost, path("a", 1), oneStep)
+		return status == http.StatusOK
+	})
+	r.until("job is complete", func() bool { return r.state(0, path("a", 1)) == "complete" })
+}
