Store orders for instances before they are sent; a new leader need not wait 3 s

The leader now stores which instance it is about to order, fenced by its token, and its successor waits only for those.

--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -304,3 +304,20 @@
 	})
 	r.until("job is complete", func() bool { return r.state(0, path("a", 1)) == "complete" })
 }
+
+// Guards against a new leader that takes instances of a wave down beside those that its
+// predecessor took down (lra-tankrun trouble-2: LIMIT).
+func TestWaveKeepsItsLimitAcrossLeaders(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 8, "pool-b": 1})
+	r.world.MoveTime = 2500 * time.Millisecond
+	r.world.Store.Put(platform.OperatorTopic, "wave/1", []byte(`{"wave":1,"machines":["m-pool-a-0","m-pool-a-1","m-pool-a-2",`+
+		`"m-pool-a-3","m-pool-a-4","m-pool-a-5"],"deadline_s":10,"max_count":2}`))
+	r.until("two instances are down", func() bool { return len(r.world.Upkeeps(1)) == 2 })
+	old := r.leader()
+	r.kill(r.entries[old])
+	r.entries[old] = nil
+	r.until("the wave goes on", func() bool {
+		assert.Assert(t, r.world.Down() <= 2)
+		return len(r.world.Upkeeps(1)) >= 5
+	})
+}
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -34,8 +34,13 @@
 	giveUpAfter = 4 * time.Second
 	// arrivalWindow is the time over which incoming work is averaged.
 	arrivalWindow = 800 * time.Millisecond
-	// waveKey starts the keys under which the instances of a wave that are done are kept.
-	waveKey = "wave."
+	// waveKey starts the keys under which the instances of a wave that are done are kept,
+	// and ordersKey is that of the instances that were ordered lately.
+	waveKey   = "wave."
+	ordersKey = "wave.orders"
+	// turnSlack is added to the least time between orders of two leaders, for their
+	// clocks.
+	turnSlack = 300 * time.Millisecond
 )
 
 // errand is what is planned for one instance.
@@ -50,7 +55,10 @@
 	acceptedAt        time.Duration
 	next              time.Duration
 	calling           bool
-	former            string // the executor before the order
+	// noted says that the order is to be stored, and stored that it is: the next leader
+	// must know of an order before it can have an effect.
+	noted, stored bool
+	former        string // the executor before the order
 }
 
 // duties is the state of moves and waves.
@@ -64,12 +72,15 @@
 	nextList time.Duration
 	next     time.Duration
 	errands  map[string]*errand
+	lately   map[string]time.Duration // when instances were ordered, in Unix time
+	noting   []*errand                // whose note the next append holds
 	done     map[int64]map[string]bool
 	status   map[int64]string // what was written of a wave
 	writing  bool
 	seq      int64 // of appends to the status topic
 	planner  shift.Planner
 	waveLog  time.Duration
+	began    time.Duration   // when this leader took over, in Unix time
 	refused  map[string]bool // pools that an instance can't join
 	arrived  map[string][]arrival
 }
@@ -104,6 +115,9 @@
 func (l *Leader) takeInstances(list []model.Instance) {
 	d := &l.duty
 	d.unseen, d.fleet, d.errands = map[string]bool{}, map[string]model.Instance{}, map[string]*errand{}
+	if d.lately == nil {
+		d.lately = map[string]time.Duration{}
+	}
 	d.status, d.refused, d.arrived = map[int64]string{}, map[string]bool{}, map[string][]arrival{}
 	for _, in := range list {
 		d.fleet[in.Name] = in
@@ -116,6 +130,10 @@
 
 // loadWave takes over which instances of a wave are done.
 func (l *Leader) loadWave(key string, value []byte) {
+	if key == ordersKey {
+		l.loadOrders(value)
+		return
+	}
 	n, err := strconv.ParseInt(strings.TrimPrefix(key, waveKey), 10, 64)
 	if err != nil {
 		l.Log.Error().Err(err).Str("key", key).Msg("wave record can't be read")
@@ -142,10 +160,44 @@
 	return l.duty.done[n]
 }
 
-// mayOrder says whether orders for instances of this leader can't meet those of the
-// former one.
-func (l *Leader) mayOrder() bool {
-	return l.isValid() && l.now >= l.start+l.Settings.Bounds.Turns+100*time.Millisecond
+// loadOrders takes over which instances were ordered lately, and when.
+func (l *Leader) loadOrders(value []byte) {
+	l.duty.lately = map[string]time.Duration{}
+	for _, row := range strings.Split(string(value), ",") {
+		name, at, ok := strings.Cut(row, "=")
+		ms, err := strconv.ParseInt(at, 10, 64)
+		if !ok || err != nil {
+			if row != "" {
+				l.Log.Error().Str("row", row).Msg("record of orders can't be read")
+			}
+			continue
+		}
+		// A clock that is ahead must not make an order wait for long.
+		l.duty.lately[name] = min(time.Duration(ms)*time.Millisecond, l.wall)
+	}
+}
+
+// noteOrders returns the record of the instances that were ordered lately.
+func (l *Leader) noteOrders() book.Entry {
+	var rows []string
+	for name, at := range l.duty.lately {
+		if at+l.Settings.Bounds.Turns+turnSlack < l.wall {
+			delete(l.duty.lately, name)
+			continue
+		}
+		rows = append(rows, name+"="+strconv.FormatInt(at.Milliseconds(), 10))
+	}
+	return book.Entry{Key: ordersKey, Value: []byte(strings.Join(rows, ",") + ",")}
+}
+
+// mayOrder says whether an order of this leader for an instance is far enough from one
+// of a former leader. Orders of its own may follow one another.
+func (l *Leader) mayOrder(instance string) bool {
+	if !l.isValid() {
+		return false
+	}
+	at, ok := l.duty.lately[instance]
+	return !ok || at >= l.duty.began || l.wall >= at+l.Settings.Bounds.Turns+turnSlack
 }
 
 func (l *Leader) dutyTick() {
@@ -296,13 +348,18 @@
 				view.Out[name] = true
 			}
 		}
+		for _, name := range w.Instances {
+			if l.mayBeDown(name) {
+				view.Out[name] = true
+			}
+		}
 		state := "active"
 		if upkeep.IsComplete(view, fleet) {
 			state = "complete"
 		}
 		l.Meters.wave.Update(float64(len(w.Instances) - len(done)))
 		l.writeStatus(n, state)
-		if state == "complete" || !l.mayOrder() {
+		if state == "complete" {
 			continue
 		}
 		l.logWave(n, view, fleet)
@@ -312,6 +369,21 @@
 	}
 }
 
+// downSlack is added to the time of an upkeep, for the start of the executor and clocks.
+const downSlack = 1500 * time.Millisecond
+
+// mayBeDown says whether a former leader may have taken an instance down that is not back.
+func (l *Leader) mayBeDown(instance string) bool {
+	if l.duty.errands[instance] != nil {
+		return false // it is counted by its errand
+	}
+	if l.duty.fleet[instance].Phase == model.Upkeep {
+		return true
+	}
+	at, ok := l.duty.lately[instance]
+	return ok && at < l.duty.began && l.wall < at+l.Settings.Bounds.Maintenance+downSlack
+}
+
 // waveLogEvery is the time between lines about a wave's progress.
 const waveLogEvery = 2 * time.Second
 
@@ -386,7 +458,16 @@
 	if !e.ordered && !l.isEmpty(e, in) {
 		return
 	}
-	if !l.mayOrder() {
+	if !l.mayOrder(e.instance) {
+		return
+	}
+	if !e.noted {
+		e.noted = true
+		l.duty.lately[e.instance] = l.wall
+		l.duty.noting = append(l.duty.noting, e)
+		return
+	}
+	if !e.stored {
 		return
 	}
 	e.ordered, e.calling = true, true
@@ -495,6 +576,8 @@
 	e := ev.e
 	e.calling = false
 	e.next = l.now + orderRetry
+	// The next attempt is an order of its own.
+	e.noted, e.stored = false, false
 	if l.duty.errands[e.instance] != e {
 		return
 	}
@@ -652,7 +735,7 @@
 // shiftPools moves instances to where work is.
 func (l *Leader) shiftPools(fleet map[string]upkeep.Instance) {
 	c := l.Orders.Config()
-	if c == nil || !l.mayOrder() {
+	if c == nil {
 		return
 	}
 	demand := l.demand()
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -167,6 +167,7 @@
 	for _, r := range ev.executors {
 		l.takeExecutor(r)
 	}
+	l.duty.began = l.wall
 	l.takeInstances(ev.instances)
 	for _, r := range ev.waves {
 		l.loadWave(r.Key, r.Value)
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -46,6 +46,7 @@
 	accepts    []*submitted
 	cancels    []*cancelled
 	seen       map[*member]int64
+	noted      []*errand
 	first, end int64
 	hasOffset  bool
 	sent       time.Duration
@@ -71,7 +72,7 @@
 	if s.busy || l.now < s.next {
 		return
 	}
-	if len(s.pending)+len(s.accepts)+len(s.cancels) == 0 && !l.book.HasChanges() {
+	if len(s.pending)+len(s.accepts)+len(s.cancels)+len(l.duty.noting) == 0 && !l.book.HasChanges() {
 		// What ended changed nothing that must last.
 		for _, m := range l.members {
 			m.acked = m.seen
@@ -80,6 +81,10 @@
 	}
 	ev := appended{batch: l.book.Take(), accepts: s.accepts, cancels: s.cancels, seen: map[*member]int64{}, sent: l.now}
 	entries := s.pending
+	if ev.noted = l.duty.noting; len(ev.noted) > 0 {
+		entries = append(entries, l.noteOrders())
+		l.duty.noting = nil
+	}
 	for _, a := range s.accepts {
 		entries = append(entries, book.WorkEntry(a.ID, a.rules, a.Body, l.wall))
 		a.accepted = l.wall
@@ -185,6 +190,9 @@
 		m.acked = max(m.acked, n)
 		m.due = min(m.due, l.now)
 	}
+	for _, e := range ev.noted {
+		e.stored = true
+	}
 	for _, a := range ev.accepts {
 		l.accepted(a)
 	}
