Split the leader's files by concern; one chain; a fixed order of jobs that are alike

TestStartsKeepLimits failed once: jobs with the same laxity were placed in the random order of a map.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -43,15 +43,16 @@
 	laxity time.Duration
 }
 
-// Chain returns the estimated time of the longest chain of steps that are not done.
-func Chain(o *book.Occurrence) time.Duration {
+// chain returns the estimated time of the longest chain of steps: of all, or of those
+// that are not done.
+func chain(o *book.Occurrence, all bool) time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(o.Steps))
 	for i, s := range o.Steps {
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
 		}
-		if s.Left > 0 && !s.Lasts {
+		if all || s.Left > 0 && !s.Lasts {
 			ends[i] += s.Estimate
 		}
 		longest = max(longest, ends[i])
@@ -59,27 +60,13 @@
 	return longest
 }
 
-// total returns the estimated time of the longest chain of all steps.
-func total(o *book.Occurrence) time.Duration {
-	var longest time.Duration
-	ends := make([]time.Duration, len(o.Steps))
-	for i, s := range o.Steps {
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Deadline returns when an occurrence is late, in Unix time.
 func Deadline(o *book.Occurrence, q *model.Queue) time.Duration {
 	from := o.Job.Accepted
 	if o.Due > 0 {
 		from = o.Due
 	}
-	return from + time.Duration(q.Slack*float64(total(o))) + q.Objective
+	return from + time.Duration(q.Slack*float64(chain(o, true))) + q.Objective
 }
 
 func rankOf(j *book.Job, q *model.Queue, wall time.Duration) rank {
@@ -90,7 +77,7 @@
 		return r
 	}
 	for i, o := range j.Open {
-		lax := Deadline(o, q) - wall - Chain(o)
+		lax := Deadline(o, q) - wall - chain(o, false)
 		if i == 0 || lax < r.laxity {
 			r.laxity = lax
 		}
@@ -116,9 +103,9 @@
 	}
 	if a.class == late {
 		// The ones that became late last are the most likely to be worth something.
-		return cmp.Compare(b.laxity, a.laxity)
+		return cmp.Or(cmp.Compare(b.laxity, a.laxity), cmp.Compare(a.job.ID, b.job.ID))
 	}
-	return cmp.Compare(a.laxity, b.laxity)
+	return cmp.Or(cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.job.ID, b.job.ID))
 }
 
 // Order puts jobs in the order in which they get room.
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -35,8 +35,6 @@
 	leaveLag = 2500 * time.Millisecond
 	// stopSlack is kept of the grace time for the end of the process.
 	stopSlack = 500 * time.Millisecond
-	// resignLimit bounds the wait for a successor.
-	resignLimit = 1200 * time.Millisecond
 )
 
 // Agent is a running entry.
--- /dev/null
+++ b/internal/serve/leader/errand.go
@@ -0,0 +1,285 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/internal/jobs/crew"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/tenure"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// errand is what is planned for one instance.
+type errand struct {
+	instance string
+	// pool is where it moves, empty for an upkeep in the wave.
+	pool  string
+	wave  int64
+	since time.Duration
+	// ordered says that an order was sent, and accepted that it was answered well.
+	ordered, accepted bool
+	acceptedAt        time.Duration
+	next              time.Duration
+	calling           bool
+	// noted says that the order is to be stored, and stored that it is: the next leader
+	// must know of an order before it can have an effect.
+	noted, stored bool
+	former        string // the executor before the order
+}
+
+type ordered struct {
+	report
+	e   *errand
+	err error
+}
+
+// loadOrders takes over which instances were ordered lately, and when.
+func (l *Leader) loadOrders(value []byte) {
+	l.duty.lately = map[string]time.Duration{}
+	for _, row := range strings.Split(string(value), ",") {
+		name, at, ok := strings.Cut(row, "=")
+		ms, err := strconv.ParseInt(at, 10, 64)
+		if !ok || err != nil {
+			if row != "" {
+				l.Log.Error().Str("row", row).Msg("record of orders can't be read")
+			}
+			continue
+		}
+		// A clock that is ahead must not make an order wait for long.
+		l.duty.lately[name] = min(time.Duration(ms)*time.Millisecond, l.wall)
+	}
+}
+
+// noteOrders returns the record of the instances that were ordered lately.
+func (l *Leader) noteOrders() book.Entry {
+	var rows []string
+	for name, at := range l.duty.lately {
+		if at+l.Settings.Bounds.Turns+turnSlack < l.wall {
+			delete(l.duty.lately, name)
+			continue
+		}
+		rows = append(rows, name+"="+strconv.FormatInt(at.Milliseconds(), 10))
+	}
+	return book.Entry{Key: ordersKey, Value: []byte(strings.Join(rows, ",") + ",")}
+}
+
+// mayOrder says whether an order of this leader for an instance is far enough from one
+// of a former leader. Orders of its own may follow one another.
+func (l *Leader) mayOrder(instance string) bool {
+	if !l.isValid() {
+		return false
+	}
+	at, ok := l.duty.lately[instance]
+	return !ok || at >= l.duty.began || l.wall >= at+l.Settings.Bounds.Turns+turnSlack
+}
+
+// begin starts to empty an instance.
+func (l *Leader) begin(e *errand) {
+	l.duty.errands[e.instance] = e
+	in := l.duty.fleet[e.instance]
+	e.former = in.Executor
+	m := l.memberOn(in)
+	runs := 0
+	if m != nil {
+		m.Leaving = true
+		runs = len(l.book.On(m.Key))
+	}
+	l.Log.Info().Str("instance", e.instance).Str("executor", in.Executor).Str("service", in.Pool).Str("to", e.pool).Int64("wave", e.wave).
+		Int("runs", runs).Msg("instance is emptied")
+}
+
+func (l *Leader) endErrand(e *errand, cause string) {
+	delete(l.duty.errands, e.instance)
+	if in, ok := l.duty.fleet[e.instance]; ok {
+		if m := l.memberOn(in); m != nil && m.Leaving {
+			m.Leaving = false
+			l.planDue[m.Service] = true
+		}
+	}
+	l.Log.Info().Str("instance", e.instance).Str("to", e.pool).Int64("wave", e.wave).Str("cause", cause).
+		Dur("took", l.now-e.since).Msg("errand ends")
+}
+
+// pursue goes on with an errand.
+func (l *Leader) pursue(e *errand) {
+	if e.accepted || e.calling || l.now < e.next {
+		return
+	}
+	in, ok := l.duty.fleet[e.instance]
+	if !ok {
+		l.endErrand(e, "instance is gone")
+		return
+	}
+	if !e.ordered && !l.isEmpty(e, in) {
+		return
+	}
+	if !l.mayOrder(e.instance) {
+		return
+	}
+	if !e.noted {
+		e.noted = true
+		l.duty.lately[e.instance] = l.wall
+		l.duty.noting = append(l.duty.noting, e)
+		return
+	}
+	if !e.stored {
+		return
+	}
+	e.ordered, e.calling = true, true
+	l.Meters.cloud.Inc(1)
+	l.Log.Info().Str("instance", e.instance).Str("to", e.pool).Int64("wave", e.wave).Msg("instance is ordered away")
+	l.call(func(ctx context.Context) event {
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if e.pool == "" {
+			return ordered{e: e, err: l.Client.Maintain(call, l.token, e.instance, e.wave)}
+		}
+		return ordered{e: e, err: l.Client.Move(call, l.token, e.instance, e.pool)}
+	})
+}
+
+// isEmpty says whether nothing runs on an instance, and stops what does not end by
+// itself soon.
+func (l *Leader) isEmpty(e *errand, in model.Instance) bool {
+	m := l.memberOn(in)
+	if m == nil {
+		// Nothing that this leader started can be there, but an earlier leader may have
+		// started what the executor was not asked for yet.
+		return in.Executor == "" || in.Phase != model.Up || l.now >= tenure.Settled(l.start)
+	}
+	m.Leaving = true
+	if m.Contact != crew.Live {
+		if l.now >= max(m.leaseEnd, tenure.Settled(l.start)) && len(l.book.On(m.Key)) == 0 {
+			return true
+		}
+		if e.pool != "" && l.now > e.since+giveUpAfter {
+			l.endErrand(e, "executor does not answer")
+		}
+		return false
+	}
+	runs := l.book.On(m.Key)
+	if len(runs) == 0 {
+		// Ends that the executor does not know to be stored would be lost with it.
+		return m.starting == 0 && !m.doubt && m.told >= m.seen
+	}
+	for r := range runs {
+		if r.Phase != book.Running {
+			continue
+		}
+		s := r.Task.Step
+		switch {
+		case s.Lasts:
+			if l.mayStop(r.Task) {
+				l.stop(r, "instance is emptied")
+			}
+		case l.now > e.since+emptyFor:
+			l.stop(r, "instance is emptied")
+		}
+	}
+	if e.pool != "" && l.now > e.since+giveUpAfter {
+		l.endErrand(e, "instance did not get empty")
+	}
+	return false
+}
+
+// freshFor is how old a look may be that a stop of a task that lasts relies on: another
+// task of its step may have ended since.
+const freshFor = 300 * time.Millisecond
+
+// hurryFor is how long the executors of a step are looked at often: all of them must be
+// heard within freshFor, and one may be in a look of holdWait.
+const hurryFor = 2 * time.Second
+
+// mayStop says whether a task that lasts may be away: no more of its step are than the
+// job allows. If that is not known well enough, it has the executors looked at.
+func (l *Leader) mayStop(t *book.Task) bool {
+	s := t.Step
+	if s.MayMiss < 0 || l.isStuck(t) {
+		return true
+	}
+	fresh, away := true, 0
+	for _, o := range s.Tasks {
+		if o == t {
+			continue
+		}
+		if !o.IsAtWork() {
+			away++
+			continue
+		}
+		for _, r := range o.Runs {
+			m := l.members[r.Executor]
+			if m == nil || m.Contact != crew.Live {
+				away++
+			} else if l.now-m.clockAt > freshFor {
+				m.hurry = l.now + hurryFor
+				fresh = false
+			}
+		}
+	}
+	return fresh && away < s.MayMiss
+}
+
+// stuckAfter is how long a task that lasts may take to be at work.
+const stuckAfter = 4 * time.Second
+
+// isStuck says whether a task did not get to work for so long that it will not.
+func (l *Leader) isStuck(t *book.Task) bool {
+	return !t.IsAtWork() && len(t.Runs) > 0 && l.now > t.Runs[0].Since+stuckAfter
+}
+
+func (l *Leader) onOrdered(ev ordered) {
+	e := ev.e
+	e.calling = false
+	e.next = l.now + orderRetry
+	// The next attempt is an order of its own.
+	e.noted, e.stored = false, false
+	if l.duty.errands[e.instance] != e {
+		return
+	}
+	refused := (*platform.OrderError)(nil)
+	if ev.err == nil {
+		l.accept(e)
+		return
+	}
+	l.Log.Warn().Err(ev.err).Str("instance", e.instance).Str("to", e.pool).Int64("wave", e.wave).Msg("order for an instance failed")
+	if !errors.As(ev.err, &refused) {
+		return
+	}
+	switch refused.Reason {
+	case platform.ReasonBad:
+		if e.pool != "" {
+			l.duty.refused[e.instance+" "+e.pool] = true
+		}
+		l.endErrand(e, "order is invalid")
+	case platform.ReasonWave:
+		l.finishUpkeep(e)
+		l.endErrand(e, "instance is not of the wave")
+	case platform.ReasonBusy:
+		if e.pool != "" {
+			l.endErrand(e, "instance is busy")
+		}
+	default:
+	}
+}
+
+// accept notes that an order was carried out: all that ran there has ended.
+func (l *Leader) accept(e *errand) {
+	e.accepted, e.acceptedAt = true, l.now
+	if e.pool == "" {
+		l.Meters.order("upkeep")
+	} else {
+		l.Meters.order("move")
+	}
+	if m := l.byID[e.former]; m != nil {
+		l.bury(m, "its instance was ordered away")
+	}
+	if e.pool == "" {
+		l.finishUpkeep(e)
+	}
+	l.duty.nextList = min(l.duty.nextList, l.now+l.Settings.Bounds.Migrate)
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -75,9 +75,6 @@
 	loneTop tailing
 	lone    map[string]struct{} // jobs with keys in the partition of lone records
 
-	// lapsed says that the leases on the executor at hand have probably ended before it
-	// was first heard.
-	lapsed   bool
 	waiting  []event // requests that came before the book was loaded
 	planDue  map[string]bool
 	lastPlan time.Duration
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -42,17 +42,15 @@
 // appended is the outcome of an append.
 type appended struct {
 	report
-	batch      book.Batch
-	accepts    []*submitted
-	cancels    []*cancelled
-	seen       map[*member]int64
-	noted      []*errand
-	first, end int64
-	hasOffset  bool
-	sent       time.Duration
-	err        error
-	entries    int
-	attempts   int
+	batch    book.Batch
+	accepts  []*submitted
+	cancels  []*cancelled
+	seen     map[*member]int64
+	noted    []*errand
+	sent     time.Duration
+	err      error
+	entries  int
+	attempts int
 	// last is the sequence number of the last append.
 	last int64
 }
