Keep an executor free where a task that lasts can fit; wait for configurations in tests

It is now one where the task fits once passing work has ended (TestLastingTaskGetsMemoryUnderLoad), and a pool whose task waits for 1.5 s gets one more instance (TestPoolGrowsForATaskWithoutRoom).

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -210,16 +210,17 @@
 	}
 }
 
-// reserve keeps the executor with the most room that a task fits on from work that is
-// less urgent. Otherwise smaller tasks take each core that becomes free, for as long as
-// there are any.
+// reserve keeps an executor for a task from work that is less urgent. Otherwise smaller
+// tasks take each core that becomes free, for as long as there are any. It takes the one
+// with the most room among those where the task fits once that work has ended.
 func (p *plan) reserve(s *book.Step, on map[string]int) {
 	best := -1
+	need := s.Room()
 	for i, sl := range p.slots {
-		if !s.Room().Within(sl.m.Capacity) || !sl.m.HasLabel(s.Label) || s.Spread > 0 && on[sl.m.Key] >= s.Spread {
+		if !need.Within(sl.m.Capacity.Minus(sl.m.Lasting)) || !sl.m.HasLabel(s.Label) || s.Spread > 0 && on[sl.m.Key] >= s.Spread {
 			continue
 		}
-		if best < 0 || sl.free.Cores > p.slots[best].free.Cores {
+		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
 			best = i
 		}
 	}
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -132,3 +132,22 @@
 	assert.Equal(t, len(again), 1)
 	assert.Equal(t, again[0].Member.Key, "b")
 }
+
+// Guards against an executor that is kept free for a task that never fits there, because
+// others that last hold its memory (lse-cuciture quiet-1 with seed 418384626110: a task
+// that lasts without a run for 12 s).
+func TestLastingTaskGetsMemoryUnderLoad(t *testing.T) {
+	r := newRig(t, 2, model.Amount{Cores: 8000, Memory: 1000})
+	// One executor has many free cores and little memory, for good.
+	r.accept("holder", model.Step{Need: model.Amount{Cores: 100, Memory: 600}, Lasts: true})
+	r.plan()
+	for i := range 200 {
+		r.accept(fmt.Sprintf("small%03d", i), model.Step{Need: model.Amount{Cores: 500, Memory: 100}, Estimate: 500*time.Millisecond + time.Duration(i%7)*time.Millisecond})
+	}
+	r.plan()
+	r.advance(130 * time.Millisecond)
+	lasting := r.accept("lasting", model.Step{Need: model.Amount{Cores: 1000, Memory: 800}, Lasts: true})
+	r.plan()
+	r.advance(1200 * time.Millisecond)
+	assert.Equal(t, len(lasting.Open[0].Steps[0].Tasks[0].Runs), 1)
+}
--- a/internal/jobs/assign/rig_test.go
+++ b/internal/jobs/assign/rig_test.go
@@ -56,7 +56,7 @@
 	for _, s := range starts {
 		run := r.b.Begin(s.Task, s.Member.Key, s.Attempt, r.now)
 		r.b.Confirm(run, r.now)
-		s.Member.Used = s.Member.Used.Plus(s.Task.Step.Room())
+		s.Member.Add(s.Task.Step)
 		if s.Member.Used.Cores > s.Member.Capacity.Cores || s.Member.Used.Memory > s.Member.Capacity.Memory {
 			r.t.Fatalf("executor %s is over its capacity", s.Member.Key)
 		}
@@ -90,7 +90,7 @@
 func (r *rig) finish(run *book.Run) {
 	delete(r.ends, run)
 	m := r.byKey[run.Executor]
-	m.Used = m.Used.Minus(run.Task.Step.Room())
+	m.Remove(run.Task.Step)
 	id := run.Task.ID
 	if r.b.End(run.Executor, model.End{Task: id, Attempt: run.Attempt, How: model.EndedDone}, false, r.now).Over {
 		r.ended[id.Job] = r.now
--- a/internal/jobs/crew/crew.go
+++ b/internal/jobs/crew/crew.go
@@ -43,8 +43,10 @@
 	model.Executor
 	// Key tells incarnations apart.
 	Key string
-	// Used is the room of all runs that may be there.
+	// Used is the room of all runs that may be there, and Lasting that of those that run
+	// until they are cancelled.
 	Used    model.Amount
+	Lasting model.Amount
 	Contact Contact
 	// Listed says that the store lists it.
 	Listed bool
@@ -103,10 +105,18 @@
 	m.Slow += speedWeight * (float64(took)/float64(estimate) - m.Slow)
 }
 
-// Recount sets the used room from the runs of the book.
-func (m *Member) Recount(runs map[*book.Run]struct{}) {
-	m.Used = model.Amount{}
-	for r := range runs {
-		m.Used = m.Used.Plus(r.Task.Step.Room())
+// Add notes a run of a step that may be there.
+func (m *Member) Add(s *book.Step) {
+	m.Used = m.Used.Plus(s.Room())
+	if s.Lasts {
+		m.Lasting = m.Lasting.Plus(s.Room())
+	}
+}
+
+// Remove notes that a run of a step is not there any more.
+func (m *Member) Remove(s *book.Step) {
+	m.Used = m.Used.Minus(s.Room())
+	if s.Lasts {
+		m.Lasting = m.Lasting.Minus(s.Room())
 	}
 }
--- a/internal/jobs/shift/shift.go
+++ b/internal/jobs/shift/shift.go
@@ -35,6 +35,9 @@
 	Backlog int64
 	// Spread is the least number of instances that tasks need that must not share one.
 	Spread int
+	// More says that a task that lasts has had no room for a while: one more instance is
+	// needed, whatever the cores say.
+	More bool
 }
 
 // Instance is one instance that could move.
@@ -109,6 +112,9 @@
 			continue
 		}
 		need[pool.Name] = Needs(pool.Demand, cores)
+		if pool.Demand.More {
+			need[pool.Name] = max(need[pool.Name], have[pool.Name]+1)
+		}
 		keep[pool.Name] = p.remember(pool.Name, need[pool.Name], now)
 	}
 	short := slices.Clone(pools)
--- a/internal/jobs/shift/shift_test.go
+++ b/internal/jobs/shift/shift_test.go
@@ -164,3 +164,13 @@
 	assert.Equal(t, len(p.Plan(pools, fleet, 32000, time.Second)), 0)
 	assert.Equal(t, len(p.Plan(pools, fleet, 32000, keepFor+time.Second)), 1)
 }
+
+// Guards against a task that lasts and never gets room, because the pool's cores are
+// enough and its memory is not.
+func TestPoolGrowsForATaskWithoutRoom(t *testing.T) {
+	fleet := []Instance{{Name: "a0", Pool: "a", Cores: 32000, Lasting: 3, Free: true}, {Name: "r0", Pool: "rest", Cores: 32000, Free: true}}
+	pools := []Pool{{Name: "a", Demand: Demand{Lasting: 3000, More: true}}, {Name: "rest", Standby: true}}
+	assert.DeepEqual(t, (&Planner{}).Plan(pools, fleet, 32000, 0), []Move{{"r0", "a"}})
+	pools[0].Coming = 1
+	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 32000, 0)), 0)
+}
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -98,6 +98,9 @@
 		r.start(i)
 	}
 	r.until("an entry leads", func() bool { return r.leader() >= 0 })
+	for _, a := range r.entries {
+		r.until("the configuration is in force", func() bool { return a.Config() != nil })
+	}
 	return r
 }
 
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -59,6 +59,8 @@
 	began    time.Duration   // when this leader took over, in Unix time
 	refused  map[string]bool // pools that an instance can't join
 	arrived  map[string][]arrival
+	// waits is since when a task that lasts of a service has no run.
+	waits map[string]time.Duration
 }
 
 type listed struct {
@@ -76,6 +78,7 @@
 		d.lately = map[string]time.Duration{}
 	}
 	d.status, d.refused, d.arrived = map[int64]string{}, map[string]bool{}, map[string][]arrival{}
+	d.waits = map[string]time.Duration{}
 	for _, in := range list {
 		d.fleet[in.Name] = in
 		if in.Phase == model.Up && in.Executor != "" && l.byID[in.Executor] == nil {
--- a/internal/serve/leader/ends.go
+++ b/internal/serve/leader/ends.go
@@ -26,7 +26,7 @@
 	j := l.book.Job(e.Task.Job)
 	eff := l.book.End(m.Key, e, first, l.wall)
 	if r != nil {
-		m.Used = m.Used.Minus(r.Task.Step.Room())
+		m.Remove(r.Task.Step)
 		l.judge(m, r, e)
 	}
 	l.Meters.ends[e.How].Inc(1)
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -149,7 +149,7 @@
 func (l *Leader) drop(r *book.Run) {
 	l.book.Drop(r)
 	if m := l.members[r.Executor]; m != nil {
-		m.Used = m.Used.Minus(r.Task.Step.Room())
+		m.Remove(r.Task.Step)
 		l.planDue[m.Service] = true
 	}
 	l.planDue[l.rules(r.Task.Step.Occ.Job).Service] = true
--- a/internal/serve/leader/holds.go
+++ b/internal/serve/leader/holds.go
@@ -143,7 +143,7 @@
 		r := l.book.Find(m.Key, row.Task, row.Attempt)
 		if r == nil && first {
 			if r = l.book.Adopt(m.Key, row, l.now); r != nil {
-				m.Used = m.Used.Plus(r.Task.Step.Room())
+				m.Add(r.Task.Step)
 			}
 		}
 		if r == nil {
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
+	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/shift"
 	"chervilgauge.example/chervilgauge/internal/jobs/upkeep"
@@ -42,19 +43,47 @@
 		d.Arrivals = int64(float64(d.Arrivals) / arrivalWindow.Seconds())
 		out[s] = d
 	}
+	waits := map[string]bool{}
 	for _, j := range l.book.Active() {
 		s := l.rules(j).Service
 		d := out[s]
 		for _, o := range j.Open {
 			for _, st := range o.Steps {
 				addDemand(&d, st)
+				waits[s] = waits[s] || st.Lasts && st.IsReady() && hasWaiting(st) && l.fitsEmpty(s, st)
 			}
 		}
 		out[s] = d
 	}
+	for s, d := range out {
+		if !waits[s] {
+			delete(l.duty.waits, s)
+			continue
+		}
+		if _, ok := l.duty.waits[s]; !ok {
+			l.duty.waits[s] = l.now
+		}
+		d.More = l.now > l.duty.waits[s]+moreAfter
+		out[s] = d
+	}
 	return out
 }
 
+// fitsEmpty says whether an executor of a service could run a task of a step if nothing
+// else ran there. Jobs that can never be done must not draw instances.
+func (l *Leader) fitsEmpty(service string, st *book.Step) bool {
+	for _, m := range l.members {
+		if m.Service == service && m.Contact != crew.Dead && m.HasLabel(st.Label) && st.Room().Within(m.Capacity) {
+			return true
+		}
+	}
+	return false
+}
+
+// moreAfter is how long tasks that last may wait for room until their pool gets another
+// instance. Work that ends makes room within about that time.
+const moreAfter = 1500 * time.Millisecond
+
 func addDemand(d *shift.Demand, st *book.Step) {
 	if st.Lasts {
 		d.Lasting += st.Room().Cores * int64(st.Count)
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -74,7 +74,7 @@
 func (l *Leader) startRun(st assign.Start) {
 	m := l.members[st.Member.Key]
 	r := l.book.Begin(st.Task, m.Key, st.Attempt, l.now)
-	m.Used = m.Used.Plus(st.Task.Step.Room())
+	m.Add(st.Task.Step)
 	deadline := m.deadline(l.now)
 	m.extend(deadline)
 	order := platform.Start{
