A new leader waits for stops of its predecessor before it stops tasks that last

It now waits for the longest stop after it first heard each executor of the step. TestStopsOfTheFormerLeaderCount fails without the wait. Ruled out: two stops in one pass, stray runs, drains.

--- a/internal/serve/agent/agent_test.go
+++ b/internal/serve/agent/agent_test.go
@@ -326,3 +326,27 @@
 		return len(r.world.Upkeeps(1)) >= 4
 	})
 }
+
+// Guards against a new leader that stops a task that lasts while a stop of its predecessor
+// is under way on another one, which its executor still lists as at work (lra-tankrun
+// trouble-1: AVAIL).
+func TestStopsOfTheFormerLeaderCount(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 6, "pool-b": 1})
+	r.world.OneAtATime = true
+	r.world.StopTime = 1400 * time.Millisecond
+	r.world.Plan = func(string, string) fake.RunEnd { return fake.RunEnd{} }
+	status, _, _ := r.call(0, http.MethodPost, path("a", 1),
+		`{"phases":[{"count":4,"cpu":1000,"long_running":true,"max_per_server":1,"max_unavailable":1}]}`)
+	assert.Equal(t, status, http.StatusOK)
+	id := fmt.Sprintf("%016x", 1)
+	r.until("all tasks run", func() bool { return r.world.Running(id) == 4 })
+	r.world.Store.Put(platform.OperatorTopic, "wave/1", []byte(`{"wave":1,"machines":["m-pool-a-0","m-pool-a-1","m-pool-a-2",`+
+		`"m-pool-a-3","m-pool-a-4","m-pool-a-5"],"deadline_s":10,"max_count":6}`))
+	r.until("a task is stopped", func() bool { return r.world.Stops() > 0 })
+	old := r.leader()
+	go func() { _ = r.entries[old].Close() }()
+	r.until("the other entry leads", func() bool { return r.entries[1-old].leads() != nil })
+	r.until("all were down", func() bool { return len(r.world.Upkeeps(1)) == 6 })
+	r.noFaults()
+	r.entries[old] = nil
+}
--- a/internal/serve/leader/errand.go
+++ b/internal/serve/leader/errand.go
@@ -195,6 +195,9 @@
 // heard within freshFor, and one may be in a look of holdWait.
 const hurryFor = 2 * time.Second
 
+// stopSlack is added to the longest time of a stop, for its way.
+const stopSlack = 400 * time.Millisecond
+
 // mayStop says whether a task that lasts may be away: no more of its step are than the
 // job allows. If that is not known well enough, it has the executors looked at.
 func (l *Leader) mayStop(t *book.Task) bool {
@@ -215,6 +218,9 @@
 			m := l.members[r.Executor]
 			if m == nil || m.Contact != crew.Live {
 				away++
+			} else if l.now < m.since+l.Settings.Bounds.Stop+stopSlack {
+				// A stop of the former leader may be under way; such a run is listed as it was.
+				fresh = false
 			} else if l.now-m.clockAt > freshFor {
 				m.hurry = l.now + hurryFor
 				fresh = false
--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -46,6 +46,7 @@
 	sentAck  int64         // the highest end that it was told is stored
 	failures int
 	adopted  bool
+	since    time.Duration // when it was adopted
 	failed   []unconfirmed
 	// hurry is until when looks must be fresh, and known when it was first listed.
 	hurry time.Duration
--- a/internal/serve/leader/holds.go
+++ b/internal/serve/leader/holds.go
@@ -104,7 +104,9 @@
 	l.confirm(m)
 	m.due = l.now
 	first := !m.adopted
-	m.adopted = true
+	if first {
+		m.adopted, m.since = true, l.now
+	}
 	l.ends(m, ev.list.Ended, first)
 	l.running(m, ev, first)
 }
