Serve work that needs a label: move instances that have it, and keep them for it

Ruled out: the order of jobs (labelled ones came first where they were late), advice, refused starts (0). Tests: TestTaskRunsWhereItFailedIfNoOtherSuits (fails on the code before, three cases), TestPoolsGetInstancesWithTheLabel, TestPoolsGrowForAnyResource, TestBarredInstancesAreNotMoved, TestBacklogOfARareLabelDrawsNoOthers, TestRareLabelsAreKeptForWorkThatNeedsThem.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -122,13 +122,26 @@
 	return out
 }
 
+// Rarity says how rare the labels are that work needs: for each of them the share of
+// the instances without it.
+type Rarity map[string]float64
+
+// Of returns the rarity of the rarest of some labels.
+func (r Rarity) Of(labels []string) float64 {
+	most := 0.0
+	for _, label := range labels {
+		most = max(most, r[label])
+	}
+	return most
+}
+
 // Plan returns the tasks of ordered jobs of a service to start now, best first, at most
 // limit. allowed says whether an executor may run a step.
-func Plan(jobs []*book.Job, members []*crew.Member, allowed func(*book.Step, *crew.Member) bool, now time.Duration, limit int) []Start {
+func Plan(jobs []*book.Job, members []*crew.Member, allowed func(*book.Step, *crew.Member) bool, rare Rarity, now time.Duration, limit int) []Start {
 	p := plan{now: now, limit: limit, allowed: allowed}
 	for _, m := range members {
 		if m.Takes(now) {
-			p.slots = append(p.slots, &slot{m: m, free: m.Free()})
+			p.slots = append(p.slots, &slot{m: m, free: m.Free(), rarity: rare.Of(m.Labels)})
 		}
 	}
 	p.all = slices.Clone(p.slots)
@@ -150,8 +163,9 @@
 
 // slot is an executor with the room that the plan has left.
 type slot struct {
-	m    *crew.Member
-	free model.Amount
+	m      *crew.Member
+	free   model.Amount
+	rarity float64
 }
 
 type plan struct {
@@ -217,7 +231,7 @@
 	best := -1
 	need := s.Room()
 	for i, sl := range p.slots {
-		if !need.Within(sl.m.Capacity.Minus(sl.m.Lasting)) || !sl.m.HasLabel(s.Label) || s.Spread > 0 && on[sl.m.Key] >= s.Spread {
+		if !suits(s, sl.m, on) {
 			continue
 		}
 		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
@@ -286,17 +300,23 @@
 	farWeight = 10.0
 	// slowWeight is for each multiple of the usual run time.
 	slowWeight = 2.0
+	// rareWeight keeps work that needs no label from executors with one that other work
+	// needs: it outweighs any packing where a quarter of the instances or fewer have it.
+	rareWeight = 1.4
 )
 
-// hasOther says whether an executor takes tasks on which a task did not fail. It waits
+// hasOther says whether a task can run on an executor where it did not fail. It waits
 // for room there: another failure may be its last.
-func (p *plan) hasOther(t *book.Task) bool {
-	for _, sl := range p.all {
-		if !slices.Contains(t.Shunned, sl.m.Key) {
-			return true
-		}
-	}
-	return false
+func (p *plan) hasOther(s *book.Step, t *book.Task, on map[string]int) bool {
+	return slices.ContainsFunc(p.all, func(sl *slot) bool {
+		return !slices.Contains(t.Shunned, sl.m.Key) && suits(s, sl.m, on)
+	})
+}
+
+// suits says whether an executor can run a task of a step once work that does not last
+// has ended there.
+func suits(s *book.Step, m *crew.Member, on map[string]int) bool {
+	return m.HasLabel(s.Label) && (s.Spread == 0 || on[m.Key] < s.Spread) && s.Room().Within(m.Capacity.Minus(m.Lasting))
 }
 
 // best returns the executor for a task, or nil if there is no room.
@@ -308,13 +328,10 @@
 		return nil
 	}
 	for _, sl := range p.slots {
-		if !need.Within(sl.free) || !sl.m.HasLabel(s.Label) {
+		if !need.Within(sl.free) || !suits(s, sl.m, on) {
 			continue
 		}
-		if s.Spread > 0 && on[sl.m.Key] >= s.Spread {
-			continue
-		}
-		if !p.allowed(s, sl.m) || slices.Contains(t.Shunned, sl.m.Key) && p.hasOther(t) {
+		if !p.allowed(s, sl.m) || slices.Contains(t.Shunned, sl.m.Key) && p.hasOther(s, t, on) {
 			continue
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
@@ -325,6 +342,9 @@
 		if s.Rack != "" && s.Rack != sl.m.Rack {
 			cost += farWeight
 		}
+		if s.Label == "" {
+			cost += rareWeight * sl.rarity
+		}
 		cost += slowWeight * max(sl.m.Slow-1, 0)
 		if best == nil || cost < least {
 			best, least = sl, cost
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 )
 
@@ -40,6 +41,25 @@
 	assert.DeepEqual(t, on["spread"], map[string]int{"b": 1, "c": 1})
 }
 
+// Guards against work that needs a rare label and waits, because work that could run
+// anywhere holds the executors with it.
+func TestRareLabelsAreKeptForWorkThatNeedsThem(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		r := newRig(t, 4, cores(8))
+		r.members[0].Labels = []string{"rare"}
+		for _, m := range r.members[1:] {
+			m.Labels = []string{"common"}
+		}
+		r.rare = Rarity{"rare": 0.75, "common": 0.25}
+		r.accept("any", model.Step{Count: 6, Need: cores(4), Estimate: time.Second, Lasts: lasts})
+		for _, s := range r.plan() {
+			assert.Assert(t, s.Member.Key != "a")
+		}
+		r.accept("label", model.Step{Count: 2, Need: cores(4), Label: "rare", Estimate: time.Second})
+		assert.Equal(t, len(r.plan()), 2)
+	}
+}
+
 // Guards against a gang that starts in part and waits for the rest.
 func TestGangStartsAsAWhole(t *testing.T) {
 	r := newRig(t, 2, cores(8))
@@ -133,6 +153,30 @@
 	assert.Equal(t, again[0].Member.Key, "b")
 }
 
+// Guards against a task that waits for ever for another executor than the one where it
+// failed, when no other has its label, has room for it beside what lasts, or may run one
+// more of its step (lra-tankrun with labels, quiet-1: LOST 6).
+func TestTaskRunsWhereItFailedIfNoOtherSuits(t *testing.T) {
+	for name, other := range map[string]func(*crew.Member){
+		"label":   func(m *crew.Member) { m.Labels = nil },
+		"lasting": func(m *crew.Member) { m.Lasting, m.Used = cores(8), cores(8) },
+		"size":    func(m *crew.Member) { m.Capacity = model.Amount{Cores: 500} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, cores(8))
+			r.members[0].Labels, r.members[1].Labels = []string{"fast"}, []string{"fast"}
+			other(r.members[1])
+			j := r.accept("job", model.Step{Need: cores(1), Label: "fast", Estimate: time.Second})
+			assert.Equal(t, len(r.plan()), 1)
+			task := j.Open[0].Steps[0].Tasks[0]
+			delete(r.ends, task.Runs[0])
+			r.members[0].Used = model.Amount{}
+			r.b.End("a", model.End{Task: task.ID, Attempt: 1, How: model.EndedFailed}, false, r.now)
+			assert.Equal(t, len(r.plan()), 1)
+		})
+	}
+}
+
 // Guards against an executor that is kept free for a task that never fits there, because
 // others that last hold its memory (lse-cuciture quiet-1 with seed 418384626110: a task
 // that lasts without a run for 12 s).
--- a/internal/jobs/assign/rig_test.go
+++ b/internal/jobs/assign/rig_test.go
@@ -19,6 +19,7 @@
 	now     time.Duration
 	ends    map[*book.Run]time.Duration
 	ended   map[string]time.Duration // jobs by id
+	rare    Rarity
 }
 
 func newRig(t *testing.T, executors int, room model.Amount) *rig {
@@ -52,7 +53,7 @@
 	for _, j := range r.b.Active() {
 		jobs = append(jobs, j)
 	}
-	starts := Plan(Order(jobs, r.rules, r.now), r.members, anywhere, r.now, 64)
+	starts := Plan(Order(jobs, r.rules, r.now), r.members, anywhere, r.rare, r.now, 64)
 	for _, s := range starts {
 		run := r.b.Begin(s.Task, s.Member.Key, s.Attempt, r.now)
 		r.b.Confirm(run, r.now)
--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -4,6 +4,8 @@
 package model
 
 import (
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +40,12 @@
 	return Amount{a.Cores * n, a.Memory * n, a.Accelerators * n}
 }
 
+// Scale returns a multiplied by f, rounded to whole units.
+func (a Amount) Scale(f float64) Amount {
+	part := func(x int64) int64 { return int64(math.Round(float64(x) * f)) }
+	return Amount{part(a.Cores), part(a.Memory), part(a.Accelerators)}
+}
+
 // Share returns the largest share of total that a takes of any resource.
 func (a Amount) Share(total Amount) float64 {
 	part := func(x, y int64) float64 {
@@ -302,15 +310,7 @@
 
 // HasLabel says whether the executor has a label. Every executor has the empty one.
 func (e *Executor) HasLabel(label string) bool {
-	if label == "" {
-		return true
-	}
-	for _, l := range e.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
+	return label == "" || slices.Contains(e.Labels, label)
 }
 
 // Phase is what the platform does with an instance.
--- a/internal/jobs/shift/shift_test.go
+++ b/internal/jobs/shift/shift_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
 )
 
 // sim plays four queues that in turn ask for five times their mean for 4.5 s, and a
@@ -35,6 +38,8 @@
 
 var simPools = []string{"a", "b", "c", "d"}
 
+func cores(n int64) model.Amount { return model.Amount{Cores: n} }
+
 func newSim() *sim {
 	s := &sim{pool: map[string]string{}, coming: map[string]arriving{}, queue: map[string]float64{}}
 	for _, p := range simPools {
@@ -86,9 +91,9 @@
 					n++
 				}
 			}
-			pools = append(pools, Pool{Name: name, Coming: n, Demand: Demand{
-				Arrivals: int64(1000 * simDemand(i, now)), Backlog: int64(1000 * s.queue[name]),
-			}})
+			pools = append(pools, Pool{Name: name, Coming: map[string]int{"": n}, Demand: Demand{"": {
+				Arrivals: cores(int64(1000 * simDemand(i, now))), Backlog: cores(int64(1000 * s.queue[name])),
+			}}})
 		}
 		if p == nil {
 			continue
@@ -103,13 +108,13 @@
 			// Work is packed on few instances.
 			need := int((simDemandOf(pool, now) + s.queue[pool]) / simCores)
 			busy[pool]++
-			in := Instance{Name: name, Pool: pool, Cores: simCores * 1000, Free: true}
+			in := Instance{Name: name, Pool: pool, Size: cores(simCores * 1000), Free: true}
 			if pool != "rest" && busy[pool] <= need {
 				in.Work = simCores * 1000
 			}
 			list = append(list, in)
 		}
-		for _, m := range p.Plan(pools, list, simCores*1000, now) {
+		for _, m := range p.Plan(pools, list, now) {
 			s.moves++
 			s.coming[m.Instance] = arriving{m.Pool, now + 2*time.Second}
 			s.pool[m.Instance] = "moving"
@@ -142,35 +147,93 @@
 // tasks that serve.
 func TestPoolsKeepWhatTheyNeed(t *testing.T) {
 	fleet := []Instance{
-		{Name: "a0", Pool: "a", Cores: 32000, Lasting: 1, Free: true}, {Name: "a1", Pool: "a", Cores: 32000, Free: true},
-		{Name: "b0", Pool: "b", Cores: 32000, Work: 1000, Free: true}, {Name: "b1", Pool: "b", Cores: 32000, Free: false},
+		{Name: "a0", Pool: "a", Size: cores(32000), Lasting: 1, Free: true}, {Name: "a1", Pool: "a", Size: cores(32000), Free: true},
+		{Name: "b0", Pool: "b", Size: cores(32000), Work: 1000, Free: true}, {Name: "b1", Pool: "b", Size: cores(32000), Free: false},
 	}
 	pools := []Pool{
-		{Name: "a", Demand: Demand{Spread: 2}}, {Name: "b", Demand: Demand{Arrivals: 200_000}}, {Name: "rest", Standby: true},
+		{Name: "a", Demand: Demand{"": {Spread: 2}}}, {Name: "b", Demand: Demand{"": {Arrivals: cores(200_000)}}}, {Name: "rest", Standby: true},
 	}
-	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 32000, 0)), 0)
-	pools[0].Demand.Spread = 0
-	moves := (&Planner{}).Plan(pools, fleet, 32000, 0)
+	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 0)), 0)
+	pools[0].Demand = nil
+	moves := (&Planner{}).Plan(pools, fleet, 0)
 	assert.DeepEqual(t, moves, []Move{{"a1", "b"}})
 }
 
 // Guards against an instance that goes to standby and is called back at once.
 func TestStandbyWaitsUntilThePeakIsOver(t *testing.T) {
 	p := &Planner{}
-	fleet := []Instance{{Name: "a0", Pool: "a", Cores: 32000, Free: true}, {Name: "a1", Pool: "a", Cores: 32000, Free: true}}
-	pools := []Pool{{Name: "a", Demand: Demand{Arrivals: 50_000}}, {Name: "rest", Standby: true}}
-	assert.Equal(t, len(p.Plan(pools, fleet, 32000, 0)), 0)
-	pools[0].Demand.Arrivals = 0
-	assert.Equal(t, len(p.Plan(pools, fleet, 32000, time.Second)), 0)
-	assert.Equal(t, len(p.Plan(pools, fleet, 32000, keepFor+time.Second)), 1)
+	fleet := []Instance{{Name: "a0", Pool: "a", Size: cores(32000), Free: true}, {Name: "a1", Pool: "a", Size: cores(32000), Free: true}}
+	pools := []Pool{{Name: "a", Demand: Demand{"": {Arrivals: cores(50_000)}}}, {Name: "rest", Standby: true}}
+	assert.Equal(t, len(p.Plan(pools, fleet, 0)), 0)
+	pools[0].Demand = nil
+	assert.Equal(t, len(p.Plan(pools, fleet, time.Second)), 0)
+	assert.Equal(t, len(p.Plan(pools, fleet, keepFor+time.Second)), 1)
 }
 
 // Guards against a task that lasts and never gets room, because the pool's cores are
 // enough and its memory is not.
 func TestPoolGrowsForATaskWithoutRoom(t *testing.T) {
-	fleet := []Instance{{Name: "a0", Pool: "a", Cores: 32000, Lasting: 3, Free: true}, {Name: "r0", Pool: "rest", Cores: 32000, Free: true}}
-	pools := []Pool{{Name: "a", Demand: Demand{Lasting: 3000, More: true}}, {Name: "rest", Standby: true}}
-	assert.DeepEqual(t, (&Planner{}).Plan(pools, fleet, 32000, 0), []Move{{"r0", "a"}})
-	pools[0].Coming = 1
-	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 32000, 0)), 0)
+	fleet := []Instance{{Name: "a0", Pool: "a", Size: cores(32000), Lasting: 3, Free: true}, {Name: "r0", Pool: "rest", Size: cores(32000), Free: true}}
+	pools := []Pool{{Name: "a", Demand: Demand{"": {Lasting: cores(3000), More: true}}}, {Name: "rest", Standby: true}}
+	assert.DeepEqual(t, (&Planner{}).Plan(pools, fleet, 0), []Move{{"r0", "a"}})
+	pools[0].Coming = map[string]int{"": 1}
+	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 0)), 0)
+}
+
+// Guards against work that needs a label and waits for ever, because its pool has
+// instances enough and none with the label, or gave them away as idle.
+func TestPoolsGetInstancesWithTheLabel(t *testing.T) {
+	fleet := []Instance{
+		{Name: "a0", Pool: "a", Labels: []string{"x"}, Size: cores(32000), Free: true},
+		{Name: "a1", Pool: "a", Labels: []string{"x"}, Size: cores(32000), Free: true},
+		{Name: "b0", Pool: "b", Labels: []string{"x"}, Size: cores(32000), Free: true},
+		{Name: "b1", Pool: "b", Labels: []string{"y"}, Size: cores(32000), Free: true},
+		{Name: "r0", Pool: "rest", Labels: []string{"x"}, Size: cores(32000), Free: true},
+	}
+	work := Load{Backlog: cores(10_000)}
+	pools := []Pool{{Name: "a", Demand: Demand{"y": work}}, {Name: "b"}, {Name: "rest", Standby: true}}
+	p := &Planner{}
+	assert.DeepEqual(t, p.Plan(pools, fleet, 0), []Move{{"b1", "a"}, {"a0", "rest"}})
+	// The instance is not called twice, and not taken from a pool that needs it.
+	pools[0].Coming = map[string]int{"": 1, "y": 1}
+	assert.DeepEqual(t, p.Plan(pools, slices.Delete(slices.Clone(fleet), 3, 4), 0), []Move{{"a0", "rest"}})
+	pools[0].Coming = nil
+	pools[1].Demand = Demand{"y": work}
+	assert.DeepEqual(t, p.Plan(pools, fleet, 0), []Move{{"a0", "rest"}, {"b0", "rest"}})
+}
+
+// Guards against pools that are short of memory or accelerators and get no instance
+// because their cores would do.
+func TestPoolsGrowForAnyResource(t *testing.T) {
+	size := model.Amount{Cores: 32000, Memory: 64 << 10, Accelerators: 4}
+	for _, backlog := range []model.Amount{{Memory: 300 << 10}, {Accelerators: 18}} {
+		n := Needs(Load{Backlog: backlog.Scale(drainIn.Seconds())}, size)
+		assert.Equal(t, n, 6)
+	}
+	// No instance has any: such work can't draw instances.
+	assert.Equal(t, Needs(Load{Backlog: model.Amount{Accelerators: 18}}, cores(32000)), 0)
+}
+
+// Guards against an instance that is ordered into a pool again and again that it can't
+// join, while another one could.
+func TestBarredInstancesAreNotMoved(t *testing.T) {
+	fleet := []Instance{
+		{Name: "r0", Pool: "rest", Size: cores(32000), Free: true, Barred: map[string]bool{"a": true}},
+		{Name: "r1", Pool: "rest", Size: cores(32000), Free: true},
+	}
+	pools := []Pool{{Name: "a", Demand: Demand{"": {Spread: 1}}}, {Name: "rest", Standby: true}}
+	assert.DeepEqual(t, (&Planner{}).Plan(pools, fleet, 0), []Move{{"r1", "a"}})
+}
+
+// Guards against a pool that fills with instances for a backlog which only those with a
+// label can run, and which are all there.
+func TestBacklogOfARareLabelDrawsNoOthers(t *testing.T) {
+	fleet := []Instance{{Name: "a0", Pool: "a", Labels: []string{"x"}, Size: cores(32000), Work: 32000, Free: true}}
+	for i := range 4 {
+		fleet = append(fleet, Instance{Name: fmt.Sprint("r", i), Pool: "rest", Size: cores(32000), Free: true})
+	}
+	pools := []Pool{{Name: "a", Demand: Demand{"x": {Backlog: cores(500_000)}}}, {Name: "rest", Standby: true}}
+	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 0)), 0)
+	pools[0].Demand[""] = Load{Backlog: cores(30_000)}
+	assert.Equal(t, len((&Planner{}).Plan(pools, fleet, 0)), 1)
 }
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -56,11 +56,12 @@
 	seq      int64 // of appends to the status topic
 	planner  shift.Planner
 	waveLog  time.Duration
-	began    time.Duration   // when this leader took over, in Unix time
-	refused  map[string]bool // pools that an instance can't join
+	began    time.Duration              // when this leader took over, in Unix time
+	refused  map[string]map[string]bool // pools that an instance can't join
 	arrived  map[string][]arrival
-	// waits is since when a task that lasts of a service has no run.
-	waits map[string]time.Duration
+	labels   map[string]bool // that any job needed
+	// waits is since when tasks that last have no run.
+	waits map[need]time.Duration
 }
 
 type listed struct {
@@ -77,8 +78,8 @@
 	if d.lately == nil {
 		d.lately = map[string]time.Duration{}
 	}
-	d.status, d.refused, d.arrived = map[int64]string{}, map[string]bool{}, map[string][]arrival{}
-	d.waits = map[string]time.Duration{}
+	d.status, d.refused, d.arrived = map[int64]string{}, map[string]map[string]bool{}, map[string][]arrival{}
+	d.waits, d.labels = map[need]time.Duration{}, map[string]bool{}
 	for _, in := range list {
 		d.fleet[in.Name] = in
 		if in.Phase == model.Up && in.Executor != "" && l.byID[in.Executor] == nil {
--- a/internal/serve/leader/errand.go
+++ b/internal/serve/leader/errand.go
@@ -259,7 +259,10 @@
 	switch refused.Reason {
 	case platform.ReasonBad:
 		if e.pool != "" {
-			l.duty.refused[e.instance+" "+e.pool] = true
+			if l.duty.refused[e.instance] == nil {
+				l.duty.refused[e.instance] = map[string]bool{}
+			}
+			l.duty.refused[e.instance][e.pool] = true
 		}
 		l.endErrand(e, "order is invalid")
 	case platform.ReasonWave:
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -4,25 +4,28 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
-	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/shift"
 	"chervilgauge.example/chervilgauge/internal/jobs/upkeep"
 )
 
+// arrival is work that came in: its room times its run time in seconds, by the label
+// that it needs.
 type arrival struct {
 	at   time.Duration
-	work int64 // thousandths of core seconds
+	work map[string]model.Amount
 }
 
 // noteArrival counts work that came in.
 func (l *Leader) noteArrival(j *book.Job) {
-	var work int64
+	work := map[string]model.Amount{}
 	for i := range j.Work.Steps {
 		s := &j.Work.Steps[i]
-		if !s.Lasts && !s.Fills {
-			work += int64(s.Count) * int64(float64(s.Need.Cores)*s.Estimate.Seconds())
+		if s.Lasts || s.Fills {
+			continue
 		}
+		add := s.Room().Scale(float64(s.Count) * s.Estimate.Seconds())
+		work[s.Label] = work[s.Label].Plus(add)
 	}
 	service := l.rules(j).Service
 	l.duty.arrived[service] = append(l.duty.arrived[service], arrival{l.now, work})
@@ -31,49 +34,92 @@
 // demand returns what each service's work asks for.
 func (l *Leader) demand() map[string]shift.Demand {
 	out := map[string]shift.Demand{}
+	of := func(service string) shift.Demand {
+		if out[service] == nil {
+			out[service] = shift.Demand{}
+		}
+		return out[service]
+	}
 	for s, as := range l.duty.arrived {
 		for len(as) > 0 && as[0].at < l.now-arrivalWindow {
 			as = as[1:]
 		}
 		l.duty.arrived[s] = as
-		d := shift.Demand{}
+		d := of(s)
 		for _, a := range as {
-			d.Arrivals += a.work
+			for label, work := range a.work {
+				load := d[label]
+				load.Arrivals = load.Arrivals.Plus(work.Scale(1 / arrivalWindow.Seconds()))
+				d[label] = load
+			}
 		}
-		d.Arrivals = int64(float64(d.Arrivals) / arrivalWindow.Seconds())
-		out[s] = d
 	}
-	waits := map[string]bool{}
+	sizes := l.sizes()
+	waits := map[need]bool{}
 	for _, j := range l.book.Active() {
 		s := l.rules(j).Service
-		d := out[s]
+		d := of(s)
 		for _, o := range j.Open {
 			for _, st := range o.Steps {
-				addDemand(&d, st)
-				waits[s] = waits[s] || st.Lasts && st.IsReady() && hasWaiting(st) && l.fitsEmpty(s, st)
+				if !sizes.fit(st) {
+					continue // what can never be done must not draw instances
+				}
+				if st.Label != "" {
+					l.duty.labels[st.Label] = true
+				}
+				addDemand(d, st)
+				if st.Lasts && st.IsReady() && hasWaiting(st) {
+					waits[need{s, st.Label}] = true
+				}
 			}
 		}
-		out[s] = d
 	}
-	for s, d := range out {
-		if !waits[s] {
-			delete(l.duty.waits, s)
-			continue
+	for n := range l.duty.waits {
+		if !waits[n] {
+			delete(l.duty.waits, n)
+		}
+	}
+	for n := range waits {
+		if _, ok := l.duty.waits[n]; !ok {
+			l.duty.waits[n] = l.now
 		}
-		if _, ok := l.duty.waits[s]; !ok {
-			l.duty.waits[s] = l.now
+		if l.now > l.duty.waits[n]+moreAfter {
+			d := out[n.service]
+			load := d[n.label]
+			load.More = true
+			d[n.label] = load
 		}
-		d.More = l.now > l.duty.waits[s]+moreAfter
-		out[s] = d
 	}
 	return out
 }
 
-// fitsEmpty says whether an executor of a service could run a task of a step if nothing
-// else ran there. Jobs that can never be done must not draw instances.
-func (l *Leader) fitsEmpty(service string, st *book.Step) bool {
-	for _, m := range l.members {
-		if m.Service == service && m.Contact != crew.Dead && m.HasLabel(st.Label) && st.Room().Within(m.Capacity) {
+// need is work of a service that needs a label, empty for none.
+type need struct{ service, label string }
+
+// sizes are the sizes of the instances by label, each size once.
+type sizes map[string]map[model.Amount]bool
+
+func (l *Leader) sizes() sizes {
+	out := sizes{}
+	add := func(label string, size model.Amount) {
+		if out[label] == nil {
+			out[label] = map[model.Amount]bool{}
+		}
+		out[label][size] = true
+	}
+	for _, in := range l.duty.fleet {
+		add("", in.Capacity)
+		for _, label := range in.Labels {
+			add(label, in.Capacity)
+		}
+	}
+	return out
+}
+
+// fit says whether any instance could run a task of a step if nothing else ran there.
+func (s sizes) fit(st *book.Step) bool {
+	for size := range s[st.Label] {
+		if st.Room().Within(size) {
 			return true
 		}
 	}
@@ -84,24 +130,24 @@
 // instance. Work that ends makes room within about that time.
 const moreAfter = 1500 * time.Millisecond
 
-func addDemand(d *shift.Demand, st *book.Step) {
-	if st.Lasts {
-		d.Lasting += st.Room().Cores * int64(st.Count)
-		if st.Spread > 0 {
-			d.Spread = max(d.Spread, (st.Count+st.Spread-1)/st.Spread)
-		}
-		return
-	}
-	if !st.IsReady() {
-		return
-	}
+func addDemand(d shift.Demand, st *book.Step) {
 	waiting := 0
 	for _, t := range st.Tasks {
 		if t.IsWaiting() {
 			waiting++
 		}
 	}
-	d.Backlog += int64(float64(int64(waiting)*st.Room().Cores) * st.Estimate.Seconds())
+	load := d[st.Label]
+	switch {
+	case st.Lasts:
+		load.Lasting = load.Lasting.Plus(st.Room().Times(int64(st.Count)))
+		if st.Spread > 0 {
+			load.Spread = max(load.Spread, (st.Count+st.Spread-1)/st.Spread)
+		}
+	case st.IsReady():
+		load.Backlog = load.Backlog.Plus(st.Room().Scale(float64(waiting) * st.Estimate.Seconds()))
+	}
+	d[st.Label] = load
 }
 
 // shiftPools moves instances to where work is.
@@ -111,33 +157,39 @@
 		return
 	}
 	demand := l.demand()
-	coming := map[string]int{}
+	coming := map[string]map[string]int{}
 	for _, e := range l.duty.errands {
-		if e.pool != "" && fleet[e.instance].Pool != e.pool {
-			coming[e.pool]++
+		in := fleet[e.instance]
+		if e.pool == "" || in.Pool == e.pool {
+			continue
+		}
+		if coming[e.pool] == nil {
+			coming[e.pool] = map[string]int{}
+		}
+		coming[e.pool][""]++
+		for _, label := range in.Labels {
+			coming[e.pool][label]++
 		}
 	}
 	var pools []shift.Pool
 	for _, s := range c.Services {
 		pools = append(pools, shift.Pool{Name: s.Name, Standby: s.Standby, Demand: demand[s.Name], Coming: coming[s.Name]})
 	}
+	rare := l.rarity()
 	var list []shift.Instance
-	var cores int64
 	for name, in := range fleet {
 		if l.duty.errands[name] != nil {
 			continue // it counts where it goes, and not while it is down
 		}
-		cores = max(cores, in.Capacity.Cores)
 		m := l.memberOn(in.Instance)
 		ready := m != nil && m.Takes(l.now) && m.starting == 0 && in.Phase == model.Up
 		list = append(list, shift.Instance{
-			Name: name, Pool: in.Pool, Cores: in.Capacity.Cores, Lasting: in.Lasting, Work: in.Work,
+			Name: name, Pool: in.Pool, Labels: in.Labels, Size: in.Capacity, Lasting: in.Lasting, Work: in.Work,
+			Barred: l.duty.refused[name], Rarity: rare.Of(in.Labels),
 			Free: in.Free && (ready || in.Standby && in.Phase != model.Moving && in.Phase != model.Upkeep && in.Phase != model.Down),
 		})
 	}
-	for _, mv := range l.duty.planner.Plan(pools, list, cores, l.now) {
-		if !l.duty.refused[mv.Instance+" "+mv.Pool] {
-			l.begin(&errand{instance: mv.Instance, pool: mv.Pool, since: l.now})
-		}
+	for _, mv := range l.duty.planner.Plan(pools, list, l.now) {
+		l.begin(&errand{instance: mv.Instance, pool: mv.Pool, since: l.now})
 	}
 }
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
@@ -51,12 +52,13 @@
 		}
 	}
 	clear(l.planDue)
+	rare := l.rarity()
 	for s, js := range jobs {
 		js = assign.Order(js, l.rules, l.wall)
 		for _, j := range js {
 			l.seekAdvice(j, members[s])
 		}
-		starts := assign.Plan(js, members[s], l.isAllowed, l.now, planLimit)
+		starts := assign.Plan(js, members[s], l.isAllowed, rare, l.now, planLimit)
 		for _, st := range starts {
 			l.startRun(st)
 		}
@@ -66,6 +68,24 @@
 	}
 }
 
+// rarity returns how rare the labels are that any job needed since this leader began.
+func (l *Leader) rarity() assign.Rarity {
+	if len(l.duty.labels) == 0 {
+		return nil
+	}
+	out := make(assign.Rarity, len(l.duty.labels))
+	for label := range l.duty.labels {
+		with := 0
+		for _, in := range l.duty.fleet {
+			if slices.Contains(in.Labels, label) {
+				with++
+			}
+		}
+		out[label] = 1 - float64(with)/float64(max(len(l.duty.fleet), 1))
+	}
+	return out
+}
+
 func (l *Leader) isAllowed(s *book.Step, m *crew.Member) bool {
 	_, ok := l.ticketFor(s, m)
 	return ok
