Write log lines in short writes, so that collectors cut none off

'state is loaded' and 'former runs are known' were missing from the logs of every takeover under load, and with them the time that it took. Ruled out: the sink's own bound (no 'lines were left out' in that log). Test: TestSinkWritesWholeLinesInShortWrites (fails before: a write of 63 KB).

--- a/internal/watch/logs/sink.go
+++ b/internal/watch/logs/sink.go
@@ -1,6 +1,7 @@
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -13,8 +14,11 @@
 	// sinkSize bounds the lines that wait to be written, in bytes. A reader that stops
 	// reading costs lines and no time.
 	sinkSize = 256 << 10
-	// sinkEvery groups lines into one write.
+	// sinkEvery groups lines into few writes.
 	sinkEvery = 100 * time.Millisecond
+	// writeSize bounds one write, in bytes: POSIX writes up to PIPE_BUF to a pipe as a
+	// whole, and collectors were seen to cut longer writes off.
+	writeSize = 4 << 10
 )
 
 // Sink is a writer that never blocks: a goroutine writes what it holds, and lines that
@@ -82,11 +86,28 @@
 	if omitted > 0 {
 		out = fmt.Appendf(out, "{\"level\":\"warn\",\"omitted\":%d,\"message\":\"log lines were left out\"}\n", omitted)
 	}
-	if len(out) > 0 {
+	for rest := out; len(rest) > 0; {
+		n := whole(rest)
 		// A standard output that can't be written has no place to say so.
-		_, _ = s.out.Write(out)
+		_, _ = s.out.Write(rest[:n])
+		rest = rest[n:]
 	}
 	s.mu.Lock()
 	s.spare = out
 	s.mu.Unlock()
 }
+
+// whole returns the size of the lines that fit into one write, or that of the first line
+// if it does not fit.
+func whole(p []byte) int {
+	if len(p) <= writeSize {
+		return len(p)
+	}
+	if n := bytes.LastIndexByte(p[:writeSize], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(p, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(p)
+}
--- a/internal/watch/logs/sink_test.go
+++ b/internal/watch/logs/sink_test.go
@@ -72,3 +72,44 @@
 	assert.Assert(t, strings.HasPrefix(text, "first\nlast\n"), "%.40s", text)
 	assert.Assert(t, strings.Contains(text, `"omitted":1`))
 }
+
+// writes keeps the sizes of the writes and whether each ended a line.
+type writes struct {
+	mu    sync.Mutex
+	sizes []int
+	torn  int
+}
+
+func (w *writes) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sizes = append(w.sizes, len(p))
+	if len(p) == 0 || p[len(p)-1] != '\n' {
+		w.torn++
+	}
+	return len(p), nil
+}
+
+// Guards against lines that a collector cuts off because they are in the middle of a long
+// write: "state is loaded" was missing from the logs of a takeover.
+func TestSinkWritesWholeLinesInShortWrites(t *testing.T) {
+	var out writes
+	s := NewSink(&out)
+	for i := range 300 {
+		_, err := s.Write([]byte(strings.Repeat("x", 37+i) + "\n"))
+		assert.NilError(t, err)
+	}
+	long := strings.Repeat("y", 2*writeSize) + "\n"
+	_, err := s.Write([]byte(long + "last\n"))
+	assert.NilError(t, err)
+	s.Close()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	sum := 0
+	for _, n := range out.sizes {
+		assert.Assert(t, n <= writeSize || n == len(long), "a write of %d bytes", n)
+		sum += n
+	}
+	assert.Equal(t, out.torn, 0)
+	assert.Equal(t, sum, 300*38+300*299/2+len(long)+len("last\n"))
+}
