Read all pages of the instances at a takeover, and decide on moves from that list

Cause: a new leader read the first page only (200 of 350 instances on the grown sites), and asked for the list again before its first decision on moves, 0.1 to 0.2 s later.

--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -71,9 +71,13 @@
 	err       error
 }
 
-// takeInstances looks for executors that the store does not show.
-func (l *Leader) takeInstances(list []model.Instance) {
+// takeInstances takes over the first list of instances, if it could be read, and looks
+// for executors that the store does not show.
+func (l *Leader) takeInstances(list []model.Instance, sent time.Duration) {
 	d := &l.duty
+	if len(list) > 0 {
+		d.listed, d.nextList = sent, sent+listEvery
+	}
 	d.unseen, d.fleet, d.errands = map[string]bool{}, map[string]model.Instance{}, map[string]*errand{}
 	if d.lately == nil {
 		d.lately = map[string]time.Duration{}
@@ -119,25 +123,28 @@
 	sent := l.now
 	l.Meters.cloud.Inc(1)
 	l.call(func(ctx context.Context) event {
-		call, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		ev := listed{sent: sent}
-		page := ""
-		for {
-			list, next, err := l.Client.Instances(call, page)
-			if err != nil {
-				ev.err = err
-				return ev
-			}
-			ev.instances = append(ev.instances, list...)
-			if next == "" {
-				return ev
-			}
-			page = next
-		}
+		list, err := l.instances(ctx)
+		return listed{sent: sent, instances: list, err: err}
 	})
 }
 
+// instances reads all pages of the list of instances.
+func (l *Leader) instances(ctx context.Context) ([]model.Instance, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	var out []model.Instance
+	for page := ""; ; {
+		list, next, err := l.Client.Instances(call, page)
+		if err != nil {
+			return nil, err
+		}
+		if out = append(out, list...); next == "" {
+			return out, nil
+		}
+		page = next
+	}
+}
+
 // hasSilent says whether the list could tell that an executor has ended.
 func (l *Leader) hasSilent() bool {
 	for _, m := range l.members {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -33,6 +33,7 @@
 	executors []platform.Record
 	execFrom  int64
 	instances []model.Instance
+	listed    time.Duration // when the instances were asked for
 	waves     []platform.Record
 	err       error
 }
@@ -58,9 +59,8 @@
 		},
 		func(ctx context.Context) error {
 			// Without the list, runs on executors that the store does not show are waited for.
-			call, cancel := context.WithTimeout(ctx, listTimeout)
-			defer cancel()
-			list, _, err := l.Client.Instances(call, "")
+			out.listed = l.Clock.Now()
+			list, err := l.instances(ctx)
 			if err != nil {
 				l.Log.Warn().Err(err).Msg("instances can't be listed")
 				return nil
@@ -168,7 +168,7 @@
 		l.takeExecutor(r)
 	}
 	l.duty.began = l.wall
-	l.takeInstances(ev.instances)
+	l.takeInstances(ev.instances, ev.listed)
 	for _, r := range ev.waves {
 		l.loadWave(r.Key, r.Value)
 	}
