Order late jobs by the time that they are still of use; one more instance where tasks find no room

Their steps of 16.5 cores waited 1.8 s beside free gaps of up to 27 cores on other executors' halves, while the pool's cores seemed enough; and among late jobs those that became late last went first, so that the first ones passed three times their objective. Ruled out: failures (one task of one of them failed once), stalled runs, wave. Change: late jobs go by what they can still wait, those beyond it last; a pool whose tasks found no room for 300 ms gets one more instance (tasks that last: 1.5 s, as before).

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -29,17 +29,24 @@
 	lasting class = iota
 	// timely jobs can still meet their objective.
 	timely
-	// late jobs can't.
+	// late jobs can't, and still end while their callers have use for them.
 	late
+	// lost jobs end too late for that. They are accepted, so they are done in the end.
+	lost
 )
 
+// usefulFor is how many times its objective a job may take until its caller has no use
+// for it any more, as the operators count.
+const usefulFor = 3
+
 // rank is the place of a job in the order of its service.
 type rank struct {
 	job      *book.Job
 	class    class
 	priority int
 	begun    bool
-	// laxity is how long the job can wait and meet its objective.
+	// laxity is how long the job can wait and meet its objective, or be of use if it can't
+	// meet that.
 	laxity time.Duration
 }
 
@@ -60,13 +67,16 @@
 	return longest
 }
 
-// Deadline returns when an occurrence is late, in Unix time.
-func Deadline(o *book.Occurrence, q *model.Queue) time.Duration {
+// laxities returns how long an occurrence can wait and be in time, and how long it can
+// wait and be of use.
+func laxities(o *book.Occurrence, q *model.Queue, wall time.Duration) (inTime, ofUse time.Duration) {
 	from := o.Job.Accepted
 	if o.Due > 0 {
 		from = o.Due
 	}
-	return from + time.Duration(q.Slack*float64(chain(o, true))) + q.Objective
+	objective := time.Duration(q.Slack*float64(chain(o, true))) + q.Objective
+	left := from - wall - chain(o, false)
+	return left + objective, left + usefulFor*objective
 }
 
 func rankOf(j *book.Job, q *model.Queue, wall time.Duration) rank {
@@ -76,14 +86,20 @@
 		r.laxity = j.Accepted
 		return r
 	}
+	var inTime, ofUse time.Duration
 	for i, o := range j.Open {
-		lax := Deadline(o, q) - wall - chain(o, false)
-		if i == 0 || lax < r.laxity {
-			r.laxity = lax
+		a, b := laxities(o, q, wall)
+		if i == 0 || a < inTime {
+			inTime, ofUse = a, b
 		}
 	}
-	if r.laxity >= 0 {
-		r.class = timely
+	switch {
+	case inTime >= 0:
+		r.class, r.laxity = timely, inTime
+	case ofUse >= 0:
+		r.class, r.laxity = late, ofUse
+	default:
+		r.class, r.laxity = lost, ofUse
 	}
 	return r
 }
@@ -101,10 +117,6 @@
 		}
 		return 1
 	}
-	if a.class == late {
-		// The ones that became late last are the most likely to be worth something.
-		return cmp.Or(cmp.Compare(b.laxity, a.laxity), cmp.Compare(a.job.ID, b.job.ID))
-	}
 	return cmp.Or(cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.job.ID, b.job.ID))
 }
 
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -55,7 +55,7 @@
 		}
 	}
 	sizes := l.sizes()
-	waits := map[need]bool{}
+	waits := map[need]time.Duration{}
 	for _, j := range l.book.Active() {
 		s := l.rules(j).Service
 		d := of(s)
@@ -68,22 +68,26 @@
 					l.duty.labels[st.Label] = true
 				}
 				addDemand(d, st)
-				if st.Lasts && st.IsReady() && hasWaiting(st) {
-					waits[need{s, st.Label}] = true
+				if st.IsReady() && hasWaiting(st) {
+					n := need{s, st.Label, st.Lasts}
+					waits[n] = moreAfter
+					if st.Lasts {
+						waits[n] = moreAfterLasting
+					}
 				}
 			}
 		}
 	}
 	for n := range l.duty.waits {
-		if !waits[n] {
+		if _, ok := waits[n]; !ok {
 			delete(l.duty.waits, n)
 		}
 	}
-	for n := range waits {
+	for n, after := range waits {
 		if _, ok := l.duty.waits[n]; !ok {
 			l.duty.waits[n] = l.now
 		}
-		if l.now > l.duty.waits[n]+moreAfter {
+		if l.now > l.duty.waits[n]+after {
 			d := out[n.service]
 			load := d[n.label]
 			load.More = true
@@ -94,7 +98,10 @@
 }
 
 // need is work of a service that needs a label, empty for none.
-type need struct{ service, label string }
+type need struct {
+	service, label string
+	lasts          bool
+}
 
 // sizes are the sizes of the instances by label, each size once.
 type sizes map[string]map[model.Amount]bool
@@ -126,9 +133,14 @@
 	return false
 }
 
-// moreAfter is how long tasks that last may wait for room until their pool gets another
-// instance. Work that ends makes room within about that time.
-const moreAfter = 1500 * time.Millisecond
+const (
+	// moreAfter is how long tasks may wait for room until their pool gets another instance,
+	// whatever its cores say: large tasks leave gaps that none of them fits into.
+	moreAfter = 300 * time.Millisecond
+	// moreAfterLasting is the same for tasks that last. Work that ends makes room within
+	// about that time, and they hold an instance for good.
+	moreAfterLasting = 1500 * time.Millisecond
+)
 
 func addDemand(d shift.Demand, st *book.Step) {
 	waiting := 0
