Rescue late jobs that would soon be of no use, with at most a quarter of the pool

Change: late jobs that must start within 0.7 s go before timely ones, up to a quarter of the pool's cores. Test: TestLateJobsAreServedWhileTheyAreOfUse plays a queue at 1.6 times its pool for 4.5 s of 10.5: of 288 jobs 10 of no use and 194 in time, with the order before 42 and 216.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -27,6 +27,9 @@
 const (
 	// lasting work earns all the time that it is at work.
 	lasting class = iota
+	// rescued jobs are late and would be lost if they waited for much longer. Only so many
+	// are rescued that the timely ones keep most of the room.
+	rescued
 	// timely jobs can still meet their objective.
 	timely
 	// late jobs can't, and still end while their callers have use for them.
@@ -39,6 +42,15 @@
 // for it any more, as the operators count.
 const usefulFor = 3
 
+const (
+	// rescueWithin is how soon a late job must start to be of use when it is rescued: about
+	// a run time, in which room becomes free with certainty.
+	rescueWithin = 700 * time.Millisecond
+	// rescueShare is the share of a pool's cores that rescued jobs may take: with more of
+	// it, a flood turns timely jobs into late ones to no gain.
+	rescueShare = 0.25
+)
+
 // rank is the place of a job in the order of its service.
 type rank struct {
 	job      *book.Job
@@ -120,13 +132,17 @@
 	return cmp.Or(cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.job.ID, b.job.ID))
 }
 
-// Order puts jobs in the order in which they get room.
-func Order(jobs []*book.Job, rules func(*book.Job) *model.Queue, wall time.Duration) []*book.Job {
+// Order puts jobs in the order in which they get room, in a pool with so many cores, in
+// thousandths.
+func Order(jobs []*book.Job, rules func(*book.Job) *model.Queue, cores int64, wall time.Duration) []*book.Job {
 	ranks := make([]rank, 0, len(jobs))
 	for _, j := range jobs {
 		ranks = append(ranks, rankOf(j, rules(j), wall))
 	}
 	slices.SortFunc(ranks, compare)
+	if rescue(ranks, int64(rescueShare*float64(cores))) {
+		slices.SortFunc(ranks, compare)
+	}
 	out := make([]*book.Job, len(ranks))
 	for i, r := range ranks {
 		out[i] = r.job
@@ -147,6 +163,36 @@
 	return most
 }
 
+// rescue moves late jobs that would be lost soon before the timely ones, as far as they
+// take no more than so many cores. It says whether there were any.
+func rescue(ranks []rank, cores int64) bool {
+	any := false
+	for i := range ranks {
+		r := &ranks[i]
+		if r.class != late || r.laxity > rescueWithin {
+			continue
+		}
+		if cores -= asks(r.job); cores < 0 {
+			break
+		}
+		r.class, any = rescued, true
+	}
+	return any
+}
+
+// asks returns the cores of the tasks of a job that run or could start.
+func asks(j *book.Job) int64 {
+	var sum int64
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			if s.IsReady() {
+				sum += int64(s.Left) * s.Room().Cores
+			}
+		}
+	}
+	return sum
+}
+
 // Plan returns the tasks of ordered jobs of a service to start now, best first, at most
 // limit. allowed says whether an executor may run a step.
 func Plan(jobs []*book.Job, members []*crew.Member, allowed func(*book.Step, *crew.Member) bool, rare Rarity, now time.Duration, limit int) []Start {
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 )
@@ -195,3 +197,71 @@
 	r.advance(1200 * time.Millisecond)
 	assert.Equal(t, len(lasting.Open[0].Steps[0].Tasks[0].Runs), 1)
 }
+
+// newestLateFirst is the order that was used before: late jobs after timely ones, those
+// that became late last first.
+func (r *rig) newestLateFirst(jobs []*book.Job) []*book.Job {
+	ranks := make([]rank, 0, len(jobs))
+	for _, j := range jobs {
+		k := rankOf(j, r.rules(j), r.now)
+		if k.class == lost {
+			k.class = late
+		}
+		if k.class == late {
+			k.laxity = -k.laxity
+		}
+		ranks = append(ranks, k)
+	}
+	slices.SortFunc(ranks, compare)
+	var out []*book.Job
+	for _, k := range ranks {
+		out = append(out, k.job)
+	}
+	return out
+}
+
+// Guards against late jobs that wait until their callers have no use for them, while newer
+// ones are served. The load is a queue that asks for 1.6 times what its pool holds for
+// 4.5 s, and for a twentieth of that in the 6 s after (lse-cuciture quiet-1: jobs that
+// waited 6.3 s for a run of 1 s).
+func TestLateJobsAreServedWhileTheyAreOfUse(t *testing.T) {
+	play := func(old bool) (inTime, ofNoUse, all int) {
+		r := newRig(t, 4, cores(8))
+		if old {
+			r.order = r.newestLateFirst
+		}
+		for range 3 {
+			for i := range 105 {
+				jobs := 2
+				if i >= 45 {
+					jobs = (i + 1) % 2 * (i % 5) / 4
+				}
+				for range jobs {
+					r.accept(fmt.Sprintf("job%04d", all), model.Step{Count: 4, Need: cores(2), Estimate: 320 * time.Millisecond})
+					all++
+				}
+				r.plan()
+				r.advance(100 * time.Millisecond)
+			}
+		}
+		r.advance(60 * time.Second)
+		objective := 600*time.Millisecond + 512*time.Millisecond
+		for i := range all {
+			id := fmt.Sprintf("job%04d", i)
+			took := r.ended[id] - r.b.Job(id).Accepted
+			if took <= objective {
+				inTime++
+			}
+			if took > usefulFor*objective {
+				ofNoUse++
+			}
+		}
+		assert.Equal(t, len(r.ended), all, "every job is served in the end")
+		return inTime, ofNoUse, all
+	}
+	inTime, lost, all := play(false)
+	wasInTime, wasLost, _ := play(true)
+	t.Logf("of %d jobs: in time %d, of no use %d; newest late first: %d and %d", all, inTime, lost, wasInTime, wasLost)
+	assert.Assert(t, lost*4 <= wasLost, "of no use %d, before %d", lost, wasLost)
+	assert.Assert(t, inTime >= wasInTime*3/4, "in time %d, before %d", inTime, wasInTime)
+}
--- a/internal/jobs/assign/bench_test.go
+++ b/internal/jobs/assign/bench_test.go
@@ -35,7 +35,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				Plan(Order(jobs, func(*book.Job) *model.Queue { return q }, time.Second), members, anywhere, nil, time.Second, 64)
+				Plan(Order(jobs, func(*book.Job) *model.Queue { return q }, 0, time.Second), members, anywhere, nil, time.Second, 64)
 			}
 		})
 	}
--- a/internal/jobs/assign/rig_test.go
+++ b/internal/jobs/assign/rig_test.go
@@ -20,6 +20,8 @@
 	ends    map[*book.Run]time.Duration
 	ended   map[string]time.Duration // jobs by id
 	rare    Rarity
+	// order replaces that of this package.
+	order func([]*book.Job) []*book.Job
 }
 
 func newRig(t *testing.T, executors int, room model.Amount) *rig {
@@ -40,6 +42,14 @@
 
 func (r *rig) rules(j *book.Job) *model.Queue { return r.queues[j.Queue] }
 
+func (r *rig) cores() int64 {
+	var sum int64
+	for _, m := range r.members {
+		sum += m.Capacity.Cores
+	}
+	return sum
+}
+
 func (r *rig) accept(id string, steps ...model.Step) *book.Job {
 	for i := range steps {
 		steps[i].Count = max(steps[i].Count, 1)
@@ -53,7 +63,11 @@
 	for _, j := range r.b.Active() {
 		jobs = append(jobs, j)
 	}
-	starts := Plan(Order(jobs, r.rules, r.now), r.members, anywhere, r.rare, r.now, 64)
+	order := Order(jobs, r.rules, r.cores(), r.now)
+	if r.order != nil {
+		order = r.order(jobs)
+	}
+	starts := Plan(order, r.members, anywhere, r.rare, r.now, 64)
 	for _, s := range starts {
 		run := r.b.Begin(s.Task, s.Member.Key, s.Attempt, r.now)
 		r.b.Confirm(run, r.now)
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -54,7 +54,7 @@
 	clear(l.planDue)
 	rare := l.rarity()
 	for s, js := range jobs {
-		js = assign.Order(js, l.rules, l.wall)
+		js = assign.Order(js, l.rules, coresOf(members[s]), l.wall)
 		for _, j := range js {
 			l.seekAdvice(j, members[s])
 		}
@@ -68,6 +68,15 @@
 	}
 }
 
+// coresOf returns the cores of the executors that take tasks, in thousandths.
+func coresOf(members []*crew.Member) int64 {
+	var sum int64
+	for _, m := range members {
+		sum += m.Capacity.Cores
+	}
+	return sum
+}
+
 // rarity returns how rare the labels are that any job needed since this leader began.
 func (l *Leader) rarity() assign.Rarity {
 	if len(l.duty.labels) == 0 {
