Use new executors only if a successor knows them

Traced by reading: a leader that has lost the leadership without knowing acts for up to 5 s. Its successor settles former runs when all executors it knows have answered; one that registers after that is known to both, and the former one can start a task there before the successor has asked it, which starts the task elsewhere. Ruled out: orders that arrive late (the successor's first question raises the fence), unknown executors (the instance list names them). Change: an executor that registers while renewals are late gets tasks only after a renewal that was sent later. While renewals follow one another nothing changes. Test: TestNewExecutorsAreUsedOnlyIfASuccessorKnowsThem.

--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -51,6 +51,8 @@
 	// hurry is until when looks must be fresh, and known when it was first listed.
 	hurry time.Duration
 	known time.Duration
+	// sure says that no other entry had claimed when it was first listed.
+	sure bool
 	// starting counts starts under way, to bound the connections.
 	starting int
 	deadAt   time.Duration
@@ -95,7 +97,7 @@
 		if old != nil && old.Born > e.Born {
 			return // an earlier incarnation's report that came late
 		}
-		m = &member{Member: crew.Member{Key: key, Slow: 1}, known: l.now}
+		m = &member{Member: crew.Member{Key: key, Slow: 1}, known: l.now, sure: tenure.IsCertain(l.Renewed(), l.now)}
 		l.members[key] = m
 		l.Log.Info().Str("executor", e.ID).Int64("born", e.Born).Str("service", e.Service).Str("addr", e.Addr).Msg("executor is new")
 		if old != nil {
@@ -170,3 +172,21 @@
 		l.byID[e.ID] = n
 	}
 }
+
+// isSure says whether a later leader knows of an executor. It may not have heard of one
+// that registered after its claim, and start elsewhere what this leader starts there.
+func (l *Leader) isSure(m *member) bool {
+	if !m.sure {
+		m.sure = l.Renewed() >= m.known
+	}
+	return m.sure
+}
+
+// trust plans for executors that a later leader knows of by now.
+func (l *Leader) trust() {
+	for _, m := range l.members {
+		if !m.sure && l.isSure(m) {
+			l.planDue[m.Service] = true
+		}
+	}
+}
--- a/internal/serve/leader/holds_test.go
+++ b/internal/serve/leader/holds_test.go
@@ -116,3 +116,32 @@
 	assert.Assert(t, ms[1].hurry > l.now, "it is looked at whether the task is at work")
 	assert.Assert(t, ms[9].hurry == 0)
 }
+
+// Guards against two runs of a task: one that a leader which has lost the leadership without
+// knowing starts on an executor that has just registered, and one of its successor, which
+// has settled former runs and not heard of that executor yet (found by tracing
+// lra-tankrun-grown, entries-die with seed 319769565532: TWICE 1).
+func TestNewExecutorsAreUsedOnlyIfASuccessorKnowsThem(t *testing.T) {
+	l, old, _ := bare(t)
+	old.sure = true
+	renewed := l.now - 300*time.Millisecond
+	l.Renewed = func() time.Duration { return renewed }
+	l.byID = map[string]*member{}
+	report := func(id string) *member {
+		l.takeExecutor(platform.Record{Key: id, Value: []byte(`{"service":"s","addr":"127.0.0.1:1","zone":"z","version":"1","slots":8,"state":"ready","seq":1,"born":7,"capacity":{"cpu":8000,"mem_mb":64,"gpu":0},"labels":["a","r"]}`)})
+		return l.byID[id]
+	}
+	m := report("y")
+	assert.Assert(t, m != nil)
+	assert.Assert(t, l.isSure(m), "renewals follow one another, so that nobody can have claimed")
+	// The next renewal is late: others may have claimed by now.
+	l.now += time.Second
+	m = report("z")
+	assert.Assert(t, !l.isSure(m))
+	clear(l.planDue)
+	l.trust()
+	assert.Assert(t, !l.planDue["s"])
+	renewed = l.now + 10*time.Millisecond
+	l.trust()
+	assert.Assert(t, l.isSure(m) && l.planDue["s"])
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -135,8 +135,7 @@
 	l.Log.Info().Int("jobs", l.jobCount()).Msg("leading stops")
 	l.refuseAll()
 	for l.calls > 0 {
-		if ev, ok := (<-l.events).(reporting); ok {
-			_ = ev
+		if _, ok := (<-l.events).(reporting); ok {
 			l.calls--
 		}
 	}
@@ -245,6 +244,7 @@
 		return
 	}
 	l.openDue()
+	l.trust()
 	l.tail()
 	l.retryStops()
 	l.expireLeases()
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -47,7 +47,7 @@
 	}
 	members := map[string][]*crew.Member{}
 	for _, m := range l.members {
-		if l.planDue[m.Service] {
+		if l.planDue[m.Service] && l.isSure(m) {
 			members[m.Service] = append(members[m.Service], &m.Member)
 		}
 	}
