Empty an instance only as far as what lasts there has another place

A task that lasts was stopped for an upkeep and had no other place, since no other instance of its pool had its label: 30 s without a run, beside the room that it had left. Change: a task that lasts is stopped for a move or an upkeep only when another executor suits it; an upkeep that is blocked by that for 4 s is given up and tried again 4 s later. Tests: TestTasksThatLastAreStoppedOnlyWithAnotherPlace, TestEmptyingEndsWithoutAnotherPlace (new behaviour; the play before shows the fault).

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -371,6 +371,13 @@
 	})
 }
 
+// HasPlace says whether a task that lasts can run on one of some executors, beside those
+// where its step has as many as it may.
+func HasPlace(t *book.Task, members []*crew.Member, now time.Duration) bool {
+	on := spread(t.Step)
+	return slices.ContainsFunc(members, func(m *crew.Member) bool { return m.Takes(now) && suits(t.Step, m, on) })
+}
+
 // suits says whether an executor can run a task of a step once work that does not last
 // has ended there.
 func suits(s *book.Step, m *crew.Member, on map[string]int) bool {
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -265,3 +265,29 @@
 	assert.Assert(t, lost*4 <= wasLost, "of no use %d, before %d", lost, wasLost)
 	assert.Assert(t, inTime >= wasInTime*3/4, "in time %d, before %d", inTime, wasInTime)
 }
+
+// Guards against a task that lasts which is stopped for an upkeep and has no other place
+// (lra-tankrun with labels, scale-1: LOST 2, a task without a run for 30 s beside the room
+// that it had left).
+func TestTasksThatLastAreStoppedOnlyWithAnotherPlace(t *testing.T) {
+	for name, c := range map[string]struct {
+		other func(*crew.Member)
+		has   bool
+	}{
+		"room":     {func(*crew.Member) {}, true},
+		"busy":     {func(m *crew.Member) { m.Used = cores(8) }, true},
+		"label":    {func(m *crew.Member) { m.Labels = nil }, false},
+		"lasting":  {func(m *crew.Member) { m.Lasting = cores(8) }, false},
+		"leaving":  {func(m *crew.Member) { m.Leaving = true }, false},
+		"draining": {func(m *crew.Member) { m.Draining = true }, false},
+	} {
+		r := newRig(t, 2, cores(8))
+		r.members[0].Labels, r.members[1].Labels = []string{"fast"}, []string{"fast"}
+		j := r.accept("job", model.Step{Need: cores(1), Label: "fast", Lasts: true, Spread: 1})
+		r.members[1].Leaving = true
+		assert.Equal(t, len(r.plan()), 1)
+		r.members[1].Leaving = false
+		c.other(r.members[1])
+		assert.Equal(t, HasPlace(j.Open[0].Steps[0].Tasks[0], r.members, r.now), c.has, name)
+	}
+}
--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -24,7 +24,9 @@
 	orderRetry = 300 * time.Millisecond
 	// emptyFor is how long an instance is emptied until what is left on it is stopped.
 	emptyFor = 2 * time.Second
-	// giveUpAfter ends the emptying of an instance for a move that does not get empty.
+	// giveUpAfter ends the emptying of an instance that does not get empty: for a move, or
+	// for an upkeep while tasks that last have no other place. An upkeep is tried again after
+	// the same time.
 	giveUpAfter = 4 * time.Second
 	// arrivalWindow is the time over which incoming work is averaged.
 	arrivalWindow = 800 * time.Millisecond
@@ -59,7 +61,8 @@
 	began    time.Duration              // when this leader took over, in Unix time
 	refused  map[string]map[string]bool // pools that an instance can't join
 	arrived  map[string][]arrival
-	labels   map[string]bool // that any job needed
+	labels   map[string]bool          // that any job needed
+	later    map[string]time.Duration // when an instance may be emptied for an upkeep again
 	// waits is since when tasks that last have no run.
 	waits map[need]time.Duration
 }
@@ -79,7 +82,7 @@
 		d.lately = map[string]time.Duration{}
 	}
 	d.status, d.refused, d.arrived = map[int64]string{}, map[string]map[string]bool{}, map[string][]arrival{}
-	d.waits, d.labels = map[need]time.Duration{}, map[string]bool{}
+	d.waits, d.labels, d.later = map[need]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if len(list) > 0 {
 		d.nextList = sent + listEvery
 		l.takeList(list, sent)
--- a/internal/serve/leader/errand.go
+++ b/internal/serve/leader/errand.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -168,12 +169,15 @@
 		// Ends that the executor does not know to be stored would be lost with it.
 		return m.starting == 0 && !m.doubt && m.told >= m.seen
 	}
+	stuck := false
 	for r := range runs {
 		if r.Phase != book.Running {
 			continue
 		}
 		s := r.Task.Step
 		switch {
+		case s.Lasts && !l.hasPlace(m, r.Task):
+			stuck = true
 		case s.Lasts:
 			if l.mayStop(r.Task) {
 				l.stop(r, "instance is emptied")
@@ -182,12 +186,30 @@
 			l.stop(r, "instance is emptied")
 		}
 	}
-	if e.pool != "" && l.now > e.since+giveUpAfter {
+	switch {
+	case l.now <= e.since+giveUpAfter:
+	case e.pool != "":
 		l.endErrand(e, "instance did not get empty")
+	case stuck:
+		// Meanwhile it takes other work again.
+		l.duty.later[e.instance] = l.now + giveUpAfter
+		l.endErrand(e, "tasks that last have no other place")
 	}
 	return false
 }
 
+// hasPlace says whether a task that lasts can run on another executor than m. An instance
+// that is fetched for it takes some two seconds; until then it stays at work.
+func (l *Leader) hasPlace(m *member, t *book.Task) bool {
+	var others []*crew.Member
+	for _, o := range l.members {
+		if o != m && o.Service == m.Service && l.isSure(o) {
+			others = append(others, &o.Member)
+		}
+	}
+	return assign.HasPlace(t, others, l.now)
+}
+
 // freshFor returns how old a look may be that a stop of a task that lasts relies on. A look
 // that waits is answered as soon as a run ends, and a task that is away for another reason
 // than an order counts only after the notice; half of it is left for what is on its way.
--- a/internal/serve/leader/holds_test.go
+++ b/internal/serve/leader/holds_test.go
@@ -145,3 +145,26 @@
 	l.trust()
 	assert.Assert(t, l.isSure(m) && l.planDue["s"])
 }
+
+// Guards against an instance that is emptied for ever, and takes no other work, because a
+// task that lasts there has no other place.
+func TestEmptyingEndsWithoutAnotherPlace(t *testing.T) {
+	l, m, _ := bare(t)
+	l.beginDuties(nil, l.now)
+	l.byID = map[string]*member{"x": m}
+	in := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+	l.takeList([]model.Instance{in}, l.now)
+	j := l.book.Accept("lasts", model.Queue{Service: "s"}, model.Work{Repeats: 1, Steps: []model.Step{{Count: 1, Lasts: true, MayMiss: 1}}}, 0, 0)
+	r := l.book.Begin(j.Open[0].Steps[0].Tasks[0], m.Key, 0, 0)
+	l.book.Confirm(r, 0)
+	e := &errand{instance: "m1", wave: 1, since: l.now}
+	l.begin(e)
+	assert.Assert(t, !l.isEmpty(e, in))
+	assert.Equal(t, r.Phase, book.Running)
+	assert.Assert(t, m.Leaving)
+	l.now += giveUpAfter + time.Millisecond
+	assert.Assert(t, !l.isEmpty(e, in))
+	assert.Assert(t, !m.Leaving)
+	assert.Equal(t, len(l.duty.errands), 0)
+	assert.Assert(t, l.duty.later["m1"] > l.now)
+}
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -78,6 +78,12 @@
 			continue
 		}
 		l.logWave(n, view, fleet)
+		for name, at := range l.duty.later {
+			if in, ok := fleet[name]; ok && l.now < at {
+				in.Free = false
+				fleet[name] = in
+			}
+		}
 		for _, name := range upkeep.Next(view, fleet) {
 			l.begin(&errand{instance: name, wave: n, since: l.now})
 		}
