--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -95,3 +96,13 @@
 	}()
 	return &Subscription{C: out, close: closer(quit, done, stop)}
 }
+
+// Pause waits for a time, or until the context ends.
+func Pause(ctx context.Context, clk Clock, d time.Duration) {
+	s := clk.After(d)
+	defer s.Close()
+	select {
+	case <-s.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -249,12 +249,7 @@
 				return
 			}
 			a.log.Warn().Err(err).Msg("address of this entry is not stored yet")
-			s := a.clk.After(presentPause)
-			select {
-			case <-s.C:
-			case <-ctx.Done():
-			}
-			s.Close()
+			clock.Pause(ctx, a.clk, presentPause)
 		}
 	}()
 }
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/retry"
@@ -124,12 +125,7 @@
 		if s, ok := a.queryOnce(ctx, id); ok {
 			return s, true
 		}
-		p := a.clk.After(retryPause)
-		select {
-		case <-p.C:
-			p.Close()
-		case <-ctx.Done():
-			p.Close()
+		if clock.Pause(ctx, a.clk, retryPause); ctx.Err() != nil {
 			return model.Unknown, false
 		}
 	}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -117,12 +118,7 @@
 			return err
 		}
 		l.Log.Warn().Err(err).Msg("state can't be loaded yet")
-		s := l.Clock.After(loadPause)
-		select {
-		case <-s.C:
-		case <-ctx.Done():
-		}
-		s.Close()
+		clock.Pause(ctx, l.Clock, loadPause)
 	}
 }
 
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -144,12 +145,7 @@
 			if ctx.Err() != nil || errors.As(err, &fenced) {
 				return ev
 			}
-			s := l.Clock.After(appendPause)
-			select {
-			case <-s.C:
-			case <-ctx.Done():
-			}
-			s.Close()
+			clock.Pause(ctx, l.Clock, appendPause)
 		}
 	}
 	return ev
--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -108,7 +108,7 @@
 				o.log.Warn().Err(err).Msg("operators' orders can't be read")
 			}
 			lost = true
-			pause(ctx, o.clk, retryPause)
+			clock.Pause(ctx, o.clk, retryPause)
 			continue
 		}
 		if lost && ctx.Err() == nil {
@@ -119,15 +119,6 @@
 	}
 }
 
-func pause(ctx context.Context, clk clock.Clock, d time.Duration) {
-	s := clk.After(d)
-	defer s.Close()
-	select {
-	case <-s.C:
-	case <-ctx.Done():
-	}
-}
-
 func (o *Orders) load(ctx context.Context) (int64, error) {
 	from, after := int64(-1), ""
 	for {
