Stop tasks without another place for an upkeep where they may be away together

Change: tasks without another place are stopped for an upkeep if all tasks of their step on that instance may be away at the same time; they start there again when it is back. Tests: TestTasksThatMayBeAwayAreStoppedWithoutAnotherPlace, TestEmptyingEndsWithoutAnotherPlace (now with two tasks of which one may be away); serve/agent TestWave*, TestStopsOfTheFormerLeaderCount pass.

--- a/internal/serve/leader/errand.go
+++ b/internal/serve/leader/errand.go
@@ -170,18 +170,24 @@
 		return m.starting == 0 && !m.doubt && m.told >= m.seen
 	}
 	stuck := false
+	together := l.mayStopTogether(m)
 	for r := range runs {
 		if r.Phase != book.Running {
 			continue
 		}
 		s := r.Task.Step
 		switch {
-		case s.Lasts && !l.hasPlace(m, r.Task):
-			stuck = true
-		case s.Lasts:
+		case s.Lasts && l.hasPlace(m, r.Task):
 			if l.mayStop(r.Task) {
 				l.stop(r, "instance is emptied")
 			}
+		case s.Lasts:
+			// After an upkeep it can start again here.
+			if e.pool == "" && together[s] {
+				l.stop(r, "instance is emptied")
+			} else {
+				stuck = true
+			}
 		case l.now > e.since+emptyFor:
 			l.stop(r, "instance is emptied")
 		}
@@ -210,6 +216,27 @@
 	return assign.HasPlace(t, others, l.now)
 }
 
+// mayStopTogether returns the steps all of whose tasks on an executor may be away at the
+// same time.
+func (l *Leader) mayStopTogether(m *member) map[*book.Step]bool {
+	here := map[*book.Step]int{}
+	out := map[*book.Step]bool{}
+	for r := range l.book.On(m.Key) {
+		if r.Task.Step.Lasts && r.Phase == book.Running {
+			here[r.Task.Step]++
+		}
+	}
+	for r := range l.book.On(m.Key) {
+		s := r.Task.Step
+		if _, known := out[s]; known || here[s] == 0 || r.Phase != book.Running {
+			continue
+		}
+		away, stale, _ := l.missing(r.Task)
+		out[s] = s.MayMiss < 0 || len(stale) == 0 && away+here[s] <= s.MayMiss
+	}
+	return out
+}
+
 // freshFor returns how old a look may be that a stop of a task that lasts relies on. A look
 // that waits is answered as soon as a run ends, and a task that is away for another reason
 // than an order counts only after the notice; half of it is left for what is on its way.
