--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -63,7 +63,7 @@
 	arrived  map[string][]arrival
 	labels   map[string]bool          // that any job needed
 	later    map[string]time.Duration // when an instance may be emptied for an upkeep again
-	// waits is since when tasks that last have no run.
+	// waits is since when some task of a kind of work has found no room.
 	waits map[need]time.Duration
 }
 
--- a/internal/serve/leader/moves.go
+++ b/internal/serve/leader/moves.go
@@ -97,7 +97,8 @@
 	return out
 }
 
-// need is work of a service that needs a label, empty for none.
+// need is a kind of work: of a service, with a label that it needs, empty for none, and
+// whether it lasts.
 type need struct {
 	service, label string
 	lasts          bool
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -68,7 +68,8 @@
 	}
 }
 
-// coresOf returns the cores of the executors that take tasks, in thousandths.
+// coresOf returns the cores of executors in thousandths, those included that take no tasks
+// at present.
 func coresOf(members []*crew.Member) int64 {
 	var sum int64
 	for _, m := range members {
