Do not take up executors again that have ended

Cause: the report of an executor whose instance was ordered away was read after its end was forgotten, one second later, and made it a new executor that got tasks. Change: incarnations that have ended are kept in mind for 60 s after they are dropped. Proof: TestExecutorsThatHaveEndedAreNotTakenUpAgain fails without the check (contact 0 instead of 3, dead). Ruled out: a second order by the new leader before the former run was known; its log shows the executor as ended before.

--- a/internal/serve/leader/execs.go
+++ b/internal/serve/leader/execs.go
@@ -91,6 +91,9 @@
 		return
 	}
 	key := keyOf(&e)
+	if _, ended := l.ended[key]; ended {
+		return // a report that it wrote before its end
+	}
 	m := l.members[key]
 	if m == nil {
 		if old != nil && old.Born > e.Born {
--- a/internal/serve/leader/holds_test.go
+++ b/internal/serve/leader/holds_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
@@ -197,3 +198,29 @@
 		}
 	}
 }
+
+// Guards against an executor that has left and is in use again: its last report is read
+// after its end, and the leader has forgotten that it ended.
+func TestExecutorsThatHaveEndedAreNotTakenUpAgain(t *testing.T) {
+	l, _, _ := bare(t)
+	l.byID, l.Execs = map[string]*member{}, silentExecs{}
+	l.Meters = NewMeters(tally.NoopScope)
+	l.Renewed = func() time.Duration { return l.now }
+	late := platform.Record{Key: "y", Value: []byte(`{"service":"s","addr":"127.0.0.1:1","zone":"z","slots":8,"state":"ready","seq":9,"born":7,"capacity":{"cpu":8000}}`)}
+	l.takeExecutor(late)
+	l.bury(l.byID["y"], "its instance was ordered away")
+	for range 5 {
+		l.now += forgetEvery
+		l.forget()
+		l.takeExecutor(late)
+		if m := l.members["y@7"]; m != nil {
+			assert.Equal(t, m.Contact, crew.Dead)
+		}
+	}
+	next := platform.Record{Key: "y", Value: []byte(`{"service":"s","addr":"127.0.0.1:1","zone":"z","slots":8,"state":"ready","seq":1,"born":8,"capacity":{"cpu":8000}}`)}
+	l.takeExecutor(next)
+	assert.Equal(t, l.members["y@8"].Contact, crew.Unheard)
+	l.now += 2 * endedKeep
+	l.forget()
+	assert.Equal(t, len(l.ended), 0)
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -318,6 +318,12 @@
 	for key, m := range l.members {
 		if m.Contact == crew.Dead && len(l.book.On(key)) == 0 && !m.holding {
 			delete(l.members, key)
+			l.ended[key] = l.now
+		}
+	}
+	for key, at := range l.ended {
+		if l.now > at+endedKeep {
+			delete(l.ended, key)
 		}
 	}
 }
