Keep the room of runs that no job needs until they have ended

Cause: a new leader stops runs of jobs that were over when it took over, and did not count their room meanwhile: it does not know their size any more. Ruled out by reading and by tests that stand: late orders of the former leader (refused by the fence), starts without an answer and runs that are being stopped (their room stays taken until they are listed as ended). Proof: TestRoomOfUnneededRunsStaysTaken starts a task without the change (1 instead of 0).

--- a/internal/jobs/crew/crew.go
+++ b/internal/jobs/crew/crew.go
@@ -52,6 +52,10 @@
 	Listed bool
 	// Leaving says that its instance is to be emptied, for a move or an upkeep.
 	Leaving bool
+	// Strays is the number of runs in its last list that no job needs: those of jobs that
+	// were over when the leader took over, for example. Their room is not known, and stays
+	// taken until they have ended.
+	Strays int
 	// Slow is its mean run time compared with the estimates' mean, 1 for usual.
 	Slow float64
 	// AsideUntil keeps new tasks away after failures.
@@ -62,7 +66,7 @@
 
 // Takes says whether the executor takes new tasks.
 func (m *Member) Takes(now time.Duration) bool {
-	return m.Contact == Live && m.Listed && !m.Draining && !m.Leaving && now >= m.AsideUntil
+	return m.Contact == Live && m.Listed && !m.Draining && !m.Leaving && m.Strays == 0 && now >= m.AsideUntil
 }
 
 // Free returns the room that is left.
--- a/internal/serve/leader/holds.go
+++ b/internal/serve/leader/holds.go
@@ -31,7 +31,7 @@
 // needsHold says whether an executor has to be called: idle ones are left alone, since
 // each look is paid for.
 func (l *Leader) needsHold(m *member) bool {
-	if !m.adopted || m.doubt || m.acked > m.told {
+	if !m.adopted || m.doubt || m.acked > m.told || m.Strays > 0 {
 		return true
 	}
 	return len(l.book.On(m.Key)) > 0
@@ -48,7 +48,7 @@
 	if m.seen > m.acked && l.now < m.due+holdLate {
 		return // ends that are not stored yet would be listed again at once
 	}
-	if m.acked > m.told && (len(l.book.On(m.Key)) == 0 || len(m.failed) > 0) {
+	if m.Strays == 0 && m.acked > m.told && (len(l.book.On(m.Key)) == 0 || len(m.failed) > 0) {
 		// The answer confirms failures, and nothing else is expected of an idle executor.
 		wait, limit = 0, firstLook
 	}
@@ -156,6 +156,7 @@
 // running compares the runs that an executor lists with the book.
 func (l *Leader) running(m *member, ev held, first bool) {
 	listed := map[*book.Run]bool{}
+	strays := 0
 	for _, row := range ev.list.Running {
 		r := l.book.Find(m.Key, row.Task, row.Attempt)
 		if r == nil && first {
@@ -164,6 +165,7 @@
 			}
 		}
 		if r == nil {
+			strays++
 			l.stopStray(m, row)
 			continue
 		}
@@ -182,6 +184,10 @@
 			l.stop(r, "job is over")
 		}
 	}
+	if m.Strays > 0 && strays == 0 {
+		l.planDue[m.Service] = true
+	}
+	m.Strays = strays
 	if first {
 		m.extend(m.clock + tenure.HoldFor)
 	}
--- a/internal/serve/leader/holds_test.go
+++ b/internal/serve/leader/holds_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/crew"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -224,3 +226,35 @@
 	l.forget()
 	assert.Equal(t, len(l.ended), 0)
 }
+
+// Guards against a start beyond the capacity of an executor that does not guard it: the
+// runs of a job that was cancelled before a takeover still hold room there until they have
+// ended, and the new leader does not know how much (unguarded copies of further and
+// lra-tankrun, entries-die: LIMIT 3 and 5, each within some seconds of a leader's kill).
+func TestRoomOfUnneededRunsStaysTaken(t *testing.T) {
+	l, m, task := bare(t)
+	m.adopted, m.Listed, m.sure = false, true, true
+	m.Capacity = model.Amount{Cores: 32000}
+	l.Execs, l.ctx, l.events = silentExecs{}, context.Background(), make(chan event, 100)
+	l.Meters = NewMeters(tally.NoopScope)
+	l.Renewed = func() time.Duration { return l.now }
+	over := l.book.Accept("over", model.Queue{Service: "s"}, model.Work{Repeats: 1, Steps: []model.Step{{Count: 1}}}, 0, 0)
+	l.book.Cancel(over.ID, 0)
+	row := model.Run{Task: model.TaskID{Job: "over"}, Attempt: 3}
+	list := func(rows ...model.Run) {
+		m.holding = true
+		l.onHeld(held{m: m, sent: l.now, fence: tenure.Fence(l.token, m.voided), list: platform.Held{Clock: l.now, Running: rows}})
+	}
+	starts := func() int {
+		return len(assign.Plan([]*book.Job{task.Step.Occ.Job}, []*crew.Member{&m.Member}, l.isAllowed, nil, l.now, 10))
+	}
+	list(row)
+	assert.Equal(t, starts(), 0)
+	assert.Assert(t, l.needsHold(m), "it is looked at until the run has ended")
+	l.now += time.Second
+	list(row)
+	assert.Equal(t, starts(), 0)
+	list()
+	assert.Equal(t, starts(), 1)
+	assert.Assert(t, !l.needsHold(m))
+}
--- a/internal/serve/leader/starts.go
+++ b/internal/serve/leader/starts.go
@@ -235,7 +235,6 @@
 func (l *Leader) stopStray(m *member, row model.Run) {
 	l.Log.Info().Stringer("task", row.Task).Int("attempt", row.Attempt).Str("executor", m.ID).Msg("unneeded run is to stop")
 	l.sendStop(m, row.Task, row.Attempt)
-	m.due = l.now + stopRetry
 }
 
 func (l *Leader) sendStop(m *member, t model.TaskID, attempt int) {
