Send orders for instances only shortly after they are stored, and a turn after those of a former leader

Cause: an order for an instance is stored before it is sent, and a later leader waited 3.3 s from then. A leader that was suspended between the two sent it when it woke, up to 5 s later: after an order of its successor, and with a lower token. A record from a clock that is ahead was also taken for an order of the new leader's own. Ruled out: two orders of one leader (one is under way for each instance), and notes of a deposed leader (its appends are fenced). Change: jobs/tenure decides: an order is sent within 0.5 s of its note, looked at again right before its call; a later leader waits from the note for that, the call's 0.7 s, the turn and the clocks.

--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -21,9 +21,8 @@
 	listSoon  = 400 * time.Millisecond
 	// listEach is added for each instance: a list of a thousand takes milliseconds to read.
 	listEach = 400 * time.Microsecond
-	// listTimeout and orderTimeout bound the calls.
-	listTimeout  = 600 * time.Millisecond
-	orderTimeout = 700 * time.Millisecond
+	// listTimeout bounds the reading of all pages.
+	listTimeout = 600 * time.Millisecond
 	// orderRetry is the time to the next attempt of an order.
 	orderRetry = 300 * time.Millisecond
 	// emptyFor is how long an instance is emptied until what is left on it is stopped.
@@ -38,9 +37,6 @@
 	// and ordersKey the key under which it is kept when an instance was ordered last.
 	waveKey   = "wave."
 	ordersKey = "wave.order."
-	// turnSlack is added to the least time between orders of two leaders, for their
-	// clocks.
-	turnSlack = 300 * time.Millisecond
 )
 
 // duties is the state of moves and waves.
--- a/internal/serve/leader/errand.go
+++ b/internal/serve/leader/errand.go
@@ -30,6 +30,7 @@
 	// noted says that the order is to be stored, and stored that it is: the next leader
 	// must know of an order before it can have an effect.
 	noted, stored bool
+	notedAt       time.Duration
 	former        string // the executor before the order
 }
 
@@ -46,8 +47,9 @@
 		l.Log.Error().Err(err).Str("instance", instance).Msg("record of an order can't be read")
 		return
 	}
-	// A clock that is ahead must not make an order wait for long.
-	l.duty.lately[instance] = min(time.Duration(ms)*time.Millisecond, l.wall)
+	// A clock that is ahead must not make an order wait for long, nor make it one of this
+	// leader's own.
+	l.duty.lately[instance] = min(time.Duration(ms)*time.Millisecond, l.duty.began-1)
 }
 
 // orderEntry returns the record of an order that is to be sent. Each instance has one of
@@ -64,7 +66,7 @@
 		return false
 	}
 	at, ok := l.duty.lately[instance]
-	return !ok || at >= l.duty.began || l.wall >= at+l.Settings.Bounds.Turns+turnSlack
+	return !ok || at >= l.duty.began || l.wall >= tenure.TurnEnds(at, l.Settings.Bounds.Turns)
 }
 
 // begin starts to empty an instance.
@@ -111,7 +113,7 @@
 		return
 	}
 	if !e.noted {
-		e.noted = true
+		e.noted, e.notedAt = true, l.now
 		l.duty.lately[e.instance] = l.wall
 		l.duty.noting = append(l.duty.noting, e)
 		return
@@ -119,11 +121,20 @@
 	if !e.stored {
 		return
 	}
+	if !tenure.MaySend(e.notedAt, l.now) {
+		e.noted, e.stored = false, false
+		return
+	}
 	e.ordered, e.calling = true, true
 	l.Meters.cloud.Inc(1)
 	l.Log.Info().Str("instance", e.instance).Str("to", e.pool).Int64("wave", e.wave).Msg("instance is ordered away")
+	notedAt := e.notedAt
 	l.call(func(ctx context.Context) event {
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		if !tenure.MaySend(notedAt, l.Clock.Now()) {
+			// The process was suspended since the order was decided.
+			return ordered{e: e, err: &platform.OrderError{Reason: platform.ReasonLate}}
+		}
+		call, cancel := context.WithTimeout(ctx, tenure.OrderTimeout)
 		defer cancel()
 		if e.pool == "" {
 			return ordered{e: e, err: l.Client.Maintain(call, l.token, e.instance, e.wave)}
--- a/internal/serve/leader/holds_test.go
+++ b/internal/serve/leader/holds_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/book"
 	"chervilgauge.example/chervilgauge/internal/jobs/crew"
@@ -258,3 +261,53 @@
 	assert.Equal(t, starts(), 1)
 	assert.Assert(t, !l.needsHold(m))
 }
+
+// Guards against an order for an instance that is sent long after it was stored, because
+// the process was suspended with the order in its hands: a later leader may have sent
+// another one (deployments without fences for instances).
+func TestOrdersForInstancesAreNotSentLate(t *testing.T) {
+	l, m, e, _, _ := emptying(t, 1, -1)
+	l.ctx, l.events, l.Execs = context.Background(), make(chan event, 10), silentExecs{}
+	l.Meters = NewMeters(tally.NoopScope)
+	clk := clock.NewFake(time.Unix(0, 0))
+	clk.Advance(l.now)
+	l.Clock, l.wall = clk, time.Hour
+	l.Renewed = func() time.Duration { return l.now }
+	for r := range l.book.On(m.Key) {
+		l.drop(r)
+	}
+	l.pursue(e)
+	assert.Assert(t, e.noted && !e.ordered)
+	e.stored = true
+	// The order is decided, and the process stands still before its call is made.
+	clk.Advance(4 * time.Second)
+	l.pursue(e)
+	ev, ok := (<-l.events).(ordered)
+	assert.Assert(t, ok)
+	refused := (*platform.OrderError)(nil)
+	assert.Assert(t, errors.As(ev.err, &refused) && refused.Reason == platform.ReasonLate)
+	// It stood still before the decision: the order is noted anew.
+	l.onOrdered(ev)
+	l.now = clk.Now()
+	l.pursue(e)
+	e.stored = true
+	l.now += 4 * time.Second
+	l.pursue(e)
+	assert.Assert(t, !e.noted && !e.calling)
+}
+
+// Guards against a leader that takes an order of its predecessor, whose clock is ahead, for
+// one of its own, and orders the instance at once.
+func TestOrdersOfAFormerLeaderAreAwaited(t *testing.T) {
+	l, _, _, _, _ := emptying(t, 1, -1)
+	l.wall, l.duty.began = time.Hour, time.Hour
+	l.Renewed = func() time.Duration { return l.now }
+	l.Settings.Bounds.Turns = 3 * time.Second
+	for _, ahead := range []time.Duration{-100 * time.Millisecond, 0, 200 * time.Millisecond} {
+		l.loadWave(ordersKey+"m1", strconv.AppendInt(nil, (l.wall+ahead).Milliseconds(), 10))
+		assert.Assert(t, !l.mayOrder("m1"))
+		assert.Assert(t, l.mayOrder("m2"))
+	}
+	l.wall += 10 * time.Second
+	assert.Assert(t, l.mayOrder("m1"))
+}
