--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -56,6 +56,9 @@
 	ready    *http.Server
 	readyEnd chan error
 
+	// onLead is told when this entry begins and ends to lead.
+	onLead func(leads bool)
+
 	metricsPort int
 	metrics     *http.Server
 	metricsEnd  chan error
@@ -80,13 +83,16 @@
 // WithMetrics serves metrics on a port of every address.
 func WithMetrics(port int) Option { return func(a *Agent) { a.metricsPort = port } }
 
+// WithLeadNotice has f called when the entry begins to lead, and when it ends.
+func WithLeadNotice(f func(leads bool)) Option { return func(a *Agent) { a.onLead = f } }
+
 // Start starts an entry. It returns an Err.
 func Start(ctx context.Context, set platform.Settings, log zerolog.Logger, opts ...Option) (*Agent, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &Agent{
 		set: set, log: log, clk: clock.NewBoot(), client: platform.NewClient(set), peers: relay.NewClient(),
 		cancel: cancel, done: make(chan struct{}), readyEnd: make(chan error, 1),
-		metricsEnd: make(chan error, 1),
+		metricsEnd: make(chan error, 1), onLead: func(bool) {},
 	}
 	for _, o := range opts {
 		o(a)
@@ -209,11 +215,13 @@
 				Meters: a.meters, Renewed: a.elector.Renewed,
 			}, seat.Token)
 			a.setLeader(l)
+			a.onLead(true)
 			a.announce(ctx, seat)
 		case !seat.Mine && l != nil:
 			a.setLeader(nil)
 			l.Close()
 			a.calls.Reset()
+			a.onLead(false)
 		}
 		select {
 		case <-a.elector.Changed():
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -103,8 +103,11 @@
 	forgetAt  time.Duration
 	duty      duties
 	advice    map[*book.Step]*advised
-	asking    int  // questions to the advice service under way
-	execLost  bool // the executors' reports can't be read
+	asking    int // questions to the advice service under way
+	// backlog is the last count of pending jobs, which nobody changes, and counted when it was made.
+	backlog  map[string]int
+	counted  time.Duration
+	execLost bool // the executors' reports can't be read
 }
 
 // event is a message to the control goroutine.
--- a/internal/serve/leader/query.go
+++ b/internal/serve/leader/query.go
@@ -257,12 +257,19 @@
 // for the number of pending jobs to hold.
 const countedFor = 2 * time.Second
 
+// countEvery is the time between counts of pending jobs: every entry asks for the number,
+// and may show it for two seconds.
+const countEvery = 100 * time.Millisecond
+
 func (l *Leader) onDigest(ev *digested) {
 	if !l.ready || !l.isValid() || l.now > l.loneTop.read+countedFor {
 		ev.reply <- nil
 		return
 	}
-	ev.reply <- l.book.Pending()
+	if l.backlog == nil || l.now > l.counted+countEvery {
+		l.backlog, l.counted = l.book.Pending(), l.now
+	}
+	ev.reply <- l.backlog
 }
 
 // refuseAll answers requests that were not handled when leading ended.
--- a/internal/serve/proxy/carry.go
+++ b/internal/serve/proxy/carry.go
@@ -180,14 +180,19 @@
 
 // run sends what is added until the context ends or sending fails, and returns that error.
 func (b *batcher[T]) run(ctx context.Context, send func([]T) error) error {
+	pause := gather
 	for {
 		select {
 		case <-b.wake:
 		case <-ctx.Done():
 			return nil
 		}
-		clock.Pause(ctx, b.clk, gather)
+		clock.Pause(ctx, b.clk, pause)
+		pause = gather
 		for list := b.take(); len(list) > 0; list = b.take() {
+			if len(list) >= busyFrom {
+				pause = gatherBusy
+			}
 			if err := send(list); err != nil {
 				return Err.Wrap(err)
 			}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -48,9 +48,14 @@
 	verdictUnknown
 )
 
-// gather is how long the first order or answer waits for others, to share a message with
-// them. It is small beside the time that a task waits for its place.
-const gather = 3 * time.Millisecond
+const (
+	// gather is how long the first order or answer waits for others, to share a message with
+	// them, and gatherBusy that after a message of busyFrom or more: under load each message
+	// costs more than the wait, which is small beside the run time of a task.
+	gather     = 3 * time.Millisecond
+	gatherBusy = 10 * time.Millisecond
+	busyFrom   = 12
+)
 
 // mostInMessage bounds the orders or answers of a message, far below the largest one of
 // the library.
