Ask the next leader before a job is stored without one

Cause: an entry whose call to the leader fails stores the job by itself, in the one partition for jobs without a leader. Ruled out: a job that is stored twice (the next leader has loaded what its predecessor stored, whose later appends are fenced), and a refusal that is not true: 'not run' is said only if every leader that was asked has not stored it. Change: if another entry leads by the time that the call has failed, that one is asked, once. Proof: TestJobsInHandGoToTheNextLeader fails with one leader asked.

--- a/internal/serve/agent/calls_test.go
+++ b/internal/serve/agent/calls_test.go
@@ -48,3 +48,21 @@
 	}
 	r.noFaults()
 }
+
+// Guards against a takeover in which all entries store the jobs that they have in hand one
+// by one without the leader: the one that leads by then is asked first. The caller hears
+// once that its job is accepted, and it runs once.
+func TestJobsInHandGoToTheNextLeader(t *testing.T) {
+	r := newRig(t, 3, map[string]int{"pool-a": 2, "pool-b": 2})
+	old := r.leader()
+	other := (old + 1) % 3
+	// The store turns the leader away, so that it can't store the job and loses its lease.
+	r.doors[old].Set(fake.Faults{Silent: true})
+	status, _, _ := r.call(other, http.MethodPost, path("a", 1), oneStep)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, r.leader() != old)
+	assert.Assert(t, !strings.Contains(r.log.String(), "job is stored without the leader"))
+	r.until("job is complete", func() bool { return r.state(other, path("a", 1)) == "complete" })
+	assert.Equal(t, r.world.Starts(fmt.Sprintf("%016x", 1)), 3)
+	r.noFaults()
+}
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -22,6 +22,8 @@
 	// relayTimeout bounds a call to the leader. It stores within some 30 ms, or within
 	// 1 s while the store is slow; a second copy of each job would slow it further.
 	relayTimeout = 2500 * time.Millisecond
+	// leadersAsked is how many leaders, one after the other, are asked to store a job.
+	leadersAsked = 2
 	// silencePoll is how often a call to the leader looks whether that is silent by now.
 	silencePoll = 100 * time.Millisecond
 	// queryTimeout bounds a question to the leader, which answers from memory.
@@ -40,27 +42,38 @@
 // Config returns the configuration in force.
 func (a *Agent) Config() *model.Config { return a.orders.Config() }
 
-// Submit has a job stored by the leader, or stores it itself if nobody leads.
+// Submit has a job stored by the leader, or stores it itself if nobody leads. If another
+// entry leads by the time that the leader has failed to answer, that one is asked: it knows
+// what its predecessor stored, and all entries at once would overrun the partition for jobs
+// without a leader.
 func (a *Agent) Submit(ctx context.Context, s relay.Submission, q *model.Queue) relay.Answer {
-	ans, err := a.toLeader(ctx, s)
-	if err == nil && ans.Verdict != relay.Elsewhere && ans.Verdict != relay.Unsure {
-		return ans
-	}
-	if ctx.Err() != nil {
-		return relay.Answer{Verdict: relay.Unsure, Cause: "the leader did not answer in time"}
+	notRun, cause := true, error(nil)
+	for range leadersAsked {
+		seat := a.elector.Seat()
+		ans, err := a.toLeader(ctx, seat, s)
+		if err == nil && ans.Verdict != relay.Elsewhere && ans.Verdict != relay.Unsure {
+			return ans
+		}
+		if ctx.Err() != nil {
+			return relay.Answer{Verdict: relay.Unsure, Cause: "the leader did not answer in time"}
+		}
+		notRun = notRun && err == nil && ans.Verdict == relay.Elsewhere
+		cause = err
+		if a.elector.Seat().Token == seat.Token {
+			break
+		}
 	}
-	a.log.Info().Err(err).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
+	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
-	return a.lone(ctx, book.LoneEntry(s.ID, *q, s.Body, wall), err == nil && ans.Verdict == relay.Elsewhere)
+	return a.lone(ctx, book.LoneEntry(s.ID, *q, s.Body, wall), notRun)
 }
 
-func (a *Agent) toLeader(ctx context.Context, s relay.Submission) (relay.Answer, error) {
+func (a *Agent) toLeader(ctx context.Context, seat lead.Seat, s relay.Submission) (relay.Answer, error) {
 	call, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	if l := a.leads(); l != nil {
 		return l.Submit(call, s), nil
 	}
-	seat := a.elector.Seat()
 	if seat.Addr == "" || seat.Mine || a.elector.IsSilent() {
 		return relay.Answer{Verdict: relay.Elsewhere}, nil
 	}
--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -24,8 +24,8 @@
 	retirePoll = 100 * time.Millisecond
 )
 
-// way is the leader's end of a stream.
-type way interface {
+// Way is the leader's end of a stream.
+type Way interface {
 	Send(*workpb.Orders) error
 	Recv() (*workpb.Outcomes, error)
 	Close() error
@@ -34,7 +34,7 @@
 // link is the stream to one entry that makes calls.
 type link struct {
 	clk    clock.Clock
-	open   func(ctx context.Context) (way, error)
+	open   func(ctx context.Context) (Way, error)
 	out    *batcher[*waiting]
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -59,7 +59,7 @@
 	sent bool
 }
 
-func newLink(ctx context.Context, clk clock.Clock, open func(ctx context.Context) (way, error)) *link {
+func newLink(ctx context.Context, clk clock.Clock, open func(ctx context.Context) (Way, error)) *link {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &link{
 		clk: clk, open: open, out: newBatcher[*waiting](clk), cancel: cancel, done: make(chan struct{}), broken: make(chan struct{}),
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -31,9 +31,6 @@
 // Opener opens the stream to an entry.
 type Opener func(ctx context.Context, addr string) (Way, error)
 
-// Way is the leader's end of a stream.
-type Way = way
-
 // Pool makes a leader's calls to executors: itself, or through other entries where there
 // are many executors. It is safe for concurrent use.
 type Pool struct {
@@ -142,7 +139,7 @@
 	}
 	l := p.links[c.Name]
 	if l == nil {
-		l = newLink(p.ctx, p.clk, func(ctx context.Context) (way, error) { return p.open(ctx, c.Addr) })
+		l = newLink(p.ctx, p.clk, func(ctx context.Context) (Way, error) { return p.open(ctx, c.Addr) })
 		p.links[c.Name] = l
 	}
 	return l, c.Name
@@ -226,7 +223,7 @@
 
 // Start starts a run, as platform.Client does.
 func (p *Pool) Start(ctx context.Context, to platform.To, s platform.Start) (time.Duration, error) {
-	o := nodeOrder(kindStart, to)
+	o := newOrder(kindStart, to)
 	o.Task, o.Attempt, o.Deadline, o.Saved, o.Ticket = s.Task.String(), uint32(s.Attempt), s.Deadline.Milliseconds(), s.Saved, s.Ticket
 	if out, err, ok := p.through(ctx, to, &waiting{order: o, job: s.Task.Job, spec: s.Spec}); ok {
 		return time.Duration(out.GetClock()) * time.Microsecond, err
@@ -236,7 +233,7 @@
 
 // Stop stops a run, as platform.Client does.
 func (p *Pool) Stop(ctx context.Context, to platform.To, t model.TaskID, attempt int) error {
-	o := nodeOrder(kindStop, to)
+	o := newOrder(kindStop, to)
 	o.Task, o.Attempt = t.String(), uint32(attempt)
 	if _, err, ok := p.through(ctx, to, &waiting{order: o}); ok {
 		return err
@@ -246,7 +243,7 @@
 
 // Hold looks at an executor, as platform.Client does.
 func (p *Pool) Hold(ctx context.Context, to platform.To, deadline time.Duration, acked int64, wait time.Duration) (platform.Held, error) {
-	o := nodeOrder(kindHold, to)
+	o := newOrder(kindHold, to)
 	o.Deadline, o.Acked, o.Wait = deadline.Milliseconds(), acked, uint32(wait.Milliseconds())
 	out, err, ok := p.through(ctx, to, &waiting{order: o})
 	if !ok {
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -61,8 +61,8 @@
 // the library.
 const mostInMessage = 256
 
-// nodeOrder returns the message of an order, without its number and limit.
-func nodeOrder(k kind, to platform.To) *workpb.Order {
+// newOrder returns the message of an order, without its number and limit.
+func newOrder(k kind, to platform.To) *workpb.Order {
 	return &workpb.Order{Kind: uint32(k), Addr: to.Addr, Id: to.ID, Fence: to.Fence}
 }
 
