Wait for a turn only after orders of other entries

Cause: after a loss of power the entry that led leads again, and waited 4.5 s before it ordered an instance that its earlier process had ordered (3.3 s before the order windows): the same holder, whose process has ended. Change: the record of an order names the entry; for its own the wait is that of a call under way. Proof: TestOrdersOfAFormerLeaderAreAwaited, with both cases. Ruled out: an order of a process that still runs (its port is taken by this one).

--- a/internal/serve/leader/duty.go
+++ b/internal/serve/leader/duty.go
@@ -50,8 +50,8 @@
 	nextList time.Duration
 	next     time.Duration
 	errands  map[string]*errand
-	lately   map[string]time.Duration // when instances were ordered, in Unix time
-	noting   []*errand                // whose note the next append holds
+	lately   map[string]lastOrder // by instance
+	noting   []*errand            // whose note the next append holds
 	done     map[int64]map[string]bool
 	status   map[int64]string // what was written of a wave
 	writing  bool
@@ -79,7 +79,7 @@
 	d := &l.duty
 	d.unseen, d.fleet, d.errands = map[string][]string{}, map[string]model.Instance{}, map[string]*errand{}
 	if d.lately == nil {
-		d.lately = map[string]time.Duration{}
+		d.lately = map[string]lastOrder{}
 	}
 	d.status, d.refused, d.arrived = map[int64]string{}, map[string]map[string]bool{}, map[string][]arrival{}
 	d.waits, d.labels, d.later = map[need]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
--- a/internal/serve/leader/errand.go
+++ b/internal/serve/leader/errand.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
@@ -40,23 +41,32 @@
 	err error
 }
 
+// lastOrder is the last order for an instance: when it was noted, in Unix time, and by the
+// process of which entry.
+type lastOrder struct {
+	at time.Duration
+	by string
+}
+
 // loadOrder takes over when an instance was ordered last.
 func (l *Leader) loadOrder(instance string, value []byte) {
-	ms, err := strconv.ParseInt(string(value), 10, 64)
+	at, by, _ := strings.Cut(string(value), " ")
+	ms, err := strconv.ParseInt(at, 10, 64)
 	if err != nil {
 		l.Log.Error().Err(err).Str("instance", instance).Msg("record of an order can't be read")
 		return
 	}
 	// A clock that is ahead must not make an order wait for long, nor make it one of this
 	// leader's own.
-	l.duty.lately[instance] = min(time.Duration(ms)*time.Millisecond, l.duty.began-1)
+	l.duty.lately[instance] = lastOrder{min(time.Duration(ms)*time.Millisecond, l.duty.began-1), by}
 }
 
 // orderEntry returns the record of an order that is to be sent. Each instance has one of
 // its own: a fleet of a thousand has hundreds of orders within the time of a turn.
 func (l *Leader) orderEntry(e *errand) book.Entry {
-	ms := l.duty.lately[e.instance].Milliseconds()
-	return book.Entry{Key: ordersKey + e.instance, Value: strconv.AppendInt(nil, ms, 10)}
+	o := l.duty.lately[e.instance]
+	value := strconv.AppendInt(nil, o.at.Milliseconds(), 10)
+	return book.Entry{Key: ordersKey + e.instance, Value: append(append(value, ' '), o.by...)}
 }
 
 // mayOrder says whether an order of this leader for an instance is far enough from one
@@ -65,8 +75,17 @@
 	if !l.isValid() {
 		return false
 	}
-	at, ok := l.duty.lately[instance]
-	return !ok || at >= l.duty.began || l.wall >= tenure.TurnEnds(at, l.Settings.Bounds.Turns)
+	o, ok := l.duty.lately[instance]
+	if !ok || o.at >= l.duty.began {
+		return true
+	}
+	turn := l.Settings.Bounds.Turns
+	if o.by == l.Settings.Node {
+		// An earlier process of this entry is the same holder, and has ended: only its call may
+		// still be on its way.
+		turn = 0
+	}
+	return l.wall >= tenure.TurnEnds(o.at, turn)
 }
 
 // begin starts to empty an instance.
@@ -114,7 +133,7 @@
 	}
 	if !e.noted {
 		e.noted, e.notedAt = true, l.now
-		l.duty.lately[e.instance] = l.wall
+		l.duty.lately[e.instance] = lastOrder{l.wall, l.Settings.Node}
 		l.duty.noting = append(l.duty.noting, e)
 		return
 	}
--- a/internal/serve/leader/holds_test.go
+++ b/internal/serve/leader/holds_test.go
@@ -310,4 +310,17 @@
 	}
 	l.wall += 10 * time.Second
 	assert.Assert(t, l.mayOrder("m1"))
+
+	// After a loss of power the entry that led leads again: it waits for its own call only.
+	l.Settings.Node = "self"
+	l.wall, l.duty.began = 2*time.Hour, 2*time.Hour
+	l.duty.lately["m1"] = lastOrder{l.wall - 200*time.Millisecond, "self"}
+	e := l.orderEntry(&errand{instance: "m1"})
+	l.loadWave(e.Key, e.Value)
+	assert.Assert(t, !l.mayOrder("m1"))
+	l.wall += 1500 * time.Millisecond
+	assert.Assert(t, l.mayOrder("m1"))
+	l.duty.lately["m1"] = lastOrder{l.wall - 1500*time.Millisecond, "other"}
+	l.duty.began = l.wall
+	assert.Assert(t, !l.mayOrder("m1"))
 }
--- a/internal/serve/leader/waves.go
+++ b/internal/serve/leader/waves.go
@@ -101,8 +101,8 @@
 	if l.duty.fleet[instance].Phase == model.Upkeep {
 		return true
 	}
-	at, ok := l.duty.lately[instance]
-	return ok && at < l.duty.began && l.wall < at+l.Settings.Bounds.Maintenance+downSlack
+	o, ok := l.duty.lately[instance]
+	return ok && o.at < l.duty.began && l.wall < o.at+l.Settings.Bounds.Maintenance+downSlack
 }
 
 // waveLogEvery is the time between lines about a wave's progress.
