A moving instance counts as incoming until its move has ended

Ruled out: late lists (the lists were 0.1 s old) and a need that grew (it stayed at 13). Change: every move in progress counts as incoming.

--- a/internal/serve/leader/rebalance.go
+++ b/internal/serve/leader/rebalance.go
@@ -163,6 +163,26 @@
 	d[st.Label] = load
 }
 
+// incomingInstances counts the instances on their way into each pool, by label; the empty label
+// counts all of them. An instance stays incoming until its operation ends: the platform lists it
+// in its new pool as soon as the move begins.
+func (l *Leader) incomingInstances() map[string]map[string]int {
+	out := map[string]map[string]int{}
+	for _, op := range l.fleet.operations {
+		if op.pool == "" {
+			continue
+		}
+		if out[op.pool] == nil {
+			out[op.pool] = map[string]int{}
+		}
+		out[op.pool][""]++
+		for _, label := range l.fleet.instances[op.instance].Labels {
+			out[op.pool][label]++
+		}
+	}
+	return out
+}
+
 // rebalancePools starts moves of instances to the pools that need them.
 func (l *Leader) rebalancePools(instances map[string]maint.Instance) {
 	c := l.Orders.Config()
@@ -170,20 +190,7 @@
 		return
 	}
 	demand := l.demand()
-	incoming := map[string]map[string]int{}
-	for _, op := range l.fleet.operations {
-		in := instances[op.instance]
-		if op.pool == "" || in.Pool == op.pool {
-			continue
-		}
-		if incoming[op.pool] == nil {
-			incoming[op.pool] = map[string]int{}
-		}
-		incoming[op.pool][""]++
-		for _, label := range in.Labels {
-			incoming[op.pool][label]++
-		}
-	}
+	incoming := l.incomingInstances()
 	var pools []scale.Pool
 	for _, s := range c.Services {
 		pools = append(pools, scale.Pool{Name: s.Name, Standby: s.Standby, Demand: demand[s.Name], Incoming: incoming[s.Name]})
@@ -192,7 +199,7 @@
 	var list []scale.Instance
 	for name, in := range instances {
 		if l.fleet.operations[name] != nil {
-			// A moving instance counts in its target pool; one in maintenance does not count.
+			// A moving instance counts as incoming; one in maintenance does not count.
 			continue
 		}
 		m := l.memberOn(in.Instance)
