Arrivals: the need of a burst is seen sooner, and a long job needs its own width only

Ruled out: reading the demand from the backlog only; it is there when jobs are late already. Change: scale.Arrivals, without a clock or network. A job longer than a move needs its work over its own run time. The longest chain of steps is computed in one place, model.JobSpec.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -63,27 +63,6 @@
 	laxity time.Duration
 }
 
-// longestChain returns the estimated run time of the longest chain of dependent steps: of all
-// steps, or of those that are not done.
-func longestChain(o *track.Occurrence, all bool) time.Duration {
-	var longest time.Duration
-	var few [8]time.Duration
-	ends := few[:]
-	if len(o.Steps) > len(few) {
-		ends = make([]time.Duration, len(o.Steps))
-	}
-	for i, s := range o.Steps {
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		if all || s.Left > 0 && !s.LongRunning {
-			ends[i] += s.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // laxities returns how long an occurrence can wait and still meet its objective, and how long it
 // can wait and still be of use.
 func laxities(o *track.Occurrence, q *model.Queue, wall time.Duration) (inTime, ofUse time.Duration) {
@@ -91,8 +70,16 @@
 	if o.Due > 0 {
 		from = o.Due
 	}
-	objective := time.Duration(q.Slack*float64(longestChain(o, true))) + q.Objective
-	left := from - wall - longestChain(o, false)
+	spec := &o.Job.Spec
+	chain := spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })
+	rest := spec.LongestChain(func(i int) time.Duration {
+		if s := o.Steps[i]; s.Left == 0 || s.LongRunning {
+			return 0
+		}
+		return spec.Steps[i].Estimate
+	})
+	objective := time.Duration(q.Slack*float64(chain)) + q.Objective
+	left := from - wall - rest
 	return left + objective, left + usefulFactor*objective
 }
 
--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -29,6 +29,11 @@
 	return Amount{a.Cores - b.Cores, a.Memory - b.Memory, a.Accelerators - b.Accelerators}
 }
 
+// Max returns the larger amount of each resource.
+func (a Amount) Max(b Amount) Amount {
+	return Amount{max(a.Cores, b.Cores), max(a.Memory, b.Memory), max(a.Accelerators, b.Accelerators)}
+}
+
 // FitsIn reports whether a is not larger than b in any resource.
 func (a Amount) FitsIn(b Amount) bool {
 	return a.Cores <= b.Cores && a.Memory <= b.Memory && a.Accelerators <= b.Accelerators
@@ -125,6 +130,25 @@
 	return n
 }
 
+// LongestChain returns the run time of the longest chain of dependent steps, with the run time of
+// each step given by its number.
+func (s *JobSpec) LongestChain(runtime func(step int) time.Duration) time.Duration {
+	var longest time.Duration
+	var few [8]time.Duration
+	ends := few[:]
+	if len(s.Steps) > len(few) {
+		ends = make([]time.Duration, len(s.Steps))
+	}
+	for i := range s.Steps {
+		for _, a := range s.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += runtime(i)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // IsLongRunning reports whether any step is long-running.
 func (s *JobSpec) IsLongRunning() bool {
 	for i := range s.Steps {
--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -32,8 +32,6 @@
 	// long-running tasks on it fit on no other executor. Maintenance is retried after the same
 	// time.
 	drainTimeout = 4 * time.Second
-	// arrivalWindow is the time over which arriving work is averaged.
-	arrivalWindow = 800 * time.Millisecond
 	// waveKeyPrefix starts the key of the maintained instances of a wave, and orderKeyPrefix
 	// the key of the last order for an instance.
 	waveKeyPrefix  = "wave."
@@ -61,7 +59,7 @@
 	nextWaveLog    time.Duration
 	tookOverAt     time.Duration              // in Unix time
 	refusedPools   map[string]map[string]bool // pools that refused an instance, by instance name
-	arrivals       map[string][]arrival
+	arrivals       map[string]*scale.Arrivals
 	neededLabels   map[string]bool          // labels that any job needed
 	retryMaintAt   map[string]time.Duration // when maintenance of an instance may be retried
 	// waitingSince is since when tasks of a kind of work have found no free capacity.
@@ -82,7 +80,7 @@
 	if f.lastOrders == nil {
 		f.lastOrders = map[string]lastOrder{}
 	}
-	f.writtenStatus, f.refusedPools, f.arrivals = map[int64]string{}, map[string]map[string]bool{}, map[string][]arrival{}
+	f.writtenStatus, f.refusedPools, f.arrivals = map[int64]string{}, map[string]map[string]bool{}, map[string]*scale.Arrivals{}
 	f.waitingSince, f.neededLabels, f.retryMaintAt = map[workKind]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if len(list) > 0 {
 		f.nextList = sent + listInterval
--- a/internal/serve/leader/rebalance.go
+++ b/internal/serve/leader/rebalance.go
@@ -9,26 +9,23 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
-// arrival is the work of one accepted job by needed label: the capacity that it needs times its
-// estimated run time in seconds.
-type arrival struct {
-	at   time.Duration
-	work map[string]model.Amount
-}
-
 // recordArrival records the work of an accepted job.
 func (l *Leader) recordArrival(j *track.Job) {
-	work := map[string]model.Amount{}
-	for i := range j.Spec.Steps {
+	work := scale.Work{}
+	span := j.Spec.LongestChain(func(i int) time.Duration {
 		s := &j.Spec.Steps[i]
 		if s.LongRunning || s.BestEffort {
-			continue
+			return 0
 		}
 		add := s.Reservation().Scale(float64(s.Count) * s.Estimate.Seconds())
 		work[s.Label] = work[s.Label].Plus(add)
-	}
+		return s.Estimate
+	})
 	service := l.queueOf(j).Service
-	l.fleet.arrivals[service] = append(l.fleet.arrivals[service], arrival{l.now, work})
+	if l.fleet.arrivals[service] == nil {
+		l.fleet.arrivals[service] = &scale.Arrivals{}
+	}
+	l.fleet.arrivals[service].Record(work, span, l.now)
 }
 
 // demand returns the capacity that each service's work needs, by label.
@@ -41,17 +38,9 @@
 		return out[service]
 	}
 	for s, as := range l.fleet.arrivals {
-		for len(as) > 0 && as[0].at < l.now-arrivalWindow {
-			as = as[1:]
-		}
-		l.fleet.arrivals[s] = as
 		d := demandOf(s)
-		for _, a := range as {
-			for label, work := range a.work {
-				load := d[label]
-				load.Arrivals = load.Arrivals.Plus(work.Scale(1 / arrivalWindow.Seconds()))
-				d[label] = load
-			}
+		for label, need := range as.Need(l.now) {
+			d[label] = scale.Load{Arrivals: need}
 		}
 	}
 	sizes := l.sizes()
