A leader that is to resign waits for an entry that could succeed it

Change: without a candidate it goes on leading for two poll intervals (0.6 s) at most, and resigns as soon as one has polled it. A single entry stops 0.6 s later within its grace of seconds.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -29,6 +29,10 @@
 	// pollInterval is the least time between polls of the leader, and pollTimeout bounds each poll.
 	pollInterval = 300 * time.Millisecond
 	pollTimeout  = 250 * time.Millisecond
+	// successorWait is how long a leader that is to resign waits for an entry that could succeed it:
+	// one that has just started has not polled it yet. successorCheck is the time between checks.
+	successorWait  = 2 * pollInterval
+	successorCheck = 25 * time.Millisecond
 	// readInterval is the time between reads of the topic while the leader does not answer.
 	readInterval = 200 * time.Millisecond
 )
@@ -68,11 +72,12 @@
 	mu           sync.Mutex
 	leader       Leader
 	lastRenewal  time.Duration
-	resigning    bool // resign and claim no more
-	stepDown     bool // resign in favor of a larger instance
-	announced    bool // another entry announced a leader since the last step
-	unresponsive bool // the leader did not answer the last poll, or can't renew
-	nominated    bool // a leader that resigned designated this entry as its successor
+	resigning    bool          // resign and claim no more
+	resignBy     time.Duration // when to resign even without a successor
+	stepDown     bool          // resign in favor of a larger instance
+	announced    bool          // another entry announced a leader since the last step
+	unresponsive bool          // the leader did not answer the last poll, or can't renew
+	nominated    bool          // a leader that resigned designated this entry as its successor
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
 
@@ -145,7 +150,7 @@
 // Resign ends the leadership of this entry, if it leads, and prevents further claims by it.
 func (e *Elector) Resign() {
 	e.mu.Lock()
-	e.resigning = true
+	e.resigning, e.resignBy = true, e.clk.Now()+successorWait
 	e.mu.Unlock()
 	e.wakeUp()
 }
@@ -250,13 +255,16 @@
 	e.mu.Lock()
 	resign, leader := e.resigning || e.stepDown, e.leader
 	e.stepDown = false
-	followers := slices.Collect(maps.Values(e.followers))
+	followers, resignBy := slices.Collect(maps.Values(e.followers)), e.resignBy
 	e.mu.Unlock()
 	sent := e.clk.Now()
 	kind, next := "renew", elect.Candidate{}
 	if resign {
+		var ok bool
+		if next, ok = elect.ChooseSuccessor(followers, sent); !ok && sent < resignBy {
+			return successorCheck
+		}
 		kind = "resign"
-		next, _ = elect.ChooseSuccessor(followers, sent)
 	}
 	err := e.append(ctx, record{Kind: kind, Token: leader.Token, Next: next.Name}, elect.RenewalTimeout(e.renewalTook))
 	end := (*platform.EndError)(nil)
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -176,3 +176,30 @@
 	_, ok := elect.ChooseSuccessor([]elect.Candidate{e.followers["self"]}, clk.Now())
 	assert.Assert(t, !ok)
 }
+
+// Guards against a planned stop that names no successor because the other entry has not polled the
+// leader yet. The others then wait for the head start of a successor that does not exist, or for
+// their next read: a stop took 1.6 s.
+func TestResigningLeaderWaitsForASuccessor(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := newFollower(t, clk)
+	e.followers, e.topicEnd = map[string]elect.Candidate{}, 10
+	e.leader = Leader{Token: 1, Name: "self", IsSelf: true}
+	e.Resign()
+	assert.Equal(t, e.renewOrResign(context.Background()), successorCheck)
+	assert.Assert(t, e.Leader().IsSelf)
+	e.RecordFollower(relay.Follower{Name: "other", Addr: "127.0.0.1:1"})
+	e.renewOrResign(context.Background())
+	assert.Assert(t, !e.Leader().IsSelf)
+	e.topicEnd = 10
+	last, err := e.read(context.Background())
+	assert.NilError(t, err)
+	assert.Equal(t, last.Next, "other")
+	// Without any other entry the stop goes on.
+	alone := newFollower(t, clk)
+	alone.topicEnd, alone.leader = 10, Leader{Token: 1, Name: "self", IsSelf: true}
+	alone.Resign()
+	clk.Advance(successorWait)
+	alone.renewOrResign(context.Background())
+	assert.Assert(t, !alone.Leader().IsSelf)
+}
