After a takeover pools keep their instances, and arrivals count by their acceptance

Cause: the demand that moved instances was in the former leader's memory. The next one saw a small need in its first round and sent idle instances of the pool in its turn to standby; leaderless jobs counted as if they had all arrived when they were read. Change: a planner takes what pools with work have at its start for needed until then; loaded and leaderless jobs are recorded as arrivals at their acceptance. The test fails without it: a0, a1, a2 go to standby at once.

--- a/internal/jobs/scale/scale.go
+++ b/internal/jobs/scale/scale.go
@@ -140,6 +140,17 @@
 	return most
 }
 
+// assumeNeeds takes the instances that pools with work have at the planner's start for needed until
+// then. Otherwise the first decision after a takeover would send away what the former leader had
+// just moved to a burst.
+func (p *Planner) assumeNeeds(d *decision, pools []Pool, now time.Duration) {
+	for _, pool := range pools {
+		if key := (poolLabel{pool.Name, ""}); d.needed[key] > 1 {
+			p.recordNeed(key, d.present[key], now)
+		}
+	}
+}
+
 // decision is the state of one call to Plan.
 type decision struct {
 	standby          string
@@ -206,6 +217,9 @@
 		}
 		d.needed[all] = max(least, int(math.Ceil(sum)))
 	}
+	if p.recentNeeds == nil {
+		p.assumeNeeds(d, pools, now)
+	}
 	for key, n := range d.needed {
 		d.retained[key] = p.recordNeed(key, n, now)
 	}
--- a/internal/jobs/scale/scale_test.go
+++ b/internal/jobs/scale/scale_test.go
@@ -169,6 +169,22 @@
 	assert.Equal(t, len(p.Plan(pools, fleet, keepTime+time.Second)), 1)
 }
 
+// Guards against a takeover within a burst after which the pool loses the instances that it was
+// just given, since the new leader has not seen the arrivals that they were moved for.
+func TestNewPlannerKeepsInstancesOfBusyPools(t *testing.T) {
+	var fleet []Instance
+	for _, pool := range []string{"a", "b"} {
+		for i := range 5 {
+			fleet = append(fleet, Instance{Name: fmt.Sprint(pool, i), Pool: pool, Size: cores(32000), Free: true})
+		}
+	}
+	pools := []Pool{{Name: "a", Demand: Demand{"": {Arrivals: cores(50_000)}}}, {Name: "b"}, {Name: "rest", Standby: true}}
+	p := &Planner{}
+	assert.DeepEqual(t, p.Plan(pools, fleet, 0), []Move{{"b0", "rest"}, {"b1", "rest"}, {"b2", "rest"}, {"b3", "rest"}})
+	moves := p.Plan(pools, fleet, keepTime+time.Second)
+	assert.DeepEqual(t, moves[:3], []Move{{"a0", "rest"}, {"a1", "rest"}, {"a2", "rest"}})
+}
+
 // Guards against a long-running task that never starts because its pool has enough cores but not
 // enough memory.
 func TestPoolGrowsForATaskWithoutCapacity(t *testing.T) {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -172,6 +172,9 @@
 	for _, r := range ev.waves {
 		l.loadWave(r.Key, r.Value)
 	}
+	for _, j := range tr.Active() {
+		l.recordArrival(j)
+	}
 	l.reportCentreSizes()
 	l.ready = true
 	l.Meters.terms.Inc(1)
--- a/internal/serve/leader/rebalance.go
+++ b/internal/serve/leader/rebalance.go
@@ -9,7 +9,8 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
-// recordArrival records the work of an accepted job.
+// recordArrival records the work of an accepted job at the time of its acceptance, which was before
+// this leader's term for loaded jobs.
 func (l *Leader) recordArrival(j *track.Job) {
 	work := scale.Work{}
 	span := j.Spec.LongestChain(func(i int) time.Duration {
@@ -25,7 +26,7 @@
 	if l.fleet.arrivals[service] == nil {
 		l.fleet.arrivals[service] = &scale.Arrivals{}
 	}
-	l.fleet.arrivals[service].Record(work, span, l.now)
+	l.fleet.arrivals[service].Record(work, span, l.now-max(0, l.wall-j.Accepted))
 }
 
 // demand returns the capacity that each service's work needs, by label.
