--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -263,6 +263,10 @@
 	tr := New(base)
 	var bad []string
 	for id, e := range l.ended {
+		if e.GetState() > uint32(model.Cancelled) {
+			bad = append(bad, id)
+			continue
+		}
 		s := model.State(e.GetState())
 		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: time.Duration(e.GetAt()) * time.Millisecond}
 	}
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -102,7 +102,7 @@
 			res.Unreadable++
 		}
 		res.Ended = append(res.Ended, model.End{
-			Seq: e.GetSeq(), Task: t, Attempt: int(e.GetAttempt()), Ending: model.Ending(e.GetHow()), Checkpoint: e.GetSaved(),
+			Seq: e.GetSeq(), Task: t, Attempt: int(e.GetAttempt()), Ending: decodeEnding(e.GetHow()), Checkpoint: e.GetSaved(),
 		})
 	}
 	return res
@@ -124,3 +124,11 @@
 		o.Ended = append(o.Ended, f)
 	}
 }
+
+// decodeEnding decodes how a run ended. An ending that this version does not know is another one.
+func decodeEnding(n uint32) model.Ending {
+	if n > uint32(model.EndedAlone) {
+		return model.EndedOther
+	}
+	return model.Ending(n)
+}
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -298,3 +298,12 @@
 	assert.NilError(t, err)
 	assert.Equal(t, res.Clock, time.Second)
 }
+
+// Guards against an ending of another version that is used as an index without a check.
+func TestUnknownEndingsAreOthers(t *testing.T) {
+	for n := range uint32(300) {
+		assert.Assert(t, decodeEnding(n).String() != "")
+	}
+	assert.Equal(t, decodeEnding(uint32(model.EndedAlone)), model.EndedAlone)
+	assert.Equal(t, decodeEnding(uint32(model.EndedAlone)+1), model.EndedOther)
+}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -184,7 +184,16 @@
 	if err != nil {
 		return model.Unknown, false, Err.Wrap(err)
 	}
-	return model.State(r.GetState()), r.GetLeads(), nil
+	s, ok := decodeState(r.GetState())
+	return s, ok && r.GetLeads(), nil
+}
+
+// decodeState decodes a job's state. It returns false for a state that this version does not know.
+func decodeState(n uint32) (model.State, bool) {
+	if n > uint32(model.Cancelled) {
+		return model.Unknown, false
+	}
+	return model.State(n), true
 }
 
 // Cancel cancels a job at the leader. It returns an Err.
--- /dev/null
+++ b/internal/serve/relay/relay_test.go
@@ -0,0 +1,21 @@
+package relay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// Guards against an entry that ends because an entry of another version sends a state or a reason
+// that it does not know: both were used as an index without a check.
+func TestUnknownValuesOfPeers(t *testing.T) {
+	for n := range uint32(300) {
+		s, ok := decodeState(n)
+		assert.Equal(t, ok, n <= uint32(model.Cancelled))
+		assert.Assert(t, s.String() != "")
+		assert.Assert(t, platform.Reason(n).String() != "")
+	}
+}
