Waiting requests are returned when the store does not store

Cause: while an append is not answered, new jobs wait behind it. The leader refuses further ones after 0.7 s, but those that waited heard only after 2.5 s that the outcome is not known (504), though nothing had been sent for them, and their callers had no time left. Ruled out: giving up the append in flight; it may have been stored. Change: requests that wait go back to their entries as not handled, at the second refusal by the store or after 0.7 s.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -228,6 +228,8 @@
 		l.onPending(ev)
 	case appended:
 		l.onAppended(ev)
+	case appendRefused:
+		l.onAppendRefused(ev)
 	case executorsRead:
 		l.onExecutors(ev)
 	case leaderlessRead:
@@ -270,6 +272,7 @@
 	if !l.ready {
 		return
 	}
+	l.returnQueued()
 	l.openDue()
 	l.planNewlyVisible()
 	l.tailTopics()
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -280,12 +280,7 @@
 
 // refuseAll answers the requests that were not handled before the leader was closed.
 func (l *Leader) refuseAll() {
-	for _, a := range l.store.accepts {
-		a.answer(notLeaderAnswer)
-	}
-	for _, c := range l.store.cancels {
-		c.reply <- relay.NotLeader
-	}
+	l.returnUnsent()
 	for _, ev := range l.deferred {
 		switch ev := ev.(type) {
 		case *submitRequest:
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -7,6 +7,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
@@ -20,6 +21,9 @@
 	// slowAppendAfter is how long an append may take until new jobs are refused, since they
 	// could not be stored in time.
 	slowAppendAfter = 700 * time.Millisecond
+	// refusalsToReport is the number of attempts of an append after which a refusal by the store is
+	// taken for an outage.
+	refusalsToReport = 2
 	// executorTailInterval is the time between reads of the executors' reports.
 	executorTailInterval = 250 * time.Millisecond
 	// busyTailInterval is the same while an instance is about to join a pool: work waits for it.
@@ -38,6 +42,8 @@
 	busy      bool
 	firstSent time.Duration // when the append in flight was first sent
 	next      time.Duration // when the next append may be sent
+	// refused is set if the store refused the append in flight so far.
+	refused bool
 	// inFlight are the jobs in the append in flight, by id.
 	inFlight map[string]*submitRequest
 }
@@ -149,6 +155,9 @@
 			if ctx.Err() != nil || errors.As(err, &fenced) {
 				return ev
 			}
+			if refused := (*platform.RefusedError)(nil); errors.As(err, &refused) && ev.attempts == refusalsToReport {
+				l.send(ctx, appendRefused{sent: ev.sent})
+			}
 			clock.Pause(ctx, l.Clock, appendRetryDelay)
 		}
 	}
@@ -173,7 +182,7 @@
 
 func (l *Leader) onAppended(ev appended) {
 	s := &l.store
-	s.busy, s.inFlight = false, nil
+	s.busy, s.refused, s.inFlight = false, false, nil
 	if ev.err != nil {
 		l.Log.Warn().Err(ev.err).Int("records", ev.entries).Msg("append failed permanently")
 		l.answerUnknown(ev)
@@ -222,10 +231,49 @@
 	}
 }
 
-// isStoreSlow reports whether the append in flight takes so long that new jobs can't be stored in
-// time.
+// appendRefused reports that the store refuses the append in flight, which is retried.
+type appendRefused struct{ sent time.Duration }
+
+func (appendRefused) isEvent() {}
+
+func (l *Leader) onAppendRefused(ev appendRefused) {
+	if l.store.busy && l.store.firstSent == ev.sent {
+		l.store.refused = true
+		l.returnQueued()
+	}
+}
+
+// isStoreSlow reports whether the append in flight is refused, or takes so long that new jobs can't
+// be stored in time.
 func (l *Leader) isStoreSlow() bool {
-	return l.store.busy && l.now-l.store.firstSent > slowAppendAfter
+	return l.store.busy && (l.store.refused || l.now-l.store.firstSent > slowAppendAfter)
+}
+
+// returnQueued returns the requests that wait for an append to the entries that sent them, once the
+// store does not store in time. Nothing was sent for them, so the caller can be told so at once
+// and try again, rather than that the outcome is not known.
+func (l *Leader) returnQueued() {
+	s := &l.store
+	if len(s.accepts)+len(s.cancels) == 0 || !l.isStoreSlow() {
+		return
+	}
+	l.Log.Info().Int("jobs", len(s.accepts)).Int("cancels", len(s.cancels)).Bool("refused", s.refused).Msg("store does not store, waiting requests are returned")
+	for range s.accepts {
+		l.Meters.refuse("store")
+	}
+	l.returnUnsent()
+}
+
+// returnUnsent returns the requests that wait for an append to the entries that sent them.
+func (l *Leader) returnUnsent() {
+	s := &l.store
+	for _, a := range s.accepts {
+		a.answer(notLeaderAnswer)
+	}
+	for _, c := range s.cancels {
+		c.reply <- relay.NotLeader
+	}
+	s.accepts, s.cancels = nil, nil
 }
 
 type executorsRead struct {
