--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -82,7 +82,6 @@
 	followers map[string]elect.Candidate
 
 	topicEnd   int64 // end offset of the topic, as far as it was read
-	topicRead  bool  // topicEnd was read from the store
 	view       elect.LeaderView
 	claimDelay time.Duration
 	// synced reports whether the topic was read since the leader last answered.
@@ -282,7 +281,6 @@
 	case errors.As(err, &end):
 		if !e.isStillLeader(ctx, leader.Token) {
 			e.endLeadership("another entry claimed")
-			return 0
 		}
 		return 0
 	default:
@@ -301,8 +299,11 @@
 	}
 	call, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	err := e.peers.Announce(call, next.Addr, token, next.Name, next.Addr)
-	e.log.Info().Err(err).Uint64("token", token).Str("next", next.Name).Msg("designated successor was asked to claim")
+	if err := e.peers.Announce(call, next.Addr, token, next.Name, next.Addr); err != nil {
+		e.log.Warn().Err(err).Uint64("token", token).Str("next", next.Name).Msg("designated successor could not be asked to claim")
+		return
+	}
+	e.log.Info().Uint64("token", token).Str("next", next.Name).Msg("designated successor was asked to claim")
 }
 
 func (e *Elector) endLeadership(cause string) {
--- a/internal/serve/lead/topic.go
+++ b/internal/serve/lead/topic.go
@@ -73,7 +73,6 @@
 	if err != nil {
 		return nil, err
 	}
-	e.topicRead = true
 	if len(rs) == 0 {
 		e.topicEnd = max(e.topicEnd, end)
 		return nil, nil
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -180,19 +180,17 @@
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		clk, err := l.Execs.Start(call, to, order)
-		return startedRun{m: m, run: r, clock: clk, fence: to.Fence, err: err}
+		_, err := l.Execs.Start(call, to, order)
+		return startedRun{m: m, run: r, err: err}
 	})
 }
 
 // startedRun is the answer to a start.
 type startedRun struct {
 	report
-	m     *member
-	run   *track.Run
-	clock time.Duration
-	fence uint64
-	err   error
+	m   *member
+	run *track.Run
+	err error
 }
 
 func (l *Leader) onStarted(ev startedRun) {
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -257,7 +257,7 @@
 	if len(s.accepts)+len(s.cancels) == 0 || !l.isStoreSlow() {
 		return
 	}
-	l.Log.Info().Int("jobs", len(s.accepts)).Int("cancels", len(s.cancels)).Bool("refused", s.refused).Msg("store does not store, waiting requests are returned")
+	l.Log.Info().Int("jobs", len(s.accepts)).Int("cancels", len(s.cancels)).Bool("refused", s.refused).Msg("queued requests are returned because the store is unavailable")
 	for range s.accepts {
 		l.Meters.refuse("store")
 	}
