--- a/internal/fake/local/local.go
+++ b/internal/fake/local/local.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -182,7 +184,7 @@
 	}()
 	out := make([]string, n)
 	for i := range out {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenBelowEphemeral()
 		if err != nil {
 			return nil, ErrListen.Wrap(err)
 		}
@@ -191,3 +193,25 @@
 	}
 	return out, nil
 }
+
+const (
+	// firstPort and lastPort bound the ports of FreeAddrs. They are below those that the system
+	// gives to servers without a fixed port, which could otherwise take a port between FreeAddrs and
+	// its use.
+	firstPort, lastPort = 20000, 29999
+	// portAttempts is the number of ports that are tried for one address.
+	portAttempts = 50
+)
+
+// listenBelowEphemeral listens on a random port between firstPort and lastPort.
+func listenBelowEphemeral() (net.Listener, error) {
+	var l net.Listener
+	var err error
+	for range portAttempts {
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		if l, err = net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
--- a/internal/fake/local/local_test.go
+++ b/internal/fake/local/local_test.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"net/netip"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -18,3 +19,15 @@
 	}
 	assert.Equal(t, len(seen), n)
 }
+
+// Guards against ports that another server takes before they are used: the rig of serve/agent
+// failed with "address already in use", since its stand-ins listen on ports that the system picks.
+func TestFreeAddrsAreNotPickedByTheSystem(t *testing.T) {
+	addrs, err := FreeAddrs(50)
+	assert.NilError(t, err)
+	for _, a := range addrs {
+		ap, err := netip.ParseAddrPort(a)
+		assert.NilError(t, err)
+		assert.Assert(t, ap.Port() >= firstPort && ap.Port() <= lastPort, a)
+	}
+}
--- a/internal/serve/agent/calls_test.go
+++ b/internal/serve/agent/calls_test.go
@@ -58,6 +58,7 @@
 	r := newRig(t, 3, map[string]int{"pool-a": 2, "pool-b": 2})
 	old := r.leader()
 	other := (old + 1) % 3
+	r.until("the entry that is asked follows the leader", func() bool { return r.entries[other].elector.Leader().Name == r.settings[old].Node })
 	// The old leader can't reach the store, so it can't store the job and loses its lease.
 	r.storeProxies[old].Set(fake.Faults{Unresponsive: true})
 	status, _, _ := r.request(other, http.MethodPost, jobPath("a", 1), oneStepJob)
