--- /dev/null
+++ b/internal/serve/lead/handover.go
@@ -0,0 +1,74 @@
+package lead
+
+import (
+	"context"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+)
+
+// Resign ends the leadership of this entry, if it leads, and prevents further claims by it.
+func (e *Elector) Resign() {
+	e.mu.Lock()
+	e.resigning, e.resignBy = true, e.clk.Now()+successorWait
+	e.mu.Unlock()
+	e.wakeUp()
+}
+
+// StepDown ends the leadership of this entry in favor of a larger instance that follows it.
+func (e *Elector) StepDown() {
+	e.mu.Lock()
+	e.stepDown = true
+	e.mu.Unlock()
+}
+
+// RecordFollower records an entry that polled this one. An entry that is leaving is removed.
+func (e *Elector) RecordFollower(f relay.Follower) {
+	if f.Name == "" {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if f.Leaving {
+		delete(e.followers, f.Name) // a stopping entry is no candidate for successor
+		return
+	}
+	now := e.clk.Now()
+	c, ok := e.followers[f.Name]
+	if !ok || now > c.LastSeen+elect.CandidateTimeout {
+		c.UpSince = now
+	}
+	c.Name, c.Addr, c.Rank, c.LastSeen = f.Name, f.Addr, f.Rank, now
+	e.followers[f.Name] = c
+}
+
+// FollowerCount returns the number of entries that follow this one.
+func (e *Elector) FollowerCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.followers)
+}
+
+// nominate asks the designated successor to claim. If the call is lost, other entries claim a
+// little later.
+func (e *Elector) nominate(ctx context.Context, token uint64, next elect.Candidate) {
+	if next.Addr == "" {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	if err := e.peers.Announce(call, next.Addr, token, next.Name, next.Addr); err != nil {
+		e.log.Warn().Err(err).Uint64("token", token).Str("next", next.Name).Msg("designated successor could not be asked to claim")
+		return
+	}
+	e.log.Info().Uint64("token", token).Str("next", next.Name).Msg("designated successor was asked to claim")
+}
+
+// asFollower returns the description of this entry that polls carry.
+func (e *Elector) asFollower() relay.Follower {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return relay.Follower{
+		Name: e.id.Name, Addr: e.id.Addr, Centre: e.id.Centre, Version: e.configVersion(), Rank: e.id.Rank, Leaving: e.resigning,
+	}
+}
