--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -26,6 +26,7 @@
 	"chervilgauge.example/chervilgauge/internal/serve/peers"
 	"chervilgauge.example/chervilgauge/internal/serve/proxy"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/internal/watch/links"
 	"chervilgauge.example/chervilgauge/internal/watch/meter"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -63,6 +64,9 @@
 	metricsServer *http.Server
 	metricsDone   chan error
 
+	traffic links.Counters
+	watcher *links.Watcher
+
 	meter    *meter.Meter
 	meters   *leader.Meters
 	stopping atomic.Bool
@@ -90,13 +94,15 @@
 func Start(ctx context.Context, settings platform.Settings, log zerolog.Logger, opts ...Option) (*Agent, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	a := &Agent{
-		settings: settings, log: log, clk: clock.NewBootTime(), client: platform.NewClient(settings), peerClient: relay.NewClient(),
+		settings: settings, log: log, clk: clock.NewBootTime(),
 		cancel: cancel, done: make(chan struct{}), readyDone: make(chan error, 1),
 		metricsDone: make(chan error, 1), onLeaderChange: func(bool) {},
 	}
 	for _, o := range opts {
 		o(a)
 	}
+	a.client = platform.NewClient(settings, platform.WithConnWrapper(a.countService))
+	a.peerClient = relay.NewClient(peers.WithConnWrapper(func(conn net.Conn) net.Conn { return a.traffic.Conn(links.Entries, conn) }))
 	a.execs = proxy.New(ctx, a.client, a.clk, log, settings.Node, a.peerClient.OpenProxy)
 	a.meter = meter.New(settings.Node)
 	a.meters = leader.NewMeters(a.meter.Scope())
@@ -114,23 +120,37 @@
 	rank := elect.Rank(settings.Cores)
 	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.wantedConfigAbove, a.onDigest)
 	var err error
-	if a.peerServer, err = relay.Serve(ctx, listeners[2], (*peerHandler)(a)); err != nil {
+	if a.peerServer, err = relay.Serve(ctx, a.traffic.Listener(links.Entries, listeners[2]), (*peerHandler)(a)); err != nil {
 		cancel()
 		return nil, Err.Wrap(err)
 	}
 	a.register(ctx, addr, rank)
-	a.front = front.Serve(listeners[0], a, log)
+	a.front = front.Serve(a.traffic.Listener(links.Callers, listeners[0]), a, log)
 	a.readyServer = &http.Server{Handler: http.HandlerFunc(a.readyz), ReadHeaderTimeout: time.Second}
 	go func() { a.readyDone <- a.readyServer.Serve(listeners[1]) }()
 	if err := a.serveMetrics(); err != nil {
 		// The entry serves callers even if its metrics can't be served.
 		log.Error().Err(err).Int("port", a.metricsPort).Msg("metrics are not served")
 	}
+	a.watcher = links.Watch(ctx, &a.traffic, settings.Link, a.clk, log, a.meter.Scope())
 	go a.run(ctx)
 	log.Info().Str("front", settings.Front).Str("peers", addr).Float64("cores", settings.Cores).Int64("memory", settings.Memory).Msg("entry starts")
 	return a, nil
 }
 
+// countService counts the bytes of a connection to one of the platform's services.
+func (a *Agent) countService(s platform.Service, conn net.Conn) net.Conn {
+	p := links.Executors
+	switch s {
+	case platform.StoreService:
+		p = links.Store
+	case platform.FleetService:
+		p = links.Fleet
+	case platform.ExecutorService:
+	}
+	return a.traffic.Conn(p, conn)
+}
+
 func (a *Agent) serveMetrics() error {
 	if a.metricsPort == 0 {
 		return nil
@@ -361,6 +381,7 @@
 	<-a.done
 	<-a.registered
 	a.announcing.Wait()
+	a.watcher.Close()
 	a.elector.Close()
 	a.execs.Close()
 	a.orders.Close()
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -136,6 +136,7 @@
 	<-a.done
 	<-a.registered
 	a.announcing.Wait()
+	a.watcher.Close()
 	a.elector.Close()
 	a.execs.Close()
 	a.orders.Close()
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -38,9 +38,16 @@
 	instances      []model.Instance
 	listedAt       time.Duration // when the instance list was requested
 	waves          []platform.Record
+	// records is the number of job records that were read, and bytes the size of their values.
+	records, bytes int
 	err            error
 }
 
+func (ld *loaded) count(r platform.Record) {
+	ld.records++
+	ld.bytes += len(r.Value)
+}
+
 // load fences earlier leaders in the store and reads all jobs, executors and instances. It retries
 // until it succeeds, the leader is closed, or another leader has fenced this one.
 func (l *Leader) load(ctx context.Context) event {
@@ -84,7 +91,14 @@
 // loadJobs reads the records of earlier leaders and the leaderless records.
 func (l *Leader) loadJobs(ctx context.Context, out *loaded) error {
 	out.waves, out.leaderless = nil, nil
+	out.records, out.bytes = 0, 0
+	defer func() {
+		if ctx.Err() != nil {
+			l.Log.Warn().Int("records", out.records).Int("bytes", out.bytes).Msg("reading the jobs was cut off")
+		}
+	}()
 	_, err := l.readNewest(ctx, Topic, leaderPart, func(r platform.Record) {
+		out.count(r)
 		if strings.HasPrefix(r.Key, waveKeyPrefix) {
 			out.waves = append(out.waves, r)
 			return
@@ -95,6 +109,7 @@
 		return err
 	}
 	out.leaderlessFrom, err = l.readNewest(ctx, Topic, LeaderlessPart(l.Settings.Store.Parts), func(r platform.Record) {
+		out.count(r)
 		out.leaderless = append(out.leaderless, track.JobID(r.Key))
 		l.loadJob(out.loader, r)
 	})
@@ -180,7 +195,7 @@
 	l.Meters.terms.Inc(1)
 	l.Meters.takeover.RecordDuration(l.now - l.start)
 	l.Log.Info().Int("jobs", tr.Len()).Int("active", len(tr.Active())).Int("executors", len(l.members)).
-		Dur("took", l.now-l.start).Msg("state is loaded")
+		Int("records", ev.records).Int("bytes", ev.bytes).Dur("took", l.now-l.start).Msg("state is loaded")
 	for _, req := range l.deferred {
 		l.handle(req)
 	}
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -81,17 +81,30 @@
 type Client struct {
 	pool      *drpcpool.Pool[string, drpcpool.Conn]
 	tlsConfig func() (*tls.Config, error)
+	wrap      func(net.Conn) net.Conn
+}
+
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithConnWrapper makes a Client use each connection as wrap returns it.
+func WithConnWrapper(wrap func(net.Conn) net.Conn) ClientOption {
+	return func(c *Client) { c.wrap = wrap }
 }
 
 // NewClient returns a client. The function returns the TLS configuration of a new connection; nil
 // means plain TCP.
-func NewClient(conf func() (*tls.Config, error)) *Client {
+func NewClient(conf func() (*tls.Config, error), opts ...ClientOption) *Client {
 	pool := drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
 		Expiration:  idleTimeout,
 		Capacity:    poolCapacity,
 		KeyCapacity: addrCapacity,
 	})
-	return &Client{pool: pool, tlsConfig: conf}
+	c := &Client{pool: pool, tlsConfig: conf, wrap: func(conn net.Conn) net.Conn { return conn }}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
 }
 
 // To returns a client for the entry that listens on an address.
@@ -114,10 +127,10 @@
 	if err != nil {
 		return nil, Err.Wrap(err)
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.New(c.wrap(conn)), nil
 }
 
-func (c *Client) connect(ctx context.Context, addr string) (drpc.Transport, error) {
+func (c *Client) connect(ctx context.Context, addr string) (net.Conn, error) {
 	if c.tlsConfig == nil {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -157,7 +157,7 @@
 type Client struct{ conns *peers.Client }
 
 // NewClient returns a client.
-func NewClient() *Client { return &Client{peers.NewClient(nil)} }
+func NewClient(opts ...peers.ClientOption) *Client { return &Client{peers.NewClient(nil, opts...)} }
 
 // Close closes idle connections. It returns an Err.
 func (c *Client) Close() error { return Err.Wrap(c.conns.Close()) }
