Failing tests: a leader behind a slow link never loads the state

The stand-in of the store can limit its answers to a rate, as a network link does. Through 300 KB/s a page of 400 jobs takes longer than the 2 s of an attempt; through 800 KB/s 1,800 jobs on four pages do. Neither is ever loaded:

load_test.go:69: error is not nil: no answer: context deadline exceeded

after 20 s of attempts. The tail of leaderless records has the same fault with its 0.9 s.

--- /dev/null
+++ b/internal/serve/leader/load_test.go
@@ -0,0 +1,88 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
+)
+
+const jobBody = `{"spec":"%s","phases":[{"count":3,"cpu":1000,"mem_mb":64,"estimate_ms":50}]}`
+
+// putJobs stores jobs as a former leader, or entries without a leader, would have.
+func putJobs(s *fake.Store, part, n, specBytes int) {
+	body := fmt.Appendf(nil, jobBody, strings.Repeat("x", specBytes))
+	for i := range n {
+		id := fmt.Sprintf("%015x%d", i, part)
+		r := track.JobRecord(id, model.Queue{Name: "q"}, body, 0)
+		if part != leaderPart {
+			r = track.LeaderlessJobRecord(id, model.Queue{Name: "q"}, body, 0)
+		}
+		s.PutPartition(Topic, part, r.Key, r.Value)
+	}
+}
+
+// newLinkedLeader returns a leader whose link carries rate bytes a second from the store.
+func newLinkedLeader(t *testing.T, w *fake.Platform, rate int) *Leader {
+	t.Helper()
+	link := w.NewStoreProxy()
+	link.Set(fake.Faults{Rate: rate})
+	set := w.Settings("self", 1, 2, 3)
+	set.Store.Addr = link.Addr()
+	l := &Leader{Deps: Deps{Client: platform.NewClient(set), Settings: set, Clock: clock.NewSystem(), Log: zerolog.Nop()}, token: 1}
+	t.Cleanup(l.Client.Close)
+	return l
+}
+
+// Guards against a leader that never gets ready because its link can't carry the state in one time limit.
+func TestStateIsLoadedThroughASlowLink(t *testing.T) {
+	const limit = 20 * time.Second
+	for _, c := range []struct {
+		name                  string
+		jobs, leaderless      int
+		specBytes, rate, want int
+	}{
+		{"many pages", 900, 900, 600, 800 << 10, 1800},
+		{"a page that takes longer than the limit of a call", 400, 0, 1800, 300 << 10, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := fake.NewPlatform(nil)
+			t.Cleanup(w.Close)
+			l := newLinkedLeader(t, w, c.rate)
+			putJobs(w.Store, leaderPart, c.jobs, c.specBytes)
+			putJobs(w.Store, LeaderlessPart(l.Settings.Store.Parts), c.leaderless, c.specBytes)
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			ev, ok := l.load(ctx).(loaded)
+			assert.Assert(t, ok)
+			assert.NilError(t, ev.err)
+			tr, bad := ev.loader.Load(0, 0, 0)
+			assert.Equal(t, len(bad), 0)
+			assert.Equal(t, tr.Len(), c.want)
+		})
+	}
+}
+
+// Guards against leaderless jobs that are never taken over because one read can't carry the backlog.
+func TestLeaderlessBacklogIsReadThroughASlowLink(t *testing.T) {
+	t.Parallel()
+	w := fake.NewPlatform(nil)
+	t.Cleanup(w.Close)
+	l := newLinkedLeader(t, w, 300<<10)
+	putJobs(w.Store, LeaderlessPart(l.Settings.Store.Parts), 300, 1800)
+	ev, ok := l.readLeaderless(context.Background(), 0).(leaderlessRead)
+	assert.Assert(t, ok)
+	assert.NilError(t, ev.err)
+	assert.Equal(t, len(ev.records), 300)
+}
