Reads of stored state are limited by progress, not by a total time

Cause: one attempt to load the state had 2 s for all pages of the jobs together and started from the first page again. The tails of leaderless records and executors' reports had the same fault with 0.9 s, the operators' orders with 1.3 s, the instance list with 0.6 s.

Now a read ends once no byte has arrived for a while, pages that were read are kept, and only the page that failed is read again. The jobs of earlier leaders can't change between pages, since those leaders are fenced first.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -319,7 +319,7 @@
 		defer a.announcing.Done()
 		ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 		defer cancel()
-		rs, _, _, err := a.client.Newest(ctx, entriesTopic, 0, "")
+		rs, _, _, err := a.client.Newest(ctx, entriesTopic, 0, "", announceTimeout)
 		if err != nil {
 			a.log.Warn().Err(err).Msg("reading the registrations of entries failed")
 			return
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// storeTimeout bounds calls to the store other than renewals. The store answers within some
+	// storeTimeout bounds calls to the store other than renewals, and the time in which no byte of a
+	// read arrives. The store answers within some
 	// milliseconds, or within 500 ms when it is slow.
 	storeTimeout = 700 * time.Millisecond
 	// pollInterval is the least time between polls of the leader, and pollTimeout bounds each poll.
--- a/internal/serve/lead/topic.go
+++ b/internal/serve/lead/topic.go
@@ -61,11 +61,9 @@
 
 // read reads the topic to its end. It returns the last record, or nil if there are no new ones.
 func (e *Elector) read(ctx context.Context) (*record, error) {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	rs, end, err := e.client.Read(call, topic, 0, e.topicEnd, 0)
+	rs, end, err := e.client.Read(ctx, topic, 0, e.topicEnd, 0, storeTimeout)
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
-		rs, end, err = e.client.Read(call, topic, 0, gone.First, 0)
+		rs, end, err = e.client.Read(ctx, topic, 0, gone.First, 0, storeTimeout)
 		if err == nil && len(rs) == 0 {
 			e.topicEnd = max(gone.First, end)
 		}
--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -22,8 +22,8 @@
 	// listIntervalPerInstance is added for each instance: a list of a thousand takes
 	// milliseconds to read.
 	listIntervalPerInstance = 400 * time.Microsecond
-	// listTimeout limits the read of all pages.
-	listTimeout = 600 * time.Millisecond
+	// listStall is how long no byte of a page may arrive before the read is given up.
+	listStall = 600 * time.Millisecond
 	// orderRetryInterval is the time between attempts of an order.
 	orderRetryInterval = 300 * time.Millisecond
 	// drainGrace is how long runs on a draining instance may go on before they are stopped.
@@ -146,11 +146,9 @@
 
 // readInstances reads all pages of the instance list.
 func (l *Leader) readInstances(ctx context.Context) ([]model.Instance, error) {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	var out []model.Instance
 	for page := ""; ; {
-		list, next, err := l.Client.Instances(call, page)
+		list, next, err := l.Client.Instances(ctx, page, listStall)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// loadTimeout limits one attempt of a step, and loadRetryDelay is the time between attempts.
-	loadTimeout    = 2 * time.Second
+	// fenceTimeout limits one attempt to fence earlier leaders, and loadRetryDelay is the time between
+	// attempts of each step.
+	fenceTimeout   = 2 * time.Second
 	loadRetryDelay = 100 * time.Millisecond
 	// attemptsPerToken is the step between the first attempt numbers of successive leaders: a
 	// leader need not know the attempts of its predecessors.
@@ -53,7 +54,9 @@
 func (l *Leader) load(ctx context.Context) event {
 	out := loaded{loader: track.NewLoader(platform.DecodeJob)}
 	out.err = l.retry(ctx, func(ctx context.Context) error {
-		_, _, err := l.Client.Append(ctx, platform.Append{Topic: Topic, Part: leaderPart, At: -1, Writer: writer, Epoch: l.token, Seq: 1})
+		call, cancel := context.WithTimeout(ctx, fenceTimeout)
+		defer cancel()
+		_, _, err := l.Client.Append(call, platform.Append{Topic: Topic, Part: leaderPart, At: -1, Writer: writer, Epoch: l.token, Seq: 1})
 		return err
 	})
 	if out.err != nil {
@@ -63,7 +66,6 @@
 	steps := []func(context.Context) error{
 		func(ctx context.Context) error { return l.loadJobs(ctx, &out) },
 		func(ctx context.Context) (err error) {
-			out.executors = nil
 			out.executorsFrom, err = l.readNewest(ctx, platform.ExecutorTopic, 0, func(r platform.Record) { out.executors = append(out.executors, r) })
 			return err
 		},
@@ -81,22 +83,16 @@
 	}
 	errs := make([]error, len(steps))
 	for i, step := range steps {
-		all.Go(func() { errs[i] = l.retry(ctx, step) })
+		all.Go(func() { errs[i] = step(ctx) })
 	}
 	all.Wait()
 	out.err = errors.Join(errs...)
 	return out
 }
 
-// loadJobs reads the records of earlier leaders and the leaderless records.
+// loadJobs reads the records of earlier leaders and the leaderless records. Earlier leaders are
+// fenced, so that pages that were read stay valid while later ones are read.
 func (l *Leader) loadJobs(ctx context.Context, out *loaded) error {
-	out.waves, out.leaderless = nil, nil
-	out.records, out.bytes = 0, 0
-	defer func() {
-		if ctx.Err() != nil {
-			l.Log.Warn().Int("records", out.records).Int("bytes", out.bytes).Msg("reading the jobs was cut off")
-		}
-	}()
 	_, err := l.readNewest(ctx, Topic, leaderPart, func(r platform.Record) {
 		out.count(r)
 		if strings.HasPrefix(r.Key, waveKeyPrefix) {
@@ -126,32 +122,36 @@
 // store has fenced this leader.
 func (l *Leader) retry(ctx context.Context, step func(context.Context) error) error {
 	for {
-		call, cancel := context.WithTimeout(ctx, loadTimeout)
-		err := step(call)
-		cancel()
+		err := step(ctx)
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
 		if _, ok := err.(*platform.FencedError); ok {
 			return err
 		}
-		l.Log.Warn().Err(err).Msg("loading the state failed; retrying")
+		l.Log.Warn().Err(err).Msg("reading or fencing the stored state failed; retrying")
 		clock.Pause(ctx, l.Clock, loadRetryDelay)
 	}
 }
 
-// readNewest reads the newest record of each key in a partition, page by page. It returns the
-// offset from which later records are to be read.
+// readNewest reads the newest record of each key in a partition, page by page, and retries a page
+// until the context ends. It returns the offset from which later records are to be read.
 func (l *Leader) readNewest(ctx context.Context, topic string, part int, visit func(platform.Record)) (int64, error) {
 	from, after := int64(-1), ""
 	for {
-		rs, more, end, err := l.Client.Newest(ctx, topic, part, after)
+		var rs []platform.Record
+		var more bool
+		err := l.retry(ctx, func(ctx context.Context) (err error) {
+			var end int64
+			rs, more, end, err = l.Client.Newest(ctx, topic, part, after, readStall)
+			if err == nil && from < 0 {
+				from = end
+			}
+			return err
+		})
 		if err != nil {
 			return 0, err
 		}
-		if from < 0 {
-			from = end
-		}
 		for _, r := range rs {
 			visit(r)
 			after = r.Key
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -18,6 +18,10 @@
 	// appendTimeout limits one attempt, and appendRetryDelay is the time to the next.
 	appendTimeout    = 900 * time.Millisecond
 	appendRetryDelay = 50 * time.Millisecond
+	// readStall is how long no byte of an answer may arrive before a read is given up. The time for
+	// the whole answer is not limited: it grows with the backlog, and a read that starts over would
+	// never end.
+	readStall = 1500 * time.Millisecond
 	// slowAppendAfter is how long an append may take until new jobs are refused, since they
 	// could not be stored in time.
 	slowAppendAfter = 700 * time.Millisecond
@@ -313,27 +317,23 @@
 }
 
 func (l *Leader) readLeaderless(ctx context.Context, from int64) event {
-	call, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	part := LeaderlessPart(l.Settings.Store.Parts)
-	rs, _, err := l.Client.Read(call, Topic, part, from, 0)
+	rs, _, err := l.Client.Read(ctx, Topic, part, from, 0, readStall)
 	out := leaderlessRead{records: rs, from: from, next: from + int64(len(rs)), err: err}
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
 		// The deleted records may include jobs and cancels that this leader has not read.
 		out.records, out.from = nil, 0
-		out.next, out.err = l.readNewest(call, Topic, part, func(r platform.Record) { out.records = append(out.records, r) })
+		out.next, out.err = l.readNewest(ctx, Topic, part, func(r platform.Record) { out.records = append(out.records, r) })
 	}
 	return out
 }
 
 func (l *Leader) readExecutors(ctx context.Context, from int64) event {
-	call, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	rs, _, err := l.Client.Read(call, platform.ExecutorTopic, 0, from, 0)
+	rs, _, err := l.Client.Read(ctx, platform.ExecutorTopic, 0, from, 0, readStall)
 	out := executorsRead{records: rs, from: from + int64(len(rs)), err: err}
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
 		out.records, out.complete = nil, true
-		out.from, out.err = l.readNewest(call, platform.ExecutorTopic, 0, func(r platform.Record) { out.records = append(out.records, r) })
+		out.from, out.err = l.readNewest(ctx, platform.ExecutorTopic, 0, func(r platform.Record) { out.records = append(out.records, r) })
 	}
 	return out
 }
--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -20,10 +20,10 @@
 
 const (
 	// readWait is how long a read waits for a change. A read on an unresponsive connection ends
-	// after readWait + readMargin. Their sum must stay below 2 s, the time within which a
+	// after readWait + readStall. Their sum must stay below 2 s, the time within which a
 	// configuration must be in force.
-	readWait   = 800 * time.Millisecond
-	readMargin = 500 * time.Millisecond
+	readWait  = 800 * time.Millisecond
+	readStall = 500 * time.Millisecond
 	// retryPause is the time between reads after a failure.
 	retryPause = 100 * time.Millisecond
 )
@@ -123,9 +123,7 @@
 func (o *Orders) readAll(ctx context.Context) (int64, error) {
 	from, after := int64(-1), ""
 	for {
-		call, cancel := context.WithTimeout(ctx, readWait+readMargin)
-		rs, more, end, err := o.client.Newest(call, platform.OperatorTopic, 0, after)
-		cancel()
+		rs, more, end, err := o.client.Newest(ctx, platform.OperatorTopic, 0, after, readWait+readStall)
 		if err != nil {
 			return 0, err
 		}
@@ -143,9 +141,7 @@
 }
 
 func (o *Orders) readNext(ctx context.Context, from int64) (int64, error) {
-	call, cancel := context.WithTimeout(ctx, readWait+readMargin)
-	defer cancel()
-	rs, _, err := o.client.Read(call, platform.OperatorTopic, 0, from, readWait)
+	rs, _, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, readWait, readStall)
 	if err != nil {
 		return from, err
 	}
