Orders that end together do not exclude the entry that makes the calls

Callers saw: after a takeover few jobs started, and half of the start orders were not answered.

Cause: a new leader asks all executors at once, with a time limit of 120 ms, through the entries that make its calls. Three orders without an outcome counted as an unresponsive entry, and the 26 polls of one message end in the same instant. It is the class of faults in which slow counts as dead.

Now an entry is unresponsive once it has been silent for 350 ms since the first of these orders was sent. The test failed before with "the entry is excluded"; the tests of entries that are really unresponsive are unchanged.

--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -15,8 +15,10 @@
 	// outcome arrives before the leader's timeout.
 	answerMargin = 50 * time.Millisecond
 	// maxMisses is how many consecutive orders without an outcome show that an entry no longer
-	// makes calls.
-	maxMisses = 3
+	// makes calls, if it has been silent for silenceLimit. Orders of one message end at the same time,
+	// so that their number alone says nothing about a slow entry.
+	maxMisses    = 3
+	silenceLimit = 350 * time.Millisecond
 	// retireTimeout is how long an unused link waits for its outcomes. The longest call, a poll
 	// that waits for an end, takes less. retireCheckInterval is the time between checks whether
 	// they have arrived.
@@ -43,7 +45,10 @@
 	mu      sync.Mutex
 	seq     uint64
 	pending map[uint64]*pendingOrder
-	misses  int
+	// misses counts the consecutive orders without an outcome, and silentSince is when the first of
+	// them was sent.
+	misses      int
+	silentSince time.Duration
 	// specsSent is when the specification of each job was last sent.
 	specsSent map[string]time.Duration
 }
@@ -55,8 +60,9 @@
 	spec    string
 	expires time.Duration
 	reply   chan *workpb.Outcome
-	// sent reports whether the order may have left this process.
-	sent bool
+	// sent reports whether the order may have left this process, and sentAt when.
+	sent   bool
+	sentAt time.Duration
 }
 
 func newLink(ctx context.Context, clk clock.Clock, open func(ctx context.Context) (ClientStream, error)) *link {
@@ -139,7 +145,7 @@
 		if limit <= 0 || l.pending[po.order.GetSeq()] != po {
 			continue
 		}
-		po.sent = true
+		po.sent, po.sentAt = true, now
 		po.order.Limit = uint32(limit.Milliseconds()) + 1
 		if at, ok := l.specsSent[po.job]; po.job != "" && (!ok || now > at+specResend) {
 			l.specsSent[po.job] = now
@@ -196,9 +202,12 @@
 	default:
 	}
 	if timedOut && po.sent {
+		if l.misses == 0 || po.sentAt < l.silentSince {
+			l.silentSince = po.sentAt
+		}
 		l.misses++
 	}
-	return nil, po.sent, failed || l.misses >= maxMisses
+	return nil, po.sent, failed || l.misses >= maxMisses && l.clk.Now() >= l.silentSince+silenceLimit
 }
 
 // errUnanswered returns the error of an order without an outcome, an ErrUnknown of platform.
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -210,6 +210,19 @@
 	assert.Equal(t, p.direct.count(), 1)
 }
 
+// Guards against a busy leader that excludes one slow entry after the other, and makes all calls itself.
+func TestOrdersThatEndTogetherDoNotExcludeAnEntry(t *testing.T) {
+	p := newPoolWithPeer(t, true)
+	p.pool.RecordPeer("deputy", "at", "z", 0)
+	var all sync.WaitGroup
+	for i := range 10 * maxMisses {
+		all.Go(func() { _, _ = p.start(i, "s", 120*time.Millisecond) })
+	}
+	all.Wait()
+	l, _ := p.pool.route(platform.Target{ID: "x", Centre: "z"})
+	assert.Assert(t, l != nil, "the entry is excluded")
+}
+
 // Guards against an order that fails because nothing listens at an entry's address: the order was
 // not sent, so the leader makes the call.
 func TestUnsentOrdersAreMadeDirectly(t *testing.T) {
