An unknown job is not denied until the leaderless records are read

Cause: the new leader had read past the key of the job when the entry stored it, and loading took another 4 s. From "state is loaded" until the next read of the leaderless records it answered that the job does not exist: only its lease was checked, not the age of what it had read. The same answer told a caller that a cancel has no job.

Now a leader denies a job only if it has read the leaderless records in the last 2 s, as it already does for the number of pending jobs; otherwise the caller's entry asks again. The test fails without the check (load_test.go:105: assertion failed: ask() is true).

--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -32,13 +32,15 @@
 type loaded struct {
 	report
 	loader         *track.Loader
-	leaderlessFrom int64    // offset of the next leaderless record to read
-	leaderless     []string // jobs with leaderless records
-	executors      []platform.Record
-	executorsFrom  int64
-	instances      []model.Instance
-	listedAt       time.Duration // when the instance list was requested
-	waves          []platform.Record
+	leaderlessFrom int64 // offset of the next leaderless record to read
+	// leaderlessReadAt is when the read of the leaderless records began: later ones may be missing.
+	leaderlessReadAt time.Duration
+	leaderless       []string // jobs with leaderless records
+	executors        []platform.Record
+	executorsFrom    int64
+	instances        []model.Instance
+	listedAt         time.Duration // when the instance list was requested
+	waves            []platform.Record
 	// records is the number of job records that were read, and bytes the size of their values.
 	records, bytes int
 	err            error
@@ -104,6 +106,7 @@
 	if err != nil {
 		return err
 	}
+	out.leaderlessReadAt = l.Clock.Now()
 	out.leaderlessFrom, err = l.readNewest(ctx, Topic, LeaderlessPart(l.Settings.Store.Parts), func(r platform.Record) {
 		out.count(r)
 		out.leaderless = append(out.leaderless, track.JobID(r.Key))
@@ -178,7 +181,7 @@
 		l.leaderless[id] = struct{}{}
 	}
 	l.store.seq = 1
-	l.leaderlessTail.lastRead = l.start
+	l.leaderlessTail.lastRead = ev.leaderlessReadAt
 	for _, r := range ev.executors {
 		l.applyReport(r)
 	}
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -13,6 +13,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
@@ -86,3 +87,23 @@
 	assert.NilError(t, ev.err)
 	assert.Equal(t, len(ev.records), 300)
 }
+
+// Guards against a caller who is told that an accepted job does not exist, because an entry stored it
+// while a new leader was loading.
+func TestUnknownJobsAreNotDeniedUntilLeaderlessRecordsAreRead(t *testing.T) {
+	l, _, _ := newTestLeader(t)
+	l.ready = true
+	l.LastRenewal = func() time.Duration { return l.now }
+	ask := func() bool {
+		ev := &stateRequest{"unknown", make(chan queryReply, 1)}
+		l.onQuery(ev)
+		return (<-ev.reply).authoritative
+	}
+	l.leaderlessTail.lastRead = l.now - maxCountAge
+	assert.Assert(t, ask())
+	l.leaderlessTail.lastRead--
+	assert.Assert(t, !ask())
+	c := &cancelRequest{id: "unknown", reply: make(chan relay.Verdict, 1)}
+	l.onCancel(c)
+	assert.Equal(t, <-c.reply, relay.NotLeader)
+}
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -198,10 +198,15 @@
 		ev.reply <- queryReply{j.State(), true}
 		return
 	}
-	// A job that is being stored has not been answered, so that its caller can't know it yet. The
-	// answer is authoritative only while no other entry can have claimed the leadership, since
-	// another leader may have jobs that this one has not.
-	ev.reply <- queryReply{model.Unknown, elect.IsSoleLeader(l.LastRenewal(), l.now)}
+	// A job that is being stored has not been answered, so that its caller can't know it yet.
+	ev.reply <- queryReply{model.Unknown, l.knowsAllJobs()}
+}
+
+// knowsAllJobs reports whether a job that this leader does not know does not exist. Another leader
+// may have jobs that this one has not, unless no other entry can have claimed since the last
+// renewal. Entries without a leader may have stored jobs since the last read of leaderless records.
+func (l *Leader) knowsAllJobs() bool {
+	return elect.IsSoleLeader(l.LastRenewal(), l.now) && l.now <= l.leaderlessTail.lastRead+maxCountAge
 }
 
 func (l *Leader) onCancel(ev *cancelRequest) {
@@ -211,7 +216,7 @@
 	}
 	j := l.tracker.Job(ev.id)
 	if j == nil && l.findUnstored(ev.id) == nil {
-		if elect.IsSoleLeader(l.LastRenewal(), l.now) {
+		if l.knowsAllJobs() {
 			ev.reply <- relay.NotFound
 		} else {
 			ev.reply <- relay.NotLeader
