Former runs are not given up while executors still answer a new leader

Cause: 10.3 s after its claim a leader takes all runs of earlier leaders for ended, and starts again what is not known to be done. That time was meant for executors that can't be reached.

Now the tasks wait until no further executor has answered for 2 s since the leader could ask, for 5 s more at most. With one unreachable executor after a usual load of 0.2 s the time is 10.3 s as before.

The test plays the decision; the former rule, true at 10.3 s, fails its cases "the load took long" and "executors still answer".

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -182,6 +182,24 @@
 	return claimed + LeadershipTTL + time.Duration(float64(RunLease)*(1+2*ClockDrift)) + 100*time.Millisecond
 }
 
+// contactStall is how long no executor may answer a new leader for the first time until the rest
+// counts as unreachable.
+const contactStall = 2 * time.Second
+
+// maxContactWait bounds the wait for executors while others come and go.
+const maxContactWait = 5 * time.Second
+
+// MayReleaseFormerRuns reports whether a leader may start again the tasks of a service of which some
+// executor has not answered yet. The runs of earlier leaders have ended by then, but an executor that
+// only waits to be asked may still list one that was done. ready is when the leader could ask, and
+// lastContact when an executor last answered for the first time.
+func MayReleaseFormerRuns(claimed, ready, lastContact, now time.Duration) bool {
+	if now < FormerRunsEnd(claimed) {
+		return false
+	}
+	return now >= max(ready, lastContact)+contactStall || now >= max(ready, FormerRunsEnd(claimed))+maxContactWait
+}
+
 // LeaseEnd returns the latest local time at which an executor's lease ends. deadline is the end of
 // the lease by the executor's clock, which showed clock in a response received at got.
 func LeaseEnd(got, clock, deadline time.Duration) time.Duration {
--- a/internal/jobs/elect/elect_test.go
+++ b/internal/jobs/elect/elect_test.go
@@ -187,3 +187,23 @@
 	lost := quick + RenewalDelay(quick) + RenewalTimeout(quick) + 50*time.Millisecond + 3*quick
 	assert.Assert(t, lost < CutOffTimeout, "%s", lost)
 }
+
+// Guards against a second run of a task that was done: a leader whose load took 9 s released all tasks
+// 1.3 s later, before it had asked the executor that listed the end.
+func TestFormerRunsAreNotReleasedWhileExecutorsStillAnswer(t *testing.T) {
+	end := FormerRunsEnd(0)
+	for _, c := range []struct {
+		name                    string
+		ready, lastContact, now time.Duration
+		want                    bool
+	}{
+		{"leases may last", time.Second, time.Second, end - 1, false},
+		{"the rest is unreachable", time.Second, time.Second, end, true},
+		{"the load took long", end - time.Second, 0, end + contactStall - time.Second - 1, false},
+		{"nobody answers after a long load", end - time.Second, 0, end + contactStall - time.Second, true},
+		{"executors still answer", time.Second, end - 1, end + contactStall - 2, false},
+		{"executors come and go", time.Second, end + maxContactWait, end + maxContactWait, true},
+	} {
+		assert.Equal(t, MayReleaseFormerRuns(0, c.ready, c.lastContact, c.now), c.want, c.name)
+	}
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -73,6 +73,7 @@
 	now     time.Duration
 	wall    time.Duration
 	ready   bool
+	readyAt time.Duration
 	tracker *track.Tracker
 
 	members map[string]*member // executors by key
@@ -85,8 +86,10 @@
 	pollCandidates map[*member]struct{}
 	unstoredEnds   map[*member]struct{}
 	resolved       map[string]bool // services for which no run of an earlier leader is unresolved
-	// allResolved is set once all leases granted by earlier leaders have expired.
+	// allResolved is set once all leases granted by earlier leaders have expired and all services are
+	// resolved. lastContact is when an executor last answered for the first time.
 	allResolved   bool
+	lastContact   time.Duration
 	runtimeRatios map[string]*runtimeRatio // by service
 
 	store          appendState
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -194,7 +194,7 @@
 		l.recordArrival(j)
 	}
 	l.reportCentreSizes()
-	l.ready = true
+	l.ready, l.readyAt = true, l.now
 	l.Meters.terms.Inc(1)
 	l.Meters.takeover.RecordDuration(l.now - l.start)
 	l.Log.Info().Int("jobs", tr.Len()).Int("active", len(tr.Active())).Int("executors", len(l.members)).
@@ -206,13 +206,13 @@
 }
 
 // resolveFormerRuns releases the unresolved tasks of services whose runs under earlier leaders are
-// known: every executor of the service has listed its runs, or all earlier leases have expired.
+// known: every executor of the service has listed its runs, or all earlier leases have expired and
+// no further executor answers.
 func (l *Leader) resolveFormerRuns() {
-	expired := l.now >= elect.FormerRunsEnd(l.start)
 	if l.allResolved {
 		return
 	}
-	l.allResolved = expired
+	l.allResolved = l.now >= elect.FormerRunsEnd(l.start)
 	for _, j := range l.tracker.Active() {
 		s := l.queueOf(j).Service
 		if _, ok := l.resolved[s]; !ok {
@@ -220,13 +220,18 @@
 		}
 	}
 	for s, done := range l.resolved {
-		if done || !expired && !l.allContacted(s) {
+		if done {
+			continue
+		}
+		late := elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
+		if !late && !l.allContacted(s) {
+			l.allResolved = false
 			continue
 		}
 		l.resolved[s] = true
 		n := l.tracker.ReleaseUnresolved(func(j *track.Job) bool { return l.queueOf(j).Service == s }, l.wall)
 		l.planDue[s] = true
-		l.Log.Info().Str("service", s).Int("tasks", n).Bool("late", expired).Dur("after", l.now-l.start).
+		l.Log.Info().Str("service", s).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
 			Msg("former runs are known")
 	}
 }
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -118,6 +118,7 @@
 	first := !m.adopted
 	if first {
 		m.adopted, m.adoptedAt = true, l.now
+		l.lastContact = l.now
 	}
 	l.applyEnds(m, ev.list.Ended, first)
 	l.reconcileRuns(m, ev, first)
