Leases are extended while a new leader loads the jobs

Cause: runs hold leases of 5 s, which polls extend, and a leader polled only once all jobs were loaded. Behind a link of 2 Mbit/s that takes 4 to 9 s, so that every run lapsed in the meantime. To extend a lease a leader needs to know the executors only, not the jobs.

Now a load that takes longer than 1 s extends the leases of all runs every 2.5 s until the jobs are there, under the new token. Runs on executors that can't be reached afterwards are given up once the extended leases have ended.

The test (lease 0.6 s, load 1.2 s) fails without it: 0 runs of 1.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -184,7 +184,13 @@
 // FormerRunsEnd returns when all runs that earlier leaders started on an unreachable executor have
 // ended, for a leader that claimed at claimed.
 func FormerRunsEnd(claimed time.Duration) time.Duration {
-	return claimed + LeadershipTTL + time.Duration(float64(RunLease)*(1+2*ClockDrift)) + 100*time.Millisecond
+	return RunsEnd(claimed + LeadershipTTL)
+}
+
+// RunsEnd returns when all runs on an executor have ended whose leases were last extended at
+// extended.
+func RunsEnd(extended time.Duration) time.Duration {
+	return extended + time.Duration(float64(RunLease)*(1+2*ClockDrift)) + 100*time.Millisecond
 }
 
 // contactStall is how long no executor may answer a new leader for the first time until the rest
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -74,7 +74,9 @@
 	wall    time.Duration
 	ready   bool
 	readyAt time.Duration
-	tracker *track.Tracker
+	// heldRunsEnd is when the leases that were extended during the load have ended.
+	heldRunsEnd time.Duration
+	tracker     *track.Tracker
 
 	members map[string]*member // executors by key
 	// byService caches the executors that have not ended by service; nil after a change.
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -37,6 +37,7 @@
 	leaderlessReadAt time.Duration
 	leaderless       []string // jobs with leaderless records
 	executors        []platform.Record
+	heldAt           time.Duration // when this leader last extended leases, 0 for never
 	executorsFrom    int64
 	instances        []model.Instance
 	listedAt         time.Duration // when the instance list was requested
@@ -65,10 +66,18 @@
 		return out
 	}
 	var all sync.WaitGroup
+	loading, loadedJobs := context.WithCancel(ctx)
+	defer loadedJobs()
 	steps := []func(context.Context) error{
-		func(ctx context.Context) error { return l.loadJobs(ctx, &out) },
+		func(ctx context.Context) error {
+			defer loadedJobs()
+			return l.loadJobs(ctx, &out)
+		},
 		func(ctx context.Context) (err error) {
 			out.executorsFrom, err = l.readNewest(ctx, platform.ExecutorTopic, 0, func(r platform.Record) { out.executors = append(out.executors, r) })
+			if err == nil {
+				out.heldAt = l.holdLeases(loading, out.executors)
+			}
 			return err
 		},
 		func(ctx context.Context) error {
@@ -195,6 +204,9 @@
 	}
 	l.reportCentreSizes()
 	l.ready, l.readyAt = true, l.now
+	if ev.heldAt > 0 {
+		l.heldRunsEnd = elect.RunsEnd(ev.heldAt)
+	}
 	l.Meters.terms.Inc(1)
 	l.Meters.takeover.RecordDuration(l.now - l.start)
 	l.Log.Info().Int("jobs", tr.Len()).Int("active", len(tr.Active())).Int("executors", len(l.members)).
@@ -212,7 +224,7 @@
 	if l.allResolved {
 		return
 	}
-	l.allResolved = l.now >= elect.FormerRunsEnd(l.start)
+	l.allResolved = l.now >= max(elect.FormerRunsEnd(l.start), l.heldRunsEnd)
 	for _, j := range l.tracker.Active() {
 		s := l.queueOf(j).Service
 		if _, ok := l.resolved[s]; !ok {
@@ -223,7 +235,7 @@
 		if done {
 			continue
 		}
-		late := elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
+		late := l.now >= l.heldRunsEnd && elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
 		if !late && !l.allContacted(s) {
 			l.allResolved = false
 			continue
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
@@ -41,10 +43,16 @@
 	set := w.Settings("self", 1, 2, 3)
 	set.Store.Addr = link.Addr()
 	l := &Leader{Deps: Deps{Client: platform.NewClient(set), Settings: set, Clock: clock.NewSystem(), Log: zerolog.Nop()}, token: 1}
+	l.Execs, l.Meters, l.LastRenewal = directExecutors{l.Client}, NewMeters(tally.NoopScope), l.Clock.Now
 	t.Cleanup(l.Client.Close)
 	return l
 }
 
+// directExecutors makes all calls itself.
+type directExecutors struct{ *platform.Client }
+
+func (directExecutors) SetCentreSizes(map[string]int) {}
+
 // Guards against a leader that never gets ready because its link can't carry the state in one time limit.
 func TestStateIsLoadedThroughASlowLink(t *testing.T) {
 	const limit = 20 * time.Second
@@ -107,3 +115,30 @@
 	l.onCancel(c)
 	assert.Equal(t, <-c.reply, relay.NotLeader)
 }
+
+// Guards against a takeover that ends all runs: loading took longer than their leases.
+func TestRunsSurviveALongLoad(t *testing.T) {
+	t.Parallel()
+	const lease = 600 * time.Millisecond
+	w := fake.NewPlatform(map[string]int{"s": 1})
+	t.Cleanup(w.Close)
+	w.Plan = func(string, string) fake.RunPlan { return fake.RunPlan{Duration: time.Minute, Result: "done"} }
+	l := newLinkedLeader(t, w, 1<<30)
+	var records []platform.Record
+	_, err := l.readNewest(context.Background(), platform.ExecutorTopic, 0, func(r platform.Record) { records = append(records, r) })
+	assert.NilError(t, err)
+	e, err := platform.DecodeExecutor(records[0].Key, records[0].Value)
+	assert.NilError(t, err)
+	to := platform.Target{Addr: e.Addr, ID: e.ID, Fence: elect.FencingToken(l.token, 0)}
+	list, err := l.Client.Poll(context.Background(), to, 0, 0, 0)
+	assert.NilError(t, err)
+	_, err = l.Client.Start(context.Background(), to, platform.Start{Task: model.TaskID{Job: "j"}, Attempt: 1, Spec: "x", Deadline: list.Clock + lease})
+	assert.NilError(t, err)
+	l.start = l.Clock.Now() - holdAfter
+	loading, end := context.WithTimeout(context.Background(), 2*lease)
+	defer end()
+	assert.Assert(t, l.holdLeases(loading, records) > 0)
+	list, err = l.Client.Poll(context.Background(), to, 0, 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Running), 1)
+}
