serve/leader: a restarted executor's first list decides on the runs ordered around its restart

An executor that is idle is not polled, so its restart under the same id shows only in its next report or answer. A start that was sent in between is carried out by the new incarnation, since nothing in the order names the incarnation. The leader then learned of the restart, took the run for lost with the former incarnation (executor.go, markDead in applyReport and replaceIncarnation), and started the task again elsewhere while it ran: two runs of one task. Where the restart showed in a report, the new incarnation also got fencing tokens below those of the former one, so that late orders passed, or all orders were refused if one had passed before.

Runs now move to the new incarnation as uncertain. Its first list, under a higher token than any earlier order, confirms or drops them. If it does not answer, they are given up when the longest lease has ended, since a deadline on the former clock grants that.

Ruled out: the instance list (same id), the executor's check of the expected id (same id).

The test on the old code:

--- FAIL: TestRunOnTheNextIncarnationIsNotStartedAgain/from_a_report_runs_true assertion failed: l.target(next).Fence is <= elect.FencingToken(l.token, old.fenceRaises): a late order would pass --- FAIL: TestRunOnTheNextIncarnationIsNotStartedAgain/from_a_poll_runs_true assertion failed: task.IsWaiting() is true: the task would be started a second time

--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -160,6 +160,16 @@
 	r.Task.Step.Occ.Job.begun = true
 }
 
+// MoveRun records that a run may be on another executor, or nowhere.
+func (tr *Tracker) MoveRun(r *Run, executor string, now time.Duration) {
+	delete(tr.runs[r.Executor], r)
+	if len(tr.runs[r.Executor]) == 0 {
+		delete(tr.runs, r.Executor)
+	}
+	r.Executor, r.Phase, r.PhaseSince = executor, Uncertain, now
+	tr.runSet(executor)[r] = struct{}{}
+}
+
 // RemoveRun removes a run that has ended for certain: it was refused, its lease expired or its
 // executor is gone. Its last known checkpoint is kept.
 func (tr *Tracker) RemoveRun(r *Run) {
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -123,7 +123,7 @@
 		l.queuePoll(m)
 		l.Log.Info().Str("executor", e.ID).Int64("born", e.StartMillis).Str("service", e.Service).Str("addr", e.Addr).Msg("executor is listed")
 		if old != nil {
-			l.markDead(old, "it restarted")
+			l.succeed(old, m)
 		}
 	}
 	l.byID[e.ID] = m
@@ -184,22 +184,36 @@
 	l.planDue[l.queueOf(r.Task.Step.Occ.Job).Service] = true
 }
 
-// replaceIncarnation marks an executor dead and adds the new incarnation that answers under its
-// id. born is that incarnation's number.
+// replaceIncarnation adds the new incarnation of an executor that answers under its id. born is that
+// incarnation's number.
 func (l *Leader) replaceIncarnation(m *member, born int64) {
 	e := m.Executor
 	e.StartMillis = born
-	l.markDead(m, "it restarted")
 	key := executorKey(&e)
-	if l.members[key] == nil {
-		n := &member{Member: execs.Member{Executor: e, Key: key, Slowness: 1, Listed: true}, firstListed: l.now}
-		// Late orders to the former incarnation carry a lower fencing token than this.
-		n.fenceRaises = m.fenceRaises + 1
-		l.members[key] = n
-		l.byService = nil
-		l.byID[e.ID] = n
-		l.queuePoll(n)
+	if l.members[key] != nil {
+		l.markDead(m, "it restarted")
+		return
+	}
+	n := &member{Member: execs.Member{Executor: e, Key: key, Slowness: 1, Listed: true}, firstListed: l.now}
+	l.members[key] = n
+	l.byService = nil
+	l.byID[e.ID] = n
+	l.queuePoll(n)
+	l.succeed(m, n)
+}
+
+// succeed replaces an incarnation of an executor by the next one. Orders that were sent around the
+// restart may have been carried out by the next one, so its first list decides on the runs.
+func (l *Leader) succeed(old, next *member) {
+	// Late orders to the former incarnation carry a lower fencing token than this.
+	next.fenceRaises = old.fenceRaises + 1
+	// A deadline on the clock of the former incarnation grants up to the longest lease.
+	next.leaseEnd = elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease)
+	for r := range l.tracker.RunsOn(old.Key) {
+		l.tracker.MoveRun(r, next.Key, l.now)
+		next.AddRun(r.Task.Step)
 	}
+	l.markDead(old, "it restarted")
 }
 
 // isVisibleToSuccessor reports whether a later leader would know an executor. It may miss one
--- /dev/null
+++ b/internal/serve/leader/incarnation_test.go
@@ -0,0 +1,95 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// pollRecorder records the sequence numbers that polls announce, and answers no call.
+type pollRecorder struct {
+	unresponsiveExecs
+	acked chan int64
+}
+
+func (p pollRecorder) Poll(ctx context.Context, to platform.Target, deadline time.Duration, acked int64, wait time.Duration) (platform.PollResult, error) {
+	p.acked <- acked
+	return p.unresponsiveExecs.Poll(ctx, to, deadline, acked, wait)
+}
+
+// newRunningLeader returns a leader with a job of one task that has been started on the executor
+// "x", which was born at 1.
+func newRunningLeader(t *testing.T) (*Leader, *member, *track.Run, pollRecorder) {
+	t.Helper()
+	l, m, task := newTestLeader(t)
+	p := pollRecorder{acked: make(chan int64, 100)}
+	ctx, cancel := context.WithCancel(context.Background())
+	l.Execs, l.ctx, l.events, l.Meters = p, ctx, make(chan event, 100), NewMeters(tally.NoopScope)
+	t.Cleanup(func() {
+		cancel()
+		for ; l.calls > 0; l.calls-- {
+			<-l.events
+		}
+	})
+	l.LastRenewal = func() time.Duration { return l.now }
+	l.runtimeRatios = map[string]*runtimeRatio{}
+	m.StartMillis, m.Listed, m.visible, m.clock, m.clockAt = 1, true, true, time.Second, l.now
+	m.Capacity = model.Amount{Cores: 8000}
+	l.byID = map[string]*member{"x": m}
+	l.startRun(assign.Start{Task: task, Member: &m.Member})
+	return l, m, task.Runs[0], p
+}
+
+func reportOf(born, offset int64, state string) platform.Record {
+	return platform.Record{Key: "x", Offset: offset, Value: fmt.Appendf(nil,
+		`{"service":"s","addr":"127.0.0.1:1","zone":"z","slots":8,"state":"%s","seq":1,"born":%d,"capacity":{"cpu":8000}}`, state, born)}
+}
+
+// answerPoll has an executor list its runs.
+func answerPoll(l *Leader, m *member, born int64, list platform.PollResult) {
+	list.Clock, list.Born = l.now, born
+	l.onPolled(polled{m: m, sent: l.now, fence: elect.FencingToken(l.token, m.fenceRaises), storedSeq: m.storedSeq, list: list})
+}
+
+// Guards against a second run of a task whose start was carried out by the next incarnation of an
+// executor that restarted under its id: the leader took it for lost with the former one.
+func TestRunOnTheNextIncarnationIsNotStartedAgain(t *testing.T) {
+	for _, learns := range []string{"from a report", "from a poll"} {
+		for _, runs := range []bool{true, false} {
+			t.Run(fmt.Sprint(learns, " runs ", runs), func(t *testing.T) {
+				l, old, r, _ := newRunningLeader(t)
+				task := r.Task
+				old.fenceRaises = 2
+				l.onStarted(startedRun{m: old, run: r})
+				l.now += 50 * time.Millisecond
+				if learns == "from a report" {
+					l.applyReport(reportOf(2, 1, "ready"))
+				} else {
+					answerPoll(l, old, 2, platform.PollResult{})
+				}
+				next := l.byID["x"]
+				assert.Equal(t, next.StartMillis, int64(2))
+				assert.Assert(t, l.target(next).Fence > elect.FencingToken(l.token, old.fenceRaises), "a late order would pass")
+				l.expireLeases()
+				assert.Assert(t, !task.IsWaiting(), "the task would be started a second time")
+				var list platform.PollResult
+				if runs {
+					list.Running = []model.Run{{Task: task.ID, Attempt: r.Attempt}}
+				}
+				answerPoll(l, next, 2, list)
+				assert.Equal(t, task.IsWaiting(), !runs)
+				assert.Equal(t, next.Orphans, 0)
+			})
+		}
+	}
+}
