serve/leader: ignore reports of executors that are older than one applied

The first read of all reports takes several pages, and reads go on from the end of the first page, so records that a later page has superseded are read again. A draining executor whose report was read again as ready got tasks until the next report, and one that had left was listed again (executor.go, applyReport). With 1,100 executors such a read of the overlap can end between the two records. Reports now carry their offset, and earlier ones are ignored.

Ruled out: the executors' own seq, which starts anew under the same id.

The test on the old code:

--- FAIL: TestEarlierReportsAreIgnored assertion failed: expression is false: m.Draining && !m.CanAcceptTasks(l.now)

--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -58,6 +58,8 @@
 	visible bool
 	// startsInFlight counts unanswered starts; an instance with any of them is not drained yet.
 	startsInFlight int
+	// reportOffset is the offset of the newest report of its id that was applied.
+	reportOffset int64
 }
 
 // deadline returns the end of a lease granted at now, on the executor's clock.
@@ -94,6 +96,12 @@
 // executor is not listed any more.
 func (l *Leader) applyReport(r platform.Record) {
 	old := l.byID[r.Key]
+	if old != nil {
+		if r.Offset < old.reportOffset {
+			return // the first read of all reports and the next one overlap
+		}
+		old.reportOffset = r.Offset
+	}
 	if len(r.Value) == 0 {
 		if old != nil {
 			l.markUnlisted(old)
@@ -136,6 +144,7 @@
 	changed := m.Draining != e.Draining || !m.Listed || m.Capacity != e.Capacity
 	m.Executor = e
 	m.Listed = true
+	m.reportOffset = r.Offset
 	if changed {
 		l.planDue[e.Service] = true
 		if e.Draining {
@@ -206,7 +215,7 @@
 // restart may have been carried out by the next one, so its first list decides on the runs.
 func (l *Leader) succeed(old, next *member) {
 	// Late orders to the former incarnation carry a lower fencing token than this.
-	next.fenceRaises = old.fenceRaises + 1
+	next.fenceRaises, next.reportOffset = old.fenceRaises+1, old.reportOffset
 	// A deadline on the clock of the former incarnation grants up to the longest lease.
 	next.leaseEnd = elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease)
 	for r := range l.tracker.RunsOn(old.Key) {
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -93,3 +93,17 @@
 		}
 	}
 }
+
+// Guards against a report that is read again after a newer one: the first read of all reports and
+// the reads that follow it overlap.
+func TestEarlierReportsAreIgnored(t *testing.T) {
+	l, m, _, _ := newRunningLeader(t)
+	l.applyReport(reportOf(1, 9, "draining"))
+	l.applyReport(reportOf(1, 8, "ready"))
+	assert.Assert(t, m.Draining && !m.CanAcceptTasks(l.now))
+	l.applyReport(platform.Record{Key: "x", Offset: 10})
+	l.applyReport(reportOf(1, 9, "ready"))
+	assert.Assert(t, !m.Listed)
+	l.applyReport(reportOf(1, 11, "ready"))
+	assert.Assert(t, m.CanAcceptTasks(l.now))
+}
