--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -107,3 +107,60 @@
 	l.applyReport(reportOf(1, 11, "ready"))
 	assert.Assert(t, m.CanAcceptTasks(l.now))
 }
+
+// Guards against running work that is started again or given up because its executor is silent: its
+// report has expired, and its polls are unanswered. The run is given up when its lease has ended.
+func TestSilentExecutorKeepsItsRunUntilItsLeaseEnds(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	l.applyReport(platform.Record{Key: "x", Offset: 1})
+	l.initFleet([]model.Instance{{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}}, l.now)
+	end := l.now + elect.RunLease
+	for l.now += 100 * time.Millisecond; l.now <= end; l.now += 100 * time.Millisecond {
+		m.polling = true
+		l.onPolled(polled{m: m, sent: l.now, err: platform.ErrUnknown.New("lost")})
+		l.markReplacedDead(l.now)
+		l.expireLeases()
+		assert.Assert(t, !r.Task.IsWaiting() && r.Phase == track.Running)
+	}
+	l.now = m.leaseEnd
+	l.expireLeases()
+	assert.Assert(t, r.Task.IsWaiting())
+	// An answer shows the executor to be alive; without a report it gets no tasks.
+	answerPoll(l, m, 1, platform.PollResult{})
+	assert.Assert(t, !m.CanAcceptTasks(l.now))
+	l.applyReport(reportOf(1, 2, "ready"))
+	assert.Assert(t, m.CanAcceptTasks(l.now))
+}
+
+// Guards against the use of an executor whose address now belongs to another service: its report is
+// read again, and starts and polls are answered by the other one.
+func TestExecutorWhoseAddressAnotherServiceUsesIsNotUsed(t *testing.T) {
+	for _, call := range []string{"poll", "start"} {
+		l, m, r, _ := newRunningLeader(t)
+		if call == "poll" {
+			l.onPolled(polled{m: m, sent: l.now, err: &platform.IncarnationError{}})
+		} else {
+			l.onStarted(startedRun{m: m, run: r, err: &platform.IncarnationError{}})
+		}
+		assert.Assert(t, r.Task.IsWaiting(), "the run has ended with its executor")
+		l.applyReport(reportOf(1, 7, "ready"))
+		assert.Assert(t, !m.CanAcceptTasks(l.now))
+		assert.Equal(t, len(l.executorsOf("s")), 0)
+	}
+}
+
+// Guards against the end of a run that its executor is told to forget before it is stored: the next
+// leader would run the task again.
+func TestEndsAreAcknowledgedOnceStored(t *testing.T) {
+	l, m, r, p := newRunningLeader(t)
+	answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: 5, Task: r.Task.ID, Attempt: r.Attempt, Ending: model.EndedDone}}})
+	l.now += maxPollDelay
+	m.due = 0
+	l.poll(m)
+	assert.Equal(t, <-p.acked, int64(0))
+	m.polling = false
+	l.onAppended(appended{batch: l.tracker.TakeChanges(), appliedSeqs: map[*member]int64{m: m.appliedSeq}, sent: l.now})
+	l.poll(m)
+	assert.Equal(t, <-p.acked, int64(5))
+}
