serve/peers, serve/proxy: a panic in the handler of one call does not end the process

The drpc library serves calls in goroutines without recover, so a panic in the handler of one call from another entry ended the process, and the same message then the next leader. The same held for the goroutines in which an entry makes the leader's calls to executors (proxy/server.go). Such a call is now answered with an error, or its outcome is not known; other calls go on, as net/http does for callers' requests (serve/front, now tested; it passed without a change).

Ruled out as a general remedy: recover in the control goroutines and in leader.call. They own state that a panic may leave half changed, and each event has its own report. What reaches them is decoded before (fuzz targets).

Without recover:

TestPanickingHandlerEndsOnlyItsCall: panic: unexpected message serve/peers.(*panicServer).Gossip ... drpcmux.(*Mux).HandleRPC ... (the test process ended) TestOutcomeOfAPanickingCallIsUnknown: panic: unexpected answer [recovered, repanicked]

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -114,7 +114,7 @@
 	rank := elect.Rank(settings.Cores)
 	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.wantedConfigAbove, a.onDigest)
 	var err error
-	if a.peerServer, err = relay.Serve(ctx, listeners[2], (*peerHandler)(a)); err != nil {
+	if a.peerServer, err = relay.Serve(ctx, listeners[2], (*peerHandler)(a), peers.WithLog(log)); err != nil {
 		cancel()
 		return nil, Err.Wrap(err)
 	}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -246,7 +246,7 @@
 
 func (e *Entry) startServers(ctx context.Context, ls listeners, operatorTLS, peerTLS *tls.Config) error {
 	var err error
-	e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS, peers.WithTracer(e.tracer))
+	e.peers, err = peers.Serve(ctx, ls.peers, peerHandler{entry: e}, peerTLS, peers.WithTracer(e.tracer), peers.WithLog(e.logger))
 	if err != nil {
 		return err
 	}
--- a/internal/serve/front/front_test.go
+++ b/internal/serve/front/front_test.go
@@ -62,3 +62,30 @@
 	defer cancel()
 	assert.NilError(t, s.Close(ctx))
 }
+
+// panicJobs panics in each query.
+type panicJobs struct{ stubJobs }
+
+func (panicJobs) Query(context.Context, string) (model.State, bool) { panic("unexpected request") }
+
+// Guards against a process that ends because the handler of one request panics.
+func TestPanickingHandlerEndsOnlyItsRequest(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := Serve(lis, panicJobs{}, zerolog.Nop())
+	defer s.CloseNow()
+	for _, want := range []int{0, http.StatusOK} {
+		path := map[int]string{0: "0123456789abcdef", http.StatusOK: ""}[want]
+		req, err := http.NewRequest(http.MethodGet, "http://"+lis.Addr().String()+"/q/"+path, nil)
+		assert.NilError(t, err)
+		req.Host = "jobs.example"
+		resp, err := http.DefaultClient.Do(req)
+		if want == 0 {
+			assert.ErrorContains(t, err, "EOF")
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, want)
+		assert.NilError(t, resp.Body.Close())
+	}
+}
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -45,6 +46,9 @@
 // WithTracer writes a span for each call that carries a trace context.
 func WithTracer(t trace.Tracer) Option { return func(h *traceExtractor) { h.tracer = t } }
 
+// WithLog logs the calls whose handlers panic.
+func WithLog(log zerolog.Logger) Option { return func(h *traceExtractor) { h.log = log } }
+
 // Serve accepts connections until Close. A nil TLS configuration means plain TCP. Errors are of
 // class Err.
 func Serve(ctx context.Context, lis net.Listener, h peerpb.DRPCPeerServer, conf *tls.Config, opts ...Option) (*Server, error) {
@@ -62,7 +66,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
-	traced := traceExtractor{mux, noop.NewTracerProvider().Tracer("peers")}
+	traced := traceExtractor{Handler: mux, tracer: noop.NewTracerProvider().Tracer("peers")}
 	for _, o := range opts {
 		o(&traced)
 	}
--- a/internal/serve/peers/peers_test.go
+++ b/internal/serve/peers/peers_test.go
@@ -128,3 +128,25 @@
 		assert.Assert(t, time.Now().Before(end), "not reached in time")
 	}
 }
+
+// panicServer panics in each call of gossip.
+type panicServer struct {
+	peerpb.DRPCPeerUnimplementedServer
+}
+
+func (*panicServer) Gossip(context.Context, *peerpb.DigestAsk) (*peerpb.Digest, error) {
+	panic("unexpected message")
+}
+
+// Guards against a process that ends because the handler of one call panics.
+func TestPanickingHandlerEndsOnlyItsCall(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s, err := Serve(context.Background(), lis, &panicServer{}, nil)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, s.Close()) }()
+	for range 2 {
+		_, err = gossip(t, context.Background(), lis.Addr().String(), nil)
+		assert.ErrorContains(t, err, "panicked")
+	}
+}
--- a/internal/serve/peers/trace.go
+++ b/internal/serve/peers/trace.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"path"
+	"runtime/debug"
 
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"storj.io/drpc"
@@ -30,10 +32,18 @@
 type traceExtractor struct {
 	drpc.Handler
 	tracer oteltrace.Tracer
+	log    zerolog.Logger
 }
 
-// HandleRPC handles one call.
-func (h traceExtractor) HandleRPC(stream drpc.Stream, rpc string) error {
+// HandleRPC handles one call. A call whose handler panics is answered with an Err: the drpc library
+// would let the panic end the process.
+func (h traceExtractor) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.log.Error().Str("rpc", rpc).Interface("cause", cause).Bytes("stack", debug.Stack()).Msg("handler of a call panicked")
+			err = Err.New("handler of %s panicked", rpc)
+		}
+	}()
 	data, ok := drpcmetadata.Get(stream.Context())
 	if !ok {
 		return h.Handler.HandleRPC(stream, rpc)
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -252,6 +252,21 @@
 	assert.Equal(t, r.count(), 0)
 }
 
+// panicExecs panics in each start.
+type panicExecs struct{ execRecorder }
+
+func (*panicExecs) Start(context.Context, platform.Target, platform.Start) (time.Duration, error) {
+	panic("unexpected answer")
+}
+
+// Guards against an entry that ends because a call that it makes for the leader panics.
+func TestOutcomeOfAPanickingCallIsUnknown(t *testing.T) {
+	c := &callServer{execs: &panicExecs{}, clk: clock.NewFake(time.Unix(0, 0)), specs: map[string]cachedSpec{}}
+	out := c.execute(context.Background(), &workpb.Order{Seq: 4, Kind: uint32(kindStart), Task: "j.0.0.1", Limit: 300}, "s", 0)
+	assert.Equal(t, verdict(out.GetVerdict()), verdictUnknown)
+	assert.Equal(t, out.GetSeq(), uint64(4))
+}
+
 // Guards against a suspended leader that resumes and sends orders that it decided before: the order
 // is not sent, and is known not to have been.
 func TestOrdersOfASuspendedLeaderAreNotSent(t *testing.T) {
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -93,9 +93,16 @@
 }
 
 // execute makes one call. It refuses an order whose time limit has passed since it arrived: the
-// leader no longer waits for it, and its lease may have expired since.
-func (c *callServer) execute(ctx context.Context, o *workpb.Order, text string, arrived time.Duration) *workpb.Outcome {
-	out := &workpb.Outcome{Seq: o.GetSeq()}
+// leader no longer waits for it, and its lease may have expired since. The outcome of a call that
+// panics is not known.
+func (c *callServer) execute(ctx context.Context, o *workpb.Order, text string, arrived time.Duration) (out *workpb.Outcome) {
+	out = &workpb.Outcome{Seq: o.GetSeq()}
+	defer func() {
+		if cause := recover(); cause != nil {
+			out = &workpb.Outcome{Seq: o.GetSeq()}
+			setError(out, Err.New("call panicked: %v", cause))
+		}
+	}()
 	remaining := time.Duration(o.GetLimit())*time.Millisecond - (c.clk.Now() - arrived)
 	if remaining <= 0 {
 		out.Verdict, out.Reason = uint32(verdictRefused), uint32(platform.ReasonLate)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -103,12 +103,12 @@
 }
 
 // Serve serves requests of other entries until the returned server is closed. It returns an Err.
-func Serve(ctx context.Context, lis net.Listener, h Handler) (*peers.Server, error) {
+func Serve(ctx context.Context, lis net.Listener, h Handler, opts ...peers.Option) (*peers.Server, error) {
 	mux := drpcmux.New()
 	if err := workpb.DRPCRegisterRelay(mux, &server{handler: h}); err != nil {
 		return nil, Err.Wrap(err)
 	}
-	return peers.ServeMux(ctx, lis, mux, nil), nil
+	return peers.ServeMux(ctx, lis, mux, nil, opts...), nil
 }
 
 func (s *server) Submit(ctx context.Context, a *workpb.SubmitAsk) (*workpb.SubmitReply, error) {
