platform: the last check before an order for an instance is after its connection is open

An order for an instance may be sent within 0.5 s of its decision, since some deployments check no fencing tokens there. That was checked before the call (operation.go). If the process was suspended while the connection was opened, the order was sent seconds late: the timeouts of the call run on the clock that stands still in a suspension. A later leader could have sent another order by then. The body of such an order now fails to be read if it may not be sent any more, which is after the connection is open; without its whole body the order does nothing.

What remains is the time between that check and the system call that writes, in which no code of ours runs. Orders to executors need no such check: their deadlines are times on the executor's own clock, and their fencing tokens are checked.

Without the check in checkedBody.Read (scratch change):

--- FAIL: TestOrdersForInstancesAreNotSentAfterASlowConnection leader_test.go:328: assertion failed: expression is false: errors.As(err, &refused) && refused.Reason == platform.ReasonLate: <nil>

--- a/internal/serve/leader/leader_test.go
+++ b/internal/serve/leader/leader_test.go
@@ -19,6 +19,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
 // newTestLeader returns a leader with one executor and a job of one task, and no connections.
@@ -294,6 +295,44 @@
 	assert.Assert(t, !op.decided && !op.inFlight)
 }
 
+// suspendedClock is the clock of a process that is suspended for 4 s between two readings.
+type suspendedClock struct{ *clock.Fake }
+
+func (c suspendedClock) Now() time.Duration {
+	defer c.Advance(4 * time.Second)
+	return c.Fake.Now()
+}
+
+// Guards against an order for an instance that is sent late because the process was suspended while
+// the connection was opened: timeouts do not count that time.
+func TestOrdersForInstancesAreNotSentAfterASlowConnection(t *testing.T) {
+	w := fake.NewPlatform(map[string]int{"s": 1})
+	defer w.Close()
+	l, _, _ := newTestLeader(t)
+	l.ctx, l.events, l.Meters = context.Background(), make(chan event, 1), NewMeters(tally.NoopScope)
+	l.LastRenewal = func() time.Duration { return l.now }
+	l.Settings = w.Settings("self", 1, 2, 3)
+	l.Client = platform.NewClient(l.Settings)
+	defer l.Client.Close()
+	l.initFleet([]model.Instance{{Name: "m-s-0", Pool: "s"}}, l.now)
+	order := func(clk clock.Clock) error {
+		l.Clock = clk
+		op := &operation{instance: "m-s-0", wave: 1, decided: true, stored: true, ordered: true, decidedAt: l.now}
+		l.advanceOperation(op)
+		return (<-l.events).(orderAnswered).err
+	}
+	clk := clock.NewFake(time.Unix(0, 0))
+	clk.Advance(l.now)
+	refused := (*platform.OrderError)(nil)
+	err := order(suspendedClock{clk})
+	assert.Assert(t, errors.As(err, &refused) && refused.Reason == platform.ReasonLate, "%v", err)
+	assert.Equal(t, len(w.MaintainedMachines(1)), 0)
+	clk = clock.NewFake(time.Unix(0, 0))
+	clk.Advance(l.now)
+	assert.NilError(t, order(clk))
+	assert.Equal(t, len(w.MaintainedMachines(1)), 1)
+}
+
 // Guards against a leader that treats an order of its predecessor, whose clock is ahead, as one
 // of its own, and orders the instance without the handover interval.
 func TestOrdersOfAFormerLeaderAreAwaited(t *testing.T) {
--- a/internal/serve/leader/operation.go
+++ b/internal/serve/leader/operation.go
@@ -149,17 +149,18 @@
 	l.Meters.instanceCalls.Inc(1)
 	l.Log.Info().Str("instance", op.instance).Str("to", op.pool).Int64("wave", op.wave).Msg("sending order for instance")
 	decidedAt := op.decidedAt
+	maySend := func() bool { return elect.MaySend(decidedAt, l.Clock.Now()) }
 	l.call(func(ctx context.Context) event {
-		if !elect.MaySend(decidedAt, l.Clock.Now()) {
+		if !maySend() {
 			// The process was suspended after the order was decided.
 			return orderAnswered{op: op, err: &platform.OrderError{Reason: platform.ReasonLate}}
 		}
 		call, cancel := context.WithTimeout(ctx, elect.OrderTimeout)
 		defer cancel()
 		if op.pool == "" {
-			return orderAnswered{op: op, err: l.Client.Maintain(call, l.token, op.instance, op.wave)}
+			return orderAnswered{op: op, err: l.Client.Maintain(call, l.token, op.instance, op.wave, maySend)}
 		}
-		return orderAnswered{op: op, err: l.Client.Move(call, l.token, op.instance, op.pool)}
+		return orderAnswered{op: op, err: l.Client.Move(call, l.token, op.instance, op.pool, maySend)}
 	})
 }
 
