--- /dev/null
+++ b/internal/serve/lead/suspended_test.go
@@ -0,0 +1,61 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
+)
+
+// Guards against a leader that acts on a claim or renewal that it sent before it was suspended: the
+// lease counts from when the record was sent, also where the answer was lost and the record is read.
+func TestLeaseCountsFromWhenTheRecordWasSent(t *testing.T) {
+	const answer = 100 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		faults fake.Faults
+		send   func(e *Elector)
+	}{
+		{"claim", fake.Faults{Delay: answer}, func(e *Elector) { e.claim(context.Background()) }},
+		{"renewal", fake.Faults{Delay: answer}, func(e *Elector) {
+			e.leader = Leader{Token: 1, Name: "self", IsSelf: true}
+			e.renewOrResign(context.Background())
+		}},
+		{"claim without an answer", fake.Faults{LoseAnswers: true, Delay: answer}, func(e *Elector) {
+			e.claim(context.Background())
+			e.follow(context.Background())
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := fake.NewPlatform(nil)
+			defer w.Close()
+			storeProxy := w.NewStoreProxy()
+			set := w.Settings("self", 1, 2, 3)
+			set.Store.Addr = storeProxy.Addr()
+			cl := platform.NewClient(set)
+			defer cl.Close()
+			clk := clock.NewFake(time.Unix(0, 0))
+			clk.Advance(time.Minute)
+			e := &Elector{client: cl, clk: clk, log: zerolog.Nop(), id: Identity{Name: "self"}, nonce: "s", changed: make(chan struct{}, 1)}
+			storeProxy.Set(c.faults)
+			resumed := make(chan struct{})
+			time.AfterFunc(answer/2, func() {
+				clk.Advance(elect.LeadershipTTL)
+				storeProxy.Set(fake.Faults{})
+				close(resumed)
+			})
+			c.send(e)
+			<-resumed
+			assert.Assert(t, e.Leader().IsSelf)
+			assert.Equal(t, e.LastRenewal(), time.Minute)
+			assert.Assert(t, !elect.CanAct(e.LastRenewal(), clk.Now()))
+		})
+	}
+}
