--- a/internal/serve/agent/lost_test.go
+++ b/internal/serve/agent/lost_test.go
@@ -57,3 +57,34 @@
 	r.until("all tasks run", func() bool { return r.platform.Running(id) == 3 })
 	r.assertNoViolations()
 }
+
+// Guards against a job that its caller hears is refused, and that runs: the leader stored it, the
+// answer was lost, and the store then refused the entry that the caller had asked.
+func TestJobWhoseAnswerIsLostIsNotRefused(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 2, "pool-b": 1})
+	lead := r.leader()
+	other := 1 - lead
+	r.until("the entry that is asked follows the leader", func() bool { return r.entries[other].elector.Leader().Name == r.settings[lead].Node })
+	r.storeProxies[lead].Set(fake.Faults{LoseAnswers: true})
+	r.storeProxies[other].Set(fake.Faults{Busy: true})
+	status, _, _ := r.request(other, http.MethodPost, jobPath("a", 1), oneStepJob)
+	for _, p := range r.storeProxies {
+		p.Set(fake.Faults{})
+	}
+	r.until("a job is accepted", func() bool {
+		status, _, _ := r.request(other, http.MethodPost, jobPath("a", 2), oneStepJob)
+		return status == http.StatusOK
+	})
+	runs := []int{2}
+	if status == http.StatusGatewayTimeout {
+		runs = append(runs, 1)
+	}
+	for _, i := range runs {
+		r.until("the job is complete", func() bool { return r.jobState(other, jobPath("a", i)) == "complete" })
+	}
+	if status == http.StatusServiceUnavailable {
+		// The leader did not send it, since another append was not answered.
+		assert.Equal(t, r.platform.Starts(fmt.Sprintf("%016x", 1)), 0)
+	}
+	r.assertNoViolations()
+}
