A cancel waits for the leaderless records before it is denied

A caller would see: 410 for the cancel of a job that was accepted less than a second before, and the job then runs.

Cause: an entry without a leader stored the job; the leader reads such records once a second and answered a cancel before that from what it knew.

Now a cancel of an unknown job waits for a read of these records that was sent after it arrived, and goes back to the entry that sent it if they can't be read. The test of unknown jobs expects the wait and then the same answer.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -98,6 +98,7 @@
 	executorTail   tailState
 	leaderlessTail tailState
 	leaderless     map[string]struct{} // jobs with leaderless records
+	unread         []*cancelRequest    // cancels that wait for the next read of leaderless records
 
 	deferred  []event // requests that arrived before the state was loaded
 	planDue   map[string]bool
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -113,6 +114,8 @@
 	assert.Assert(t, !ask())
 	c := &cancelRequest{id: "unknown", reply: make(chan relay.Verdict, 1)}
 	l.onCancel(c)
+	assert.Equal(t, len(c.reply), 0)
+	l.onLeaderless(leaderlessRead{err: errors.New("no answer")})
 	assert.Equal(t, <-c.reply, relay.NotLeader)
 }
 
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -51,6 +51,7 @@
 type cancelRequest struct {
 	id    string
 	at    time.Duration
+	asked time.Duration // when it arrived, on the entry's clock
 	reply chan relay.Verdict
 }
 
@@ -214,8 +215,17 @@
 		l.deferred = append(l.deferred, ev)
 		return
 	}
+	if ev.asked == 0 {
+		ev.asked = l.now
+	}
 	j := l.tracker.Job(ev.id)
 	if j == nil && l.findUnstored(ev.id) == nil {
+		if ev.asked > l.leaderlessTail.lastRead {
+			// Another entry may have stored the job since the last read of leaderless records.
+			l.unread = append(l.unread, ev)
+			l.leaderlessTail.next = l.now
+			return
+		}
 		if l.knowsAllJobs() {
 			ev.reply <- relay.NotFound
 		} else {
@@ -285,6 +295,7 @@
 
 // refuseAll answers the requests that were not handled before the leader was closed.
 func (l *Leader) refuseAll() {
+	l.returnUnread()
 	l.returnUnsent()
 	for _, ev := range l.deferred {
 		switch ev := ev.(type) {
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -371,6 +371,7 @@
 	l.leaderlessTail.busy = false
 	if ev.err != nil {
 		l.Log.Info().Err(ev.err).Int64("from", ev.from).Msg("leaderless records can't be read")
+		l.returnUnread()
 		return
 	}
 	l.leaderlessTail.lastRead = l.leaderlessTail.sent
@@ -378,6 +379,20 @@
 		l.applyLeaderless(r)
 	}
 	l.leaderlessTail.from = max(l.leaderlessTail.from, ev.next)
+	unread := l.unread
+	l.unread = nil
+	for _, c := range unread {
+		l.onCancel(c)
+	}
+}
+
+// returnUnread returns the cancels of jobs that are not known to the entries that sent them, which
+// store the cancels themselves.
+func (l *Leader) returnUnread() {
+	for _, c := range l.unread {
+		c.reply <- relay.NotLeader
+	}
+	l.unread = nil
 }
 
 // applyLeaderless applies a leaderless record: a job or a cancel.
