--- a/internal/jobs/elect/handover.go
+++ b/internal/jobs/elect/handover.go
@@ -14,8 +14,8 @@
 	sendWindow = 500 * time.Millisecond
 	// OrderTimeout is the timeout of the call that sends an order, including the connection.
 	OrderTimeout = 700 * time.Millisecond
-	// maxClockSkew is the largest difference between the wall clocks of two entries.
-	maxClockSkew = 300 * time.Millisecond
+	// MaxClockSkew is the largest difference between the wall clocks of two entries.
+	MaxClockSkew = 300 * time.Millisecond
 )
 
 // MaySend reports whether an order that was recorded at recorded may still be sent.
@@ -25,5 +25,5 @@
 // which an earlier leader recorded an order at recorded. interval is the least time between orders
 // of two leaders.
 func HandoverEnd(recorded, interval time.Duration) time.Duration {
-	return recorded + sendWindow + OrderTimeout + interval + maxClockSkew
+	return recorded + sendWindow + OrderTimeout + interval + MaxClockSkew
 }
