proof/check: a model of the leadership, searched exhaustively up to a bound

Entries claim, renew and resign under the condition of the claim log, accept a job and run its tasks; requests are late, answers lost, executors and entries restart, leases lapse, a submission is repeated. The decisions of jobs/elect, jobs/execs and jobs/track are called; those inside serve/leader and serve/lead, which can't be called from outside, are written out once more and named in the package comment.

The search found faults of the present decisions.

--- /dev/null
+++ b/internal/proof/check/check.go
@@ -0,0 +1,275 @@
+// Package check searches all interleavings of a small model of the leadership up to a bound. A few
+// entries claim, renew and resign in the store's claim log, accept one job, and run its tasks on a
+// few executors. Requests can be carried out late, answers can be lost or overtake one another,
+// and executors and entries can restart.
+//
+// Each state is a comparable value. The decisions are those of jobs/elect, jobs/execs and
+// jobs/track: a step restores a track.Tracker from the state, calls it and saves it again.
+//
+// Some decisions can't be called, since they are methods of the control goroutine of serve/leader or
+// of the elector in serve/lead. They are written out once more, each under the name of the function
+// that it follows: when an unanswered start is void and which runs are given up (reconcileRuns,
+// expireLeases, replaceIncarnation), when the runs of earlier leaders are known (resolveFormerRuns,
+// allContacted), which ends count as stored (flush, onAppended), and who leads (applyRecord,
+// isStillLeader). A change of one of them has to be made here as well.
+//
+// There is no step for a suspended process: no process has to take any step, and each request
+// keeps the time and the fencing token with which it was made until it is carried out.
+package check
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+)
+
+// Limits bound the search. Each is the largest number of such steps on any path.
+type Limits struct {
+	// Ticks is the number of steps of the clock.
+	Ticks int
+	// Claims includes the claim of the first leader.
+	Claims int
+	Starts int
+	Polls  int
+	// Lost is the number of appends to the claim log whose answer is lost or that are carried out
+	// late.
+	Lost int
+	// SlowStarts and SlowPolls are the numbers of calls to executors that are carried out late or
+	// not at all, or whose answer is late or lost.
+	SlowStarts, SlowPolls int
+	// Crashes is the number of restarts of executors under the same name, and Restarts the number
+	// of restarts of entries.
+	Crashes, Restarts int
+	Resigns           int
+	// Tries is the number of times that a caller submits the job, 0 for a job that is stored at the
+	// start.
+	Tries int
+	// States stops the search at so many states, 0 for no limit.
+	States int
+}
+
+// Model is a model with its bounds.
+type Model struct {
+	entries, execs, tasks int
+	tick                  time.Duration
+	idle                  time.Duration
+	limits                Limits
+	mutation              mutation
+	repairs               Repair
+	unchecked             Breach
+
+	spec     model.JobSpec
+	queue    model.Queue
+	progress [1 << maxTasks]track.Record
+	ended    track.Record
+	job      track.Record
+	ownJob   track.Record
+}
+
+// mutation replaces one decision.
+type mutation uint8
+
+const (
+	noMutation mutation = iota
+	acceptAnyFence
+	releaseAtOnce
+	dropUnanswered
+)
+
+// Option changes a model.
+type Option func(*Model)
+
+// WithSize sets the number of entries, executors and tasks.
+func WithSize(entries, execs, tasks int) Option {
+	return func(m *Model) { m.entries, m.execs, m.tasks = entries, execs, tasks }
+}
+
+// WithTick sets the time between two steps of the clock.
+func WithTick(d time.Duration) Option { return func(m *Model) { m.tick = d } }
+
+// WithIdle sets how long before the start the first leader last called the executors.
+func WithIdle(d time.Duration) Option { return func(m *Model) { m.idle = d } }
+
+// WithoutFences makes executors carry out orders with a lower fencing token than they have seen.
+func WithoutFences() Option { return func(m *Model) { m.mutation = acceptAnyFence } }
+
+// WithoutLeaseWait makes a leader take all runs of earlier leaders for ended at once.
+func WithoutLeaseWait() Option { return func(m *Model) { m.mutation = releaseAtOnce } }
+
+// WithoutVoiding makes a leader drop an unanswered start that an executor does not list, without
+// raising the fencing token first.
+func WithoutVoiding() Option { return func(m *Model) { m.mutation = dropUnanswered } }
+
+// Repair is a set of changes to decisions of serve/leader that are proposed because of a breach.
+type Repair uint16
+
+// Proposed changes. The model has the present decision without them.
+const (
+	// RenewedLeases gives up the runs on an executor only once a renewal was sent after the end of
+	// its leases: a later leader may have extended them, see Leader.expireLeases.
+	RenewedLeases Repair = 1 << iota
+	// UnstoredEnds does not take ends for stored after the append that has them was refused, see
+	// Leader.flush.
+	UnstoredEnds
+	// MovedRuns keeps the runs on an executor that restarted until its new incarnation has listed
+	// its runs: the orders may have been carried out there, see Leader.replaceIncarnation.
+	MovedRuns
+	// SlowClocks takes the clock of an executor that was not called for long to be slow, see
+	// member.deadline.
+	SlowClocks
+	// Resigners does not take a leader for the only one once it has sent its resignation, see
+	// Elector.renewOrResign.
+	Resigners
+	// LoadedJobs starts no task of a job that an entry without a leader stored until a later leader
+	// would load that job, as for executors in Leader.isVisibleToSuccessor, see Leader.applyLeaderless.
+	LoadedJobs
+	// SoleStarts starts no task once another entry may have claimed: an executor that restarted has
+	// not seen the fencing token of the later leader. No task starts in an outage of the store then,
+	// so AllRepairs does not include it.
+	SoleStarts
+	// OwnOrders tells a leader's own orders for instances from those of earlier leaders by what it
+	// remembers, not by their time, see Leader.mayOrder.
+	OwnOrders
+
+	AllRepairs = RenewedLeases | UnstoredEnds | MovedRuns | SlowClocks | Resigners | LoadedJobs | OwnOrders
+)
+
+// WithRepairs makes proposed changes.
+func WithRepairs(r Repair) Option { return func(m *Model) { m.repairs = r } }
+
+// Ignoring does not check some promises.
+func Ignoring(b Breach) Option { return func(m *Model) { m.unchecked = b } }
+
+// New returns a model of 2 entries, 2 executors and one task, with steps of 2.45 s: two of them are
+// within elect.LeadershipTTL, and a lease of elect.RunLease on a slow clock outlasts two.
+func New(limits Limits, opts ...Option) *Model {
+	m := &Model{entries: 2, execs: 2, tasks: 1, tick: 2450 * time.Millisecond, limits: limits}
+	for _, o := range opts {
+		o(m)
+	}
+	m.spec = model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: m.tasks}}}
+	m.queue = model.Queue{Name: "q", Service: "s", Attempts: 1}
+	m.encodeRecords()
+	return m
+}
+
+// Breach is a set of broken promises.
+type Breach uint8
+
+// Promises that can be broken.
+const (
+	// Twice is two runs of a task at once, or a start after its end was taken note of.
+	Twice Breach = 1 << iota
+	// Fence is an effect of an order at an executor that has seen a higher fencing token.
+	Fence
+	// Lost is an accepted job that a new leader does not load.
+	Lost
+	// Refused is a run of a job all of whose submissions were answered as refused.
+	Refused
+	// Early is a job that is stored as complete before its tasks are done.
+	Early
+	// Denied is an answer that an accepted job does not exist.
+	Denied
+)
+
+// String returns the names of the promises.
+func (b Breach) String() string {
+	var out []string
+	for i, s := range [...]string{"twice", "fence", "lost", "refused", "early", "denied"} {
+		if b&(1<<i) != 0 {
+			out = append(out, s)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// Result is the result of a search.
+type Result struct {
+	// States is the number of different states, and Depth the number of steps to the last of them.
+	States, Depth int
+	// Complete is set if all states within the limits were visited.
+	Complete bool
+	// Breach is the first breach that was found, and Trace the shortest way to it.
+	Breach Breach
+	Trace  []string
+	// Seen counts the transitions by their kind.
+	Seen map[string]int
+}
+
+// step is a transition to a state.
+type step struct {
+	name    string
+	a, b, c uint8
+}
+
+// String returns the step for a trace.
+func (s step) String() string { return fmt.Sprintf("%s %d %d %d", s.name, s.a, s.b, s.c) }
+
+// origin is how a state was reached first.
+type origin struct {
+	parent int
+	by     step
+}
+
+// Search visits all states breadth-first, until a promise is broken.
+func (m *Model) Search() Result {
+	first := m.initial()
+	index := map[state]struct{}{first: {}}
+	origins := []origin{{parent: -1}}
+	level, levelAt := []state{first}, 0
+	res := Result{Seen: map[string]int{}}
+	for len(level) > 0 && res.Breach == 0 {
+		if m.limits.States > 0 && len(origins) > m.limits.States {
+			break
+		}
+		var next []state
+		nextAt := len(origins)
+		for i, s := range level {
+			m.expand(s, func(by step, n state) {
+				if res.Breach != 0 {
+					return
+				}
+				res.Seen[by.name]++
+				m.normalize(&n)
+				n.broken &^= m.unchecked
+				if _, ok := index[n]; ok {
+					return
+				}
+				index[n] = struct{}{}
+				origins = append(origins, origin{levelAt + i, by})
+				next = append(next, n)
+				res.Breach = n.broken
+			})
+			if res.Breach != 0 {
+				break
+			}
+		}
+		if len(next) > 0 {
+			res.Depth++
+		}
+		level, levelAt = next, nextAt
+	}
+	res.States, res.Complete = len(origins), len(level) == 0
+	if res.Breach != 0 {
+		for i := len(origins) - 1; i > 0; i = origins[i].parent {
+			res.Trace = append([]string{origins[i].by.String()}, res.Trace...)
+		}
+	}
+	return res
+}
+
+// at returns a time of the model on the clock of the entries.
+func (m *Model) at(t tick) time.Duration { return time.Duration(t) * m.tick }
+
+// clock returns what the clock of an executor shows at a time. It runs slow by elect.ClockDrift.
+func (m *Model) clock(x *executor, t tick) time.Duration {
+	since := m.at(t - x.bornAt)
+	if x.born == 1 {
+		since += 2 * m.idle
+	}
+	return since - time.Duration(elect.ClockDrift*float64(since))
+}
