proof/check: a refused append lets executors forget ends

A task runs again after its end was taken note of. The append with the end is fenced by a later leader, Leader.onAppended returns, and the next Leader.flush finds no changes and takes all applied ends for stored. The poll that follows acknowledges them, the executor forgets the end, and the later leader, which had loaded before, lists neither run nor end and starts the task again.

Passes with UnstoredEnds.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -132,3 +132,8 @@
 	}
 	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs|SoleStarts)))
 }
+
+// Guards against an end that an executor forgets because of an append that was refused.
+func TestEndsOfARefusedAppendAreNotConfirmed(t *testing.T) {
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}, WithRepairs(AllRepairs&^UnstoredEnds)))
+}
