proof/check: a run on an executor that restarted is dropped

Two runs of a task at once. An executor restarts under its id and carries out a start; the poll shows the new incarnation and Leader.replaceIncarnation drops all runs of the old one, although the answer may even list the run. The same holds for Leader.applyReport.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -137,3 +137,8 @@
 func TestEndsOfARefusedAppendAreNotConfirmed(t *testing.T) {
 	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}, WithRepairs(AllRepairs&^UnstoredEnds)))
 }
+
+// Guards against a second run of a task whose order an executor carried out after a restart.
+func TestOrdersToARestartedExecutorAreNotForgotten(t *testing.T) {
+	assertKept(t, search(t, Limits{Claims: 1, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs&^MovedRuns)))
+}
