proof/check: a former leader gives up runs whose leases a later one extended

Two runs of a task at once. Leader.expireLeases compares the clock with the leases that this leader has granted. A later leader may have extended them since the last renewal, and the former one may still start the task on an executor that the later one does not reach.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -142,3 +142,9 @@
 func TestOrdersToARestartedExecutorAreNotForgotten(t *testing.T) {
 	assertKept(t, search(t, Limits{Claims: 1, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs&^MovedRuns)))
 }
+
+// Guards against a run that is given up by its former leader although the later leader has extended
+// its lease.
+func TestLeasesExtendedByALaterLeader(t *testing.T) {
+	assertKept(t, search(t, Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, WithRepairs(AllRepairs&^RenewedLeases)))
+}
