proof/check: two leaders start a job that was stored without a leader

Two runs of a task at once. A job that an entry stores without a leader, after a takeover has loaded the state, is read by the later leader and by the former one, which may act for LeadershipTTL. For neither is it unresolved, and both start it.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -148,3 +148,8 @@
 func TestLeasesExtendedByALaterLeader(t *testing.T) {
 	assertKept(t, search(t, Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, WithRepairs(AllRepairs&^RenewedLeases)))
 }
+
+// Guards against a job that an entry stored without a leader and that two leaders read and start.
+func TestLeaderlessJobsAreStartedByOneLeader(t *testing.T) {
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}, WithRepairs(AllRepairs&^LoadedJobs)))
+}
