proof/check: leases on slow clocks outlast FormerRunsEnd

Two runs of a task at once. member.deadline extrapolates the clock of an executor that was not called for long. With a clock 2% slow, 200 s make the lease 4 s longer, and FormerRunsEnd ends before. Idle executors are not polled.

Passes with SlowClocks.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -153,3 +153,10 @@
 func TestLeaderlessJobsAreStartedByOneLeader(t *testing.T) {
 	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}, WithRepairs(AllRepairs&^LoadedJobs)))
 }
+
+// Guards against a lease that outlasts elect.FormerRunsEnd on the slow clock of an executor that was
+// idle.
+func TestLeasesOnSlowClocksEndInTime(t *testing.T) {
+	assertKept(t, search(t, Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1},
+		WithRepairs(AllRepairs&^SlowClocks), WithIdle(200*time.Second), WithTick(tightTick)))
+}
