proof/check: a former leader starts a task on an executor that restarted

Two runs of a task at once. An executor that restarts after a takeover has seen no fencing token. The former leader, within LeadershipTTL, starts a task there that the later leader runs elsewhere.

Read in the code, not run on the real Leader.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -160,3 +160,9 @@
 	assertKept(t, search(t, Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1},
 		WithRepairs(AllRepairs&^SlowClocks), WithIdle(200*time.Second), WithTick(tightTick)))
 }
+
+// Guards against a start by a former leader on an executor that restarted and has not seen the later
+// leader's fencing token.
+func TestFormerLeaderStartsNothingOnARestartedExecutor(t *testing.T) {
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs)))
+}
