proof/check: a leader that resigned denies jobs of its successor

A leader says that an accepted job does not exist. Its resignation is stored and the answer lost; it still takes itself for the only leader until 650 ms after its last renewal, while a successor may claim at once.

Read in the code, not run on the real Elector. Passes with Resigners.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -166,3 +166,8 @@
 func TestFormerLeaderStartsNothingOnARestartedExecutor(t *testing.T) {
 	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs)))
 }
+
+// Guards against a leader that denies a job after its resignation was stored without an answer.
+func TestResignedLeaderDoesNotDenyJobs(t *testing.T) {
+	assertKept(t, search(t, Limits{Claims: 2, Tries: 1, Lost: 1, Resigns: 1}, WithRepairs(AllRepairs&^Resigners)))
+}
