proof/check: an order of a former leader is taken for an own one

Two leaders order one instance within the handover interval. Leader.mayOrder takes an order for its own if it was recorded after the takeover, by the wall clock of the entry that recorded it. That clock may be 300 ms ahead, and a planned handover takes less.

--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -171,3 +171,10 @@
 func TestResignedLeaderDoesNotDenyJobs(t *testing.T) {
 	assertKept(t, search(t, Limits{Claims: 2, Tries: 1, Lost: 1, Resigns: 1}, WithRepairs(AllRepairs&^Resigners)))
 }
+
+// Guards against an order of the former leader that is taken for the new leader's own, since the
+// former one's clock is ahead.
+func TestOrdersJustBeforeATakeoverAreAwaited(t *testing.T) {
+	_, race := SearchOrders(3*time.Second, true, AllRepairs&^OwnOrders)
+	assert.Assert(t, race == nil, "%s", race)
+}
