--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -85,7 +85,7 @@
 		"claim", "time and renewal", "resignation", "unanswered claim", "delayed claim", "unanswered resignation", "late claim record",
 		"learns of a claim", "learns of its claim", "load", "store", "poll", "start", "poll slowly", "start slowly", "carried out: start",
 		"no answer: poll", "answer: poll", "task ends", "restart of executor", "restart of entry", "report", "read reports",
-		"submit", "submit to leader", "refused", "store leaderless job", "delayed leaderless job", "read leaderless", "answer to caller is lost",
+		"submit", "submit to leader", "refused", "store leaderless job", "delayed leaderless job", "read leaderless", "answer to caller is lost", "answer to entry is lost",
 	} {
 		assert.Assert(t, *deep || seen[name] > 0, "no step %q", name)
 	}
--- a/internal/proof/check/store.go
+++ b/internal/proof/check/store.go
@@ -103,6 +103,12 @@
 		n.answerCaller(false)
 		emit(step{"answer to caller is lost", 0, 0, 0}, n)
 	}
+	if c.leader != 0 {
+		// The entry does not hear from the leader, which may still store the job.
+		n := s
+		n.caller.leader, n.caller.unsure = 0, true
+		emit(step{"answer to entry is lost", c.leader - 1, 0, 0}, n)
+	}
 	if c.leader != 0 && s.entries[c.leader-1].queued {
 		// The leader returns the request, see Leader.returnQueued.
 		n := s
