The starts in flight are limited by the time that their answers take

Cause: a leader sent all starts that fit on the executors at once. Orders beyond what its link, its processor or the entries that make its calls can carry waited in queues longer than their time limit of 0.35 s.

jobs/window limits the starts in flight as a congestion window does: it doubles while answers are fast, grows slowly while there is a queue, and is lowered when two fifths of the answers take over 0.25 s.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -15,6 +15,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/jobs/window"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/internal/serve/proxy"
 	"chervilgauge.example/chervilgauge/platform"
@@ -104,6 +105,9 @@
 	planDue   map[string]bool
 	nextPlan  time.Duration
 	jobOrders map[string]*jobOrder // by service
+	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
+	window       window.Window
+	windowLogged time.Duration
 	// nextSweep is when all runs and leases are checked next.
 	nextSweep   time.Duration
 	nextPurge   time.Duration
@@ -323,6 +327,7 @@
 	}
 	l.Meters.activeJobs.Update(float64(len(l.tracker.Active())))
 	l.Meters.pendingJobs.Update(float64(pending))
+	l.Meters.startLimit.Update(float64(l.window.Size()))
 	for _, id := range l.tracker.ForgetEnded(l.wall - l.Settings.Bounds.Status - statusRetentionSlack) {
 		if _, ok := l.leaderless[id]; ok {
 			l.purgeLeaderless(id)
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -33,6 +33,8 @@
 	stopTimeout = 500 * time.Millisecond
 	// stopRetryInterval is the time after which a stop is repeated if the end is not listed.
 	stopRetryInterval = 700 * time.Millisecond
+	// limitLogInterval is the least time between log lines about the limit of starts in flight.
+	limitLogInterval = 1 * time.Second
 	// startRetryDelay delays the next start of a task that an executor refused for lack of
 	// capacity, where there seemed to be enough, or for another passing reason.
 	startRetryDelay = 60 * time.Millisecond
@@ -44,7 +46,8 @@
 
 // plan starts waiting tasks of the services that changed since the last round.
 func (l *Leader) plan() {
-	if len(l.planDue) == 0 || l.now < l.nextPlan || l.Orders.Config() == nil {
+	room := l.window.Room()
+	if len(l.planDue) == 0 || l.now < l.nextPlan || l.Orders.Config() == nil || room == 0 {
 		return
 	}
 	begin := l.Clock.Now()
@@ -65,6 +68,10 @@
 	clear(l.planDue)
 	rare := l.rarity()
 	for _, s := range due {
+		if room <= 0 {
+			l.planDue[s] = true
+			continue
+		}
 		order := l.jobOrders[s]
 		allowed := anyExecutor
 		if order.needsAdvice {
@@ -73,12 +80,13 @@
 				l.requestAdvice(j, members[s])
 			}
 		}
-		limit := max(minStartLimit, len(members[s]))
+		limit := min(max(minStartLimit, len(members[s])), room)
 		starts := assign.Plan(order.jobs, members[s], allowed, rare, l.now, limit)
 		for _, st := range starts {
 			l.startRun(st)
 		}
-		if len(starts) == limit || order.madeAt < l.now {
+		room -= len(starts)
+		if len(starts) >= limit || order.madeAt < l.now {
 			// More tasks may be startable, or jobs have arrived since the order was computed.
 			l.planDue[s] = true
 		}
@@ -177,25 +185,35 @@
 	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
 		Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
 	m.startsInFlight++
+	l.window.Send()
+	sent := l.now
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
 		_, err := l.Execs.Start(call, to, order)
-		return startedRun{m: m, run: r, err: err}
+		return startedRun{m: m, run: r, sent: sent, err: err}
 	})
 }
 
 // startedRun is the answer to a start.
 type startedRun struct {
 	report
-	m   *member
-	run *track.Run
-	err error
+	m    *member
+	run  *track.Run
+	sent time.Duration
+	err  error
 }
 
 func (l *Leader) onStarted(ev startedRun) {
 	m, r := ev.m, ev.run
 	m.startsInFlight--
+	if l.window.Done(l.now - ev.sent) {
+		l.Meters.limitLowered.Inc(1)
+		if l.now >= l.windowLogged+limitLogInterval {
+			l.windowLogged = l.now
+			l.Log.Info().Int("limit", l.window.Size()).Msg("fewer starts in flight because their answers are late")
+		}
+	}
 	if !l.isTracked(r) {
 		// A poll has reported its end already, or the executor has ended.
 		return
