serve/relay: ignore pending jobs of a digest that were not counted

Seen: a follower would end ('panic: assignment to entry in nil map') when it polls an entry whose digest has pending jobs and does not say that they were counted. The elector's goroutine, in which polls are decoded, recovers nothing. Evidence: the test, with the former order of the two statements, ends with that panic.

--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -213,17 +213,22 @@
 	if err != nil {
 		return Digest{}, Err.Wrap(err)
 	}
+	return decodeDigest(r), nil
+}
+
+func decodeDigest(r *workpb.DigestReply) Digest {
 	d := Digest{
 		Leads: r.GetLeads(), Token: r.GetToken(), LeaseAge: time.Duration(r.GetAge()) * time.Millisecond,
 		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: time.Duration(r.GetPause()) * time.Millisecond,
 	}
-	if r.GetCounted() {
-		d.Pending = map[string]int{}
+	if !r.GetCounted() {
+		return d
 	}
+	d.Pending = map[string]int{}
 	for _, b := range r.GetBacklog() {
 		d.Pending[b.GetQueue()] = int(b.GetN())
 	}
-	return d, nil
+	return d
 }
 
 // Announce sends the token, name and address of the leader, or of the designated successor, to an
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
@@ -19,3 +20,12 @@
 		assert.Assert(t, platform.Reason(n).String() != "")
 	}
 }
+
+// Guards against an entry that ends because a digest has pending jobs but says that they were not
+// counted: they were written to a nil map.
+func TestUncountedPendingJobsAreIgnored(t *testing.T) {
+	d := decodeDigest(&workpb.DigestReply{Leads: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
+	assert.Assert(t, d.Pending == nil)
+	d = decodeDigest(&workpb.DigestReply{Counted: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
+	assert.Equal(t, d.Pending["q"], 3)
+}
