serve/relay: a verdict that this version does not know is Unknown

Callers would see 200 for a submission that may not be stored: front.submit has no case for such a verdict and writes nothing, and net/http then answers 200 with an empty body. Evidence: a stub with verdict 9 got '200 0 <nil>' from front. States and reasons of other versions were checked before, verdicts were not.

--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return Answer{}, Err.Wrap(err)
 	}
-	return Answer{Verdict(r.GetVerdict()), time.Duration(r.GetAfter()) * time.Millisecond, r.GetCause()}, nil
+	return Answer{decodeVerdict(r.GetVerdict()), time.Duration(r.GetAfter()) * time.Millisecond, r.GetCause()}, nil
 }
 
 // Query requests a job's state from the leader. It returns false if the entry does not lead or does
@@ -202,7 +202,15 @@
 	if err != nil {
 		return Unknown, Err.Wrap(err)
 	}
-	return Verdict(r.GetVerdict()), nil
+	return decodeVerdict(r.GetVerdict()), nil
+}
+
+// decodeVerdict decodes a verdict. One that this version does not know is Unknown.
+func decodeVerdict(n uint32) Verdict {
+	if n > uint32(NotFound) {
+		return Unknown
+	}
+	return Verdict(n)
 }
 
 // Digest polls an entry for its digest. It returns an Err.
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -29,3 +29,13 @@
 	d = decodeDigest(&workpb.DigestReply{Counted: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
 	assert.Equal(t, d.Pending["q"], 3)
 }
+
+// Guards against a submission that is answered with 200 without being stored: a verdict that this
+// version does not know matched no case, so that nothing was written.
+func TestUnknownVerdictIsNoSuccess(t *testing.T) {
+	for n := range uint32(300) {
+		v := decodeVerdict(n)
+		assert.Equal(t, v == Stored, n == uint32(Stored))
+		assert.Assert(t, v <= NotFound)
+	}
+}
