serve/agent: a registration's rank is not negative

Seen: with 100 executors or more, a registration record such as '127.0.0.1:1 -1 c' would end each leader when it chooses the entries that make calls: fanout.Choose uses the rank as an index, in the goroutines of calls, which recover nothing. Ranks in polls are unsigned and can't do that. Evidence: before, decodeRegistration returned rank -1, and the fuzz target's seed 'a - c d' a negative one too ('r.rank is less than 0').

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -262,9 +262,9 @@
 	f := strings.SplitN(string(value), " ", 3)
 	r := registration{addr: f[0]}
 	if len(f) == 3 {
-		// A rank that can't be parsed counts as 0, the first.
-		r.rank, _ = strconv.Atoi(f[1])
-		r.centre = f[2]
+		// A rank that can't be parsed, or is negative, counts as 0, the first.
+		rank, _ := strconv.Atoi(f[1])
+		r.rank, r.centre = max(rank, 0), f[2]
 	}
 	return r
 }
