jobs/track: bound the open occurrences of a job

A takeover opened what was stored as complete as well, and a progress key such as j/ opened all. Cause: OpenDue and restoreJob had no limit. Occurrences may now wait for earlier ones while 20,000 tasks are open (one occurrence is always opened). A new leader opens up to twice as many, since its predecessor may have opened one after a completion that it had not stored; otherwise a run of it would be taken for an orphan.

--- /dev/null
+++ b/internal/jobs/track/bounds_test.go
@@ -0,0 +1,51 @@
+package track
+
+import (
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/wire/workpb"
+)
+
+// Guards against a leader that runs out of memory: a job with a million occurrences, all due, was
+// opened at once, again by each successor. They are opened as earlier ones are complete.
+func TestOverdueOccurrencesAreOpenedInTurn(t *testing.T) {
+	spec := model.JobSpec{Repeats: 1_000_000, Scheduled: true, Steps: []model.Step{{Count: maxOpenTasks / 4}}}
+	tr := New(0)
+	j := tr.Accept("j", queue, spec, 0, 0)
+	assert.Assert(t, tr.OpenDue(j, 0))
+	assert.Equal(t, len(j.Open), 4)
+	assert.Assert(t, !tr.OpenDue(j, 0))
+	for _, task := range j.Open[1].Steps[0].Tasks {
+		tr.setDone(task, 0)
+	}
+	tr.TakeChanges()
+	assert.Assert(t, tr.OpenDue(j, 0))
+	assert.Equal(t, j.Open[len(j.Open)-1].Number, 4)
+}
+
+// Guards against the same at a takeover, which opened what had been stored as complete as well.
+func TestCompleteOccurrencesStayClosedAtTakeover(t *testing.T) {
+	spec := model.JobSpec{Repeats: 1000, Scheduled: true, Steps: []model.Step{{Count: maxOpenTasks}}}
+	d := disk{}
+	d.write([]Record{JobRecord("j", queue, body(spec), 0)})
+	done := make([]byte, (maxOpenTasks+7)/8)
+	for i := range done {
+		done[i] = 0xff
+	}
+	for k := range 7 {
+		d.write([]Record{{progressKey("j", k), encode(&workpb.Mark{Done: done})}})
+	}
+	d.write([]Record{{progressKey("j", 8), encode(&workpb.Mark{Done: []byte{1}})}, {"j/" + strconv.Itoa(1<<40), encode(&workpb.Mark{})}})
+	j := d.load(t).Job("j")
+	var open []int
+	for _, o := range j.Open {
+		open = append(open, o.Number)
+	}
+	assert.DeepEqual(t, open, []int{7, 8})
+	assert.Equal(t, j.completed, 7)
+	assert.Equal(t, j.nextOccurrence, 9)
+}
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -277,7 +277,6 @@
 			continue
 		}
 		j := tr.Accept(id, settingsOf(w), spec, time.Duration(w.GetAccepted())*time.Millisecond, now)
-		tr.OpenDue(j, wall)
 		tr.restoreJob(j, l.progress[id], wall)
 	}
 	for id, c := range l.cancels {
@@ -288,32 +287,51 @@
 	return tr, bad
 }
 
-// restoreJob applies the stored progress of a job and makes the remaining tasks unresolved.
+// restoreJob opens the occurrences of a job that an earlier leader may have opened, applies the
+// stored progress and makes the remaining tasks unresolved.
 func (tr *Tracker) restoreJob(j *Job, progress map[int]*workpb.Mark, wall time.Duration) {
-	// The stored progress may include occurrences that are not due yet by this entry's clock.
+	last := -1
 	for k := range progress {
-		for j.nextOccurrence <= k && j.nextOccurrence < j.Spec.Repeats {
-			j.Open = append(j.Open, j.newOccurrence(j.nextOccurrence))
-			j.nextOccurrence++
+		if k < j.Spec.Repeats {
+			last = max(last, k)
 		}
 	}
 	j.begun = len(progress) > 0
 	for _, o := range slices.Clone(j.Open) {
-		if m := progress[o.Number]; m != nil {
-			o.applyProgress(m)
+		tr.restoreOccurrence(o, progress[o.Number], wall)
+	}
+	// The stored progress may include occurrences that are not due yet by this entry's clock.
+	for !j.IsOver() && j.nextOccurrence <= last {
+		o := j.openNext()
+		if tr.restoreOccurrence(o, progress[o.Number], wall); o.Left == 0 {
+			tr.trim(j)
 		}
-		for _, s := range o.Steps {
-			for _, t := range s.Tasks {
-				t.Attempt = tr.attemptBase
-				for _, f := range t.failures {
-					t.Attempt = max(t.Attempt, f.attempt)
-				}
-				t.Unresolved = !t.Done
+	}
+	// An earlier leader may have opened further ones once others were complete, without having
+	// stored that.
+	tr.trim(j)
+	n := len(j.Open)
+	tr.openDue(j, wall, 2*maxOpenTasks)
+	for _, o := range j.Open[n:] {
+		tr.restoreOccurrence(o, nil, wall)
+	}
+	tr.trim(j)
+}
+
+func (tr *Tracker) restoreOccurrence(o *Occurrence, m *workpb.Mark, wall time.Duration) {
+	if m != nil {
+		o.applyProgress(m)
+	}
+	for _, s := range o.Steps {
+		for _, t := range s.Tasks {
+			t.Attempt = tr.attemptBase
+			for _, f := range t.failures {
+				t.Attempt = max(t.Attempt, f.attempt)
 			}
+			t.Unresolved = !t.Done
 		}
-		tr.closeIfComplete(o, wall)
 	}
-	tr.trim(j)
+	tr.closeIfComplete(o, wall)
 }
 
 // AdoptRun adds a run that an executor lists and the tracker does not have. It returns nil for a
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -61,19 +61,43 @@
 	return j
 }
 
+// maxOpenTasks bounds the tasks of the open occurrences of a job, except for a single occurrence. A
+// task takes some 200 bytes, and a job can have a million occurrences that are due at once.
+const maxOpenTasks = 20_000
+
 // OpenDue opens the occurrences of a job that are due at a wall-clock time and reports whether
-// there were any.
-func (tr *Tracker) OpenDue(j *Job, wall time.Duration) bool {
+// there were any. While many are incomplete, later ones wait.
+func (tr *Tracker) OpenDue(j *Job, wall time.Duration) bool { return tr.openDue(j, wall, maxOpenTasks) }
+
+func (tr *Tracker) openDue(j *Job, wall time.Duration, maxTasks int) bool {
 	opened := false
 	for j.Spec.Scheduled && !j.IsOver() && j.nextOccurrence < j.Spec.Repeats &&
 		j.Spec.Start+time.Duration(j.nextOccurrence)*j.Spec.Period <= wall {
-		j.Open = append(j.Open, j.newOccurrence(j.nextOccurrence))
-		j.nextOccurrence++
+		if j.isFull(maxTasks) {
+			// Occurrences whose completion was not stored when their last run ended are still open.
+			if tr.trim(j); j.isFull(maxTasks) {
+				break
+			}
+		}
+		j.openNext()
 		opened = true
 	}
 	return opened
 }
 
+// isFull reports whether another open occurrence would exceed a number of tasks.
+func (j *Job) isFull(maxTasks int) bool {
+	return len(j.Open) > 0 && (len(j.Open)+1)*j.Spec.TaskCount() > maxTasks
+}
+
+// openNext opens the next occurrence and returns it.
+func (j *Job) openNext() *Occurrence {
+	o := j.newOccurrence(j.nextOccurrence)
+	j.Open = append(j.Open, o)
+	j.nextOccurrence++
+	return o
+}
+
 // NextDue returns the Unix time at which the next occurrence of a job is due, or false if there is
 // none.
 func (j *Job) NextDue() (time.Duration, bool) {
@@ -121,9 +145,12 @@
 	}
 	if j.Spec.Scheduled {
 		j.Open = slices.DeleteFunc(j.Open, func(o *Occurrence) bool {
+			if o.Left > 0 || o.dirty {
+				return false
+			}
 			busy := false
 			o.forEachRun(func(*Run) { busy = true })
-			return o.Left == 0 && !busy && !o.dirty
+			return !busy
 		})
 	}
 }
