jobs/track: keep a stored cancel whose job is not stored yet

Callers would see a job run whose cancel was answered with 200: without a leader, one entry stores the cancel while the append of the job, sent through another entry, is still on its way. The next leader loads the cancel, finds no job and drops it; the job then arrives with the leaderless records and runs (UNASKED). Cause: Loader.Load passed only cancels of known jobs to Tracker.Cancel, which keeps early ones. So that they don't pile up, ForgetEnded drops those that are as old as the ended jobs that it forgets. Evidence: before, 'bounds_test.go:61: expression is false: j.IsOver()'.

--- a/internal/jobs/track/bounds_test.go
+++ b/internal/jobs/track/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -49,3 +50,16 @@
 	assert.Equal(t, j.completed, 7)
 	assert.Equal(t, j.nextOccurrence, 9)
 }
+
+// Guards against a job that runs although its cancel was acknowledged: the cancel was stored without
+// a leader before the job was, and the next leader dropped it.
+func TestStoredCancelIsKeptForItsJob(t *testing.T) {
+	d := disk{}
+	d.write([]Record{CancelRecord("j", time.Minute)})
+	tr := d.load(t)
+	j := tr.Accept("j", queue, steps(1), 0, 0)
+	assert.Assert(t, j.IsOver())
+	tr = d.load(t)
+	tr.ForgetEnded(2 * time.Minute)
+	assert.Equal(t, len(tr.earlyCancels), 0)
+}
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -280,9 +280,8 @@
 		tr.restoreJob(j, l.progress[id], wall)
 	}
 	for id, c := range l.cancels {
-		if tr.jobs[id] != nil {
-			tr.Cancel(id, time.Duration(c.GetAt())*time.Millisecond)
-		}
+		// The job of a cancel may still be stored without a leader.
+		tr.Cancel(id, time.Duration(c.GetAt())*time.Millisecond)
 	}
 	return tr, bad
 }
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -1,6 +1,7 @@
 package track
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -402,8 +403,10 @@
 	return out
 }
 
-// ForgetEnded removes jobs that ended before a wall-clock time and returns their IDs.
+// ForgetEnded removes jobs that ended before a wall-clock time and returns their IDs. It also
+// removes earlier cancels of jobs that are not known.
 func (tr *Tracker) ForgetEnded(before time.Duration) []string {
+	maps.DeleteFunc(tr.earlyCancels, func(_ string, at time.Duration) bool { return at < before })
 	var ids []string
 	for id, j := range tr.jobs {
 		if j.visible.IsFinal() && j.endedAt < before && len(j.Open) == 0 {
