jobs/track: a record of another kind under a key changes nothing

Seen: a record of an end whose state is not final (queued, say) would replace its job: the next leader shows it as queued for ever and never runs it. Records under the key of another kind (an end under a leaderless key, progress that is no progress) were taken too. Cause: Loader.Add checked the kind against the key only for progress under a job's key, and the state only against the largest one, after the job had been dropped. Evidence: before, 'bounds_test.go:78: expected an error, got nil: j'.

--- a/internal/jobs/track/bounds_test.go
+++ b/internal/jobs/track/bounds_test.go
@@ -63,3 +63,22 @@
 	tr.ForgetEnded(2 * time.Minute)
 	assert.Equal(t, len(tr.earlyCancels), 0)
 }
+
+// Guards against a job that is lost because of a record that does not belong under its key: an end
+// without a final state replaced the job and left it queued for ever.
+func TestRecordsOfAnotherKindLeaveTheJob(t *testing.T) {
+	queued, final := encode(&workpb.Ended{State: uint32(model.Queued)}), encode(&workpb.Ended{State: uint32(model.Failed)})
+	for _, r := range []Record{
+		{"j", queued}, {"j", encode(&workpb.Ended{State: 1 << 20})}, {"j~", final}, {"j!", final}, {"j!", encode(&workpb.Work{})},
+		{"j", encode(&workpb.Cancel{})}, {"j~", encode(&workpb.Cancel{})}, {"j/0", final}, {"j/-1", encode(&workpb.Mark{})},
+	} {
+		l := NewLoader(decodeTest)
+		job := JobRecord("j", queue, body(steps(1)), 0)
+		assert.NilError(t, l.Add(job.Key, job.Value))
+		assert.ErrorContains(t, l.Add(r.Key, r.Value), "another kind", r.Key)
+		tr, bad := l.Load(0, 0, 0)
+		assert.Equal(t, len(bad), 0)
+		assert.Equal(t, tr.Job("j").State(), model.Queued)
+		assert.Equal(t, len(tr.Active()), 1)
+	}
+}
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -213,13 +213,14 @@
 		}
 		return l.addProgress(id, n, value)
 	}
-	id = strings.TrimRight(key, cancelSuffix+leaderlessSuffix)
+	id = JobID(key)
+	isCancel := strings.HasSuffix(key, cancelSuffix)
 	if len(value) == 0 {
 		switch {
 		case id == key:
 			delete(l.jobs, id)
 			delete(l.ended, id)
-		case strings.HasSuffix(key, cancelSuffix):
+		case isCancel:
 			delete(l.cancels, id)
 		}
 		return nil
@@ -230,26 +231,45 @@
 	}
 	switch x := r.GetKind().(type) {
 	case *workpb.Record_Work:
+		if isCancel {
+			return errKind(key)
+		}
 		// An entry without a leader may have stored the job after its end.
 		if l.ended[id] == nil && l.jobs[id] == nil {
 			l.jobs[id] = x.Work
 		}
 	case *workpb.Record_Ended:
+		if id != key || !isFinal(x.Ended.GetState()) {
+			return errKind(key)
+		}
 		l.ended[id] = x.Ended
 		delete(l.jobs, id)
 	case *workpb.Record_Cancel:
+		if !isCancel {
+			return errKind(key)
+		}
 		l.cancels[id] = x.Cancel
 	case *workpb.Record_Mark, nil:
-		return ErrRecord.New("key %q holds another kind of record", key)
+		return errKind(key)
 	}
 	return nil
 }
 
+func errKind(key string) error { return ErrRecord.New("key %q holds another kind of record", key) }
+
+// isFinal reports whether a number in a record is that of a final state.
+func isFinal(state uint32) bool {
+	return state <= uint32(model.Cancelled) && model.State(state).IsFinal()
+}
+
 func (l *Loader) addProgress(id string, n int, value []byte) error {
 	var r workpb.Record
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return ErrRecord.Wrap(err)
 	}
+	if r.GetMark() == nil || n < 0 {
+		return errKind(progressKey(id, n))
+	}
 	if l.progress[id] == nil {
 		l.progress[id] = map[int]*workpb.Mark{}
 	}
@@ -263,10 +283,6 @@
 	tr := New(base)
 	var bad []string
 	for id, e := range l.ended {
-		if e.GetState() > uint32(model.Cancelled) {
-			bad = append(bad, id)
-			continue
-		}
 		s := model.State(e.GetState())
 		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: time.Duration(e.GetAt()) * time.Millisecond}
 	}
@@ -412,7 +428,7 @@
 	case *workpb.Record_Cancel:
 		return LeaderlessRecord{ID: id, Cancelled: true}, nil
 	case *workpb.Record_Mark, *workpb.Record_Ended, nil:
-		return LeaderlessRecord{}, ErrRecord.New("key %q holds another kind of record", key)
+		return LeaderlessRecord{}, errKind(key)
 	}
 	return LeaderlessRecord{}, nil
 }
