serve/lead: skip leader records that can't be read, and only those

Seen: (1) the newest records of the topic are a claim and one that can't be read. The claim was dropped with it, so the former leader took its leadership for unchanged, renewed after the claim, and both acted until the other one's next renewal. (2) A record with a token above that of any later claim: entries then ignore all later claims as older. Cause: read decoded only the last record, and returned an error after it had moved topicEnd past all of them; isStillLeader takes an error for 'not known'. Tokens were not checked, though a claim's token follows from its offset. Ruled out: an election that fails for ever. The read after the error starts past the record, and follow goes on with its timers.

--- a/internal/serve/lead/topic.go
+++ b/internal/serve/lead/topic.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/platform"
@@ -59,7 +60,8 @@
 	return nil
 }
 
-// read reads the topic to its end. It returns the last record, or nil if there are no new ones.
+// read reads the topic to its end. It returns the last record that can be decoded, or nil if there is
+// no new one.
 func (e *Elector) read(ctx context.Context) (*record, error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -78,10 +80,33 @@
 		return nil, nil
 	}
 	e.topicEnd = rs[len(rs)-1].Offset + 1
-	var last record
-	if err := json.Unmarshal(rs[len(rs)-1].Value, &last); err != nil {
-		e.log.Error().Err(err).Int64("offset", e.topicEnd-1).Msg("leader record can't be read")
-		return nil, platform.ErrFormat.Wrap(err)
+	for _, r := range slices.Backward(rs) {
+		last, err := decodeRecord(r)
+		if err == nil {
+			return &last, nil
+		}
+		e.log.Error().Err(err).Int64("offset", r.Offset).Msg("leader record can't be read; it is skipped")
+	}
+	return nil, nil
+}
+
+// decodeRecord decodes a record of the topic. A claim's token is one above its offset, which bounds
+// the tokens of all records. It returns an ErrFormat.
+func decodeRecord(r platform.Record) (record, error) {
+	var out record
+	if err := json.Unmarshal(r.Value, &out); err != nil {
+		return record{}, platform.ErrFormat.Wrap(err)
+	}
+	end := uint64(r.Offset) + 1
+	switch out.Kind {
+	case "claim":
+		if out.Token == end {
+			return out, nil
+		}
+	case "renew", "resign":
+		if out.Token > 0 && out.Token < end {
+			return out, nil
+		}
 	}
-	return &last, nil
+	return record{}, platform.ErrFormat.New("%q with token %d at offset %d", out.Kind, out.Token, r.Offset)
 }
