--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -26,8 +26,10 @@
 var Err = errs.Class("callers")
 
 const (
-	// defaultWait is the timeout of callers that do not send one.
+	// defaultTimeout is the timeout of callers that do not send one.
 	defaultTimeout = 3 * time.Second
+	// maxTimeout bounds the timeouts of callers.
+	maxTimeout = 1 * time.Hour
 	// answerMargin is the part of the caller's timeout that is kept for sending the response.
 	answerMargin = 50 * time.Millisecond
 	// idleTimeout closes connections without requests. The time in the configuration applies to the
@@ -76,17 +78,8 @@
 // Serve starts to serve callers on a listener, until Close or CloseNow.
 func Serve(lis net.Listener, j Jobs, log zerolog.Logger) *Server {
 	h := &handler{jobs: j, log: log}
-	e := echo.New()
-	e.Any("/*", h.handle)
-	e.HTTPErrorHandler = func(err error, c echo.Context) {
-		status := http.StatusInternalServerError
-		if he := (*echo.HTTPError)(nil); errors.As(err, &he) {
-			status = he.Code
-		}
-		h.writeError(c, status, "", err.Error(), 0)
-	}
 	s := &Server{h: h, done: make(chan error, 1), srv: &http.Server{
-		Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h.router(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
 	go func() { s.done <- s.srv.Serve(lis) }()
 	return s
@@ -113,6 +106,19 @@
 	<-s.done
 }
 
+func (h *handler) router() http.Handler {
+	e := echo.New()
+	e.Any("/*", h.handle)
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		status := http.StatusInternalServerError
+		if he := (*echo.HTTPError)(nil); errors.As(err, &he) {
+			status = he.Code
+		}
+		h.writeError(c, status, "", err.Error(), 0)
+	}
+	return e
+}
+
 func (h *handler) handle(c echo.Context) error {
 	r := c.Request()
 	conf := h.jobs.Config()
@@ -153,7 +159,7 @@
 	if err != nil || ms <= 0 {
 		return defaultTimeout
 	}
-	d := time.Duration(ms) * time.Millisecond
+	d := time.Duration(min(ms, maxTimeout.Milliseconds())) * time.Millisecond
 	return max(d-answerMargin, d/2)
 }
 
