jobs/model: a task has one name

Seen: 'j.0.0.+1', 'j.0.0.01' and 'j.0.-0.1' were taken for the task j.0.0.1 in an executor's lists. Orders for the run then name a task that the executor does not have. Evidence: before, two of the fuzz target's seeds failed: 'model_test.go:20: j.0.0.1 (string) != j.0.0.+1 (s string)', and the same for 'j.0.-0.1'.

--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -188,8 +188,9 @@
 	}
 	t.Job = fields[0]
 	for i, dst := range [...]*int{&t.Occurrence, &t.Step, &t.Index} {
-		n, err := strconv.Atoi(fields[i+1])
-		if err != nil || n < 0 {
+		f := fields[i+1]
+		n, err := strconv.Atoi(f)
+		if err != nil || f[0] < '0' || f[0] > '9' || f[0] == '0' && len(f) > 1 {
 			return t, false
 		}
 		*dst = n
