--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -44,9 +44,12 @@
 	return Amount{a.Cores * n, a.Memory * n, a.Accelerators * n}
 }
 
-// Scale returns a multiplied by f, rounded to whole units.
+// maxScaled bounds what Scale returns, so that sums of it don't overflow.
+const maxScaled = 1 << 53
+
+// Scale returns a multiplied by f, rounded to whole units and limited to 2^53 of them.
 func (a Amount) Scale(f float64) Amount {
-	part := func(x int64) int64 { return int64(math.Round(float64(x) * f)) }
+	part := func(x int64) int64 { return int64(math.Round(max(min(float64(x)*f, maxScaled), -maxScaled))) }
 	return Amount{part(a.Cores), part(a.Memory), part(a.Accelerators)}
 }
 
