jobs/track: the checkpoints of a job's progress fit in a record

Seen: the progress of a job with 5,000 waiting tasks and checkpoints of 1,000 bytes is a record of 5,045,503 bytes. The store takes at most 262,144 (record_bytes): the leader would repeat that append for ever and store nothing else. Evidence: before, 'bounds_test.go:99: len(rs[0].Value) is >= 256 << 10: 5045503 bytes'. 128 KiB of checkpoints are stored; a task whose checkpoint is left out starts afresh after a change of the leader. Failures are not bounded: 10 bytes each.

--- a/internal/jobs/track/bounds_test.go
+++ b/internal/jobs/track/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,3 +83,18 @@
 		assert.Equal(t, len(tr.Active()), 1)
 	}
 }
+
+// Guards against a leader that stores nothing any more because the store refuses a record that is too
+// large: the progress of a job with long checkpoints.
+func TestProgressFitsInARecord(t *testing.T) {
+	tr := New(0)
+	j := tr.Accept("j", queue, steps(5000), 0, 0)
+	for _, task := range j.Open[0].Steps[0].Tasks {
+		r := tr.BeginRun(task, "x", 0, 0)
+		r.Checkpoint = strings.Repeat("c", 1000)
+		tr.RemoveRun(r)
+	}
+	rs := tr.TakeChanges().Records
+	assert.Equal(t, len(rs), 1)
+	assert.Assert(t, len(rs[0].Value) < 256<<10, "%d bytes", len(rs[0].Value))
+}
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -131,8 +131,16 @@
 	return batch.ended
 }
 
+// maxSavedBytes bounds the checkpoints in a record, which the store must accept, each with
+// savedOverhead for the task's number. One that is left out costs repeated work after a change of
+// the leader.
+const (
+	maxSavedBytes = 128 << 10
+	savedOverhead = 12
+)
+
 func (o *Occurrence) progress() *workpb.Mark {
-	n := 0
+	n, saved := 0, 0
 	for _, s := range o.Steps {
 		n += s.Count
 	}
@@ -147,7 +155,10 @@
 			for _, f := range t.failures {
 				m.Failed = append(m.Failed, &workpb.Failure{Task: uint32(i), Attempt: uint32(f.attempt)})
 			}
-			if t.Checkpoint != "" {
+			if t.Checkpoint == "" {
+				continue
+			}
+			if saved += savedOverhead + len(t.Checkpoint); saved <= maxSavedBytes {
 				m.Saved = append(m.Saved, &workpb.Saved{Task: uint32(i), Value: t.Checkpoint})
 			}
 		}
