--- /dev/null
+++ b/internal/jobs/track/load.go
@@ -0,0 +1,229 @@
+package track
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/wire/workpb"
+)
+
+// Loader collects the records of all keys, in any order.
+type Loader struct {
+	decode   func([]byte) (model.JobSpec, error)
+	jobs     map[string]*workpb.Work
+	ended    map[string]*workpb.Ended
+	cancels  map[string]*workpb.Cancel
+	progress map[string]map[int]*workpb.Mark
+}
+
+// NewLoader returns a loader that decodes job bodies with decode.
+func NewLoader(decode func([]byte) (model.JobSpec, error)) *Loader {
+	return &Loader{
+		decode: decode, jobs: map[string]*workpb.Work{}, ended: map[string]*workpb.Ended{},
+		cancels: map[string]*workpb.Cancel{}, progress: map[string]map[int]*workpb.Mark{},
+	}
+}
+
+// Add adds one record, which replaces an earlier one of the same key. It returns an ErrRecord for a
+// record that can't be decoded.
+func (l *Loader) Add(key string, value []byte) error {
+	id, k, isProgress := strings.Cut(key, progressSeparator)
+	if isProgress {
+		n, err := strconv.Atoi(k)
+		if err != nil {
+			return ErrRecord.Wrap(err)
+		}
+		if len(value) == 0 {
+			delete(l.progress[id], n)
+			return nil
+		}
+		return l.addProgress(id, n, value)
+	}
+	id = JobID(key)
+	isCancel := strings.HasSuffix(key, cancelSuffix)
+	if len(value) == 0 {
+		switch {
+		case id == key:
+			delete(l.jobs, id)
+			delete(l.ended, id)
+		case isCancel:
+			delete(l.cancels, id)
+		}
+		return nil
+	}
+	var r workpb.Record
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return ErrRecord.Wrap(err)
+	}
+	switch x := r.GetKind().(type) {
+	case *workpb.Record_Work:
+		if isCancel {
+			return errKind(key)
+		}
+		// An entry without a leader may have stored the job after its end.
+		if l.ended[id] == nil && l.jobs[id] == nil {
+			l.jobs[id] = x.Work
+		}
+	case *workpb.Record_Ended:
+		if id != key || !isFinal(x.Ended.GetState()) {
+			return errKind(key)
+		}
+		l.ended[id] = x.Ended
+		delete(l.jobs, id)
+	case *workpb.Record_Cancel:
+		if !isCancel {
+			return errKind(key)
+		}
+		l.cancels[id] = x.Cancel
+	case *workpb.Record_Mark, nil:
+		return errKind(key)
+	}
+	return nil
+}
+
+func errKind(key string) error { return ErrRecord.New("key %q holds another kind of record", key) }
+
+// isFinal reports whether a number in a record is that of a final state.
+func isFinal(state uint32) bool {
+	return state <= uint32(model.Cancelled) && model.State(state).IsFinal()
+}
+
+func (l *Loader) addProgress(id string, n int, value []byte) error {
+	var r workpb.Record
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return ErrRecord.Wrap(err)
+	}
+	if r.GetMark() == nil || n < 0 {
+		return errKind(progressKey(id, n))
+	}
+	if l.progress[id] == nil {
+		l.progress[id] = map[int]*workpb.Mark{}
+	}
+	l.progress[id][n] = r.GetMark()
+	return nil
+}
+
+// Load builds the tracker of a new leader. Tasks that an earlier leader may have started are
+// unresolved. It returns the IDs of jobs that can't be decoded.
+func (l *Loader) Load(base int, now, wall time.Duration) (*Tracker, []string) {
+	tr := New(base)
+	var bad []string
+	for id, e := range l.ended {
+		s := model.State(e.GetState())
+		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: time.Duration(e.GetAt()) * time.Millisecond}
+	}
+	for id, w := range l.jobs {
+		spec, err := l.decode(w.GetBody())
+		if err != nil {
+			bad = append(bad, id)
+			continue
+		}
+		j := tr.Accept(id, settingsOf(w), spec, time.Duration(w.GetAccepted())*time.Millisecond, now)
+		tr.restoreJob(j, l.progress[id], wall)
+	}
+	for id, c := range l.cancels {
+		// The job of a cancel may still be stored without a leader.
+		tr.Cancel(id, time.Duration(c.GetAt())*time.Millisecond)
+	}
+	return tr, bad
+}
+
+// restoreJob opens the occurrences of a job that an earlier leader may have opened, applies the
+// stored progress and makes the remaining tasks unresolved.
+func (tr *Tracker) restoreJob(j *Job, progress map[int]*workpb.Mark, wall time.Duration) {
+	last := -1
+	for k := range progress {
+		if k < j.Spec.Repeats {
+			last = max(last, k)
+		}
+	}
+	j.begun = len(progress) > 0
+	for _, o := range slices.Clone(j.Open) {
+		tr.restoreOccurrence(o, progress[o.Number], wall)
+	}
+	// The stored progress may include occurrences that are not due yet by this entry's clock.
+	for !j.IsOver() && j.nextOccurrence <= last {
+		o := j.openNext()
+		if tr.restoreOccurrence(o, progress[o.Number], wall); o.Left == 0 {
+			tr.trim(j)
+		}
+	}
+	// An earlier leader may have opened further ones once others were complete, without having
+	// stored that.
+	tr.trim(j)
+	n := len(j.Open)
+	tr.openDue(j, wall, 2*maxOpenTasks)
+	for _, o := range j.Open[n:] {
+		tr.restoreOccurrence(o, nil, wall)
+	}
+	tr.trim(j)
+}
+
+func (tr *Tracker) restoreOccurrence(o *Occurrence, m *workpb.Mark, wall time.Duration) {
+	if m != nil {
+		o.applyProgress(m)
+	}
+	for _, s := range o.Steps {
+		for _, t := range s.Tasks {
+			t.Attempt = tr.attemptBase
+			for _, f := range t.failures {
+				t.Attempt = max(t.Attempt, f.attempt)
+			}
+			t.Unresolved = !t.Done
+		}
+	}
+	tr.closeIfComplete(o, wall)
+}
+
+// AdoptRun adds a run that an executor lists and the tracker does not have. It returns nil for a
+// run that no job needs.
+func (tr *Tracker) AdoptRun(executor string, r model.Run, now time.Duration) *Run {
+	j := tr.jobs[r.Task.Job]
+	if j == nil || j.IsOver() {
+		return nil
+	}
+	t := j.Task(r.Task)
+	if t == nil || t.Done {
+		return nil
+	}
+	t.Attempt = max(t.Attempt, r.Attempt)
+	if len(t.Runs) > 0 && !t.Step.AllowsCopies {
+		return nil
+	}
+	t.Unresolved = false
+	run := tr.BeginRun(t, executor, r.Attempt, now)
+	tr.ConfirmRun(run, now)
+	run.Percent, run.Checkpoint, run.Metric = r.Percent, r.Checkpoint, r.Metric
+	if t.Step.Gang {
+		t.Step.GangAttempt = max(t.Step.GangAttempt, r.Attempt)
+	}
+	return run
+}
+
+// ReleaseUnresolved makes the unresolved tasks of the selected jobs ready to start, and ends the
+// jobs of tasks that have no attempts left. It returns the number of these tasks.
+func (tr *Tracker) ReleaseUnresolved(selected func(*Job) bool, wall time.Duration) int {
+	n := 0
+	for _, j := range tr.active {
+		if !selected(j) {
+			continue
+		}
+		for _, o := range j.Open {
+			for _, s := range o.Steps {
+				for _, t := range s.Tasks {
+					if t.Unresolved {
+						t.Unresolved = false
+						n++
+						tr.failIfExhausted(t, wall)
+					}
+				}
+			}
+		}
+	}
+	return n
+}
