--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -1,6 +1,7 @@
 package track
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -218,7 +219,7 @@
 		if err != nil {
 			return LeaderlessRecord{}, ErrRecord.Wrap(err)
 		}
-		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: time.Duration(x.Work.GetAccepted()) * time.Millisecond}, nil
+		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted())}, nil
 	case *workpb.Record_Cancel:
 		return LeaderlessRecord{ID: id, Cancelled: true}, nil
 	case *workpb.Record_Mark, *workpb.Record_Ended, nil:
@@ -230,6 +231,14 @@
 func settingsOf(w *workpb.Work) model.Queue {
 	return model.Queue{
 		Name: w.GetQueue(), Service: w.GetService(), Attempts: int(w.GetAttempts()), Priority: int(w.GetPriority()),
-		Slack: w.GetSlack(), Objective: time.Duration(w.GetObjective()) * time.Millisecond,
+		Slack: w.GetSlack(), Objective: millis(w.GetObjective()),
 	}
 }
+
+// maxMillis bounds the times in records, so that sums of them don't overflow.
+const maxMillis = math.MaxInt64 / int64(4*time.Millisecond)
+
+// millis converts a number of milliseconds in a record.
+func millis(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), maxMillis)) * time.Millisecond
+}
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -115,7 +115,7 @@
 	var bad []string
 	for id, e := range l.ended {
 		s := model.State(e.GetState())
-		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: time.Duration(e.GetAt()) * time.Millisecond}
+		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: millis(e.GetAt())}
 	}
 	for id, w := range l.jobs {
 		spec, err := l.decode(w.GetBody())
@@ -123,12 +123,12 @@
 			bad = append(bad, id)
 			continue
 		}
-		j := tr.Accept(id, settingsOf(w), spec, time.Duration(w.GetAccepted())*time.Millisecond, now)
+		j := tr.Accept(id, settingsOf(w), spec, millis(w.GetAccepted()), now)
 		tr.restoreJob(j, l.progress[id], wall)
 	}
 	for id, c := range l.cancels {
 		// The job of a cancel may still be stored without a leader.
-		tr.Cancel(id, time.Duration(c.GetAt())*time.Millisecond)
+		tr.Cancel(id, millis(c.GetAt()))
 	}
 	return tr, bad
 }
