serve/leader: refuse a submission that is larger than a record of the store

Callers would see: from one such submission on, all are refused or unanswered. The store refuses its record (record_bytes; 262,144 by default, which is also the body limit if the configuration has none), the leader repeats the append for ever, and everything else waits behind it. The caller's retry does the same to the next leader. Cause: appendRecords takes every refusal for an outage, and nothing compared the size. Evidence: before, 'limits_test.go:25: true (len(l.store.accepts) == 1) != false: 1000'. How the real store answers such an append is not known: the stand-in has no limit. What remains: a refusal that is not an outage, of any other record, still stops the leader.

--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -169,9 +169,18 @@
 			ev.settings = *q
 		}
 	}
+	if len(ev.Body)+len(ev.settings.Name)+len(ev.settings.Service)+recordOverhead > l.Settings.Store.RecordBytes {
+		// The store would refuse the record for ever, and with it all that waits behind it.
+		l.Meters.refuse("size")
+		ev.answer(relay.Answer{Verdict: relay.Refused, Cause: "submission is larger than a record of the store"})
+		return
+	}
 	l.store.accepts = append(l.store.accepts, ev)
 }
 
+// recordOverhead bounds the bytes of a job's record besides its body and names.
+const recordOverhead = 128
+
 // onJobStored adds a job that was stored to the tracker.
 func (l *Leader) onJobStored(ev *submitRequest) {
 	spec, err := platform.DecodeJob(ev.Body)
