serve/leader: a run is not gone while its executor's list is unreadable

Seen: an executor's row of a run is malformed in two lists: the leader takes the run for gone and starts the task elsewhere (TWICE). Nothing was logged; the number of unreadable rows was decoded and passed on, and not used. Evidence: before, 'limits_test.go:44: 0 != 1'. A run that has started is kept while rows can't be read, with a log line. Starts that are voided by a fence are not: a foreign run with another kind of name may be listed for ever, and the start would wait as long.

--- a/internal/serve/leader/limits_test.go
+++ b/internal/serve/leader/limits_test.go
@@ -30,3 +30,22 @@
 		}
 	}
 }
+
+// Guards against a task that runs twice: the row of its run could not be read, so that the run was
+// taken for gone after two lists.
+func TestRunsAreKeptWhileAListIsUnreadable(t *testing.T) {
+	l, m, task := newTestLeader(t)
+	r := l.tracker.BeginRun(task, m.Key, 0, 0)
+	m.AddRun(task.Step)
+	l.tracker.ConfirmRun(r, 0)
+	for range 5 {
+		l.now += time.Second
+		l.reconcileRuns(m, polled{m: m, sent: l.now, list: platform.PollResult{Unreadable: 1}}, false)
+		assert.Equal(t, len(task.Runs), 1)
+	}
+	for range maxMissedLists {
+		l.now += time.Second
+		l.reconcileRuns(m, polled{m: m, sent: l.now}, false)
+	}
+	assert.Equal(t, len(task.Runs), 0)
+}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -192,6 +192,9 @@
 	if first {
 		m.extend(m.clock + elect.RunLease)
 	}
+	if n := ev.list.Unreadable; n > 0 {
+		l.Log.Warn().Str("executor", m.ID).Int("rows", n).Msg("rows of an executor's lists can't be read")
+	}
 	for r := range l.tracker.RunsOn(m.Key) {
 		if listed[r] {
 			continue
@@ -202,8 +205,8 @@
 				continue // its start order may still arrive
 			}
 		case track.Running, track.Stopping:
-			if r.PhaseSince >= ev.sent {
-				continue
+			if r.PhaseSince >= ev.sent || ev.list.Unreadable > 0 {
+				continue // a run whose row can't be read is not gone
 			}
 			if r.MissedLists++; r.MissedLists < maxMissedLists {
 				continue
