serve/proxy: a start without its job's specification is refused

Seen: an entry that makes calls, and has not received the specification of a start's job, ordered the start with an empty one (UNASKED). The leader sends a specification with the first order of a job on a stream, and again after 8 s; nothing enforced it. Evidence: before, 'fuzz_test.go:38: 0 (proxy.verdict) != 2 (verdictRefused)'. The fuzz target sends any orders to an entry.

--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -62,8 +62,13 @@
 		arrived := clk.Now()
 		c.storeSpecs(in.GetSpecs(), arrived)
 		for _, o := range in.GetOrders() {
-			text := c.specs[jobOf(o)].text
-			calls.Go(func() { c.outcomes.add(c.execute(ctx, o, text, arrived)) })
+			spec, ok := c.specs[jobOf(o)]
+			if !ok && kind(o.GetKind()) == kindStart {
+				// The executor would start the task with an empty specification.
+				c.outcomes.add(&workpb.Outcome{Seq: o.GetSeq(), Verdict: uint32(verdictRefused), Reason: uint32(platform.ReasonOther)})
+				continue
+			}
+			calls.Go(func() { c.outcomes.add(c.execute(ctx, o, spec.text, arrived)) })
 		}
 	}
 	cancel()
