--- a/internal/serve/proxy/fuzz_test.go
+++ b/internal/serve/proxy/fuzz_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 )
 
@@ -61,3 +63,33 @@
 		}
 	})
 }
+
+// Whatever outcome a leader receives, its lists are decoded within range, and sent on they are the same.
+func FuzzOutcome(f *testing.F) {
+	for _, o := range []*workpb.Outcome{
+		{Clock: 1500, Born: 77, Running: []*workpb.Running{{Task: "j.0.1.3", Attempt: 4, Saved: "s", Percent: 12.5, Tail: 90}}, Ended: []*workpb.Finish{{Seq: 5, Task: "j.0.1.3", Attempt: 3, How: 2}, {Seq: 6}}},
+		{Clock: 1<<63 - 1, Verdict: 9, Reason: 300, Ended: []*workpb.Finish{{Seq: -1, Task: "x", How: 99}}},
+	} {
+		data, err := proto.Marshal(o)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var in workpb.Outcome
+		if proto.Unmarshal(data, &in) != nil {
+			return
+		}
+		if err := outcomeError(&in); err != nil {
+			assert.Assert(t, err.Error() != "")
+		}
+		res := decodeLists(&in)
+		assert.Assert(t, res.Clock >= 0 && res.Clock < 1<<62*time.Nanosecond)
+		for _, e := range res.Ended {
+			assert.Assert(t, e.Ending <= model.EndedAlone)
+		}
+		var first, second workpb.Outcome
+		encodeLists(&first, res)
+		encodeLists(&second, decodeLists(&first))
+		assert.Assert(t, proto.Equal(&first, &second))
+	})
+}
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -227,7 +227,7 @@
 	o := newOrder(kindStart, to)
 	o.Task, o.Attempt, o.Deadline, o.Saved, o.Ticket = s.Task.String(), uint32(s.Attempt), s.Deadline.Milliseconds(), s.Checkpoint, s.Ticket
 	if out, err, ok := p.forward(ctx, to, &pendingOrder{order: o, job: s.Task.Job, spec: s.Spec}); ok {
-		return time.Duration(out.GetClock()) * time.Microsecond, err
+		return clockOf(out), err
 	}
 	return p.direct.Start(ctx, to, s)
 }
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -80,10 +80,18 @@
 	return platform.ErrUnknown.New("%s", o.GetCause())
 }
 
+// maxClockMicros bounds the clocks of executors in outcomes, in microseconds. It is 71 years.
+const maxClockMicros = 1 << 51
+
+// clockOf returns the reading of the executor's clock in an outcome.
+func clockOf(o *workpb.Outcome) time.Duration {
+	return time.Duration(min(max(o.GetClock(), 0), maxClockMicros)) * time.Microsecond
+}
+
 // decodeLists returns the lists of runs and ends of an outcome.
 func decodeLists(o *workpb.Outcome) platform.PollResult {
 	res := platform.PollResult{
-		Clock: time.Duration(o.GetClock()) * time.Microsecond, Born: o.GetBorn(), Unreadable: int(o.GetUnreadable()),
+		Clock: clockOf(o), Born: o.GetBorn(), Unreadable: int(o.GetUnreadable()),
 		Running: make([]model.Run, 0, len(o.GetRunning())), Ended: make([]model.End, 0, len(o.GetEnded())),
 	}
 	for _, r := range o.GetRunning() {
