--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -224,10 +224,14 @@
 	return decodeDigest(r), nil
 }
 
+// maxPollInterval bounds the time between two polls. A leader asks for at most 1 s, and an entry that
+// polls more rarely detects too late that its leader has failed.
+const maxPollInterval = 2 * time.Second
+
 func decodeDigest(r *workpb.DigestReply) Digest {
 	d := Digest{
 		Leads: r.GetLeads(), Token: r.GetToken(), LeaseAge: time.Duration(r.GetAge()) * time.Millisecond,
-		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: time.Duration(r.GetPause()) * time.Millisecond,
+		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: min(time.Duration(r.GetPause())*time.Millisecond, maxPollInterval),
 	}
 	if !r.GetCounted() {
 		return d
