--- a/internal/serve/leader/operation.go
+++ b/internal/serve/leader/operation.go
@@ -58,6 +58,7 @@
 	}
 	// The time is capped to before this leader's takeover: a clock that is ahead must neither
 	// delay an order for long nor make the record look like one of this leader's own.
+	ms = min(max(ms, 0), l.fleet.tookOverAt.Milliseconds()) // more could overflow
 	l.fleet.lastOrders[instance] = lastOrder{min(time.Duration(ms)*time.Millisecond, l.fleet.tookOverAt-1), by}
 }
 
