jobs/track: leaderless records fit their keys

Seen: where the store has one partition for each topic, the leader reads its own records as leaderless ones, and logs an error for each record of progress; a cancel under the key of a job was taken as one. Cause: DecodeLeaderless took each key with a suffix or a separator for one of its own, and did not compare the kind with the suffix. Evidence: before, 'bounds_test.go:116: true (err != nil) != false (want.fails): j/0'.

--- a/internal/jobs/track/bounds_test.go
+++ b/internal/jobs/track/bounds_test.go
@@ -98,3 +98,22 @@
 	assert.Equal(t, len(rs), 1)
 	assert.Assert(t, len(rs[0].Value) < 256<<10, "%d bytes", len(rs[0].Value))
 }
+
+// Guards against a log line for each record of the leader where leaderless records share its partition,
+// and against a cancel under the key of a job.
+func TestLeaderlessRecordsFitTheirKeys(t *testing.T) {
+	job := JobRecord("j", queue, body(steps(1)), 0).Value
+	cancel := CancelRecord("j", 0).Value
+	for key, want := range map[string]struct {
+		value []byte
+		id    string
+		fails bool
+	}{
+		"j/0": {encode(&workpb.Mark{}), "", false}, "j": {job, "", false}, "j~": {job, "j", false}, "j!": {cancel, "j", false},
+		"k~": {cancel, "", true}, "k!": {job, "", true}, "l~": {encode(&workpb.Mark{}), "", true}, "l!": {[]byte("x"), "", true}, "m!": {nil, "", false},
+	} {
+		rec, err := DecodeLeaderless(key, want.value, decodeTest)
+		assert.Equal(t, err != nil, want.fails, key)
+		assert.Equal(t, rec.ID, want.id, key)
+	}
+}
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -205,22 +205,29 @@
 // DecodeLeaderless decodes a record that an entry stored while it had no leader, and returns a zero
 // value for any other key. It returns an ErrRecord if the record can't be decoded.
 func DecodeLeaderless(key string, value []byte, decode func([]byte) (model.JobSpec, error)) (LeaderlessRecord, error) {
-	id := JobID(key)
-	if id == key || len(value) == 0 {
+	isJob, isCancel := strings.HasSuffix(key, leaderlessSuffix), strings.HasSuffix(key, cancelSuffix)
+	if !isJob && !isCancel || len(value) == 0 {
 		return LeaderlessRecord{}, nil
 	}
+	id := JobID(key)
 	var r workpb.Record
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return LeaderlessRecord{}, ErrRecord.Wrap(err)
 	}
 	switch x := r.GetKind().(type) {
 	case *workpb.Record_Work:
+		if !isJob {
+			return LeaderlessRecord{}, errKind(key)
+		}
 		spec, err := decode(x.Work.GetBody())
 		if err != nil {
 			return LeaderlessRecord{}, ErrRecord.Wrap(err)
 		}
 		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted())}, nil
 	case *workpb.Record_Cancel:
+		if !isCancel {
+			return LeaderlessRecord{}, errKind(key)
+		}
 		return LeaderlessRecord{ID: id, Cancelled: true}, nil
 	case *workpb.Record_Mark, *workpb.Record_Ended, nil:
 		return LeaderlessRecord{}, errKind(key)
