--- a/internal/serve/agent/fuzz_test.go
+++ b/internal/serve/agent/fuzz_test.go
@@ -1,9 +1,13 @@
 package agent
 
 import (
+	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/serve/leader"
+	"chervilgauge.example/chervilgauge/platform"
 )
 
 // Guards against a leader that ends because of a registration with a negative rank: the rank is an
@@ -25,3 +29,41 @@
 		assert.Equal(t, decodeRegistration(r.encode()), r)
 	})
 }
+
+// Guards against malformed records that end an entry, stop the election or keep a new leader from
+// loading its state.
+func TestMalformedRecordsStopNothing(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 2, "pool-b": 1})
+	former := r.leader()
+	garbage := []string{"x", "\xff\xfe\x00", "null", "{", `{"service":1}`, `{"token":18446744073709551615}`, "a -1 b", "99999999999999999999 e"}
+	for _, keys := range []struct {
+		topic string
+		part  int
+		keys  []string
+	}{
+		{platform.OperatorTopic, 0, []string{"config", "wave/1", "other", ""}}, {platform.ExecutorTopic, 0, []string{"bad", ""}},
+		{leader.Topic, 0, []string{"j", "j/0", "j/x", "j!", "j~", "wave.x", "wave.order.m", ""}},
+		{leader.Topic, leader.LeaderlessPart(r.settings[0].Store.Parts), []string{"j", "j/0", "j!", "j~", ""}},
+		{entriesTopic, 0, []string{"e", ""}}, {"chervilgauge.leader", 0, []string{"e"}},
+	} {
+		for _, key := range keys.keys {
+			for _, value := range garbage {
+				r.platform.Store.PutPartition(keys.topic, keys.part, key, []byte(value))
+			}
+		}
+	}
+	runJob := func(n, entry int) {
+		r.until("the job is stored", func() bool {
+			status, _, _ := r.request(entry, http.MethodPost, jobPath("a", n), oneStepJob)
+			return status == http.StatusOK
+		})
+		r.until("the job is complete", func() bool { return r.jobState(entry, jobPath("a", n)) == "complete" })
+	}
+	runJob(1, 0)
+	runJob(2, 1)
+	r.kill(r.entries[former])
+	r.entries[former] = nil
+	runJob(3, 1-former)
+	assert.Equal(t, r.jobState(1-former, jobPath("a", 1)), "complete")
+	r.assertNoViolations()
+}
