serve/front: bodies are limited whatever the configuration says

Seen: with a configured limit above its memory, an entry reads a body into memory until it is killed, though neither drpc (4 MiB) nor the store (record_bytes) takes such a submission. Evidence: before, 'limits_test.go:41: body.n is >= 16 << 20: bytes were read' of a body without an end, which the test breaks off there.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -43,6 +43,8 @@
 	// no limit.
 	maxHeaderBytes = 16 << 10
 	maxBodyBytes   = 256 << 10
+	// maxBodyLimit bounds the limit in the configuration: a message between entries holds no more.
+	maxBodyLimit = 4 << 20
 	// idDigits is the length of a job's id in hexadecimal digits.
 	idDigits = 16
 	// unavailableRetry is the Retry-After time of responses that say that the entry can't answer at
@@ -181,7 +183,7 @@
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, min(limit, maxBodyLimit)))
 	if err != nil {
 		h.writeError(c, http.StatusBadRequest, id, "the body can't be read: "+err.Error(), 0)
 		return
