--- a/internal/serve/agent/fuzz_test.go
+++ b/internal/serve/agent/fuzz_test.go
@@ -67,3 +67,23 @@
 	assert.Equal(t, r.jobState(1-former, jobPath("a", 1)), "complete")
 	r.assertNoViolations()
 }
+
+// Guards against a submission that ends the leader, and each of its successors: it was stored before its
+// tasks, of which there are too many, were allocated.
+func TestHostileSubmissionsAreRefused(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 2, "pool-b": 1})
+	for i, body := range []string{
+		`{"phases":[{"count":4611686018427387904},{"count":4611686018427387904}]}`, `{"phases":[{"count":2147483647}]}`,
+		`{"phases":[{"count":1}],"repeats":2147483647}`, `{"phases":[{"count":1}],"repeats":1000000,"period_ms":1e300}`,
+		`{"phases":[{"count":1,"cpu":9223372036854775807}]}`, `{"phases":[{"count":1,"after":[-1]}]}`, `[]`, "\x00",
+	} {
+		for entry := range 2 {
+			status, _, _ := r.request(entry, http.MethodPost, jobPath("a", i), body)
+			assert.Equal(t, status, http.StatusBadRequest, body)
+		}
+	}
+	status, _, _ := r.request(0, http.MethodPost, jobPath("a", 99), oneStepJob)
+	assert.Equal(t, status, http.StatusOK)
+	r.until("the job is complete", func() bool { return r.jobState(1, jobPath("a", 99)) == "complete" })
+	r.assertNoViolations()
+}
