--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -1,7 +1,7 @@
 package track
 
 import (
-	"slices"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -131,8 +131,16 @@
 	return batch.ended
 }
 
+// maxSavedBytes bounds the checkpoints in a record, which the store must accept, each with
+// savedOverhead for the task's number. One that is left out costs repeated work after a change of
+// the leader.
+const (
+	maxSavedBytes = 128 << 10
+	savedOverhead = 12
+)
+
 func (o *Occurrence) progress() *workpb.Mark {
-	n := 0
+	n, saved := 0, 0
 	for _, s := range o.Steps {
 		n += s.Count
 	}
@@ -147,7 +155,10 @@
 			for _, f := range t.failures {
 				m.Failed = append(m.Failed, &workpb.Failure{Task: uint32(i), Attempt: uint32(f.attempt)})
 			}
-			if t.Checkpoint != "" {
+			if t.Checkpoint == "" {
+				continue
+			}
+			if saved += savedOverhead + len(t.Checkpoint); saved <= maxSavedBytes {
 				m.Saved = append(m.Saved, &workpb.Saved{Task: uint32(i), Value: t.Checkpoint})
 			}
 		}
@@ -181,189 +192,6 @@
 	o.Job.storedProgress[o.Number] = struct{}{}
 }
 
-// Loader collects the records of all keys, in any order.
-type Loader struct {
-	decode   func([]byte) (model.JobSpec, error)
-	jobs     map[string]*workpb.Work
-	ended    map[string]*workpb.Ended
-	cancels  map[string]*workpb.Cancel
-	progress map[string]map[int]*workpb.Mark
-}
-
-// NewLoader returns a loader that decodes job bodies with decode.
-func NewLoader(decode func([]byte) (model.JobSpec, error)) *Loader {
-	return &Loader{
-		decode: decode, jobs: map[string]*workpb.Work{}, ended: map[string]*workpb.Ended{},
-		cancels: map[string]*workpb.Cancel{}, progress: map[string]map[int]*workpb.Mark{},
-	}
-}
-
-// Add adds one record, which replaces an earlier one of the same key. It returns an ErrRecord for a
-// record that can't be decoded.
-func (l *Loader) Add(key string, value []byte) error {
-	id, k, isProgress := strings.Cut(key, progressSeparator)
-	if isProgress {
-		n, err := strconv.Atoi(k)
-		if err != nil {
-			return ErrRecord.Wrap(err)
-		}
-		if len(value) == 0 {
-			delete(l.progress[id], n)
-			return nil
-		}
-		return l.addProgress(id, n, value)
-	}
-	id = strings.TrimRight(key, cancelSuffix+leaderlessSuffix)
-	if len(value) == 0 {
-		switch {
-		case id == key:
-			delete(l.jobs, id)
-			delete(l.ended, id)
-		case strings.HasSuffix(key, cancelSuffix):
-			delete(l.cancels, id)
-		}
-		return nil
-	}
-	var r workpb.Record
-	if err := proto.Unmarshal(value, &r); err != nil {
-		return ErrRecord.Wrap(err)
-	}
-	switch x := r.GetKind().(type) {
-	case *workpb.Record_Work:
-		// An entry without a leader may have stored the job after its end.
-		if l.ended[id] == nil && l.jobs[id] == nil {
-			l.jobs[id] = x.Work
-		}
-	case *workpb.Record_Ended:
-		l.ended[id] = x.Ended
-		delete(l.jobs, id)
-	case *workpb.Record_Cancel:
-		l.cancels[id] = x.Cancel
-	case *workpb.Record_Mark, nil:
-		return ErrRecord.New("key %q holds another kind of record", key)
-	}
-	return nil
-}
-
-func (l *Loader) addProgress(id string, n int, value []byte) error {
-	var r workpb.Record
-	if err := proto.Unmarshal(value, &r); err != nil {
-		return ErrRecord.Wrap(err)
-	}
-	if l.progress[id] == nil {
-		l.progress[id] = map[int]*workpb.Mark{}
-	}
-	l.progress[id][n] = r.GetMark()
-	return nil
-}
-
-// Load builds the tracker of a new leader. Tasks that an earlier leader may have started are
-// unresolved. It returns the IDs of jobs that can't be decoded.
-func (l *Loader) Load(base int, now, wall time.Duration) (*Tracker, []string) {
-	tr := New(base)
-	var bad []string
-	for id, e := range l.ended {
-		if e.GetState() > uint32(model.Cancelled) {
-			bad = append(bad, id)
-			continue
-		}
-		s := model.State(e.GetState())
-		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: time.Duration(e.GetAt()) * time.Millisecond}
-	}
-	for id, w := range l.jobs {
-		spec, err := l.decode(w.GetBody())
-		if err != nil {
-			bad = append(bad, id)
-			continue
-		}
-		j := tr.Accept(id, settingsOf(w), spec, time.Duration(w.GetAccepted())*time.Millisecond, now)
-		tr.OpenDue(j, wall)
-		tr.restoreJob(j, l.progress[id], wall)
-	}
-	for id, c := range l.cancels {
-		if tr.jobs[id] != nil {
-			tr.Cancel(id, time.Duration(c.GetAt())*time.Millisecond)
-		}
-	}
-	return tr, bad
-}
-
-// restoreJob applies the stored progress of a job and makes the remaining tasks unresolved.
-func (tr *Tracker) restoreJob(j *Job, progress map[int]*workpb.Mark, wall time.Duration) {
-	// The stored progress may include occurrences that are not due yet by this entry's clock.
-	for k := range progress {
-		for j.nextOccurrence <= k && j.nextOccurrence < j.Spec.Repeats {
-			j.Open = append(j.Open, j.newOccurrence(j.nextOccurrence))
-			j.nextOccurrence++
-		}
-	}
-	j.begun = len(progress) > 0
-	for _, o := range slices.Clone(j.Open) {
-		if m := progress[o.Number]; m != nil {
-			o.applyProgress(m)
-		}
-		for _, s := range o.Steps {
-			for _, t := range s.Tasks {
-				t.Attempt = tr.attemptBase
-				for _, f := range t.failures {
-					t.Attempt = max(t.Attempt, f.attempt)
-				}
-				t.Unresolved = !t.Done
-			}
-		}
-		tr.closeIfComplete(o, wall)
-	}
-	tr.trim(j)
-}
-
-// AdoptRun adds a run that an executor lists and the tracker does not have. It returns nil for a
-// run that no job needs.
-func (tr *Tracker) AdoptRun(executor string, r model.Run, now time.Duration) *Run {
-	j := tr.jobs[r.Task.Job]
-	if j == nil || j.IsOver() {
-		return nil
-	}
-	t := j.Task(r.Task)
-	if t == nil || t.Done {
-		return nil
-	}
-	t.Attempt = max(t.Attempt, r.Attempt)
-	if len(t.Runs) > 0 && !t.Step.AllowsCopies {
-		return nil
-	}
-	t.Unresolved = false
-	run := tr.BeginRun(t, executor, r.Attempt, now)
-	tr.ConfirmRun(run, now)
-	run.Percent, run.Checkpoint, run.Metric = r.Percent, r.Checkpoint, r.Metric
-	if t.Step.Gang {
-		t.Step.GangAttempt = max(t.Step.GangAttempt, r.Attempt)
-	}
-	return run
-}
-
-// ReleaseUnresolved makes the unresolved tasks of the selected jobs ready to start, and ends the
-// jobs of tasks that have no attempts left. It returns the number of these tasks.
-func (tr *Tracker) ReleaseUnresolved(selected func(*Job) bool, wall time.Duration) int {
-	n := 0
-	for _, j := range tr.active {
-		if !selected(j) {
-			continue
-		}
-		for _, o := range j.Open {
-			for _, s := range o.Steps {
-				for _, t := range s.Tasks {
-					if t.Unresolved {
-						t.Unresolved = false
-						n++
-						tr.failIfExhausted(t, wall)
-					}
-				}
-			}
-		}
-	}
-	return n
-}
-
 // LeaderlessRecord is the decoded record of a job or cancel that an entry stored while it had no
 // leader.
 type LeaderlessRecord struct {
@@ -377,25 +205,32 @@
 // DecodeLeaderless decodes a record that an entry stored while it had no leader, and returns a zero
 // value for any other key. It returns an ErrRecord if the record can't be decoded.
 func DecodeLeaderless(key string, value []byte, decode func([]byte) (model.JobSpec, error)) (LeaderlessRecord, error) {
-	id := JobID(key)
-	if id == key || len(value) == 0 {
+	isJob, isCancel := strings.HasSuffix(key, leaderlessSuffix), strings.HasSuffix(key, cancelSuffix)
+	if !isJob && !isCancel || len(value) == 0 {
 		return LeaderlessRecord{}, nil
 	}
+	id := JobID(key)
 	var r workpb.Record
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return LeaderlessRecord{}, ErrRecord.Wrap(err)
 	}
 	switch x := r.GetKind().(type) {
 	case *workpb.Record_Work:
+		if !isJob {
+			return LeaderlessRecord{}, errKind(key)
+		}
 		spec, err := decode(x.Work.GetBody())
 		if err != nil {
 			return LeaderlessRecord{}, ErrRecord.Wrap(err)
 		}
-		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: time.Duration(x.Work.GetAccepted()) * time.Millisecond}, nil
+		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted())}, nil
 	case *workpb.Record_Cancel:
+		if !isCancel {
+			return LeaderlessRecord{}, errKind(key)
+		}
 		return LeaderlessRecord{ID: id, Cancelled: true}, nil
 	case *workpb.Record_Mark, *workpb.Record_Ended, nil:
-		return LeaderlessRecord{}, ErrRecord.New("key %q holds another kind of record", key)
+		return LeaderlessRecord{}, errKind(key)
 	}
 	return LeaderlessRecord{}, nil
 }
@@ -403,6 +238,14 @@
 func settingsOf(w *workpb.Work) model.Queue {
 	return model.Queue{
 		Name: w.GetQueue(), Service: w.GetService(), Attempts: int(w.GetAttempts()), Priority: int(w.GetPriority()),
-		Slack: w.GetSlack(), Objective: time.Duration(w.GetObjective()) * time.Millisecond,
+		Slack: w.GetSlack(), Objective: millis(w.GetObjective()),
 	}
 }
+
+// maxMillis bounds the times in records, so that sums of them don't overflow.
+const maxMillis = math.MaxInt64 / int64(4*time.Millisecond)
+
+// millis converts a number of milliseconds in a record.
+func millis(n int64) time.Duration {
+	return time.Duration(min(max(n, 0), maxMillis)) * time.Millisecond
+}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return Answer{}, Err.Wrap(err)
 	}
-	return Answer{Verdict(r.GetVerdict()), time.Duration(r.GetAfter()) * time.Millisecond, r.GetCause()}, nil
+	return Answer{decodeVerdict(r.GetVerdict()), time.Duration(r.GetAfter()) * time.Millisecond, r.GetCause()}, nil
 }
 
 // Query requests a job's state from the leader. It returns false if the entry does not lead or does
@@ -202,7 +202,15 @@
 	if err != nil {
 		return Unknown, Err.Wrap(err)
 	}
-	return Verdict(r.GetVerdict()), nil
+	return decodeVerdict(r.GetVerdict()), nil
+}
+
+// decodeVerdict decodes a verdict. One that this version does not know is Unknown.
+func decodeVerdict(n uint32) Verdict {
+	if n > uint32(NotFound) {
+		return Unknown
+	}
+	return Verdict(n)
 }
 
 // Digest polls an entry for its digest. It returns an Err.
@@ -213,17 +221,26 @@
 	if err != nil {
 		return Digest{}, Err.Wrap(err)
 	}
+	return decodeDigest(r), nil
+}
+
+// maxPollInterval bounds the time between two polls. A leader asks for at most 1 s, and an entry that
+// polls more rarely detects too late that its leader has failed.
+const maxPollInterval = 2 * time.Second
+
+func decodeDigest(r *workpb.DigestReply) Digest {
 	d := Digest{
 		Leads: r.GetLeads(), Token: r.GetToken(), LeaseAge: time.Duration(r.GetAge()) * time.Millisecond,
-		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: time.Duration(r.GetPause()) * time.Millisecond,
+		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: min(time.Duration(r.GetPause())*time.Millisecond, maxPollInterval),
 	}
-	if r.GetCounted() {
-		d.Pending = map[string]int{}
+	if !r.GetCounted() {
+		return d
 	}
+	d.Pending = map[string]int{}
 	for _, b := range r.GetBacklog() {
 		d.Pending[b.GetQueue()] = int(b.GetN())
 	}
-	return d, nil
+	return d
 }
 
 // Announce sends the token, name and address of the leader, or of the designated successor, to an
