--- a/cmd/chervilgauge/cmds/cmds.go
+++ b/cmd/chervilgauge/cmds/cmds.go
@@ -64,6 +64,7 @@
 		{"explain", "ID FILE...", "show what the logs of entries say about a job", runExplain},
 		{"demo", "", "run entries, fakes and traffic in one process and report", runDemo},
 		{"load", "", "send open-loop load to an entry or an endpoint", runLoad},
+		{"soak", "", "run entries as processes, inject faults at random and check what callers see", runSoak},
 		{"standin", "all|log|list|endpoint", "run a fake of the platform or of an endpoint", runStandin},
 	}
 }
--- /dev/null
+++ b/internal/bench/soak/entry.go
@@ -0,0 +1,150 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
+)
+
+// entry is an entry that runs as a process.
+type entry struct {
+	index   int
+	name    string
+	front   string // address for callers
+	ready   string // address of the readiness
+	program string
+	file    string // settings
+	logPath string
+	store   overlay[fake.Faults]
+	link    overlay[LinkFaults]
+
+	// turn is held while a signal that ends the process is carried out, until the next one starts.
+	turn sync.Mutex
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	ended    chan struct{} // closed when the process has ended
+	ending   bool          // a signal that ends the process was sent
+	lifetime int
+	stopAt   time.Duration // when the last SIGTERM was sent, 0 for never
+	pauses   int           // pauses in progress
+}
+
+// start starts the process. It returns an Err.
+func (e *entry) start(r *run) error {
+	log, err := os.OpenFile(e.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	defer func() { _ = log.Close() }() // the process has a descriptor of its own
+	cmd := exec.Command(e.program, "agent")
+	cmd.Env = append(os.Environ(), platform.SettingsVar(e.file), "GOMAXPROCS=1")
+	cmd.Stdout, cmd.Stderr = log, log
+	// A terminal's interrupt reaches only this process, which then ends the entries.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return Err.Wrap(err)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cmd, e.ended, e.ending, e.pauses = cmd, make(chan struct{}), false, 0
+	e.lifetime++
+	ended := e.ended
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		err := cmd.Wait()
+		e.mu.Lock()
+		ending := e.ending
+		e.mu.Unlock()
+		if !ending {
+			r.found("FAULT", "", "%s (process %d) ended by itself: %v", e.name, cmd.Process.Pid, err)
+		}
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process, and returns a channel that is closed when it has ended.
+func (e *entry) signal(s syscall.Signal, ends bool) <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ending = e.ending || ends
+	_ = e.cmd.Process.Signal(s) // a process that has ended needs no signal
+	return e.ended
+}
+
+// pause stops the process, or lets it run again after the last pause.
+func (e *entry) pause(begin bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := syscall.SIGSTOP
+	if begin {
+		e.pauses++
+	} else if e.pauses = max(0, e.pauses-1); e.pauses == 0 {
+		s = syscall.SIGCONT
+	}
+	_ = e.cmd.Process.Signal(s)
+}
+
+// life returns the number of the process's lifetime.
+func (e *entry) life() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lifetime
+}
+
+// stoppedAt returns when the last SIGTERM was sent, 0 for never.
+func (e *entry) stoppedAt() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopAt
+}
+
+// stop sends SIGTERM and kills the process when it has not ended within the grace time, which is a
+// finding unless the entry was disturbed.
+func (e *entry) stop(r *run) {
+	begin := r.clk.Now()
+	e.mu.Lock()
+	e.stopAt = begin
+	e.mu.Unlock()
+	ended := e.signal(syscall.SIGTERM, true)
+	t := r.clk.After(grace)
+	defer t.Close()
+	select {
+	case <-ended:
+	case <-t.C:
+		if r.unplanned.isCalmSince(e.index, begin-stabilityWindow) {
+			r.found("STOP", "", "%s has not ended %s after SIGTERM", e.name, grace)
+		}
+		<-e.signal(syscall.SIGKILL, true)
+	}
+}
+
+// newEntry creates an entry with its settings, its log and its connections to the store.
+func (r *run) newEntry(i int, dir string, ports []int) (*entry, error) {
+	e := &entry{
+		index: i, name: fmt.Sprintf("entry-%d", i), program: r.cfg.Program,
+		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+	}
+	e.file = filepath.Join(dir, e.name+".yaml")
+	e.logPath = filepath.Join(dir, e.name+".log")
+	proxy := r.platform.NewStoreProxy()
+	e.store.apply = func(fs []fake.Faults) { proxy.Set(mergeCalls(fs)) }
+	link, err := NewLink(r.clk)
+	if err != nil {
+		return nil, err
+	}
+	r.links = append(r.links, link)
+	link.SetTarget(proxy.Addr())
+	e.link.apply = func(fs []LinkFaults) { link.Set(mergeLinks(fs)) }
+	text := r.platform.SettingsText(e.name, link.Addr(), ports[0], ports[1], ports[2], fake.BoundsLine(grace, stopTimeout))
+	return e, Err.Wrap(os.WriteFile(e.file, []byte(text), 0o600))
+}
--- /dev/null
+++ b/internal/bench/soak/link.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+)
+
+// LinkFaults are faults of a link.
+type LinkFaults struct {
+	// Delay is added to each piece of data that passes.
+	Delay time.Duration
+	// Reset resets all connections, and new ones as soon as they are there.
+	Reset bool
+	// NoCalls and NoAnswers hold back all data to and from the server.
+	NoCalls, NoAnswers bool
+	// Rate is the bandwidth of each connection in bytes per second, 0 for no limit.
+	Rate int
+}
+
+const (
+	// pieceBytes is the largest piece of data that a link passes on at once.
+	pieceBytes = 16 << 10
+	// holdCheck is the time between checks whether data is still held back.
+	holdCheck = 10 * time.Millisecond
+)
+
+// Link is a TCP proxy on loopback with faults.
+type Link struct {
+	lis    net.Listener
+	clk    clock.Clock
+	ctx    context.Context
+	cancel context.CancelFunc
+	faults atomic.Pointer[LinkFaults]
+	target atomic.Pointer[string]
+	wg     sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*net.TCPConn]bool
+}
+
+// NewLink starts a link without a target. Close stops it. It returns an Err.
+func NewLink(clk clock.Clock) (*Link, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Err.Wrap(err)
+	}
+	l := &Link{lis: lis, clk: clk, conns: map[*net.TCPConn]bool{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.faults.Store(&LinkFaults{})
+	l.wg.Add(1)
+	go l.accept()
+	return l, nil
+}
+
+// Addr returns the host and port of the link.
+func (l *Link) Addr() string { return l.lis.Addr().String() }
+
+// SetTarget sets the address that new connections lead to.
+func (l *Link) SetTarget(addr string) { l.target.Store(&addr) }
+
+// Set replaces the faults.
+func (l *Link) Set(f LinkFaults) {
+	l.faults.Store(&f)
+	if f.Reset {
+		l.reset()
+	}
+}
+
+// Close closes the link and all its connections, and waits for its goroutines.
+func (l *Link) Close() {
+	l.cancel()
+	_ = l.lis.Close()
+	l.reset()
+	l.wg.Wait()
+}
+
+// reset resets all connections.
+func (l *Link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+	clear(l.conns)
+}
+
+// add records a connection, and resets it if that is the fault at present or the link is closed.
+func (l *Link) add(c *net.TCPConn) {
+	l.mu.Lock()
+	l.conns[c] = true
+	l.mu.Unlock()
+	if l.faults.Load().Reset || l.ctx.Err() != nil {
+		l.reset()
+	}
+}
+
+func (l *Link) accept() {
+	defer l.wg.Done()
+	for {
+		c, err := l.lis.Accept()
+		if err != nil {
+			return
+		}
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			l.serve(c.(*net.TCPConn))
+		}()
+	}
+}
+
+// serve connects a caller to the target until either side closes its connection.
+func (l *Link) serve(caller *net.TCPConn) {
+	l.add(caller)
+	target := l.target.Load()
+	if target == nil {
+		_ = caller.Close()
+		return
+	}
+	conn, err := new(net.Dialer).DialContext(l.ctx, "tcp", *target)
+	if err != nil {
+		_ = caller.Close()
+		return
+	}
+	server := conn.(*net.TCPConn)
+	l.add(server)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.copy(server, caller, func(f *LinkFaults) bool { return f.NoCalls })
+	}()
+	l.copy(caller, server, func(f *LinkFaults) bool { return f.NoAnswers })
+	<-done
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, caller)
+	delete(l.conns, server)
+}
+
+// copy passes data on until a connection is closed, and then closes both.
+func (l *Link) copy(to, from *net.TCPConn, isHeld func(*LinkFaults) bool) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		f := l.faults.Load()
+		wait := f.Delay
+		if f.Rate > 0 {
+			wait += time.Duration(n) * time.Second / time.Duration(f.Rate)
+		}
+		if wait > 0 {
+			clock.Pause(l.ctx, l.clk, wait)
+		}
+		for isHeld(l.faults.Load()) && l.ctx.Err() == nil {
+			clock.Pause(l.ctx, l.clk, holdCheck)
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
