Leases: no run is given up for a later leader, and slow clocks count

Two faults that the model check found (internal/proof/check), each a second run of a task, and each confirmed on the leader itself:

- A former leader, within its 5 s, gave up runs when its own leases had ended, although a later leader had extended them.
Now only a renewal sent after the end of the leases lets it do so.
- The lease of a start on an executor that was idle for 200 s, with a clock 2% slow, lasted 9.2 s; FormerRunsEnd allows 5.3 s.
Deadlines now take the clock to be slow, and clocks read over 20 s ago are read again.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -109,21 +109,9 @@
 
 // Proposed changes. The model has the present decision without them.
 const (
-	// RenewedLeases gives up the runs on an executor only once a renewal was sent after the end of
-	// its leases: a later leader may have extended them, see Leader.expireLeases.
-	RenewedLeases Repair = 1 << iota
-	// UnstoredEnds does not take ends for stored after the append that has them was refused, see
-	// Leader.flush.
-	UnstoredEnds
-	// MovedRuns keeps the runs on an executor that restarted until its new incarnation has listed
-	// its runs: the orders may have been carried out there, see Leader.replaceIncarnation.
-	MovedRuns
-	// SlowClocks takes the clock of an executor that was not called for long to be slow, see
-	// member.deadline.
-	SlowClocks
 	// Resigners does not take a leader for the only one once it has sent its resignation, see
 	// Elector.renewOrResign.
-	Resigners
+	Resigners Repair = 1 << iota
 	// LoadedJobs starts no task of a job that an entry without a leader stored until a later leader
 	// would load that job, as for executors in Leader.isVisibleToSuccessor, see Leader.applyLeaderless.
 	LoadedJobs
@@ -131,11 +119,8 @@
 	// not seen the fencing token of the later leader. No task starts in an outage of the store then,
 	// so AllRepairs does not include it.
 	SoleStarts
-	// OwnOrders tells a leader's own orders for instances from those of earlier leaders by what it
-	// remembers, not by their time, see Leader.mayOrder.
-	OwnOrders
 
-	AllRepairs = RenewedLeases | UnstoredEnds | MovedRuns | SlowClocks | Resigners | LoadedJobs | OwnOrders
+	AllRepairs = Resigners | LoadedJobs
 )
 
 // WithRepairs makes proposed changes.
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -116,7 +116,7 @@
 // with and without an instance service that checks fencing tokens.
 func TestOrdersOfTwoLeaders(t *testing.T) {
 	for _, fenced := range []bool{false, true} {
-		n, race := SearchOrders(3*time.Second, fenced, AllRepairs)
+		n, race := SearchOrders(3*time.Second, fenced)
 		t.Logf("%d histories", n)
 		assert.Assert(t, race == nil, "%s", race)
 	}
@@ -135,18 +135,18 @@
 
 // Guards against an end that an executor forgets because of an append that was refused.
 func TestEndsOfARefusedAppendAreNotConfirmed(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}, WithRepairs(AllRepairs&^UnstoredEnds)))
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}, WithRepairs(AllRepairs)))
 }
 
 // Guards against a second run of a task whose order an executor carried out after a restart.
 func TestOrdersToARestartedExecutorAreNotForgotten(t *testing.T) {
-	assertKept(t, search(t, Limits{Claims: 1, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs&^MovedRuns)))
+	assertKept(t, search(t, Limits{Claims: 1, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs)))
 }
 
 // Guards against a run that is given up by its former leader although the later leader has extended
 // its lease.
 func TestLeasesExtendedByALaterLeader(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, WithRepairs(AllRepairs&^RenewedLeases)))
+	assertKept(t, search(t, Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, WithRepairs(AllRepairs)))
 }
 
 // Guards against a job that an entry stored without a leader and that two leaders read and start.
@@ -158,7 +158,7 @@
 // idle.
 func TestLeasesOnSlowClocksEndInTime(t *testing.T) {
 	assertKept(t, search(t, Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1},
-		WithRepairs(AllRepairs&^SlowClocks), WithIdle(200*time.Second), WithTick(tightTick)))
+		WithRepairs(AllRepairs), WithIdle(200*time.Second), WithTick(tightTick)))
 }
 
 // Guards against a start by a former leader on an executor that restarted and has not seen the later
@@ -175,6 +175,6 @@
 // Guards against an order of the former leader that is taken for the new leader's own, since the
 // former one's clock is ahead.
 func TestOrdersJustBeforeATakeoverAreAwaited(t *testing.T) {
-	_, race := SearchOrders(3*time.Second, true, AllRepairs&^OwnOrders)
+	_, race := SearchOrders(3*time.Second, true)
 	assert.Assert(t, race == nil, "%s", race)
 }
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -81,9 +81,7 @@
 // deadline and extend follow those of serve/leader.member.
 func (m *Model) deadline(b *member, now tick) time.Duration {
 	age := m.at(now - b.clockAt)
-	if m.repairs&SlowClocks != 0 {
-		age -= time.Duration(elect.ClockDrift * float64(age))
-	}
+	age -= time.Duration(elect.ClockDrift * float64(age))
 	return duration(b.clock) + age + elect.RunLease
 }
 
@@ -292,10 +290,6 @@
 	old := e.members[x]
 	e.members[x] = newMember(born, s.now)
 	e.members[x].raises = raises
-	if m.repairs&MovedRuns == 0 {
-		m.dropRuns(s, e, keyOf(uint8(x), old.born))
-		return
-	}
 	e.members[x].raises, e.members[x].unanswered = old.raises, true
 	m.update(s, e, func(tr *track.Tracker) {
 		for r := range tr.RunsOn(keyOf(uint8(x), old.born)) {
@@ -319,10 +313,7 @@
 
 // expireLeases follows Leader.expireLeases.
 func (m *Model) expireLeases(s *state, e *entry, x int) bool {
-	b, now := &e.members[x], s.now
-	if m.repairs&RenewedLeases != 0 {
-		now = e.renewed
-	}
+	b, now := &e.members[x], e.renewed
 	if b.contact == execs.Live || b.contact == execs.Dead || b.leaseEnd == 0 || m.at(now) < duration(b.leaseEnd) {
 		return false
 	}
--- a/internal/proof/check/orders.go
+++ b/internal/proof/check/orders.go
@@ -33,7 +33,7 @@
 //
 // It assumes that an order is carried out within elect.OrderTimeout or never. The decision of
 // Leader.mayOrder is written out once more.
-func SearchOrders(interval time.Duration, fenced bool, repairs Repair) (int, *OrderRace) {
+func SearchOrders(interval time.Duration, fenced bool) (int, *OrderRace) {
 	n := 0
 	end := elect.HandoverEnd(0, interval) + elect.MaxClockSkew
 	for stored := time.Duration(0); elect.MaySend(0, stored); stored += raceStep {
@@ -43,7 +43,7 @@
 					for ahead := -elect.MaxClockSkew; ahead <= elect.MaxClockSkew; ahead += raceStep {
 						n++
 						next := tookOver
-						for !mayOrder(ahead, tookOver, next, interval, repairs) {
+						for !mayOrder(ahead, tookOver, next, interval) {
 							next += raceStep
 						}
 						refused := fenced && next <= arrived
@@ -60,9 +60,7 @@
 
 // mayOrder follows Leader.mayOrder, for an order that another entry recorded at a time of its wall
 // clock.
-func mayOrder(recorded, tookOver, now, interval time.Duration, repairs Repair) bool {
-	if recorded >= tookOver && repairs&OwnOrders == 0 {
-		return true // it is taken for an order of this leader
-	}
-	return now >= elect.HandoverEnd(recorded, interval)
+func mayOrder(recorded, tookOver, now, interval time.Duration) bool {
+	// Leader.loadOrder takes no stored order for one of its own.
+	return now >= elect.HandoverEnd(min(recorded, tookOver), interval)
 }
--- a/internal/proof/check/store.go
+++ b/internal/proof/check/store.go
@@ -23,7 +23,7 @@
 		if waits {
 			s.caller.leader, s.caller.unsure = 0, true
 		}
-		e.book.dirty = dirty && m.repairs&UnstoredEnds != 0
+		e.book.dirty = dirty
 		return true
 	}
 	for x := range m.execs {
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -64,7 +64,9 @@
 
 // deadline returns the end of a lease granted at now, on the executor's clock.
 func (m *member) deadline(now time.Duration) time.Duration {
-	return m.clock + (now - m.clockAt) + elect.RunLease
+	// The clock may run slow: a deadline that is too late would outlast elect.FormerRunsEnd.
+	age := time.Duration(float64(now-m.clockAt) * (1 - elect.ClockDrift))
+	return m.clock + age + elect.RunLease
 }
 
 // extend records that a call may have extended the leases there to a deadline on the executor's
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -290,6 +290,7 @@
 		l.nextSweep = l.now + sweepInterval
 		l.retryStops()
 		l.expireLeases()
+		l.renewClocks()
 	}
 	l.manageFleet()
 	l.purge()
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -31,12 +31,29 @@
 // needsPoll reports whether an executor has to be polled. Idle ones are not, since each poll is
 // charged.
 func (l *Leader) needsPoll(m *member) bool {
-	if !m.adopted || m.hasUnanswered || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
+	if !m.adopted || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
 		return true
 	}
 	return len(l.tracker.RunsOn(m.Key)) > 0
 }
 
+// clockAge is the age from which the reading of an executor's clock is renewed: a clock that runs
+// slow shortens the leases of starts by elect.ClockDrift of that age.
+const clockAge = 20 * time.Second
+
+func (l *Leader) isClockOld(m *member) bool {
+	return m.Contact == execs.Live && m.clockAt > 0 && l.now > m.clockAt+clockAge
+}
+
+// renewClocks makes the executors candidates for a poll whose clocks were read long ago.
+func (l *Leader) renewClocks() {
+	for _, m := range l.members {
+		if l.isClockOld(m) {
+			l.queuePoll(m)
+		}
+	}
+}
+
 func (l *Leader) poll(m *member) {
 	wait, limit := pollWait, pollWait+pollSlack
 	if m.Contact != execs.Live || m.hasUnanswered || m.appliedSeq > m.storedSeq {
@@ -221,7 +238,8 @@
 // expireLeases gives up the runs on executors that did not answer until their leases expired.
 func (l *Leader) expireLeases() {
 	for _, m := range l.members {
-		if m.Contact == execs.Live || m.Contact == execs.Dead || l.now < m.leaseEnd || len(l.tracker.RunsOn(m.Key))+len(m.unconfirmed) == 0 {
+		// A later leader may have extended the leases, if another entry has claimed since.
+		if m.Contact == execs.Live || m.Contact == execs.Dead || l.LastRenewal() < m.leaseEnd || len(l.tracker.RunsOn(m.Key))+len(m.unconfirmed) == 0 {
 			continue
 		}
 		l.resolveFailures(m)
