Findings of the review: large batches, late requests, partial reads, refused ends

- An append of up to 2 MB had 0.9 s in all and was sent again whole: 150 records of 2.4 KB at 250 KB/s were never stored (13 attempts, 12 s).
Calls now carry up to 64 KiB, and each byte adds to their time limit.
- Requests whose entries had given up during a load were stored all the same, as one such batch.
They are dropped; ids make that safe.
- A read of leaderless records returns at most 1 MB and counted as complete, so that an accepted job in the rest was denied.
Now the rest is read at once and jobs are denied only after it.
- After an append that the store refused for good, its ends counted as stored, and executors forgot them: the task ran twice.
The leader stores and acknowledges nothing any more then.
- Rounds that extend leases during a load start 2.5 s apart, not 2.5 s after the end of the round before; the optional instance list has 2 s in all.

--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -22,6 +22,8 @@
 	// listIntervalPerInstance is added for each instance: a list of a thousand takes
 	// milliseconds to read.
 	listIntervalPerInstance = 400 * time.Microsecond
+	// listTimeout limits the read of all pages: the list is optional, and a load waits for it.
+	listTimeout = 2 * time.Second
 	// listStall is how long no byte of a page may arrive before the read is given up.
 	listStall = 600 * time.Millisecond
 	// orderRetryInterval is the time between attempts of an order.
@@ -146,6 +148,8 @@
 
 // readInstances reads all pages of the instance list.
 func (l *Leader) readInstances(ctx context.Context) ([]model.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	var out []model.Instance
 	for page := ""; ; {
 		list, next, err := l.Client.Instances(ctx, page, listStall)
--- a/internal/serve/leader/hold.go
+++ b/internal/serve/leader/hold.go
@@ -41,10 +41,11 @@
 		if last == 0 {
 			l.Execs.SetCentreSizes(centres)
 		}
+		begin := l.Clock.Now()
 		sent, held := l.holdOnce(ctx, executors)
 		last = max(last, sent)
 		l.Log.Info().Int("executors", len(executors)).Int("held", held).Msg("leases are extended while the jobs are loaded")
-		clock.Pause(ctx, l.Clock, holdInterval)
+		clock.Pause(ctx, l.Clock, begin+holdInterval-l.Clock.Now())
 	}
 	return last
 }
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -19,6 +19,7 @@
 // submitRequest is the submission of a job that is to be stored.
 type submitRequest struct {
 	relay.Submission
+	ctx      context.Context
 	settings model.Queue
 	accepted time.Duration
 	reply    chan relay.Answer
@@ -84,7 +85,7 @@
 // Submit stores a job. The verdict is Stored once the job is stored, NotLeader if this leader has
 // not handled it, and Unknown if the outcome is not known.
 func (l *Leader) Submit(ctx context.Context, s relay.Submission) relay.Answer {
-	ev := &submitRequest{Submission: s, reply: make(chan relay.Answer, 1)}
+	ev := &submitRequest{Submission: s, ctx: ctx, reply: make(chan relay.Answer, 1)}
 	if !l.send(ctx, ev) {
 		return notLeaderAnswer
 	}
@@ -150,6 +151,9 @@
 		l.deferred = append(l.deferred, ev)
 		return
 	}
+	if ev.ctx != nil && ev.ctx.Err() != nil {
+		return // the entry has stopped waiting, and may have stored the job itself
+	}
 	if l.tracker.Job(ev.ID) != nil {
 		ev.answer(relay.Answer{Verdict: relay.Stored})
 		return
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -15,13 +15,18 @@
 	// appendInterval is the least time between appends, which batches records: each call is
 	// charged, and 20 ms are a thirtieth of the shortest objective.
 	appendInterval = 20 * time.Millisecond
-	// appendTimeout limits one attempt, and appendRetryDelay is the time to the next.
+	// appendTimeout limits one attempt to append a few records, and appendRetryDelay is the time to the
+	// next. Each byte of a larger call adds appendByteTime, since a repeated call sends all of it again.
 	appendTimeout    = 900 * time.Millisecond
+	appendByteTime   = 10 * time.Microsecond
 	appendRetryDelay = 50 * time.Millisecond
 	// readStall is how long no byte of an answer may arrive before a read is given up. The time for
 	// the whole answer is not limited: it grows with the backlog, and a read that starts over would
 	// never end.
 	readStall = 1500 * time.Millisecond
+	// maxAppendBytes bounds the records of one call, so that the answer does not wait for a large one on
+	// a slow link.
+	maxAppendBytes = 64 << 10
 	// slowAppendAfter is how long an append may take until new jobs are refused, since they
 	// could not be stored in time.
 	slowAppendAfter = 700 * time.Millisecond
@@ -48,6 +53,8 @@
 	next      time.Duration // when the next append may be sent
 	// refused is set if the store refused the append in flight so far.
 	refused bool
+	// failed is set once an append failed permanently.
+	failed bool
 	// inFlight are the jobs in the append in flight, by id.
 	inFlight map[string]*submitRequest
 }
@@ -80,7 +87,7 @@
 // flush stores the pending changes unless an append is in flight.
 func (l *Leader) flush() {
 	s := &l.store
-	if s.busy || l.now < s.next {
+	if s.busy || s.failed || l.now < s.next {
 		return
 	}
 	if len(s.pending)+len(s.accepts)+len(s.cancels)+len(l.fleet.unstored) == 0 && !l.tracker.HasChanges() {
@@ -131,11 +138,15 @@
 // appendRecords retries until the records are stored, the store has fenced this leader or the
 // context has ended. The store keeps repeated appends with the same sequence number once.
 func (l *Leader) appendRecords(ctx context.Context, ev appended, records [][]byte, seq int64) event {
-	chunks := splitRecords(records, l.Settings.Store.CallBytes)
+	chunks := splitRecords(records, min(l.Settings.Store.CallBytes, maxAppendBytes))
 	for _, chunk := range chunks {
 		seq++
+		size := 0
+		for _, r := range chunk {
+			size += len(r)
+		}
 		for {
-			call, cancel := context.WithTimeout(ctx, appendTimeout)
+			call, cancel := context.WithTimeout(ctx, appendTimeout+time.Duration(size)*appendByteTime)
 			_, _, err := l.Client.Append(call, platform.Append{
 				Topic: Topic, Part: leaderPart, Records: chunk, At: -1, Writer: writer, Epoch: l.token, Seq: seq,
 			})
@@ -189,6 +200,8 @@
 	s.busy, s.refused, s.inFlight = false, false, nil
 	if ev.err != nil {
 		l.Log.Warn().Err(ev.err).Int("records", ev.entries).Msg("append failed permanently")
+		// The ends in it are not stored: a poll that acknowledged them would make executors forget them.
+		s.failed = true
 		l.answerUnknown(ev)
 		return
 	}
@@ -248,9 +261,9 @@
 }
 
 // isStoreSlow reports whether the append in flight is refused, or takes so long that new jobs can't
-// be stored in time.
+// be stored in time, or the store takes no more of this leader's appends.
 func (l *Leader) isStoreSlow() bool {
-	return l.store.busy && (l.store.refused || l.now-l.store.firstSent > slowAppendAfter)
+	return l.store.failed || l.store.busy && (l.store.refused || l.now-l.store.firstSent > slowAppendAfter)
 }
 
 // returnQueued returns the requests that wait for an append to the entries that sent them, once the
@@ -293,6 +306,7 @@
 	records []platform.Record
 	from    int64 // records before it were read earlier; 0 after a full read
 	next    int64
+	partial bool // records follow that this read did not return
 	err     error
 }
 
@@ -318,8 +332,9 @@
 
 func (l *Leader) readLeaderless(ctx context.Context, from int64) event {
 	part := LeaderlessPart(l.Settings.Store.Parts)
-	rs, _, err := l.Client.Read(ctx, Topic, part, from, 0, readStall)
+	rs, end, err := l.Client.Read(ctx, Topic, part, from, 0, readStall)
 	out := leaderlessRead{records: rs, from: from, next: from + int64(len(rs)), err: err}
+	out.partial = err == nil && out.next < end
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
 		// The deleted records may include jobs and cancels that this leader has not read.
 		out.records, out.from = nil, 0
@@ -374,11 +389,15 @@
 		l.returnUnread()
 		return
 	}
-	l.leaderlessTail.lastRead = l.leaderlessTail.sent
 	for _, r := range ev.records {
 		l.applyLeaderless(r)
 	}
 	l.leaderlessTail.from = max(l.leaderlessTail.from, ev.next)
+	if ev.partial {
+		l.leaderlessTail.next = l.now
+		return
+	}
+	l.leaderlessTail.lastRead = l.leaderlessTail.sent
 	unread := l.unread
 	l.unread = nil
 	for _, c := range unread {
