--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -63,6 +63,9 @@
 	// LastChange is when the claim log was last seen to grow, and LastRead when it was last read
 	// successfully. Both are times of the entry's clock.
 	LastChange, LastRead time.Duration
+	// WatchedSince is when the claim log was first read after the leader's last answer. Records found
+	// by that read may have been written at any time before.
+	WatchedSince time.Duration
 	// Resigned is set if the last record is a resignation.
 	Resigned bool
 	// HasSuccessor is set if the leader resigned and designated another entry to claim.
@@ -120,7 +123,9 @@
 	case v.CutOff:
 		return idle >= CutOffTimeout
 	}
-	return idle >= LeaderTimeout
+	// An entry that was itself delayed finds its last contact with the leader long ago. The leader is
+	// silent only if no renewal comes while the entry watches the log.
+	return idle >= LeaderTimeout && now >= v.WatchedSince+processGoneTimeout
 }
 
 // successorHeadStart is how long other entries leave the claim to the successor that a resigning
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -298,6 +298,9 @@
 			// These renewals were already taken into account when the leader answered polls.
 			e.view.LastChange, e.view.ProcessGone, e.view.CutOff = before.LastChange, before.ProcessGone, before.CutOff
 		}
+		if !e.synced {
+			e.view.WatchedSince = now
+		}
 		e.synced = true
 		if e.view.LastChange == now && !nominated {
 			return readInterval / 4
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"testing"
 	"time"
 
@@ -74,6 +75,33 @@
 	}
 }
 
+// Guards against an entry that was suspended or short of processor time and then takes the leadership
+// from a leader that renews its lease.
+func TestDelayedEntryDoesNotClaimFromALivingLeader(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := newFollower(t, clk)
+	// The leader's address does not answer, but does not refuse connections either.
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, lis.Close()) }()
+	e.leader.Addr = lis.Addr().String()
+	clk.Advance(3 * time.Second)
+	for i := range int64(4) {
+		e.follow(context.Background())
+		assert.Assert(t, !e.Leader().IsSelf, "read %d", i)
+		clk.Advance(elect.RenewEvery)
+		data, err := json.Marshal(record{Kind: "renew", Name: "other", Addr: e.Leader().Addr, Nonce: "o", Token: 1})
+		assert.NilError(t, err)
+		_, _, err = e.client.Append(context.Background(), platform.Append{Topic: topic, Records: [][]byte{data}, At: 10 + i})
+		assert.NilError(t, err)
+	}
+	// Without renewals it claims.
+	e.follow(context.Background())
+	clk.Advance(elect.LeaderTimeout)
+	e.follow(context.Background())
+	assert.Assert(t, e.Leader().IsSelf)
+}
+
 // Guards against an entry that waits for itself: after all entries lost power, the former leader
 // waited 650 ms for renewals of its own earlier process. A process at another address may still
 // run.
