A run is not gone while its executor may have further ends

Callers would see a task run twice. Executors return 500 ends at a time, and later ones only once these are acknowledged, which waits for the store. A run whose end lies beyond that page is in neither list: after two lists the leader took it for gone and started the task again. On the first list of a new leader, the task was released, and its end, listed later, was ignored. The same holds for a row that can't be read.

An answer with a full page of ends or an unreadable row now gives up no run. A new leader adopts runs and ends until an executor has answered in full, and does not release the tasks of its service before that, except late.

Before: TestRunWhoseEndIsOnALaterPageIsKept, TestFormerEndOnALaterPageIsAwaited and TestFormerRunInAnUnreadableRowIsAwaited failed: the task was waiting.

--- /dev/null
+++ b/internal/serve/leader/ends_test.go
@@ -0,0 +1,116 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
+)
+
+// pageOfEnds returns the ends of other jobs that fill an answer.
+func pageOfEnds() []model.End {
+	var out []model.End
+	for n := range platform.EndsPerPage {
+		out = append(out, model.End{Seq: int64(n + 1), Task: model.TaskID{Job: "other", Index: n}, Attempt: 1, Ending: model.EndedDone})
+	}
+	return out
+}
+
+// Guards against a second run of a task whose end does not fit into the answers of its executor.
+func TestRunWhoseEndIsOnALaterPageIsKept(t *testing.T) {
+	for _, started := range []bool{true, false} {
+		l, m, r, _ := newRunningLeader(t)
+		if started {
+			l.onStarted(startedRun{m: m, run: r})
+		} else {
+			l.onStarted(startedRun{m: m, run: r, err: platform.ErrUnknown.New("lost")})
+			m.fenceRaises++
+		}
+		for range 2 * maxMissedLists {
+			l.now += 100 * time.Millisecond
+			answerPoll(l, m, 1, platform.PollResult{Ended: pageOfEnds()})
+			assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+		}
+		m.storedSeq = platform.EndsPerPage
+		answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: platform.EndsPerPage + 1, Task: r.Task.ID, Attempt: r.Attempt, Ending: model.EndedDone}}})
+		assert.Assert(t, r.Task.Done)
+	}
+}
+
+// Guards against a second run of a task that was done under the former leader, and whose end does not
+// fit into the first answer of its executor.
+func TestFormerEndOnALaterPageIsAwaited(t *testing.T) {
+	l, m, task := newTestLeader(t)
+	m.adopted, m.Contact, m.StartMillis = false, execs.Uncontacted, 1
+	task.Unresolved = true
+	l.LastRenewal = func() time.Duration { return l.now }
+	l.start, l.readyAt = l.now, l.now
+	l.Meters = NewMeters(tally.NoopScope)
+	answerPoll(l, m, 1, platform.PollResult{Ended: pageOfEnds()})
+	l.resolveFormerRuns()
+	assert.Assert(t, !task.IsWaiting(), "the task would be started a second time")
+	m.storedSeq = platform.EndsPerPage
+	assert.Assert(t, l.needsPoll(m))
+	answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: platform.EndsPerPage + 1, Task: task.ID, Attempt: 1, Ending: model.EndedDone}}})
+	assert.Assert(t, task.Done)
+	l.resolveFormerRuns()
+	assert.Assert(t, l.allResolved || l.resolved["s"])
+}
+
+// Guards against a task that is started again because its executor listed its run in a row that
+// can't be read.
+func TestFormerRunInAnUnreadableRowIsAwaited(t *testing.T) {
+	l, m, task := newTestLeader(t)
+	m.adopted, m.Contact, m.StartMillis = false, execs.Uncontacted, 1
+	task.Unresolved = true
+	l.LastRenewal = func() time.Duration { return l.now }
+	l.start, l.readyAt = l.now, l.now
+	l.Meters = NewMeters(tally.NoopScope)
+	answerPoll(l, m, 1, platform.PollResult{Unreadable: 1})
+	l.resolveFormerRuns()
+	assert.Assert(t, !task.IsWaiting(), "the task would be started a second time")
+	answerPoll(l, m, 1, platform.PollResult{Running: []model.Run{{Task: task.ID, Attempt: 1}}})
+	assert.Equal(t, len(task.Runs), 1)
+	l.resolveFormerRuns()
+	assert.Assert(t, !task.IsWaiting())
+}
+
+// Guards against a page of ends of another size than that of the executors.
+func TestExecutorsReturnEndsInPages(t *testing.T) {
+	t.Parallel()
+	w := fake.NewPlatform(map[string]int{"s": 1})
+	t.Cleanup(w.Close)
+	w.Plan = func(string, string) fake.RunPlan { return fake.RunPlan{Result: "done"} }
+	l := newLinkedLeader(t, w, 1<<30)
+	var to platform.Target
+	_, err := l.readNewest(context.Background(), platform.ExecutorTopic, 0, func(r platform.Record) {
+		e, err := platform.DecodeExecutor(r.Key, r.Value)
+		assert.NilError(t, err)
+		to = platform.Target{Addr: e.Addr, ID: e.ID, Fence: elect.FencingToken(l.token, 0)}
+	})
+	assert.NilError(t, err)
+	for n := range platform.EndsPerPage + 1 {
+		_, err := l.Client.Start(context.Background(), to, platform.Start{Task: model.TaskID{Job: fmt.Sprint("j", n)}, Attempt: 1, Spec: "x", Deadline: time.Minute})
+		assert.NilError(t, err)
+	}
+	var list platform.PollResult
+	for len(list.Running) > 0 || len(list.Ended) == 0 {
+		list, err = l.Client.Poll(context.Background(), to, 0, 0, 0)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, list.HasMoreEnds())
+	assert.Equal(t, len(list.Ended), platform.EndsPerPage)
+	list, err = l.Client.Poll(context.Background(), to, 0, platform.EndsPerPage, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, !list.IsPartial())
+	assert.Equal(t, len(list.Ended), 1)
+}
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -48,7 +48,9 @@
 	pollFailures int
 	adopted      bool          // the first answer has arrived
 	adoptedAt    time.Duration // when it arrived
-	unconfirmed  []unconfirmedFailure
+	// formerUnlisted is set if its answers have not listed all runs and ends of earlier leaders yet.
+	formerUnlisted bool
+	unconfirmed    []unconfirmedFailure
 	// freshUntil is until when polls use freshPollWait, and firstListed when the executor became
 	// known.
 	freshUntil  time.Duration
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -7,9 +7,9 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
-// applyEnds applies the ends of runs that an executor lists and that are not applied yet. first
-// is set for the executor's first answer to this leader.
-func (l *Leader) applyEnds(m *member, ends []model.End, first bool) {
+// applyEnds applies the ends of runs that an executor lists and that are not applied yet. adopts is
+// set if they may be those of runs of earlier leaders.
+func (l *Leader) applyEnds(m *member, ends []model.End, adopts bool) {
 	for _, e := range ends {
 		if e.Seq <= m.appliedSeq {
 			continue
@@ -19,21 +19,21 @@
 		if e.Task.Job == "" {
 			continue
 		}
-		l.applyEnd(m, e, first)
+		l.applyEnd(m, e, adopts)
 	}
 }
 
-func (l *Leader) applyEnd(m *member, e model.End, first bool) {
+func (l *Leader) applyEnd(m *member, e model.End, adopts bool) {
 	r := l.tracker.FindRun(m.Key, e.Task, e.Attempt)
 	j := l.tracker.Job(e.Task.Job)
-	eff := l.tracker.ApplyEnd(m.Key, e, first, l.wall)
+	eff := l.tracker.ApplyEnd(m.Key, e, adopts, l.wall)
 	if r != nil {
 		m.RemoveRun(r.Task.Step)
 		l.updateHealth(m, r, e)
 	}
 	l.Meters.runEnds[e.Ending].Inc(1)
 	l.Log.Info().Stringer("task", e.Task).Int("attempt", e.Attempt).Str("executor", m.ID).Stringer("how", e.Ending).
-		Bool("known", eff.Known).Bool("first", first).Msg("run ended")
+		Bool("known", eff.Known).Bool("first", adopts).Msg("run ended")
 	l.planDue[m.Service] = true
 	if j == nil {
 		return
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -31,7 +31,7 @@
 // needsPoll reports whether an executor has to be polled. Idle ones are not, since each poll is
 // charged.
 func (l *Leader) needsPoll(m *member) bool {
-	if !m.adopted || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
+	if !m.adopted || m.formerUnlisted || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
 		return true
 	}
 	return len(l.tracker.RunsOn(m.Key)) > 0
@@ -132,13 +132,17 @@
 	m.confirmedSeq = max(m.confirmedSeq, ev.storedSeq)
 	l.confirmFailures(m)
 	m.due = l.now
-	first := !m.adopted
-	if first {
+	adopts := !m.adopted || m.formerUnlisted
+	if !m.adopted {
 		m.adopted, m.adoptedAt = true, l.now
+		m.extend(m.clock + elect.RunLease)
+	}
+	if adopts {
+		m.formerUnlisted = ev.list.IsPartial()
 		l.lastContact = l.now
 	}
-	l.applyEnds(m, ev.list.Ended, first)
-	l.reconcileRuns(m, ev, first)
+	l.applyEnds(m, ev.list.Ended, adopts)
+	l.reconcileRuns(m, ev, adopts)
 }
 
 func (l *Leader) pollFailed(ev polled) {
@@ -172,13 +176,13 @@
 const maxMissedLists = 2
 
 // reconcileRuns compares the runs that an executor lists with the tracker. It adopts runs of
-// earlier leaders from the first list, stops orphaned runs and drops missing ones.
-func (l *Leader) reconcileRuns(m *member, ev polled, first bool) {
+// earlier leaders if adopts is set, stops orphaned runs and drops missing ones.
+func (l *Leader) reconcileRuns(m *member, ev polled, adopts bool) {
 	listed := map[*track.Run]bool{}
 	orphans := 0
 	for _, row := range ev.list.Running {
 		r := l.tracker.FindRun(m.Key, row.Task, row.Attempt)
-		if r == nil && first {
+		if r == nil && adopts {
 			if r = l.tracker.AdoptRun(m.Key, row, l.now); r != nil {
 				m.AddRun(r.Task.Step)
 			}
@@ -207,12 +211,12 @@
 		l.planDue[m.Service] = true
 	}
 	m.Orphans = orphans
-	if first {
-		m.extend(m.clock + elect.RunLease)
-	}
 	if n := ev.list.Unreadable; n > 0 {
 		l.Log.Warn().Str("executor", m.ID).Int("rows", n).Msg("rows of an executor's lists can't be read")
 	}
+	if ev.list.IsPartial() {
+		return
+	}
 	for r := range l.tracker.RunsOn(m.Key) {
 		if listed[r] {
 			continue
@@ -223,8 +227,8 @@
 				continue // its start order may still arrive
 			}
 		case track.Running, track.Stopping:
-			if r.PhaseSince >= ev.sent || ev.list.Unreadable > 0 {
-				continue // a run whose row can't be read is not gone
+			if r.PhaseSince >= ev.sent {
+				continue
 			}
 			if r.MissedLists++; r.MissedLists < maxMissedLists {
 				continue
