An order for an instance that changed nothing does not end its executor

After a takeover an executor that lives could count as dead, and its reports were ignored for a minute: its capacity was lost, and an instance without a known executor is not drained before the next order. The platform answers 200 also if the operation is already done, so that a new leader that repeats the order of a former one, whose answer was lost, learns nothing about the executor that has joined since.

The executor that an order ends is now the one on the instance when the order is first sent, and it counts as dead once a list that was requested after the answer shows it gone. Until then it gets no tasks, and nothing runs there.

Before: TestRepeatedOrderDoesNotEndTheExecutor failed in the case 'done before'.

--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -188,6 +188,9 @@
 			l.endOperation(op, "instance is not listed any more")
 			continue
 		}
+		if op.accepted && ev.sent > op.acceptedAt && op.former != nil && (in.Executor != op.former.ID || in.Phase != model.Up) {
+			l.markDead(op.former, "its instance was moved or maintained")
+		}
 		if op.accepted && ev.sent > op.acceptedAt && (in.Phase == model.Up || l.isStandby(in.Pool) && in.Phase != model.Maintenance && in.Phase != model.Moving) {
 			if op.pool == "" || in.Pool == op.pool {
 				l.endOperation(op, "instance is available again")
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
@@ -70,3 +71,31 @@
 	l.now += l.Settings.Bounds.Migrate
 	assert.Assert(t, l.expectsExecutor())
 }
+
+// Guards against an executor that lives and counts as dead: its instance had its maintenance under
+// the former leader, and the order of this one changed nothing.
+func TestRepeatedOrderDoesNotEndTheExecutor(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after model.Instance
+		lives bool
+	}{
+		{"done before", model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}, true},
+		{"in maintenance", model.Instance{Name: "m1", Pool: "s", Phase: model.Maintenance}, false},
+		{"back from maintenance", model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "y"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, m, op, in, rs := newDrainingLeader(t, 1, -1)
+			l.Meters, m.Listed = NewMeters(tally.NoopScope), true
+			l.dropRun(rs[0])
+			op.ordered, op.former = true, l.memberOn(in)
+			l.onOrderAnswered(orderAnswered{op: op})
+			assert.Assert(t, m.Leaving, "nothing starts there until the next list")
+			sent := l.now + time.Second
+			l.now = sent
+			l.onInstancesListed(instancesListed{instances: []model.Instance{c.after}, sent: sent})
+			assert.Equal(t, m.CanAcceptTasks(l.now), c.lives)
+			assert.Equal(t, m.Contact == execs.Dead, !c.lives)
+		})
+	}
+}
--- a/internal/serve/leader/operation.go
+++ b/internal/serve/leader/operation.go
@@ -32,7 +32,7 @@
 	// is there: the next leader must know of an order before it can take effect.
 	decided, stored bool
 	decidedAt       time.Duration
-	formerExecutor  string // id of the instance's executor before the order
+	former          *member // the instance's executor when the order was first sent, if known
 }
 
 type orderAnswered struct {
@@ -93,7 +93,6 @@
 func (l *Leader) beginOperation(op *operation) {
 	l.fleet.operations[op.instance] = op
 	in := l.fleet.instances[op.instance]
-	op.formerExecutor = in.Executor
 	m := l.memberOn(in)
 	runs := 0
 	if m != nil {
@@ -146,6 +145,9 @@
 		op.decided, op.stored = false, false
 		return
 	}
+	if !op.ordered {
+		op.former = l.memberOn(in)
+	}
 	op.ordered, op.inFlight = true, true
 	l.Meters.instanceCalls.Inc(1)
 	l.Log.Info().Str("instance", op.instance).Str("to", op.pool).Int64("wave", op.wave).Msg("sending order for instance")
@@ -362,7 +364,8 @@
 	}
 }
 
-// completeOrder records that an order was carried out: all runs on the instance have ended.
+// completeOrder records that an order was carried out, now or before: an order that changes nothing is
+// answered in the same way. The next list shows whether the executor has ended.
 func (l *Leader) completeOrder(op *operation) {
 	op.accepted, op.acceptedAt = true, l.now
 	if op.pool == "" {
@@ -370,9 +373,6 @@
 	} else {
 		l.Meters.order("move")
 	}
-	if m := l.byID[op.formerExecutor]; m != nil {
-		l.markDead(m, "its instance was moved or maintained")
-	}
 	if op.pool == "" {
 		l.recordMaintained(op)
 	}
