An executor missing from one instance list is not dead

Callers would see a task run twice. An executor whose poll was unanswered was taken for dead as soon as one instance list did not show it. The list is read page by page while instances join, move and leave, so that a row can shift to a page that was read before, and an executor can register before the list shows it. The same list released tasks that may run on an executor without a report. A list that was requested before the executor's last answer says nothing.

Crashes are still found by the first list, which shows the instance down or with its next executor.

--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -58,6 +58,10 @@
 	// visible is set once a later leader would know the executor: no other entry can have claimed
 	// the leadership before firstListed.
 	visible bool
+	// host is the instance that has it by the instance list, and missingLists the number of successive
+	// lists that did not show it while it did not answer.
+	host         string
+	missingLists int
 	// startsInFlight counts unanswered starts; an instance with any of them is not drained yet.
 	startsInFlight int
 	// reportOffset is the offset of the newest report of its id that was applied.
--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -26,6 +27,11 @@
 	listTimeout = 2 * time.Second
 	// listStall is how long no byte of a page may arrive before the read is given up.
 	listStall = 600 * time.Millisecond
+	// registrationLag is how much later than its report an executor may appear in the instance list.
+	registrationLag = 500 * time.Millisecond
+	// maxMissingLists is the number of successive instance lists without an executor after which it
+	// has ended. A single list can miss it: pages are read one after another while instances change.
+	maxMissingLists = 2
 	// orderRetryInterval is the time between attempts of an order.
 	orderRetryInterval = 300 * time.Millisecond
 	// drainGrace is how long runs on a draining instance may go on before they are stopped.
@@ -44,7 +50,7 @@
 type fleetState struct {
 	// unregistered are, by service, the executors in the first instance list that had no report
 	// in the store. What runs on them is not known.
-	unregistered   map[string][]string
+	unregistered   map[string][]*unregistered
 	instances      map[string]model.Instance
 	listedAt       time.Duration // when the last list was requested
 	listInFlight   bool
@@ -68,6 +74,13 @@
 	waitingSince map[workKind]time.Duration
 }
 
+// unregistered is an executor without a report in the store.
+type unregistered struct {
+	executor, instance string
+	missing            int  // successive lists without it
+	ended              bool // no instance has it any more
+}
+
 type instancesListed struct {
 	report
 	instances []model.Instance
@@ -78,7 +91,7 @@
 // initFleet initializes the fleet state with the first list of instances, if it could be read.
 func (l *Leader) initFleet(list []model.Instance, sent time.Duration) {
 	f := &l.fleet
-	f.unregistered, f.instances, f.operations = map[string][]string{}, map[string]model.Instance{}, map[string]*operation{}
+	f.unregistered, f.instances, f.operations = map[string][]*unregistered{}, map[string]model.Instance{}, map[string]*operation{}
 	if f.lastOrders == nil {
 		f.lastOrders = map[string]lastOrder{}
 	}
@@ -100,10 +113,42 @@
 	for _, in := range list {
 		f.instances[in.Name] = in
 		if first && in.Phase == model.Up && in.Executor != "" && l.byID[in.Executor] == nil {
-			f.unregistered[in.Pool] = append(f.unregistered[in.Pool], in.Executor)
+			f.unregistered[in.Pool] = append(f.unregistered[in.Pool], &unregistered{executor: in.Executor, instance: in.Name})
 			l.Log.Warn().Str("instance", in.Name).Str("executor", in.Executor).Str("service", in.Pool).Msg("instance has an executor that is not in the store")
 		}
 	}
+	hosts := f.hosts()
+	for _, us := range f.unregistered {
+		for _, u := range us {
+			if _, listed := hosts[u.executor]; listed {
+				u.missing = 0
+				continue
+			}
+			u.missing++
+			u.ended = u.ended || u.missing >= maxMissingLists || f.showsEnd(u.instance, u.executor)
+		}
+	}
+}
+
+// hosts returns the name of the instance of each executor in the last list.
+func (f *fleetState) hosts() map[string]string {
+	out := make(map[string]string, len(f.instances))
+	for name, in := range f.instances {
+		if in.Executor != "" {
+			out[in.Executor] = name
+		}
+	}
+	return out
+}
+
+// showsEnd reports whether the last list shows that an executor on an instance has ended: the
+// instance is not up, or has another executor.
+func (f *fleetState) showsEnd(instance, executor string) bool {
+	in, ok := f.instances[instance]
+	if !ok || in.Executor == executor {
+		return false
+	}
+	return in.Executor != "" || in.Phase != model.Up && in.Phase != model.Other
 }
 
 func (l *Leader) manageFleet() {
@@ -202,14 +247,24 @@
 
 // markReplacedDead marks executors dead that no instance has any more: an executor lives as long
 // as one boot of its instance. sent is when the list was requested; only executors that were
-// known before that are considered.
+// known before that and have not answered since are considered.
 func (l *Leader) markReplacedDead(sent time.Duration) {
-	alive := map[string]bool{}
-	for _, in := range l.fleet.instances {
-		alive[in.Executor] = true
-	}
+	hosts := l.fleet.hosts()
 	for _, m := range l.members {
-		if m.Contact != execs.Live && m.Contact != execs.Dead && !alive[m.ID] && m.firstListed < sent {
+		if host, listed := hosts[m.ID]; listed {
+			m.host, m.missingLists = host, 0
+			continue
+		}
+		if m.Contact == execs.Live || m.Contact == execs.Dead {
+			m.missingLists = 0
+			continue
+		}
+		if sent <= m.firstListed || sent <= m.clockAt {
+			continue
+		}
+		m.missingLists++
+		host := cmp.Or(m.Instance, m.host)
+		if m.missingLists >= maxMissingLists || sent > m.firstListed+registrationLag && l.fleet.showsEnd(host, m.ID) {
 			l.markDead(m, "no instance runs it any more")
 		}
 	}
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -99,3 +99,83 @@
 		})
 	}
 }
+
+// Guards against a second run of the tasks on an executor that lives: it moved from one page of the
+// instance list to another while the list was read, or registered before the list shows it, and its
+// poll was unanswered.
+func TestExecutorMissingFromOneListIsNotDead(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	l.initFleet([]model.Instance{{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}}, l.now)
+	list := func(after time.Duration, rows ...model.Instance) {
+		l.now += after
+		sent := l.now
+		l.now += 10 * time.Millisecond
+		l.onInstancesListed(instancesListed{instances: rows, sent: sent})
+	}
+	up := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+	other := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	unanswered := func() { l.onPolled(polled{m: m, sent: l.now, err: platform.ErrUnknown.New("lost")}) }
+
+	unanswered()
+	list(time.Second, other)
+	assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+	list(time.Second, up, other)
+	list(time.Second, other)
+	assert.Assert(t, !r.Task.IsWaiting())
+	// It answers after the list was requested, so that the list says nothing.
+	answerPoll(l, m, 1, platform.PollResult{Running: []model.Run{{Task: r.Task.ID, Attempt: r.Attempt}}})
+	unanswered()
+	l.onInstancesListed(instancesListed{instances: []model.Instance{other}, sent: l.now - time.Second})
+	assert.Assert(t, !r.Task.IsWaiting())
+	list(time.Second, other)
+	list(time.Second, other)
+	assert.Assert(t, r.Task.IsWaiting())
+}
+
+// Guards against work that waits for two lists although the first one shows that an executor has
+// ended, and against an executor that counts as dead because the list is older than its start.
+func TestInstanceShowsThatItsExecutorHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		row  model.Instance
+		ends bool
+	}{
+		{model.Instance{Phase: model.Down}, true},
+		{model.Instance{Phase: model.Moving}, true},
+		{model.Instance{Phase: model.Maintenance}, true},
+		{model.Instance{Phase: model.Up, Executor: "y"}, true},
+		{model.Instance{Phase: model.Up}, false},
+		{model.Instance{Phase: model.Other}, false},
+		{model.Instance{Phase: model.Down, Executor: "x"}, false},
+	} {
+		for _, age := range []time.Duration{registrationLag, registrationLag + 1} {
+			l, m, r, _ := newRunningLeader(t)
+			l.onStarted(startedRun{m: m, run: r})
+			c.row.Name, c.row.Pool = "m1", "s"
+			l.initFleet([]model.Instance{c.row}, l.now)
+			m.Instance, m.Contact, m.firstListed = "m1", execs.Unresponsive, l.now
+			l.onInstancesListed(instancesListed{instances: []model.Instance{c.row}, sent: l.now + age})
+			assert.Equal(t, r.Task.IsWaiting(), c.ends && age > registrationLag, "%v", c.row)
+		}
+	}
+}
+
+// Guards against a second run of a task on an executor without a report in the store: a later list
+// missed it while the instances changed.
+func TestUnregisteredExecutorMissingFromOneListIsAwaited(t *testing.T) {
+	l, m, task := newTestLeader(t)
+	task.Unresolved, l.byID = true, map[string]*member{"x": m}
+	l.start, l.readyAt = l.now, l.now
+	up := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	other := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+	l.initFleet([]model.Instance{other, up}, l.now)
+	for _, rows := range [][]model.Instance{{other}, {other, up}, {other}} {
+		l.now += time.Second
+		l.applyInstances(rows, l.now)
+		l.resolveFormerRuns()
+		assert.Assert(t, !task.IsWaiting(), "the task would be started a second time")
+	}
+	l.applyInstances([]model.Instance{other}, l.now)
+	l.resolveFormerRuns()
+	assert.Assert(t, task.IsWaiting())
+}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -257,22 +257,11 @@
 	if l.fleet.listedAt == 0 && l.Settings.Cloud.Addr != "" {
 		return false // executors without a report in the store are not known yet
 	}
-	for _, id := range l.fleet.unregistered[service] {
-		// An executor that has just started is not in the store at once. One that no instance
-		// has any more has ended.
-		if l.byID[id] == nil && l.hasInstance(id) {
+	for _, u := range l.fleet.unregistered[service] {
+		// An executor that has just started is not in the store at once.
+		if l.byID[u.executor] == nil && !u.ended {
 			return false
 		}
 	}
 	return true
 }
-
-// hasInstance reports whether the last list shows an executor on an instance.
-func (l *Leader) hasInstance(id string) bool {
-	for _, in := range l.fleet.instances {
-		if in.Executor == id {
-			return true
-		}
-	}
-	return false
-}
