Runs of an occurrence that is not due by the new leader's clock are adopted

Callers would see a task run twice, or its work thrown away. Clocks can jump by seconds. If the former leader's clock was ahead, it started tasks of an occurrence that the new leader has not opened: the new one stopped the runs that executors listed and ignored ends that were listed as done. It opened the occurrence later, with tasks free to start although other executors had not been asked for their runs, and with attempts that executors refuse as old.

An executor's first answer now opens occurrences up to that of a listed task that is at most 10 s ahead, and occurrences that open before the former runs of a job are known have unresolved tasks, with attempts above those of earlier leaders.

Before: TestRunOfAnOccurrenceThatIsNotDueIsAdopted and TestOccurrenceThatOpensBeforeFormerRunsAreKnownIsUnresolved failed.

--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -185,6 +185,10 @@
 	visible model.State
 	// endedAt is when the job ended, in Unix time.
 	endedAt time.Duration
+	// unresolved is set while an earlier leader may have started tasks that are not known to run, and
+	// attemptBase is the highest attempt assumed for them.
+	unresolved  bool
+	attemptBase int
 	// storedProgress are the occurrences with progress in the store.
 	storedProgress map[int]struct{}
 }
@@ -206,11 +210,18 @@
 // HasBegun reports whether any task has started.
 func (j *Job) HasBegun() bool { return j.begun }
 
+// IsUnresolved reports whether tasks of the job may run on executors that a new leader has not
+// contacted yet.
+func (j *Job) IsUnresolved() bool { return j.unresolved }
+
+// due returns the due time of occurrence k of a scheduled job, in Unix time.
+func (j *Job) due(k int) time.Duration { return j.Spec.Start + time.Duration(k)*j.Spec.Period }
+
 // newOccurrence returns occurrence k with all tasks waiting.
 func (j *Job) newOccurrence(k int) *Occurrence {
 	o := &Occurrence{Job: j, Number: k}
 	if j.Spec.Scheduled {
-		o.Due = j.Spec.Start + time.Duration(k)*j.Spec.Period
+		o.Due = j.due(k)
 	}
 	first := 0
 	for i := range j.Spec.Steps {
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -143,6 +143,7 @@
 		}
 	}
 	j.begun = len(progress) > 0
+	j.unresolved, j.attemptBase = true, tr.attemptBase
 	for _, o := range slices.Clone(j.Open) {
 		tr.restoreOccurrence(o, progress[o.Number], wall)
 	}
@@ -165,12 +166,13 @@
 }
 
 func (tr *Tracker) restoreOccurrence(o *Occurrence, m *workpb.Mark, wall time.Duration) {
+	j := o.Job
 	if m != nil {
 		o.applyProgress(m)
 	}
 	for _, s := range o.Steps {
 		for _, t := range s.Tasks {
-			t.Attempt = tr.attemptBase
+			t.Attempt = j.attemptBase
 			for _, f := range t.failures {
 				t.Attempt = max(t.Attempt, f.attempt)
 			}
@@ -213,6 +215,7 @@
 		if !selected(j) {
 			continue
 		}
+		j.unresolved = false
 		for _, o := range j.Open {
 			for _, s := range o.Steps {
 				for _, t := range s.Tasks {
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -72,8 +72,7 @@
 
 func (tr *Tracker) openDue(j *Job, wall time.Duration, maxTasks int) bool {
 	opened := false
-	for j.Spec.Scheduled && !j.IsOver() && j.nextOccurrence < j.Spec.Repeats &&
-		j.Spec.Start+time.Duration(j.nextOccurrence)*j.Spec.Period <= wall {
+	for j.Spec.Scheduled && !j.IsOver() && j.nextOccurrence < j.Spec.Repeats && j.due(j.nextOccurrence) <= wall {
 		if j.isFull(maxTasks) {
 			// Occurrences whose completion was not stored when their last run ended are still open.
 			if tr.trim(j); j.isFull(maxTasks) {
@@ -86,14 +85,35 @@
 	return opened
 }
 
+// maxClockLead is how far the clock of an earlier leader may have been ahead: each of two clocks can
+// be off by 5 s.
+const maxClockLead = 10 * time.Second
+
+// OpenStarted opens the occurrences of a job up to that of a task that an earlier leader has
+// started. They may not be due yet at a wall-clock time of this process.
+func (tr *Tracker) OpenStarted(id model.TaskID, wall time.Duration) {
+	j := tr.jobs[id.Job]
+	if j == nil || !j.Spec.Scheduled || j.IsOver() || id.Occurrence >= j.Spec.Repeats || j.due(id.Occurrence) > wall+maxClockLead {
+		return
+	}
+	for j.nextOccurrence <= id.Occurrence && !j.isFull(2*maxOpenTasks) {
+		j.openNext()
+	}
+}
+
 // isFull reports whether another open occurrence would exceed a number of tasks.
 func (j *Job) isFull(maxTasks int) bool {
 	return len(j.Open) > 0 && (len(j.Open)+1)*j.Spec.TaskCount() > maxTasks
 }
 
-// openNext opens the next occurrence and returns it.
+// openNext opens the next occurrence and returns it. An earlier leader may have opened it as well.
 func (j *Job) openNext() *Occurrence {
 	o := j.newOccurrence(j.nextOccurrence)
+	for _, s := range o.Steps {
+		for _, t := range s.Tasks {
+			t.Attempt, t.Unresolved = j.attemptBase, j.unresolved
+		}
+	}
 	j.Open = append(j.Open, o)
 	j.nextOccurrence++
 	return o
@@ -105,7 +125,7 @@
 	if !j.Spec.Scheduled || j.IsOver() || j.nextOccurrence >= j.Spec.Repeats {
 		return 0, false
 	}
-	return j.Spec.Start + time.Duration(j.nextOccurrence)*j.Spec.Period, true
+	return j.due(j.nextOccurrence), true
 }
 
 // Cancel sets the final state of a job to cancelled, unless it is over. The caller stops its runs.
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -24,6 +24,9 @@
 }
 
 func (l *Leader) applyEnd(m *member, e model.End, adopts bool) {
+	if adopts {
+		l.tracker.OpenStarted(e.Task, l.wall)
+	}
 	r := l.tracker.FindRun(m.Key, e.Task, e.Attempt)
 	j := l.tracker.Job(e.Task.Job)
 	eff := l.tracker.ApplyEnd(m.Key, e, adopts, l.wall)
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -183,6 +183,7 @@
 	for _, row := range ev.list.Running {
 		r := l.tracker.FindRun(m.Key, row.Task, row.Attempt)
 		if r == nil && adopts {
+			l.tracker.OpenStarted(row.Task, l.wall)
 			if r = l.tracker.AdoptRun(m.Key, row, l.now); r != nil {
 				m.AddRun(r.Task.Step)
 			}
