Log lines and metrics tell the hypotheses of the incident apart

`starting run` names the entry that makes the call, the executor's incarnation and the order's fencing token; `executor answers`, `run is lost` and `run is not listed by its executor` name them too, with the phase of the run; `former runs are known` counts the service's executors by contact; `runs_lost` is counted by cause. No decision changes. Tests of serve/leader, serve/proxy and jobs/track pass with -race.

--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -23,6 +23,9 @@
 	Uncertain
 )
 
+// String returns the phase for log lines.
+func (p Phase) String() string { return [...]string{"starting", "running", "stopping", "uncertain"}[p] }
+
 // Run is one run of a task on an executor.
 type Run struct {
 	Attempt  int
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -179,8 +179,9 @@
 // dropRuns gives up all runs on an executor. It must be certain that they have ended.
 func (l *Leader) dropRuns(m *member, cause string) {
 	for r := range l.tracker.RunsOn(m.Key) {
-		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Str("cause", cause).Msg("run is lost")
-		l.Meters.runsLost.Inc(1)
+		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
+			Stringer("phase", r.Phase).Str("cause", cause).Msg("run is lost")
+		l.Meters.lose(cause)
 		l.dropRun(r)
 	}
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -43,6 +43,8 @@
 	proxy.Executors
 	// SetCentreSizes sets the number of executors in each data centre.
 	SetCentreSizes(centres map[string]int)
+	// Caller returns the name of the entry that makes the calls to an executor.
+	Caller(to platform.Target) string
 }
 
 // Deps are the dependencies of a leader.
--- a/internal/serve/leader/leader_test.go
+++ b/internal/serve/leader/leader_test.go
@@ -26,7 +26,7 @@
 func newTestLeader(t *testing.T) (*Leader, *member, *track.Task) {
 	t.Helper()
 	l := &Leader{
-		Deps: Deps{Orders: &orders.Orders{}, Log: zerolog.Nop()}, token: 3, tracker: track.New(0),
+		Deps: Deps{Orders: &orders.Orders{}, Log: zerolog.Nop(), Meters: NewMeters(tally.NoopScope)}, token: 3, tracker: track.New(0),
 		members: map[string]*member{}, pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{},
 		ended: map[string]time.Duration{}, planDue: map[string]bool{}, now: 5 * time.Second,
 	}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -243,8 +243,15 @@
 		l.resolved[s] = true
 		n := l.tracker.ReleaseUnresolved(func(j *track.Job) bool { return l.queueOf(j).Service == s }, l.wall)
 		l.planDue[s] = true
+		contacts := map[execs.Contact]int{}
+		for _, m := range l.members {
+			if m.Service == s {
+				contacts[m.Contact]++
+			}
+		}
 		l.Log.Info().Str("service", s).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
-			Msg("former runs are known")
+			Int("uncontacted", contacts[execs.Uncontacted]).Int("answering", contacts[execs.Live]).
+			Int("unresponsive", contacts[execs.Unresponsive]).Int("dead", contacts[execs.Dead]).Msg("former runs are known")
 	}
 }
 
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -54,6 +54,8 @@
 
 func (directExecutors) SetCentreSizes(map[string]int) {}
 
+func (directExecutors) Caller(platform.Target) string { return "self" }
+
 // Guards against a leader that never gets ready because its link can't carry the state in one time limit.
 func TestStateIsLoadedThroughASlowLink(t *testing.T) {
 	const limit = 20 * time.Second
--- a/internal/serve/leader/meters.go
+++ b/internal/serve/leader/meters.go
@@ -17,13 +17,13 @@
 	stops         tally.Counter
 	polls         tally.Counter
 	instanceCalls tally.Counter
-	runsLost      tally.Counter
 	quarantines   tally.Counter
 	terms         tally.Counter
 	limitLowered  tally.Counter
 	startLimit    tally.Gauge
 	refused       map[string]tally.Counter
 	rejected      map[string]tally.Counter
+	lost          map[string]tally.Counter
 	runEnds       map[model.Ending]tally.Counter
 	orders        map[string]tally.Counter
 	appendTime    tally.Histogram
@@ -43,12 +43,12 @@
 func NewMeters(s tally.Scope) *Meters {
 	m := &Meters{
 		scope: s, accepted: s.Counter("jobs_accepted"), starts: s.Counter("runs_ordered"), stops: s.Counter("runs_stopped"),
-		polls: s.Counter("executor_looks"), instanceCalls: s.Counter("instance_calls"), runsLost: s.Counter("runs_lost"),
+		polls: s.Counter("executor_looks"), instanceCalls: s.Counter("instance_calls"),
 		quarantines: s.Counter("executors_aside"), terms: s.Counter("leads"), limitLowered: s.Counter("start_limit_lowered"), startLimit: s.Gauge("start_limit"),
 		appendTime: s.Histogram("store_append_seconds", durationBuckets), jobWait: s.Histogram("job_wait_seconds", durationBuckets),
 		jobTime: s.Histogram("job_seconds", durationBuckets), takeover: s.Histogram("takeover_seconds", durationBuckets),
 		activeJobs: s.Gauge("jobs_active"), pendingJobs: s.Gauge("jobs_pending"), waveLeft: s.Gauge("wave_left"),
-		refused: map[string]tally.Counter{}, rejected: map[string]tally.Counter{}, runEnds: map[model.Ending]tally.Counter{},
+		refused: map[string]tally.Counter{}, rejected: map[string]tally.Counter{}, lost: map[string]tally.Counter{}, runEnds: map[model.Ending]tally.Counter{},
 		orders: map[string]tally.Counter{},
 	}
 	for e := model.EndedOther; e <= model.EndedAlone; e++ {
@@ -77,6 +77,16 @@
 	c.Inc(1)
 }
 
+// lose counts a run that was given up without an end that its executor listed.
+func (m *Meters) lose(cause string) {
+	c := m.lost[cause]
+	if c == nil {
+		c = m.scope.Tagged(map[string]string{"cause": cause}).Counter("runs_lost")
+		m.lost[cause] = c
+	}
+	c.Inc(1)
+}
+
 // order counts an order for an instance.
 func (m *Meters) order(kind string) {
 	c := m.orders[kind]
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -123,8 +123,8 @@
 		return
 	}
 	if m.Contact != execs.Live {
-		l.Log.Info().Str("executor", m.ID).Str("service", m.Service).Int("running", len(ev.list.Running)).
-			Int("ended", len(ev.list.Ended)).Bool("first", !m.adopted).Msg("executor answers")
+		l.Log.Info().Str("executor", m.ID).Int64("born", ev.list.Born).Str("service", m.Service).Uint64("fence", ev.fence).
+			Int("running", len(ev.list.Running)).Int("ended", len(ev.list.Ended)).Bool("first", !m.adopted).Msg("executor answers")
 		l.planDue[m.Service] = true
 	}
 	m.Contact, m.pollFailures = execs.Live, 0
@@ -229,8 +229,10 @@
 			if r.MissedLists++; r.MissedLists < maxMissedLists {
 				continue
 			}
+			l.Meters.lose("not listed")
 		}
-		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Msg("run is not listed by its executor")
+		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Stringer("phase", r.Phase).
+			Uint64("fence", r.Fence).Msg("run is not listed by its executor")
 		l.dropRun(r)
 	}
 }
--- a/internal/serve/leader/poll_test.go
+++ b/internal/serve/leader/poll_test.go
@@ -38,6 +38,8 @@
 
 func (unresponsiveExecs) SetCentreSizes(map[string]int) {}
 
+func (unresponsiveExecs) Caller(platform.Target) string { return "self" }
+
 // dueExecutors returns the keys of the executors that are due for a poll, found by a scan of all of
 // them.
 func dueExecutors(l *Leader) map[string]bool {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -182,8 +182,8 @@
 	to := l.target(m)
 	r.Fence = to.Fence
 	l.Meters.starts.Inc(1)
-	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
-		Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
+	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
+		Uint64("fence", to.Fence).Str("by", l.Execs.Caller(to)).Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
 	m.startsInFlight++
 	l.window.Send()
 	sent := l.now
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -146,6 +146,14 @@
 	return l, c.Name
 }
 
+// Caller returns the name of the entry that makes the calls to an executor.
+func (p *Pool) Caller(to platform.Target) string {
+	if _, name := p.route(to); name != "" {
+		return name
+	}
+	return p.self
+}
+
 // assign chooses the entries that call the executors of each data centre. The caller holds mu.
 func (p *Pool) assign(now time.Duration) {
 	p.callers = p.chooser.Choose(p.centreSizes, slices.Collect(maps.Values(p.peers)), now)
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -154,6 +154,8 @@
 		})
 	}
 	all.Wait()
+	assert.Equal(t, p.pool.Caller(platform.Target{ID: "x1", Centre: "z"}), "deputy")
+	assert.Equal(t, p.pool.Caller(platform.Target{ID: "x1", Centre: "other"}), "leader")
 	assert.Equal(t, p.direct.count(), 0)
 	assert.Equal(t, p.remote.count(), 40)
 	for i, s := range p.remote.starts {
