serve/leader: a leader that has sent its resignation does not take itself for the only one

Callers would see: 410 for a job that the successor has accepted, for up to 650 ms.

Cause: the time since the last renewal says that no other entry can have claimed, but a resignation names a successor that claims at once. If the answer to the resignation is lost, the leader goes on. The elector now remembers that it has sent one (`HasSentResignation`), and `Leader.isSole` asks for both; it is also what makes new executors usable.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -109,18 +109,15 @@
 
 // Proposed changes. The model has the present decision without them.
 const (
-	// Resigners does not take a leader for the only one once it has sent its resignation, see
-	// Elector.renewOrResign.
-	Resigners Repair = 1 << iota
 	// LoadedJobs starts no task of a job that an entry without a leader stored until a later leader
 	// would load that job, as for executors in Leader.isVisibleToSuccessor, see Leader.applyLeaderless.
-	LoadedJobs
+	LoadedJobs Repair = 1 << iota
 	// SoleStarts starts no task once another entry may have claimed: an executor that restarted has
 	// not seen the fencing token of the later leader. No task starts in an outage of the store then,
 	// so AllRepairs does not include it.
 	SoleStarts
 
-	AllRepairs = Resigners | LoadedJobs
+	AllRepairs = LoadedJobs
 )
 
 // WithRepairs makes proposed changes.
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -169,7 +169,7 @@
 
 // Guards against a leader that denies a job after its resignation was stored without an answer.
 func TestResignedLeaderDoesNotDenyJobs(t *testing.T) {
-	assertKept(t, search(t, Limits{Claims: 2, Tries: 1, Lost: 1, Resigns: 1}, WithRepairs(AllRepairs&^Resigners)))
+	assertKept(t, search(t, Limits{Claims: 2, Tries: 1, Lost: 1, Resigns: 1}, WithRepairs(AllRepairs)))
 }
 
 // Guards against an order of the former leader that is taken for the new leader's own, since the
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -47,6 +47,11 @@
 	}
 }
 
+// isSole follows Leader.isSole. A retired entry has sent its resignation.
+func (m *Model) isSole(e *entry, now tick) bool {
+	return !e.retired && elect.IsSoleLeader(m.at(e.renewed), m.at(now))
+}
+
 // update calls f with a leader's tracker.
 func (m *Model) update(s *state, e *entry, f func(tr *track.Tracker)) {
 	tr := m.open(&e.book, s.now)
@@ -63,7 +68,7 @@
 	e.ready, s.store.epoch = true, e.token
 	for x := range m.execs {
 		e.members[x] = newMember(s.execs[x].reported, s.now)
-		e.members[x].visible = elect.IsSoleLeader(m.at(e.renewed), m.at(s.now))
+		e.members[x].visible = m.isSole(e, s.now)
 	}
 	tr := m.load(s, e)
 	if s.caller.accepted && tr.Job(jobID) == nil {
@@ -91,7 +96,7 @@
 
 // canStart follows Leader.plan: an executor must accept tasks and be known to a successor.
 func (m *Model) canStart(e *entry, b *member, now tick) bool {
-	if m.repairs&SoleStarts != 0 && !elect.IsSoleLeader(m.at(e.renewed), m.at(now)) {
+	if m.repairs&SoleStarts != 0 && !m.isSole(e, now) {
 		return false
 	}
 	x := execs.Member{Contact: b.contact, Listed: b.listed}
@@ -307,7 +312,7 @@
 		return false
 	}
 	m.replace(s, e, x, reported, 0)
-	e.members[x].visible = elect.IsSoleLeader(m.at(e.renewed), m.at(s.now))
+	e.members[x].visible = m.isSole(e, s.now)
 	return true
 }
 
--- a/internal/proof/check/store.go
+++ b/internal/proof/check/store.go
@@ -55,7 +55,7 @@
 	if !s.store.leaderless || e.book.known {
 		return false
 	}
-	if m.repairs&LoadedJobs != 0 && (e.retired || !elect.IsSoleLeader(m.at(e.renewed), m.at(s.now))) {
+	if m.repairs&LoadedJobs != 0 && !m.isSole(e, s.now) {
 		e.jobAt = s.now + 1
 	}
 	m.update(s, e, func(tr *track.Tracker) { tr.Accept(jobID, m.queue, m.spec, 0, m.at(s.now)) })
@@ -165,10 +165,7 @@
 	}
 	for i := range m.entries {
 		e := &s.entries[i]
-		if m.repairs&Resigners != 0 && e.retired {
-			continue
-		}
-		if e.leads && e.ready && !e.book.known && !s.store.leaderless && elect.IsSoleLeader(m.at(e.renewed), m.at(s.now)) {
+		if e.leads && e.ready && !e.book.known && !s.store.leaderless && m.isSole(e, s.now) {
 			n := s
 			n.broken |= Denied
 			emit(step{"answer that there is no such job", uint8(i), 0, 0}, n)
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -232,7 +232,7 @@
 		case elected.IsSelf && l == nil:
 			l = leader.Start(ctx, leader.Deps{
 				Client: a.client, Execs: a.execs, Settings: a.settings, Orders: a.orders, Clock: a.clk, Log: a.log,
-				Meters: a.meters, LastRenewal: a.elector.LastRenewal,
+				Meters: a.meters, LastRenewal: a.elector.LastRenewal, HasSentResignation: a.elector.HasSentResignation,
 			}, elected.Token)
 			a.setLeader(l)
 			a.onLeaderChange(true)
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -76,6 +76,7 @@
 	resigning    bool          // resign and claim no more
 	resignBy     time.Duration // when to resign even without a successor
 	stepDown     bool          // resign in favor of a larger instance
+	resignToken  uint64        // token of the leadership for which a resignation was sent last
 	announced    bool          // another entry announced a leader since the last step
 	unresponsive bool          // the leader did not answer the last poll, or can't renew
 	nominated    bool          // a leader that resigned designated this entry as its successor
@@ -144,6 +145,14 @@
 	return e.lastRenewal
 }
 
+// HasSentResignation reports whether this entry leads and has sent a resignation. Another entry may
+// have claimed at once, even if the store's answer did not arrive.
+func (e *Elector) HasSentResignation() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader.IsSelf && e.resignToken == e.leader.Token
+}
+
 // Changed returns a channel that receives a value after changes of the leader.
 func (e *Elector) Changed() <-chan struct{} { return e.changed }
 
@@ -223,6 +232,9 @@
 			return successorCheck
 		}
 		kind = "resign"
+		e.mu.Lock()
+		e.resignToken = leader.Token
+		e.mu.Unlock()
 	}
 	err := e.append(ctx, record{Kind: kind, Token: leader.Token, Next: next.Name}, elect.RenewalTimeout(e.renewalTook))
 	end := (*platform.EndError)(nil)
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -231,3 +231,23 @@
 	alone.renewOrResign(context.Background())
 	assert.Assert(t, !alone.Leader().IsSelf)
 }
+
+// Guards against a leader that takes itself for the only one after a resignation whose answer was lost.
+func TestALostResignationIsRemembered(t *testing.T) {
+	w := fake.NewPlatform(nil)
+	defer w.Close()
+	storeProxy := w.NewStoreProxy()
+	set := w.Settings("self", 1, 2, 3)
+	set.Store.Addr = storeProxy.Addr()
+	c := platform.NewClient(set)
+	defer c.Close()
+	e := &Elector{client: c, clk: clock.NewSystem(), log: zerolog.Nop(), nonce: "s", leader: Leader{Token: 1, IsSelf: true}}
+	e.renewOrResign(context.Background())
+	assert.Assert(t, !e.HasSentResignation())
+	e.resigning = true
+	storeProxy.Set(fake.Faults{LoseAnswers: true})
+	e.renewOrResign(context.Background())
+	assert.Assert(t, e.Leader().IsSelf && e.HasSentResignation())
+	e.setLeader(Leader{Token: 9, IsSelf: true})
+	assert.Assert(t, !e.HasSentResignation())
+}
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -127,7 +127,7 @@
 		if old != nil && old.StartMillis > e.StartMillis {
 			return // a late report of an earlier incarnation
 		}
-		m = &member{Member: execs.Member{Key: key, Slowness: 1}, firstListed: l.now, visible: elect.IsSoleLeader(l.LastRenewal(), l.now)}
+		m = &member{Member: execs.Member{Key: key, Slowness: 1}, firstListed: l.now, visible: l.isSole()}
 		l.members[key] = m
 		l.byService = nil
 		l.queuePoll(m)
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -58,6 +58,9 @@
 	Meters   *Meters
 	// LastRenewal returns when the last successful renewal of the leader lease was sent.
 	LastRenewal func() time.Duration
+	// HasSentResignation reports whether a resignation was sent. It is nil for a leader that never
+	// resigns.
+	HasSentResignation func() bool
 }
 
 // Leader is one term of leadership, from Start to Close.
@@ -223,6 +226,14 @@
 // isValid reports whether this leader's lease still allows it to act.
 func (l *Leader) isValid() bool { return elect.CanAct(l.LastRenewal(), l.now) }
 
+// isSole reports whether no other entry can have claimed the leadership by now.
+func (l *Leader) isSole() bool {
+	if l.HasSentResignation != nil && l.HasSentResignation() {
+		return false
+	}
+	return elect.IsSoleLeader(l.LastRenewal(), l.now)
+}
+
 func (l *Leader) handle(ev event) {
 	if _, ok := ev.(reporting); ok {
 		l.calls--
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
@@ -220,7 +219,7 @@
 // may have jobs that this one has not, unless no other entry can have claimed since the last
 // renewal. Entries without a leader may have stored jobs since the last read of leaderless records.
 func (l *Leader) knowsAllJobs() bool {
-	return elect.IsSoleLeader(l.LastRenewal(), l.now) && l.now <= l.leaderlessTail.lastRead+maxCountAge
+	return l.isSole() && l.now <= l.leaderlessTail.lastRead+maxCountAge
 }
 
 func (l *Leader) onCancel(ev *cancelRequest) {
