serve/leader: a leaderless job starts once every later leader loads it

Callers would see: a job runs twice. An entry without a leader stores it after the load of a new leader; that one and the former, which acts for up to 5 s after its last renewal, read it from the topic and each start its tasks.

Cause: a job that is read after the load counted as one that nobody else has. Now its tasks start only if no other entry can have claimed when it was read, or after a renewal that was sent later: then each later leader loads it with its tasks unresolved. The state of the job can be asked for at once, and with renewals in time (the usual case) nothing waits.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -109,15 +109,12 @@
 
 // Proposed changes. The model has the present decision without them.
 const (
-	// LoadedJobs starts no task of a job that an entry without a leader stored until a later leader
-	// would load that job, as for executors in Leader.isVisibleToSuccessor, see Leader.applyLeaderless.
-	LoadedJobs Repair = 1 << iota
 	// SoleStarts starts no task once another entry may have claimed: an executor that restarted has
 	// not seen the fencing token of the later leader. No task starts in an outage of the store then,
 	// so AllRepairs does not include it.
-	SoleStarts
+	SoleStarts Repair = 1 << iota
 
-	AllRepairs = LoadedJobs
+	AllRepairs Repair = 0
 )
 
 // WithRepairs makes proposed changes.
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -151,7 +151,7 @@
 
 // Guards against a job that an entry stored without a leader and that two leaders read and start.
 func TestLeaderlessJobsAreStartedByOneLeader(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}, WithRepairs(AllRepairs&^LoadedJobs)))
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}, WithRepairs(AllRepairs)))
 }
 
 // Guards against a lease that outlasts elect.FormerRunsEnd on the slow clock of an executor that was
--- a/internal/proof/check/store.go
+++ b/internal/proof/check/store.go
@@ -50,12 +50,12 @@
 	return true
 }
 
-// readLeaderless follows Leader.readLeaderless.
+// readLeaderless follows Leader.readLeaderless and Leader.applyLeaderless.
 func (m *Model) readLeaderless(s *state, e *entry) bool {
 	if !s.store.leaderless || e.book.known {
 		return false
 	}
-	if m.repairs&LoadedJobs != 0 && !m.isSole(e, s.now) {
+	if !m.isSole(e, s.now) {
 		e.jobAt = s.now + 1
 	}
 	m.update(s, e, func(tr *track.Tracker) { tr.Accept(jobID, m.queue, m.spec, 0, m.at(s.now)) })
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -117,6 +117,9 @@
 		return
 	}
 	for _, j := range l.tracker.Active() {
+		if _, held := l.heldJobs[j]; held {
+			continue
+		}
 		queue := l.queueOf(j)
 		if order := stale[queue.Service]; order != nil {
 			order.jobs = append(order.jobs, j)
