Orders to executors expire on the clock of the process that sends them

Callers would see: a task runs twice. An entry that makes the leader's calls is stopped while an order is in its connection; the executor restarts under its id meanwhile, and the leader starts the task elsewhere. The entry goes on, counts the time limit from when it reads the order, and the new incarnation takes it: it has seen no fencing token, and the deadline on the former clock lies far ahead. The same holds for a process that is suspended between its decision and the call, since timeouts don't count that time.

Class: a permission that is counted from when it is read, not from when it was given. Each message of an entry that makes calls has its clock now; the leader derives a clock that is never ahead, and gives each order the time at which it expires there (`Order.until`). No order is sent before the first reading.

The test pool's silent entry sends its clock first now, as every entry does; what it checks is the same. Entries of an earlier version send no clock and make no calls for a new leader (TestAnEntryWithoutAClockMakesNoCalls).

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -101,7 +101,7 @@
 	for _, o := range opts {
 		o(a)
 	}
-	a.client = platform.NewClient(settings, platform.WithConnWrapper(a.countService))
+	a.client = platform.NewClient(settings, platform.WithConnWrapper(a.countService), platform.WithNow(a.clk.Now))
 	a.peerClient = relay.NewClient(peers.WithConnWrapper(func(conn net.Conn) net.Conn { return a.traffic.Conn(links.Entries, conn) }))
 	a.execs = proxy.New(ctx, a.client, a.clk, log, settings.Node, a.peerClient.OpenProxy)
 	a.meter = meter.New(settings.Node)
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -267,7 +267,9 @@
 }
 
 // ProxyCalls makes calls to executors for the leader.
-func (h *peerHandler) ProxyCalls(s proxy.ServerStream) error { return proxy.Serve(s, h.client, h.clk) }
+func (h *peerHandler) ProxyCalls(s proxy.ServerStream) error {
+	return proxy.Serve(s, h.client, h.clk, h.log)
+}
 
 // Announce records the new leader, or that this entry is the designated successor.
 func (h *peerHandler) Announce(token uint64, name, addr string) {
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -75,8 +75,9 @@
 	m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(m.clockAt, m.clock, deadline))
 }
 
-func (l *Leader) target(m *member) platform.Target {
-	return platform.Target{Addr: m.Addr, ID: m.ID, Centre: m.Centre, Fence: elect.FencingToken(l.token, m.fenceRaises)}
+// target returns the target of an order that must not be sent later than in limit.
+func (l *Leader) target(m *member, limit time.Duration) platform.Target {
+	return platform.Target{Addr: m.Addr, ID: m.ID, Centre: m.Centre, Fence: elect.FencingToken(l.token, m.fenceRaises), Expires: l.now + limit}
 }
 
 func executorKey(e *model.Executor) string { return e.ID + "@" + strconv.FormatInt(e.StartMillis, 36) }
--- a/internal/serve/leader/hold.go
+++ b/internal/serve/leader/hold.go
@@ -89,6 +89,7 @@
 	poll := func(deadline time.Duration) (platform.PollResult, error) {
 		call, cancel := context.WithTimeout(ctx, immediatePollTimeout)
 		defer cancel()
+		to.Expires = l.Clock.Now() + immediatePollTimeout
 		return l.Execs.Poll(call, to, deadline, 0, 0)
 	}
 	if !elect.CanAct(l.LastRenewal(), l.Clock.Now()) {
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -79,7 +79,7 @@
 				}
 				next := l.byID["x"]
 				assert.Equal(t, next.StartMillis, int64(2))
-				assert.Assert(t, l.target(next).Fence > elect.FencingToken(l.token, old.fenceRaises), "a late order would pass")
+				assert.Assert(t, l.target(next, startTimeout).Fence > elect.FencingToken(l.token, old.fenceRaises), "a late order would pass")
 				l.expireLeases()
 				assert.Assert(t, !task.IsWaiting(), "the task would be started a second time")
 				var list platform.PollResult
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -82,7 +82,7 @@
 		deadline = m.deadline(l.now)
 		m.extend(deadline)
 	}
-	to, storedSeq := l.target(m), m.storedSeq
+	to, storedSeq := l.target(m, limit), m.storedSeq
 	ev.storedSeq = storedSeq
 	m.sentSeq = storedSeq
 	m.polling = true
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -182,7 +182,7 @@
 	}
 	// If a ticket is needed, the plan has used only executors for which there is one.
 	order.Ticket, _ = l.ticketFor(st.Task.Step, st.Member)
-	to := l.target(m)
+	to := l.target(m, startTimeout)
 	r.Fence = to.Fence
 	l.Meters.starts.Inc(1)
 	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
@@ -311,7 +311,7 @@
 	if !l.isValid() {
 		return
 	}
-	to := l.target(m)
+	to := l.target(m, stopTimeout)
 	l.Meters.stops.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, stopTimeout)
--- a/internal/serve/proxy/fuzz_test.go
+++ b/internal/serve/proxy/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -18,7 +19,7 @@
 	rec := &execRecorder{}
 	p := newPipe(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- Serve(entryEnd{p}, rec, clock.NewSystem()) }()
+	go func() { served <- Serve(entryEnd{p}, rec, clock.NewSystem(), zerolog.Nop()) }()
 	assert.NilError(t, leaderEnd{p}.Send(in))
 	var out []*workpb.Outcome
 	for len(out) < len(in.GetOrders()) {
--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -41,8 +41,10 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	closed chan struct{} // closed when the stream has ended
+	synced chan struct{} // closed when the clock of the entry is known
 
 	mu      sync.Mutex
+	remote  remoteClock
 	seq     uint64
 	pending map[uint64]*pendingOrder
 	// misses counts the consecutive orders without an outcome, and silentSince is when the first of
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &link{
 		clk: clk, open: open, out: newBatcher[*pendingOrder](clk), cancel: cancel, done: make(chan struct{}), closed: make(chan struct{}),
-		pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{},
+		synced: make(chan struct{}), pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{},
 	}
 	go l.run(ctx)
 	return l
@@ -119,9 +121,10 @@
 			if err != nil {
 				return
 			}
-			l.deliver(in.GetOutcomes())
+			l.deliver(in)
 		}
 	}()
+	l.awaitClock(ctx)
 	// An error of Send needs no handling: the stream ends, and its orders count as unanswered.
 	_ = l.out.run(ctx, func(orders []*pendingOrder) error {
 		m := l.message(orders)
@@ -134,6 +137,19 @@
 	<-received
 }
 
+// awaitClock waits for the first message of the entry, which has its clock. It ends the stream if there is
+// none in silenceLimit.
+func (l *link) awaitClock(ctx context.Context) {
+	limit := l.clk.After(silenceLimit)
+	defer limit.Close()
+	select {
+	case <-l.synced:
+	case <-ctx.Done():
+	case <-limit.C:
+		l.cancel()
+	}
+}
+
 // message returns a message with the orders whose callers still wait for an outcome.
 func (l *link) message(orders []*pendingOrder) *workpb.Orders {
 	l.mu.Lock()
@@ -147,6 +163,7 @@
 		}
 		po.sent, po.sentAt = true, now
 		po.order.Limit = uint32(limit.Milliseconds()) + 1
+		po.order.Until = max(l.remote.at(po.expires-answerMargin, now).Microseconds(), 1)
 		if at, ok := l.specsSent[po.job]; po.job != "" && (!ok || now > at+specResend) {
 			l.specsSent[po.job] = now
 			out.Specs = append(out.Specs, &workpb.Spec{Job: po.job, Text: po.spec})
@@ -163,10 +180,13 @@
 	return out
 }
 
-func (l *link) deliver(os []*workpb.Outcome) {
+func (l *link) deliver(in *workpb.Outcomes) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, o := range os {
+	if l.remote.sync(in.GetClock(), l.clk.Now()) {
+		close(l.synced)
+	}
+	for _, o := range in.GetOutcomes() {
 		l.misses = 0
 		if po := l.pending[o.GetSeq()]; po != nil {
 			delete(l.pending, o.GetSeq())
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -215,6 +215,12 @@
 	if end, ok := ctx.Deadline(); ok {
 		po.expires = p.clk.Now() + time.Until(end)
 	}
+	if to.Expires > 0 {
+		po.expires = min(po.expires, to.Expires)
+	}
+	if p.clk.Now() >= po.expires {
+		return &workpb.Outcome{}, &platform.OrderError{Reason: platform.ReasonLate}, true
+	}
 	o, sent, failed := l.call(ctx, po)
 	if failed {
 		p.exclude(l, name)
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -104,7 +104,7 @@
 	pipes          []*pipe
 }
 
-// newPoolWithPeer returns a pool and its peer. If mute, the entry receives orders and never
+// newPoolWithPeer returns a pool and its peer. If mute, the entry sends its clock, receives orders and never
 // answers.
 func newPoolWithPeer(t *testing.T, mute bool) *poolWithPeer {
 	t.Helper()
@@ -119,9 +119,10 @@
 		p.mu.Lock()
 		p.pipes = append(p.pipes, w)
 		p.mu.Unlock()
-		if !mute {
-			served.Go(func() { _ = Serve(entryEnd{w}, p.remote, clk) })
+		if mute {
+			return leaderEnd{w}, entryEnd{w}.Send(&workpb.Outcomes{Clock: clk.Now().Microseconds()})
 		}
+		served.Go(func() { _ = Serve(entryEnd{w}, p.remote, clk, zerolog.Nop()) })
 		return leaderEnd{w}, nil
 	})
 	t.Cleanup(func() {
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/wire/workpb"
@@ -33,6 +36,8 @@
 	clk      clock.Clock
 	specs    map[string]cachedSpec
 	outcomes *batcher[*workpb.Outcome]
+	// late counts orders that had expired, and are not in the log yet.
+	late atomic.Int64
 }
 
 type cachedSpec struct {
@@ -42,13 +47,19 @@
 
 // Serve makes the calls that a leader sends on a stream, until the stream ends. It returns the
 // stream's error.
-func Serve(s ServerStream, execs Executors, clk clock.Clock) error {
+func Serve(s ServerStream, execs Executors, clk clock.Clock, log zerolog.Logger) error {
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
 	c := &callServer{execs: execs, clk: clk, specs: map[string]cachedSpec{}, outcomes: newBatcher[*workpb.Outcome](clk)}
 	sent := make(chan error, 1)
 	go func() {
-		err := c.outcomes.run(ctx, func(os []*workpb.Outcome) error { return s.Send(&workpb.Outcomes{Outcomes: os}) })
+		send := func(os []*workpb.Outcome) error {
+			return s.Send(&workpb.Outcomes{Outcomes: os, Clock: max(clk.Now().Microseconds(), 1)})
+		}
+		err := send(nil)
+		if err == nil {
+			err = c.outcomes.run(ctx, send)
+		}
 		cancel()
 		sent <- err
 	}()
@@ -60,6 +71,9 @@
 			break
 		}
 		arrived := clk.Now()
+		if n := c.late.Swap(0); n > 0 {
+			log.Warn().Int64("orders", n).Msg("orders of the leader had expired and were not carried out")
+		}
 		c.storeSpecs(in.GetSpecs(), arrived)
 		for _, o := range in.GetOrders() {
 			spec, ok := c.specs[jobOf(o)]
@@ -97,9 +111,9 @@
 	return t.Job
 }
 
-// execute makes one call. It refuses an order whose time limit has passed since it arrived: the
-// leader no longer waits for it, and its lease may have expired since. The outcome of a call that
-// panics is not known.
+// execute makes one call. It refuses an order that has expired, or whose time limit has passed since it
+// arrived: the leader no longer waits for it, and may have started the task elsewhere. The outcome of a
+// call that panics is not known.
 func (c *callServer) execute(ctx context.Context, o *workpb.Order, text string, arrived time.Duration) (out *workpb.Outcome) {
 	out = &workpb.Outcome{Seq: o.GetSeq()}
 	defer func() {
@@ -108,14 +122,19 @@
 			setError(out, Err.New("call panicked: %v", cause))
 		}
 	}()
-	remaining := time.Duration(o.GetLimit())*time.Millisecond - (c.clk.Now() - arrived)
+	now := c.clk.Now()
+	remaining := time.Duration(o.GetLimit())*time.Millisecond - (now - arrived)
+	if o.GetUntil() != 0 {
+		remaining = min(remaining, time.Duration(o.GetUntil())*time.Microsecond-now)
+	}
 	if remaining <= 0 {
+		c.late.Add(1)
 		out.Verdict, out.Reason = uint32(verdictRefused), uint32(platform.ReasonLate)
 		return out
 	}
 	call, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	to := platform.Target{Addr: o.GetAddr(), ID: o.GetId(), Fence: o.GetFence()}
+	to := platform.Target{Addr: o.GetAddr(), ID: o.GetId(), Fence: o.GetFence(), Expires: now + remaining}
 	t, ok := model.ParseTaskID(o.GetTask())
 	var err error
 	switch kind(o.GetKind()) {
