Executors of all services to which a queue's tasks were sent are awaited

Callers would see a task run twice. A new leader released the tasks of a job once all executors of the service that the present configuration names for its queue had listed their runs. If the queue had moved, the former leader had started tasks on executors of another service, and one of them that answered late still ran them. A job whose queue moved to a service that was resolved already was never released.

Tasks are now released job by job: once the executors of the service at the job's acceptance, of the present one and of those between that this entry has seen have listed their runs. A queue that has not moved since the job was accepted waits for one service, as before.

Before: TestExecutorsOfFormerServicesAreAwaited and TestJobIsReleasedAfterItsQueueMoved failed. Open: a configuration that only the former leader has read; reading it after the claim would delay each takeover by up to 0.8 s.

--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -85,15 +85,15 @@
 	return opened
 }
 
-// maxClockLead is how far the clock of an earlier leader may have been ahead: each of two clocks can
+// MaxClockLead is how far the clock of an earlier leader may have been ahead: each of two clocks can
 // be off by 5 s.
-const maxClockLead = 10 * time.Second
+const MaxClockLead = 10 * time.Second
 
 // OpenStarted opens the occurrences of a job up to that of a task that an earlier leader has
 // started. They may not be due yet at a wall-clock time of this process.
 func (tr *Tracker) OpenStarted(id model.TaskID, wall time.Duration) {
 	j := tr.jobs[id.Job]
-	if j == nil || !j.Spec.Scheduled || j.IsOver() || id.Occurrence >= j.Spec.Repeats || j.due(id.Occurrence) > wall+maxClockLead {
+	if j == nil || !j.Spec.Scheduled || j.IsOver() || id.Occurrence >= j.Spec.Repeats || j.due(id.Occurrence) > wall+MaxClockLead {
 		return
 	}
 	for j.nextOccurrence <= id.Occurrence && !j.isFull(2*maxOpenTasks) {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -93,9 +93,9 @@
 	// ends that are not stored yet.
 	pollCandidates map[*member]struct{}
 	unstoredEnds   map[*member]struct{}
-	resolved       map[string]bool // services for which no run of an earlier leader is unresolved
-	// allResolved is set once all leases granted by earlier leaders have expired and all services are
-	// resolved. lastContact is when an executor last answered for the first time.
+	resolved       map[string]bool // services all of whose executors have listed the runs of earlier leaders
+	// allResolved is set once the runs of earlier leaders are known for all jobs. lastContact is
+	// when an executor last answered for the first time.
 	allResolved   bool
 	lastContact   time.Duration
 	runtimeRatios map[string]*runtimeRatio // by service
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -217,31 +217,38 @@
 	l.deferred = nil
 }
 
-// resolveFormerRuns releases the unresolved tasks of services whose runs under earlier leaders are
-// known: every executor of the service has listed its runs, or all earlier leases have expired and
-// no further executor answers.
+// resolveFormerRuns releases the unresolved tasks of jobs whose runs under earlier leaders are known:
+// every executor of the services to which these may have sent them has listed its runs, or all
+// earlier leases have expired and no further executor answers.
 func (l *Leader) resolveFormerRuns() {
 	if l.allResolved {
 		return
 	}
-	l.allResolved = l.now >= max(elect.FormerRunsEnd(l.start), l.heldRunsEnd)
-	for _, j := range l.tracker.Active() {
-		s := l.queueOf(j).Service
-		if _, ok := l.resolved[s]; !ok {
-			l.resolved[s] = false
+	late := l.now >= l.heldRunsEnd && elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
+	contacted := map[string]bool{}
+	isKnown := func(service string) bool {
+		if _, ok := contacted[service]; !ok {
+			contacted[service] = l.resolved[service] || l.allContacted(service)
 		}
+		return contacted[service]
 	}
-	for s, done := range l.resolved {
-		if done {
-			continue
+	released := map[string]int{}
+	l.allResolved = true
+	l.tracker.ReleaseUnresolved(func(j *track.Job) bool {
+		if !j.IsUnresolved() {
+			return false
 		}
-		late := l.now >= l.heldRunsEnd && elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
-		if !late && !l.allContacted(s) {
+		if !late && !l.areFormerRunsKnown(j, isKnown) {
 			l.allResolved = false
-			continue
+			return false
 		}
-		l.resolved[s] = true
-		n := l.tracker.ReleaseUnresolved(func(j *track.Job) bool { return l.queueOf(j).Service == s }, l.wall)
+		released[l.queueOf(j).Service]++
+		return true
+	}, l.wall)
+	for s, known := range contacted {
+		l.resolved[s] = known
+	}
+	for s, jobs := range released {
 		l.planDue[s] = true
 		contacts := map[execs.Contact]int{}
 		for _, m := range l.members {
@@ -249,12 +256,26 @@
 				contacts[m.Contact]++
 			}
 		}
-		l.Log.Info().Str("service", s).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
+		l.Log.Info().Str("service", s).Int("jobs", jobs).Bool("late", late).Dur("after", l.now-l.start).
 			Int("uncontacted", contacts[execs.Uncontacted]).Int("answering", contacts[execs.Live]).
 			Int("unresponsive", contacts[execs.Unresponsive]).Int("dead", contacts[execs.Dead]).Msg("former runs are known")
 	}
 }
 
+// areFormerRunsKnown reports whether isKnown holds for all services to which earlier leaders may have
+// sent the tasks of a job: that of its queue when it was accepted, the present one, and those between.
+func (l *Leader) areFormerRunsKnown(j *track.Job, isKnown func(service string) bool) bool {
+	if !isKnown(l.queueOf(j).Service) || !isKnown(j.Settings.Service) {
+		return false
+	}
+	for _, s := range l.Orders.FormerServices(j.Queue, j.Accepted-track.MaxClockLead) {
+		if !isKnown(s) {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *Leader) allContacted(service string) bool {
 	for _, m := range l.members {
 		if m.Service == service && (m.Contact == execs.Uncontacted || m.Contact != execs.Dead && m.formerUnlisted) {
--- /dev/null
+++ b/internal/serve/leader/moved_test.go
@@ -0,0 +1,98 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/orders"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// newFormerTask replaces the jobs of a leader by one of a single task that it has loaded, of the queue
+// "q", which belonged to a service when the job was accepted.
+func newFormerTask(t *testing.T, l *Leader, service string) *track.Task {
+	t.Helper()
+	loader := track.NewLoader(platform.DecodeJob)
+	accepted := time.Duration(time.Now().UnixNano())
+	assert.NilError(t, loader.Add("job", track.JobRecord("job", model.Queue{Name: "q", Service: service}, []byte(`{"phases":[{"count":1}]}`), accepted).Value))
+	l.tracker, _ = loader.Load(0, l.now, accepted)
+	l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
+	l.LastRenewal = func() time.Duration { return l.now }
+	l.Meters = NewMeters(tally.NoopScope)
+	return l.tracker.Job("job").Task(model.TaskID{Job: "job"})
+}
+
+// newMovedQueueLeader returns a leader that has contacted no executor, one of each service, whose
+// queue "q" belonged to the services "s" and "t" before and belongs to "u" now.
+func newMovedQueueLeader(t *testing.T) (*Leader, map[string]*member) {
+	t.Helper()
+	l, _, _ := newTestLeader(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	client := platform.NewClient(platform.Settings{})
+	l.Orders = orders.Start(ctx, client, clock.NewSystem(), zerolog.Nop())
+	t.Cleanup(func() {
+		cancel()
+		l.Orders.Close()
+		client.Close()
+	})
+	ms := map[string]*member{}
+	clear(l.members)
+	for version, s := range []string{"s", "t", "u"} {
+		moveQueue(t, l, version, s)
+		m := &member{Member: execs.Member{Executor: model.Executor{ID: s, Service: s, StartMillis: 1}, Key: s}}
+		l.members[s], ms[s] = m, m
+	}
+	return l, ms
+}
+
+func moveQueue(t *testing.T, l *Leader, version int, service string) {
+	t.Helper()
+	assert.NilError(t, l.Orders.SetConfig(fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"q","service":"%s"}]}`, version, service)))
+}
+
+// Guards against a second run of a task whose queue has moved to another service: the run goes on
+// on an executor of a former service that was not asked.
+func TestExecutorsOfFormerServicesAreAwaited(t *testing.T) {
+	for _, last := range []string{"s", "t", "u"} {
+		l, ms := newMovedQueueLeader(t)
+		task := newFormerTask(t, l, "s")
+		for s, m := range ms {
+			if s != last {
+				answerPoll(l, m, 1, platform.PollResult{})
+			}
+		}
+		l.resolveFormerRuns()
+		assert.Assert(t, !task.IsWaiting(), "the task may run on the executor of service %s", last)
+		answerPoll(l, ms[last], 1, platform.PollResult{})
+		l.resolveFormerRuns()
+		assert.Assert(t, task.IsWaiting())
+		assert.Assert(t, l.planDue["u"] && l.allResolved)
+	}
+}
+
+// Guards against a job that never starts: its queue moved to a service whose former runs were known
+// already.
+func TestJobIsReleasedAfterItsQueueMoved(t *testing.T) {
+	l, ms := newMovedQueueLeader(t)
+	moveQueue(t, l, 3, "t")
+	task := newFormerTask(t, l, "t")
+	l.resolved["u"] = true
+	l.resolveFormerRuns()
+	assert.Assert(t, !task.IsWaiting())
+	moveQueue(t, l, 4, "u")
+	for _, m := range ms {
+		answerPoll(l, m, 1, platform.PollResult{})
+	}
+	l.resolveFormerRuns()
+	assert.Assert(t, task.IsWaiting())
+}
--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -47,6 +47,8 @@
 
 	mu    sync.Mutex
 	waves map[int64]Wave
+	// moved holds the services that queues belonged to, by queue, and until when, in Unix time.
+	moved map[string]map[string]time.Duration
 
 	cancel context.CancelFunc
 	done   chan struct{}
@@ -55,7 +57,7 @@
 // Start follows the operators' orders until Close.
 func Start(ctx context.Context, c *platform.Client, clk clock.Clock, log zerolog.Logger) *Orders {
 	ctx, cancel := context.WithCancel(ctx)
-	o := &Orders{client: c, log: log, clk: clk, waves: map[int64]Wave{}, cancel: cancel, done: make(chan struct{})}
+	o := &Orders{client: c, log: log, clk: clk, waves: map[int64]Wave{}, moved: map[string]map[string]time.Duration{}, cancel: cancel, done: make(chan struct{})}
 	go o.run(ctx)
 	return o
 }
@@ -193,8 +195,40 @@
 	if old != nil && old.Version >= c.Version {
 		return nil
 	}
+	if old != nil {
+		o.recordMoves(old, c)
+	}
 	o.conf.Store(c)
 	o.raw.Store(&value)
 	o.log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration is in force")
 	return nil
 }
+
+// recordMoves records the services of queues that another configuration moves or removes. The caller
+// holds mu.
+func (o *Orders) recordMoves(old, next *model.Config) {
+	for i := range old.Queues {
+		q := &old.Queues[i]
+		if n := next.Queue(q.Name); n != nil && n.Service == q.Service {
+			continue
+		}
+		if o.moved[q.Name] == nil {
+			o.moved[q.Name] = map[string]time.Duration{}
+		}
+		o.moved[q.Name][q.Service] = time.Duration(o.clk.Wall().UnixNano())
+	}
+}
+
+// FormerServices returns the services that a queue belonged to at a Unix time or later, and to which
+// a later configuration that this entry has read does not assign it.
+func (o *Orders) FormerServices(queue string, since time.Duration) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for service, until := range o.moved[queue] {
+		if until >= since {
+			out = append(out, service)
+		}
+	}
+	return out
+}
