The last report of a former incarnation does not replace the next one

A new incarnation of an executor is found by its answer to a poll, up to 250 ms before the reports are read. The last report of the former one, read after that, made the dead member the one of its id: the instance counted as having no executor and was taken down without being drained, and a later incarnation did not take over the runs, which would be started a second time while it ran them.

Reports of a member that is dead are ignored, as they already were once it had been removed.

Before: TestLastReportOfAFormerIncarnationIsIgnored failed.

--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -130,6 +130,9 @@
 		return // the report was written before the executor's end
 	}
 	m := l.members[key]
+	if m != nil && m.Contact == execs.Dead {
+		return
+	}
 	if m == nil {
 		if old != nil && old.StartMillis > e.StartMillis {
 			return // a late report of an earlier incarnation
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -11,6 +11,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/platform"
@@ -164,3 +165,17 @@
 	l.poll(m)
 	assert.Equal(t, <-p.acked, int64(5))
 }
+
+// Guards against an executor whose runs are forgotten, and whose instance is taken down without being
+// drained: the last report of the former incarnation is read after the next one has answered.
+func TestLastReportOfAFormerIncarnationIsIgnored(t *testing.T) {
+	l, old, _, _ := newRunningLeader(t)
+	answerPoll(l, old, 2, platform.PollResult{})
+	next := l.byID["x"]
+	assert.Equal(t, next.StartMillis, int64(2))
+	l.applyReport(reportOf(1, 9, "ready"))
+	assert.Assert(t, l.byID["x"] == next && !old.Listed)
+	l.applyReport(reportOf(3, 10, "ready"))
+	assert.Equal(t, next.Contact, execs.Dead)
+	assert.Equal(t, len(l.tracker.RunsOn(l.byID["x"].Key)), 1)
+}
