Runs move to the next incarnation of an executor also if it is known already

When a poll is answered by another incarnation, the runs of the former one move to it, since it may have carried out their orders. If the leader knew that incarnation already, it dropped the runs instead, and their tasks would be started a second time. They now move there, with the higher of the two fencing tokens and the later end of the leases. An incarnation that counted as dead and answers is contacted again.

Before: TestRunsMoveToAnIncarnationThatIsKnownAlready failed.

--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -212,10 +212,12 @@
 	e := m.Executor
 	e.StartMillis = born
 	key := executorKey(&e)
-	if l.members[key] != nil {
-		l.markDead(m, "it restarted")
+	if next := l.members[key]; next != nil && next.Contact != execs.Dead {
+		l.succeed(m, next)
+		l.queuePoll(next)
 		return
 	}
+	delete(l.ended, key) // it answers
 	n := &member{Member: execs.Member{Executor: e, Key: key, Slowness: 1, Listed: true}, firstListed: l.now}
 	l.members[key] = n
 	l.byService = nil
@@ -228,9 +230,9 @@
 // restart may have been carried out by the next one, so its first list decides on the runs.
 func (l *Leader) succeed(old, next *member) {
 	// Late orders to the former incarnation carry a lower fencing token than this.
-	next.fenceRaises, next.reportOffset = old.fenceRaises+1, old.reportOffset
+	next.fenceRaises, next.reportOffset = max(next.fenceRaises, old.fenceRaises+1), max(next.reportOffset, old.reportOffset)
 	// A deadline on the clock of the former incarnation grants up to the longest lease.
-	next.leaseEnd = elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease)
+	next.leaseEnd = max(next.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
 	for r := range l.tracker.RunsOn(old.Key) {
 		l.tracker.MoveRun(r, next.Key, l.now)
 		next.AddRun(r.Task.Step)
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -179,3 +179,20 @@
 	assert.Equal(t, next.Contact, execs.Dead)
 	assert.Equal(t, len(l.tracker.RunsOn(l.byID["x"].Key)), 1)
 }
+
+// Guards against a second run of a task that was ordered before two incarnations of its executor were
+// found: the later one may have carried out the order.
+func TestRunsMoveToAnIncarnationThatIsKnownAlready(t *testing.T) {
+	for _, contact := range []execs.Contact{execs.Live, execs.Dead} {
+		l, old, r, _ := newRunningLeader(t)
+		key := executorKey(&model.Executor{ID: "x", StartMillis: 2})
+		next := &member{Member: execs.Member{Executor: old.Executor, Key: key, Contact: contact}, fenceRaises: 5}
+		next.StartMillis = 2
+		l.members[key] = next
+		answerPoll(l, old, 2, platform.PollResult{})
+		assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+		assert.Equal(t, r.Executor, key)
+		assert.Assert(t, l.members[key].Contact != execs.Dead)
+		assert.Assert(t, contact == execs.Dead || l.members[key].fenceRaises == 5)
+	}
+}
