A run that was given up and ends well counts as done

An executor that was out of reach past the end of its leases, or whose run was given up by mistake, lists the end 'done' of that run when it answers again. The leader acknowledged it and ignored it: the task ran on elsewhere, and each later start of it came after an acknowledged success, which is a run too many.

Such an end now completes the task, and its other runs are stopped, those that are still starting once their executor lists them. Copies of a step that allows them are stopped in the same way. Failures of given-up runs still don't count.

Before: TestEndOfARunThatWasGivenUpCounts failed: the task was not done.

--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -273,8 +273,8 @@
 	Over bool
 }
 
-// ApplyEnd applies the end of a run. The end of a run that was removed before changes nothing,
-// unless adopt is set, for an executor that was adopted from an earlier leader.
+// ApplyEnd applies the end of a run. If the run was removed before, only success counts, unless adopt
+// is set, for an executor that was adopted from an earlier leader.
 func (tr *Tracker) ApplyEnd(executor string, e model.End, adopt bool, wall time.Duration) Effect {
 	j := tr.jobs[e.Task.Job]
 	if j == nil || j.IsOver() && len(j.Open) == 0 {
@@ -286,7 +286,7 @@
 	}
 	t.Attempt = max(t.Attempt, e.Attempt)
 	r := tr.FindRun(executor, e.Task, e.Attempt)
-	if r == nil && (!adopt || t.Done) {
+	if r == nil && (t.Done || !adopt && (e.Ending != model.EndedDone || t.Step.LongRunning)) {
 		return Effect{}
 	}
 	if e.Checkpoint != "" {
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -196,3 +196,28 @@
 		assert.Assert(t, contact == execs.Dead || l.members[key].fenceRaises == 5)
 	}
 }
+
+// Guards against a task that runs again although an earlier run of it was done: the leader had given
+// up that run.
+func TestEndOfARunThatWasGivenUpCounts(t *testing.T) {
+	for _, phase := range []track.Phase{track.Running, track.Starting} {
+		l, m, _, _ := newRunningLeader(t)
+		j := l.tracker.Accept("two", model.Queue{Service: "s"}, model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: 2}}}, 0, 0)
+		task := j.Open[0].Steps[0].Tasks[0]
+		l.startRun(assign.Start{Task: task, Member: &m.Member})
+		r := task.Runs[0]
+		l.dropRun(r)
+		y := &member{Member: execs.Member{Executor: model.Executor{ID: "y", Service: "s", StartMillis: 1}, Key: "y", Contact: execs.Live}, adopted: true}
+		l.members["y"] = y
+		l.startRun(assign.Start{Task: task, Member: &y.Member})
+		second := task.Runs[0]
+		if phase == track.Running {
+			l.onStarted(startedRun{m: y, run: second})
+		}
+		answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: 1, Task: task.ID, Attempt: r.Attempt, Ending: model.EndedDone}}})
+		assert.Assert(t, task.Done)
+		l.now += 100 * time.Millisecond
+		answerPoll(l, y, 1, platform.PollResult{Running: []model.Run{{Task: task.ID, Attempt: second.Attempt}}})
+		assert.Equal(t, second.Phase, track.Stopping)
+	}
+}
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -48,8 +48,8 @@
 	if eff.Over {
 		l.stopJob(j)
 	}
-	if r != nil && e.Ending == model.EndedDone {
-		l.stopOtherRuns(r.Task)
+	if eff.Done {
+		l.stopOtherRuns(j, e.Task)
 	}
 	if r != nil && r.Task.Step.Gang && e.Ending == model.EndedDone {
 		for _, t := range r.Task.Step.Tasks {
@@ -97,8 +97,13 @@
 	m.unconfirmed = nil
 }
 
-// stopOtherRuns stops the other runs of a task that is done.
-func (l *Leader) stopOtherRuns(t *track.Task) {
+// stopOtherRuns stops the other runs of a task that is done. Those that are starting are stopped once
+// their executor lists them.
+func (l *Leader) stopOtherRuns(j *track.Job, id model.TaskID) {
+	t := j.Task(id)
+	if t == nil {
+		return // its job is over
+	}
 	for _, r := range t.Runs {
 		if r.Phase == track.Running {
 			l.stop(r, "another run of the task is done")
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -204,8 +204,12 @@
 		if row.Checkpoint != "" {
 			r.Checkpoint = row.Checkpoint
 		}
-		if r.Task.Step.Occ.Job.IsOver() && r.Phase == track.Running {
+		switch {
+		case r.Phase != track.Running:
+		case r.Task.Step.Occ.Job.IsOver():
 			l.stop(r, "job is over")
+		case r.Task.Done:
+			l.stop(r, "another run of the task is done")
 		}
 	}
 	if m.Orphans > 0 && orphans == 0 {
