An instance is not drained before leases extended during the load end

An upkeep or a move would end runs that are at work. While a long load goes on, the new leader extends all leases, but the instance of an executor that does not answer counted as drained once the leases of the former leader had ended. Both ends are awaited now, as for the release of tasks.

Before: TestInstanceIsNotDrainedBeforeHeldLeasesEnd failed.

--- a/internal/serve/leader/lease_test.go
+++ b/internal/serve/leader/lease_test.go
@@ -8,6 +8,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 )
 
 // Guards against a process that resumes after its lease has expired and acts as a leader.
@@ -29,3 +30,21 @@
 	assert.Assert(t, l.mayOrder("m1"))
 	<-p.acked
 }
+
+// Guards against an instance that is taken down while runs go on there: their leases were extended
+// during a long load, and the executor does not answer.
+func TestInstanceIsNotDrainedBeforeHeldLeasesEnd(t *testing.T) {
+	l, m, op, in, rs := newDrainingLeader(t, 1, -1)
+	l.dropRun(rs[0])
+	m.Contact, m.adopted = execs.Uncontacted, false
+	l.heldRunsEnd = elect.FormerRunsEnd(l.start) + 5*time.Second
+	for _, known := range []bool{true, false} {
+		if !known {
+			delete(l.byID, m.ID)
+		}
+		l.now = l.heldRunsEnd - 1
+		assert.Assert(t, !l.tryDrain(op, in), "runs may go on there")
+		l.now = l.heldRunsEnd
+		assert.Assert(t, l.tryDrain(op, in))
+	}
+}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -262,6 +262,11 @@
 	}
 }
 
+// formerRunsEnd returns when the runs of earlier leaders have ended on executors that do not answer.
+func (l *Leader) formerRunsEnd() time.Duration {
+	return max(elect.FormerRunsEnd(l.start), l.heldRunsEnd)
+}
+
 // areFormerRunsKnown reports whether isKnown holds for all services to which earlier leaders may have
 // sent the tasks of a job: that of its queue when it was accepted, the present one, and those between.
 func (l *Leader) areFormerRunsKnown(j *track.Job, isKnown func(service string) bool) bool {
--- a/internal/serve/leader/operation.go
+++ b/internal/serve/leader/operation.go
@@ -174,11 +174,11 @@
 	if m == nil {
 		// This leader has started nothing there, but an earlier one may have started runs on an
 		// executor that this leader has not contacted yet.
-		return in.Executor == "" || in.Phase != model.Up || l.now >= elect.FormerRunsEnd(l.start)
+		return in.Executor == "" || in.Phase != model.Up || l.now >= l.formerRunsEnd()
 	}
 	m.Leaving = true
 	if m.Contact != execs.Live {
-		if l.now >= max(m.leaseEnd, elect.FormerRunsEnd(l.start)) && len(l.tracker.RunsOn(m.Key)) == 0 {
+		if l.now >= max(m.leaseEnd, l.formerRunsEnd()) && len(l.tracker.RunsOn(m.Key)) == 0 {
 			return true
 		}
 		if op.pool != "" && l.now > op.since+drainTimeout {
