The leases on an executor that has just started may last longer

A start that was sent before a restart of its executor was known, and that the new incarnation carries out, has a deadline on the former one's clock, which grants up to the longest lease: 10 s where the leader assumes 5 s. If the executor is silent after its first answer, the run would be given up while it goes on. At the first answer of an executor whose clock shows less than the longest lease, that lease is now assumed.

Before: TestLeaseOfAnExecutorThatHasJustStarted failed.

--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -81,6 +81,16 @@
 	m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(m.clockAt, m.clock, deadline))
 }
 
+// firstLease returns the longest time that leases on an executor may last after its first answer. A
+// start with a deadline on the clock of its former incarnation has granted up to the longest lease, if
+// it reached the executor soon after its start, when clocks begin at 0.
+func (l *Leader) firstLease(m *member) time.Duration {
+	if m.clock < l.Settings.Bounds.MaxLease {
+		return max(elect.RunLease, l.Settings.Bounds.MaxLease)
+	}
+	return elect.RunLease
+}
+
 // target returns the target of an order that must not be sent later than in limit.
 func (l *Leader) target(m *member, limit time.Duration) platform.Target {
 	return platform.Target{Addr: m.Addr, ID: m.ID, Centre: m.Centre, Fence: elect.FencingToken(l.token, m.fenceRaises), Expires: l.now + limit}
--- a/internal/serve/leader/lease_test.go
+++ b/internal/serve/leader/lease_test.go
@@ -9,6 +9,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/platform"
 )
 
 // Guards against a process that resumes after its lease has expired and acts as a leader.
@@ -48,3 +49,24 @@
 		assert.Assert(t, l.tryDrain(op, in))
 	}
 }
+
+// Guards against a second run of a task on an executor that started before its first answer and is
+// silent after it: a start that was meant for the former incarnation has granted the longest lease.
+func TestLeaseOfAnExecutorThatHasJustStarted(t *testing.T) {
+	const longest = 2 * elect.RunLease
+	for _, young := range []bool{true, false} {
+		l, m, _ := newTestLeader(t)
+		l.Settings.Bounds.MaxLease = longest
+		m.adopted, m.Contact, m.StartMillis = false, execs.Uncontacted, 1
+		l.now = longest
+		if young {
+			l.now--
+		}
+		answerPoll(l, m, 1, platform.PollResult{})
+		lease := elect.RunLease
+		if young {
+			lease = longest
+		}
+		assert.Equal(t, m.leaseEnd, elect.LeaseEnd(l.now, 0, lease))
+	}
+}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -135,7 +135,7 @@
 	adopts := !m.adopted || m.formerUnlisted
 	if !m.adopted {
 		m.adopted, m.adoptedAt = true, l.now
-		m.extend(m.clock + elect.RunLease)
+		m.extend(m.clock + l.firstLease(m))
 	}
 	if adopts {
 		m.formerUnlisted = ev.list.IsPartial()
