An instance that is listed without an executor shows no end

An instance that is up, or in a state that is not known, and listed without the id of its executor counted as proof that the executor had ended: its runs were given up, and its tasks were started a second time. The list does not say which executor such an instance has. Runs there end with their leases.

Before: TestInstanceWithoutAnExecutorShowsNoEnd failed.

--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -124,6 +124,9 @@
 				u.missing = 0
 				continue
 			}
+			if f.isUnclear(u.instance) {
+				continue
+			}
 			u.missing++
 			u.ended = u.ended || u.missing >= maxMissingLists || f.showsEnd(u.instance, u.executor)
 		}
@@ -141,14 +144,18 @@
 	return out
 }
 
+// isUnclear reports whether the last list does not say which executor an instance has: it may still
+// have the one that it had.
+func (f *fleetState) isUnclear(instance string) bool {
+	in, ok := f.instances[instance]
+	return ok && in.Executor == "" && (in.Phase == model.Up || in.Phase == model.Other)
+}
+
 // showsEnd reports whether the last list shows that an executor on an instance has ended: the
 // instance is not up, or has another executor.
 func (f *fleetState) showsEnd(instance, executor string) bool {
 	in, ok := f.instances[instance]
-	if !ok || in.Executor == executor {
-		return false
-	}
-	return in.Executor != "" || in.Phase != model.Up && in.Phase != model.Other
+	return ok && in.Executor != executor && !f.isUnclear(instance)
 }
 
 func (l *Leader) manageFleet() {
@@ -259,11 +266,11 @@
 			m.missingLists = 0
 			continue
 		}
-		if sent <= m.firstListed || sent <= m.clockAt {
+		host := cmp.Or(m.Instance, m.host)
+		if sent <= m.firstListed || sent <= m.clockAt || l.fleet.isUnclear(host) {
 			continue
 		}
 		m.missingLists++
-		host := cmp.Or(m.Instance, m.host)
 		if m.missingLists >= maxMissingLists || sent > m.firstListed+registrationLag && l.fleet.showsEnd(host, m.ID) {
 			l.markDead(m, "no instance runs it any more")
 		}
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -179,3 +179,24 @@
 	l.resolveFormerRuns()
 	assert.Assert(t, task.IsWaiting())
 }
+
+// Guards against a second run of the tasks on an executor whose instance is listed without its id.
+func TestInstanceWithoutAnExecutorShowsNoEnd(t *testing.T) {
+	for _, phase := range []model.Phase{model.Up, model.Other} {
+		l, m, r, _ := newRunningLeader(t)
+		l.onStarted(startedRun{m: m, run: r})
+		m.Contact = execs.Unresponsive
+		row := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+		y := row
+		y.Name, y.Executor = "m2", "y"
+		l.initFleet([]model.Instance{row, y}, l.now)
+		l.onInstancesListed(instancesListed{instances: []model.Instance{row, y}, sent: l.now + registrationLag})
+		row.Executor, row.Phase = "", phase
+		y.Executor, y.Phase = "", phase
+		for n := range 2 * maxMissingLists {
+			l.onInstancesListed(instancesListed{instances: []model.Instance{row, y}, sent: l.now + time.Duration(n+2)*time.Second})
+		}
+		assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+		assert.Assert(t, !l.allContacted("s"), "the executor y may run tasks")
+	}
+}
