serve/leader: nothing starts once another entry may have claimed

Callers would see: a task runs twice. A former leader acts for up to 5 s after its last renewal. Meanwhile a later one has asked all executors and started the task; an executor restarts, has seen no fencing token, and takes the former leader's start. Or both have read a job that an entry stored without a leader.

Class: a permission that outlasts its ground. Fencing tokens protect only executors that have seen them. A start is now decided, and sent (`Target.Expires`), only while no other entry can have claimed, 650 ms after the last renewal that succeeded; polls and leases go on for 5 s as before. The model has one rule in place of two, and no proposed changes any more.

Ruled out: waiting at the later leader until the former one's 5 s are over, which costs each takeover 5 s.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -105,9 +105,13 @@
 // at that address.
 const processGoneTimeout = RenewEvery + 150*time.Millisecond
 
+// SoleUntil returns until when no other entry can have claimed since a leader sent its last successful
+// renewal at sent.
+func SoleUntil(sent time.Duration) time.Duration { return sent + processGoneTimeout }
+
 // IsSoleLeader reports whether no other entry can have claimed since a leader sent its last
 // successful renewal at sent.
-func IsSoleLeader(sent, now time.Duration) bool { return now < sent+processGoneTimeout }
+func IsSoleLeader(sent, now time.Duration) bool { return now < SoleUntil(sent) }
 
 // MayClaim reports whether an entry should claim now. delay is added to the earliest time at which
 // any entry may claim.
--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -59,7 +59,6 @@
 	idle                  time.Duration
 	limits                Limits
 	mutation              mutation
-	repairs               Repair
 	unchecked             Breach
 
 	spec     model.JobSpec
@@ -78,6 +77,7 @@
 	acceptAnyFence
 	releaseAtOnce
 	dropUnanswered
+	startAfterClaims
 )
 
 // Option changes a model.
@@ -104,21 +104,8 @@
 // raising the fencing token first.
 func WithoutVoiding() Option { return func(m *Model) { m.mutation = dropUnanswered } }
 
-// Repair is a set of changes to decisions of serve/leader that are proposed because of a breach.
-type Repair uint16
-
-// Proposed changes. The model has the present decision without them.
-const (
-	// SoleStarts starts no task once another entry may have claimed: an executor that restarted has
-	// not seen the fencing token of the later leader. No task starts in an outage of the store then,
-	// so AllRepairs does not include it.
-	SoleStarts Repair = 1 << iota
-
-	AllRepairs Repair = 0
-)
-
-// WithRepairs makes proposed changes.
-func WithRepairs(r Repair) Option { return func(m *Model) { m.repairs = r } }
+// WithoutSoleStarts makes a leader start tasks when another entry may have claimed.
+func WithoutSoleStarts() Option { return func(m *Model) { m.mutation = startAfterClaims } }
 
 // Ignoring does not check some promises.
 func Ignoring(b Breach) Option { return func(m *Model) { m.unchecked = b } }
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -54,7 +54,7 @@
 	{"silent executor", Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, nil},
 	{"slow clocks", Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1}, []Option{WithIdle(200 * time.Second), WithTick(tightTick)}},
 	{"restarts of executors", Limits{Ticks: 2, Claims: 1, Starts: 3, Polls: 3, SlowStarts: 1, Crashes: 2, States: 1_000_000}, nil},
-	{"restarts of executors and a takeover", Limits{Ticks: 2, Claims: 2, Starts: 3, Polls: 3, SlowStarts: 1, Crashes: 1, States: 1_000_000}, []Option{WithRepairs(AllRepairs | SoleStarts)}},
+	{"restarts of executors and a takeover", Limits{Ticks: 2, Claims: 2, Starts: 3, Polls: 3, SlowStarts: 1, Crashes: 1, States: 1_000_000}, nil},
 	{"submissions and starts", Limits{Ticks: 2, Claims: 2, Starts: 2, Polls: 2, Tries: 2, Lost: 1, Resigns: 1, Restarts: 1, States: 1_000_000}, nil},
 	{"one executor", Limits{Ticks: 3, Claims: 2, Starts: 3, Polls: 3, SlowStarts: 2, SlowPolls: 1, States: 1_000_000}, []Option{WithSize(2, 1, 1)}},
 	{"restarts of entries", Limits{Ticks: 2, Claims: 3, Starts: 2, Polls: 3, SlowStarts: 1, Restarts: 1, States: 1_000_000}, nil},
@@ -63,8 +63,7 @@
 	{"three entries", Limits{Ticks: 3, Claims: 3, Starts: 2, Polls: 2, Lost: 1}, []Option{WithSize(3, 2, 1)}},
 }
 
-// Guards against an order of events, within the bounds, that breaks a promise once the proposed
-// changes are made, and against a search that never takes one of its steps.
+// Guards against an order of events, within the bounds, that breaks a promise, and against a search that never takes one of its steps.
 func TestLeadership(t *testing.T) {
 	list := searches
 	if *deep {
@@ -73,7 +72,7 @@
 	seen := map[string]int{}
 	for _, c := range list {
 		t.Run(c.name, func(t *testing.T) {
-			r := search(t, c.limits, append([]Option{WithRepairs(AllRepairs)}, c.opts...)...)
+			r := search(t, c.limits, c.opts...)
 			assert.Assert(t, r.Breach == 0, "%s:\n%s", r.Breach, strings.Join(r.Trace, "\n"))
 			assert.Assert(t, r.Complete || c.limits.States > 0)
 			for name, n := range r.Seen {
@@ -94,21 +93,21 @@
 // Guards against a model that does not need the fencing tokens of executors.
 func TestWithoutFencesATaskRunsTwice(t *testing.T) {
 	l := Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, SlowStarts: 1}
-	r := search(t, l, WithRepairs(AllRepairs), WithoutFences(), Ignoring(Fence))
+	r := search(t, l, WithoutFences(), Ignoring(Fence))
 	assert.Equal(t, r.Breach, Twice)
-	r = search(t, l, WithRepairs(AllRepairs), WithoutFences())
+	r = search(t, l, WithoutFences())
 	assert.Equal(t, r.Breach, Fence)
 }
 
 // Guards against a model that does not need the wait for the leases of earlier leaders.
 func TestWithoutLeaseWaitATaskRunsTwice(t *testing.T) {
-	r := search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1}, WithRepairs(AllRepairs), WithoutLeaseWait())
+	r := search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1}, WithoutLeaseWait())
 	assert.Equal(t, r.Breach, Twice)
 }
 
 // Guards against a model that does not need unanswered starts to be voided.
 func TestWithoutVoidingATaskRunsTwice(t *testing.T) {
-	r := search(t, Limits{Claims: 1, Starts: 2, Polls: 1, SlowStarts: 1}, WithRepairs(AllRepairs), WithoutVoiding())
+	r := search(t, Limits{Claims: 1, Starts: 2, Polls: 1, SlowStarts: 1}, WithoutVoiding())
 	assert.Equal(t, r.Breach, Twice)
 }
 
@@ -122,54 +121,61 @@
 	}
 }
 
-// Guards against proposed changes that do not keep the promises within the bounds of the tests above.
-func TestProposedChangesKeepPromises(t *testing.T) {
+// Guards against a model that does not need starts to end when another entry may have claimed.
+func TestWithoutSoleStartsATaskRunsTwice(t *testing.T) {
+	for _, l := range []Limits{
+		{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}, {Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1},
+	} {
+		assert.Equal(t, search(t, l, WithoutSoleStarts()).Breach, Twice)
+	}
+}
+
+// Guards against breaches at the bounds of the searches that found earlier ones.
+func TestBoundsOfFormerBreaches(t *testing.T) {
 	for _, l := range []Limits{
 		{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}, {Claims: 1, Starts: 2, Polls: 2, Crashes: 1}, {Claims: 2, Tries: 1, Lost: 1, Resigns: 1},
-		{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1},
+		{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}, {Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1},
 	} {
-		assertKept(t, search(t, l, WithRepairs(AllRepairs)))
+		assertKept(t, search(t, l))
 	}
-	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs|SoleStarts)))
 }
 
 // Guards against an end that an executor forgets because of an append that was refused.
 func TestEndsOfARefusedAppendAreNotConfirmed(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}, WithRepairs(AllRepairs)))
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 4}))
 }
 
 // Guards against a second run of a task whose order an executor carried out after a restart.
 func TestOrdersToARestartedExecutorAreNotForgotten(t *testing.T) {
-	assertKept(t, search(t, Limits{Claims: 1, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs)))
+	assertKept(t, search(t, Limits{Claims: 1, Starts: 2, Polls: 2, Crashes: 1}))
 }
 
 // Guards against a run that is given up by its former leader although the later leader has extended
 // its lease.
 func TestLeasesExtendedByALaterLeader(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, WithRepairs(AllRepairs)))
+	assertKept(t, search(t, Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}))
 }
 
 // Guards against a job that an entry stored without a leader and that two leaders read and start.
 func TestLeaderlessJobsAreStartedByOneLeader(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}, WithRepairs(AllRepairs)))
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 1, Tries: 1}))
 }
 
 // Guards against a lease that outlasts elect.FormerRunsEnd on the slow clock of an executor that was
 // idle.
 func TestLeasesOnSlowClocksEndInTime(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1},
-		WithRepairs(AllRepairs), WithIdle(200*time.Second), WithTick(tightTick)))
+	assertKept(t, search(t, Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1}, WithIdle(200*time.Second), WithTick(tightTick)))
 }
 
 // Guards against a start by a former leader on an executor that restarted and has not seen the later
 // leader's fencing token.
 func TestFormerLeaderStartsNothingOnARestartedExecutor(t *testing.T) {
-	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}, WithRepairs(AllRepairs)))
+	assertKept(t, search(t, Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 2, Crashes: 1}))
 }
 
 // Guards against a leader that denies a job after its resignation was stored without an answer.
 func TestResignedLeaderDoesNotDenyJobs(t *testing.T) {
-	assertKept(t, search(t, Limits{Claims: 2, Tries: 1, Lost: 1, Resigns: 1}, WithRepairs(AllRepairs)))
+	assertKept(t, search(t, Limits{Claims: 2, Tries: 1, Lost: 1, Resigns: 1}))
 }
 
 // Guards against an order of the former leader that is taken for the new leader's own, since the
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -96,7 +96,7 @@
 
 // canStart follows Leader.plan: an executor must accept tasks and be known to a successor.
 func (m *Model) canStart(e *entry, b *member, now tick) bool {
-	if m.repairs&SoleStarts != 0 && !m.isSole(e, now) {
+	if m.mutation != startAfterClaims && !m.isSole(e, now) {
 		return false
 	}
 	x := execs.Member{Contact: b.contact, Listed: b.listed}
@@ -110,7 +110,7 @@
 func (m *Model) startRun(s *state, i, x, t int) (call, bool) {
 	e := &s.entries[i]
 	b := &e.members[x]
-	if int(s.used.starts) >= m.limits.Starts || !e.book.known || e.book.over || e.book.tasks[t].run.attempt != 0 || e.renewed < e.jobAt || !m.canStart(e, b, s.now) {
+	if int(s.used.starts) >= m.limits.Starts || !e.book.known || e.book.over || e.book.tasks[t].run.attempt != 0 || !m.canStart(e, b, s.now) {
 		return call{}, false
 	}
 	tr := m.open(&e.book, s.now)
--- a/internal/proof/check/state.go
+++ b/internal/proof/check/state.go
@@ -89,9 +89,6 @@
 	ready   bool
 	book    book
 	members [maxExecs]member
-	// jobAt is one step after the job was read that an entry without a leader stored, 0 if a later
-	// leader would load it.
-	jobAt tick
 	// queued is set if a submission waits for the next append.
 	queued bool
 }
@@ -103,7 +100,7 @@
 }
 
 func (e *entry) stopLeading() {
-	e.leads, e.ready, e.queued, e.token, e.renewed, e.started, e.jobAt = false, false, false, 0, 0, 0, 0
+	e.leads, e.ready, e.queued, e.token, e.renewed, e.started = false, false, false, 0, 0, 0
 	e.book, e.members = book{}, [maxExecs]member{}
 }
 
@@ -245,9 +242,6 @@
 		if !e.leads {
 			continue
 		}
-		if e.renewed >= e.jobAt {
-			e.jobAt = 0
-		}
 		for t := range e.book.tasks {
 			if r := &e.book.tasks[t].run; r.attempt != 0 {
 				r.since = max(r.since, oldest-1)
--- a/internal/proof/check/store.go
+++ b/internal/proof/check/store.go
@@ -55,9 +55,6 @@
 	if !s.store.leaderless || e.book.known {
 		return false
 	}
-	if !m.isSole(e, s.now) {
-		e.jobAt = s.now + 1
-	}
 	m.update(s, e, func(tr *track.Tracker) { tr.Accept(jobID, m.queue, m.spec, 0, m.at(s.now)) })
 	return true
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -105,8 +105,6 @@
 	leaderlessTail tailState
 	leaderless     map[string]struct{} // jobs with leaderless records
 	unread         []*cancelRequest    // cancels that wait for the next read of leaderless records
-	// heldJobs are leaderless jobs of which no task may start yet, with the time at which they were read.
-	heldJobs map[*track.Job]time.Duration
 
 	deferred  []event // requests that arrived before the state was loaded
 	planDue   map[string]bool
@@ -143,7 +141,6 @@
 		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[string]bool{}, runtimeRatios: map[string]*runtimeRatio{},
 		pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{}, jobOrders: map[string]*jobOrder{}, ended: map[string]time.Duration{},
 		planDue: map[string]bool{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]struct{}{},
-		heldJobs: map[*track.Job]time.Duration{},
 	}
 	l.start = d.Clock.Now()
 	l.Log = d.Log.With().Uint64("token", token).Logger()
@@ -301,7 +298,6 @@
 	l.returnQueued()
 	l.openDue()
 	l.planNewlyVisible()
-	l.releaseHeldJobs()
 	l.tailTopics()
 	if l.now >= l.nextSweep {
 		l.nextSweep = l.now + sweepInterval
--- a/internal/serve/leader/meters.go
+++ b/internal/serve/leader/meters.go
@@ -20,6 +20,7 @@
 	quarantines   tally.Counter
 	terms         tally.Counter
 	limitLowered  tally.Counter
+	startsHeld    tally.Counter
 	startLimit    tally.Gauge
 	refused       map[string]tally.Counter
 	rejected      map[string]tally.Counter
@@ -44,7 +45,7 @@
 	m := &Meters{
 		scope: s, accepted: s.Counter("jobs_accepted"), starts: s.Counter("runs_ordered"), stops: s.Counter("runs_stopped"),
 		polls: s.Counter("executor_looks"), instanceCalls: s.Counter("instance_calls"),
-		quarantines: s.Counter("executors_aside"), terms: s.Counter("leads"), limitLowered: s.Counter("start_limit_lowered"), startLimit: s.Gauge("start_limit"),
+		quarantines: s.Counter("executors_aside"), terms: s.Counter("leads"), limitLowered: s.Counter("start_limit_lowered"), startsHeld: s.Counter("starts_held"), startLimit: s.Gauge("start_limit"),
 		appendTime: s.Histogram("store_append_seconds", durationBuckets), jobWait: s.Histogram("job_wait_seconds", durationBuckets),
 		jobTime: s.Histogram("job_seconds", durationBuckets), takeover: s.Histogram("takeover_seconds", durationBuckets),
 		activeJobs: s.Gauge("jobs_active"), pendingJobs: s.Gauge("jobs_pending"), waveLeft: s.Gauge("wave_left"),
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -44,12 +45,18 @@
 	attemptStep = 2
 )
 
-// plan starts waiting tasks of the services that changed since the last round.
+// plan starts waiting tasks of the services that changed since the last round. It starts none once another
+// entry may have claimed. That entry may not have loaded a leaderless job that this one has read, and an
+// executor that has restarted since has not seen its fencing token: either could run a task twice.
 func (l *Leader) plan() {
 	room := l.window.Room()
 	if len(l.planDue) == 0 || l.now < l.nextPlan || l.Orders.Config() == nil || room == 0 {
 		return
 	}
+	if !l.isSole() {
+		l.Meters.startsHeld.Inc(1)
+		return
+	}
 	begin := l.Clock.Now()
 	defer func() {
 		end := l.Clock.Now()
@@ -117,9 +124,6 @@
 		return
 	}
 	for _, j := range l.tracker.Active() {
-		if _, held := l.heldJobs[j]; held {
-			continue
-		}
 		queue := l.queueOf(j)
 		if order := stale[queue.Service]; order != nil {
 			order.jobs = append(order.jobs, j)
@@ -183,6 +187,7 @@
 	// If a ticket is needed, the plan has used only executors for which there is one.
 	order.Ticket, _ = l.ticketFor(st.Task.Step, st.Member)
 	to := l.target(m, startTimeout)
+	to.Expires = min(to.Expires, elect.SoleUntil(l.LastRenewal()))
 	r.Fence = to.Fence
 	l.Meters.starts.Inc(1)
 	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
--- a/internal/serve/leader/sole_test.go
+++ b/internal/serve/leader/sole_test.go
@@ -1,17 +1,19 @@
 package leader
 
 import (
-	"slices"
+	"context"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
-	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
-	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
 // Guards against a denied job of the successor after a resignation whose answer was lost.
@@ -34,31 +36,48 @@
 	assert.Equal(t, ask(), queryReply{model.Unknown, false})
 }
 
-// Guards against two leaders that both start a job that an entry stored after the later one's load.
-func TestLeaderlessJobsStartOnceLaterLeadersLoadThem(t *testing.T) {
-	l, m, _ := newStoringLeader(t)
+// Guards against a task that two leaders start: the former one on an executor that has restarted, or because
+// both have read a leaderless job.
+func TestNothingStartsOnceAnotherEntryMayHaveClaimed(t *testing.T) {
+	w := fake.NewPlatform(nil)
+	defer w.Close()
+	l, m, task := newTestLeader(t)
+	l.Settings = w.Settings("self", 1, 2, 3)
+	l.Client = platform.NewClient(l.Settings)
+	defer l.Client.Close()
+	l.Orders = orders.Start(t.Context(), l.Client, clock.NewSystem(), zerolog.Nop())
+	defer l.Orders.Close()
+	assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":1,"routes":[],"services":[{"name":"s"}],"limits":{}}`)))
 	l.Clock, l.jobOrders = clock.NewFake(time.Unix(0, 0)), map[string]*jobOrder{}
-	l.initFleet(nil, l.now)
+	var sent []platform.Target
+	l.Execs, l.ctx, l.events = recordingExecs{targets: &sent}, context.Background(), make(chan event, 10)
+	m.Listed, m.visible, m.Capacity = true, true, model.Amount{Cores: 8000, Memory: 1000}
 	renewed := l.now - time.Second
 	l.LastRenewal = func() time.Duration { return renewed }
-	body := []byte(`{"spec":"s","phases":[{"count":2,"cpu":100,"mem_mb":1,"estimate_ms":10}]}`)
-	read := func(id string) {
-		e := track.LeaderlessJobRecord(id, model.Queue{Name: "q", Service: "s", Attempts: 1}, body, 0)
-		l.applyLeaderless(platform.Record{Key: e.Key, Value: e.Value})
-		assert.Assert(t, l.tracker.Job(id) != nil, "its state can be asked for")
+	resigns := false
+	l.HasSentResignation = func() bool { return resigns }
+	starts := func() int {
+		l.planDue["s"] = true
+		l.plan()
+		return len(l.tracker.RunsOn(m.Key))
 	}
-	placed := func(id string) bool {
-		l.planDue["s"], l.jobOrders["s"] = true, nil
-		l.orderJobs(map[string][]*execs.Member{"s": {&m.Member}})
-		return slices.Contains(l.jobOrders["s"].jobs, l.tracker.Job(id))
-	}
-	read("00000000000000a1")
-	l.releaseHeldJobs()
-	assert.Assert(t, !placed("00000000000000a1"), "another entry may have claimed before the job was read")
-	renewed, l.now = l.now, l.now+10*time.Millisecond
-	clear(l.planDue)
-	l.releaseHeldJobs()
-	assert.Assert(t, l.planDue["s"] && placed("00000000000000a1"))
-	read("00000000000000a2")
-	assert.Assert(t, placed("00000000000000a2"), "no other entry can have claimed")
+	assert.Equal(t, starts(), 0, "the last renewal is late")
+	renewed, resigns = l.now-500*time.Millisecond, true
+	assert.Equal(t, starts(), 0, "a successor may have claimed")
+	resigns = false
+	assert.Equal(t, starts(), 1)
+	assert.Assert(t, !task.IsWaiting())
+	assert.Assert(t, (<-l.events).(startedRun).err == nil)
+	assert.Equal(t, sent[0].Expires, elect.SoleUntil(renewed), "the order is not sent later")
+}
+
+// recordingExecs records the targets of starts.
+type recordingExecs struct {
+	unresponsiveExecs
+	targets *[]platform.Target
+}
+
+func (r recordingExecs) Start(_ context.Context, to platform.Target, _ platform.Start) (time.Duration, error) {
+	*r.targets = append(*r.targets, to)
+	return 0, nil
 }
--- a/internal/serve/leader/stored_test.go
+++ b/internal/serve/leader/stored_test.go
@@ -11,7 +11,6 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
-	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
@@ -23,7 +22,6 @@
 	l, m, task := newTestLeader(t)
 	l.Meters, l.ready, l.Settings.Store.RecordBytes = NewMeters(tally.NoopScope), true, 1<<18
 	l.byID, l.runtimeRatios, l.leaderless = map[string]*member{"x": m}, map[string]*runtimeRatio{}, map[string]struct{}{}
-	l.heldJobs = map[*track.Job]time.Duration{}
 	l.LastRenewal = func() time.Duration { return l.now }
 	r := l.tracker.BeginRun(task, m.Key, 0, l.now)
 	m.AddRun(task.Step)
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -170,26 +170,11 @@
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Msg("leaderless job is accepted")
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
-		if !l.isSole() {
-			l.heldJobs[j] = l.now
-		}
 	case rec.Cancelled:
 		l.cancelJob(rec.ID)
 	}
 }
 
-// releaseHeldJobs lets the tasks of leaderless jobs start that every later leader loads: the last renewal
-// was sent after this leader read them. A later leader that reads them after its load, as this one did,
-// would start them too.
-func (l *Leader) releaseHeldJobs() {
-	for j, readAt := range l.heldJobs {
-		if l.LastRenewal() >= readAt {
-			delete(l.heldJobs, j)
-			l.planDue[l.queueOf(j).Service] = true
-		}
-	}
-}
-
 // leaderlessPurged is the outcome of deleting the leaderless records of a job.
 type leaderlessPurged struct {
 	report
--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -57,11 +57,12 @@
 
 // pendingOrder is an order whose outcome has not arrived.
 type pendingOrder struct {
-	order   *workpb.Order
-	job     string
-	spec    string
-	expires time.Duration
-	reply   chan *workpb.Outcome
+	order *workpb.Order
+	job   string
+	spec  string
+	// expires is the end of the wait for the outcome, and until when the call may be begun.
+	expires, until time.Duration
+	reply          chan *workpb.Outcome
 	// sent reports whether the order may have left this process, and sentAt when.
 	sent   bool
 	sentAt time.Duration
@@ -124,30 +125,34 @@
 			l.deliver(in)
 		}
 	}()
-	l.awaitClock(ctx)
-	// An error of Send needs no handling: the stream ends, and its orders count as unanswered.
-	_ = l.out.run(ctx, func(orders []*pendingOrder) error {
-		m := l.message(orders)
-		if len(m.GetOrders()) == 0 {
-			return nil
-		}
-		return stream.Send(m)
-	})
+	if l.awaitClock(ctx) {
+		// An error of Send needs no handling: the stream ends, and its orders count as unanswered.
+		_ = l.out.run(ctx, func(orders []*pendingOrder) error {
+			m := l.message(orders)
+			if len(m.GetOrders()) == 0 {
+				return nil
+			}
+			return stream.Send(m)
+		})
+	} else {
+		l.cancel()
+	}
 	_ = stream.Close()
 	<-received
 }
 
-// awaitClock waits for the first message of the entry, which has its clock. It ends the stream if there is
-// none in silenceLimit.
-func (l *link) awaitClock(ctx context.Context) {
+// awaitClock waits for the first message of the entry, which has its clock. It returns false if there is none
+// in silenceLimit.
+func (l *link) awaitClock(ctx context.Context) bool {
 	limit := l.clk.After(silenceLimit)
 	defer limit.Close()
 	select {
 	case <-l.synced:
+		return true
 	case <-ctx.Done():
 	case <-limit.C:
-		l.cancel()
 	}
+	return false
 }
 
 // message returns a message with the orders whose callers still wait for an outcome.
@@ -158,12 +163,12 @@
 	out := &workpb.Orders{}
 	for _, po := range orders {
 		limit := po.expires - now - answerMargin
-		if limit <= 0 || l.pending[po.order.GetSeq()] != po {
+		if limit <= 0 || now >= po.until || l.pending[po.order.GetSeq()] != po {
 			continue
 		}
 		po.sent, po.sentAt = true, now
 		po.order.Limit = uint32(limit.Milliseconds()) + 1
-		po.order.Until = max(l.remote.at(po.expires-answerMargin, now).Microseconds(), 1)
+		po.order.Until = max(l.remote.at(po.until, now).Microseconds(), 1)
 		if at, ok := l.specsSent[po.job]; po.job != "" && (!ok || now > at+specResend) {
 			l.specsSent[po.job] = now
 			out.Specs = append(out.Specs, &workpb.Spec{Job: po.job, Text: po.spec})
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -215,10 +215,10 @@
 	if end, ok := ctx.Deadline(); ok {
 		po.expires = p.clk.Now() + time.Until(end)
 	}
-	if to.Expires > 0 {
-		po.expires = min(po.expires, to.Expires)
+	if po.until = po.expires; to.Expires > 0 {
+		po.until = min(po.until, to.Expires)
 	}
-	if p.clk.Now() >= po.expires {
+	if p.clk.Now() >= po.until {
 		return &workpb.Outcome{}, &platform.OrderError{Reason: platform.ReasonLate}, true
 	}
 	o, sent, failed := l.call(ctx, po)
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -288,7 +288,7 @@
 func TestOrdersOfASuspendedLeaderAreNotSent(t *testing.T) {
 	clk := clock.NewFake(time.Unix(0, 0))
 	l := &link{clk: clk, pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{}}
-	po := &pendingOrder{order: &workpb.Order{Seq: 1}, job: "j", spec: "s", expires: 350 * time.Millisecond}
+	po := &pendingOrder{order: &workpb.Order{Seq: 1}, job: "j", spec: "s", expires: 350 * time.Millisecond, until: 350 * time.Millisecond}
 	l.pending[1] = po
 	clk.Advance(4 * time.Second)
 	assert.Equal(t, len(l.message([]*pendingOrder{po}).GetOrders()), 0)
@@ -304,7 +304,7 @@
 	c := &callServer{clk: clk, specs: map[string]cachedSpec{}}
 	for i := range 200 {
 		job := fmt.Sprint("j", i%7)
-		po := &pendingOrder{order: &workpb.Order{Seq: uint64(i)}, job: job, spec: "text", expires: clk.Now() + time.Second}
+		po := &pendingOrder{order: &workpb.Order{Seq: uint64(i)}, job: job, spec: "text", expires: clk.Now() + time.Second, until: clk.Now() + time.Second}
 		l.pending[uint64(i)] = po
 		m := l.message([]*pendingOrder{po})
 		c.storeSpecs(m.GetSpecs(), clk.Now())
--- a/internal/serve/proxy/remote_test.go
+++ b/internal/serve/proxy/remote_test.go
@@ -32,7 +32,7 @@
 	l.deliver(hello)
 	order := func(seq uint64) *workpb.Orders {
 		po := &pendingOrder{
-			order: &workpb.Order{Seq: seq, Kind: uint32(kindStart), Task: "j.0.0.1", Attempt: 1}, job: "j", spec: "s", expires: leaderClock.Now() + 350*time.Millisecond,
+			order: &workpb.Order{Seq: seq, Kind: uint32(kindStart), Task: "j.0.0.1", Attempt: 1}, job: "j", spec: "s", expires: leaderClock.Now() + 350*time.Millisecond, until: leaderClock.Now() + 350*time.Millisecond,
 		}
 		l.pending[seq] = po
 		return l.message([]*pendingOrder{po})
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -124,17 +124,18 @@
 	}()
 	now := c.clk.Now()
 	remaining := time.Duration(o.GetLimit())*time.Millisecond - (now - arrived)
+	expires := now + remaining
 	if o.GetUntil() != 0 {
-		remaining = min(remaining, time.Duration(o.GetUntil())*time.Microsecond-now)
+		expires = min(expires, time.Duration(o.GetUntil())*time.Microsecond)
 	}
-	if remaining <= 0 {
+	if now >= expires {
 		c.late.Add(1)
 		out.Verdict, out.Reason = uint32(verdictRefused), uint32(platform.ReasonLate)
 		return out
 	}
 	call, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	to := platform.Target{Addr: o.GetAddr(), ID: o.GetId(), Fence: o.GetFence(), Expires: now + remaining}
+	to := platform.Target{Addr: o.GetAddr(), ID: o.GetId(), Fence: o.GetFence(), Expires: expires}
 	t, ok := model.ParseTaskID(o.GetTask())
 	var err error
 	switch kind(o.GetKind()) {
