--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -48,7 +48,9 @@
 	pollFailures int
 	adopted      bool          // the first answer has arrived
 	adoptedAt    time.Duration // when it arrived
-	unconfirmed  []unconfirmedFailure
+	// formerUnlisted is set if its answers have not listed all runs and ends of earlier leaders yet.
+	formerUnlisted bool
+	unconfirmed    []unconfirmedFailure
 	// freshUntil is until when polls use freshPollWait, and firstListed when the executor became
 	// known.
 	freshUntil  time.Duration
@@ -56,6 +58,10 @@
 	// visible is set once a later leader would know the executor: no other entry can have claimed
 	// the leadership before firstListed.
 	visible bool
+	// host is the instance that has it by the instance list, and missingLists the number of successive
+	// lists that did not show it while it did not answer.
+	host         string
+	missingLists int
 	// startsInFlight counts unanswered starts; an instance with any of them is not drained yet.
 	startsInFlight int
 	// reportOffset is the offset of the newest report of its id that was applied.
