lead: a leader whose renewals are answered late keeps its leadership

Callers would see a takeover, with a full read of the jobs, from a leader that works: its renewals reach the claim log, but their answers are late (its link or its processor is busy), and it says that its last renewal is over 1.3 s old. A follower then reads the log for the first time, can't tell how old the renewals are that it finds, and claimed at once. Its calls also went past the leader.

A follower now begins to read the log while the leader still leads, as soon as a renewal is overdue (650 ms). A leader that counts as cut off is replaced, and avoided, only if the log was watched for 650 ms without a renewal. The early read keeps the takeover from a leader that really is cut off as fast as it was.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -36,6 +36,9 @@
 	successorCheck = 25 * time.Millisecond
 	// readInterval is the time between reads of the topic while the leader does not answer.
 	readInterval = 200 * time.Millisecond
+	// overdueAge is the age of the last renewal from which a follower also reads the topic, so that it
+	// has watched it for as long when the leader counts as cut off.
+	overdueAge = elect.RenewEvery + 150*time.Millisecond
 )
 
 // Leader is the current leader, as far as this entry has learned.
@@ -269,12 +272,14 @@
 	if announced {
 		e.view = elect.LeaderView{LastChange: e.clk.Now(), LastRead: e.view.LastRead}
 	}
+	leads := false
 	if leader.Addr != "" && !nominated {
-		leads := e.pollLeader(ctx, leader)
-		e.mu.Lock()
-		e.unresponsive = !leads
-		e.mu.Unlock()
-		if leads {
+		var overdue bool
+		leads, overdue = e.pollLeader(ctx, leader)
+		if !e.view.CutOff {
+			e.setUnresponsive(!leads)
+		}
+		if leads && !overdue {
 			e.synced = false
 			return e.pollPause
 		}
@@ -288,9 +293,13 @@
 		e.nominated = e.nominated || nominated
 		e.mu.Unlock()
 		e.view.LastChange = max(e.view.LastChange, now-elect.LeaderTimeout/2)
+		if e.view.CutOff {
+			e.setUnresponsive(true)
+		}
 		return readInterval
 	}
 	e.view.LastRead = now
+	cutOff := e.view.CutOff
 	if last != nil {
 		before := e.view
 		e.applyRecord(*last, now)
@@ -301,10 +310,17 @@
 		if !e.synced {
 			e.view.WatchedSince = now
 		}
-		e.synced = true
-		if e.view.LastChange == now && !nominated {
-			return readInterval / 4
-		}
+	}
+	e.synced = true
+	if cutOff {
+		// The answers to renewals may be late. Only the log shows that no renewal arrives.
+		e.setUnresponsive(now >= e.view.LastChange+elect.CutOffTimeout && now >= e.view.WatchedSince+overdueAge)
+	}
+	switch {
+	case leads:
+		return e.pollPause
+	case last != nil && e.view.LastChange == now && !nominated, e.view.CutOff && now < e.view.WatchedSince+overdueAge:
+		return readInterval / 4
 	}
 	e.view.NoClaims = e.topicEnd == 0
 	e.mu.Lock()
@@ -351,8 +367,9 @@
 	e.setLeader(Leader{Token: last.Token, Name: last.Name, Addr: last.Addr})
 }
 
-// pollLeader requests the leader's digest and reports whether that entry leads and can renew.
-func (e *Elector) pollLeader(ctx context.Context, leader Leader) bool {
+// pollLeader requests the leader's digest and reports whether that entry leads and can renew, and
+// whether its next renewal is overdue.
+func (e *Elector) pollLeader(ctx context.Context, leader Leader) (leads, overdue bool) {
 	call, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	sent := e.clk.Now()
@@ -361,20 +378,27 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			e.view.ProcessGone = true
 		}
-		return false
+		return false, false
 	}
 	e.view.ProcessGone = false
 	if !d.Leads {
-		return false
+		return false, false
 	}
 	e.onDigest(d)
 	e.pollPause = max(pollInterval, d.PollInterval)
 	// A leader that can't renew is about to lose its lease, so a claim costs it nothing.
 	if e.view.CutOff = d.LeaseAge > elect.CutOffTimeout; e.view.CutOff {
-		return false
+		return false, true
 	}
-	e.view.LastChange = sent - d.LeaseAge
-	return true
+	e.view.LastChange = max(e.view.LastChange, sent-d.LeaseAge)
+	return true, d.LeaseAge > overdueAge
+}
+
+// setUnresponsive records whether the leader is unresponsive.
+func (e *Elector) setUnresponsive(is bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unresponsive = is
 }
 
 func (e *Elector) claim(ctx context.Context) {
