lead: one late poll does not make a leader unresponsive

Callers would see jobs that their entry stores without the leader, which reads them up to a second later: a single poll that took over 250 ms (a busy machine, a full link) marked the leader as unresponsive, and cancelled the calls to it that were in flight.

A leader now counts as unresponsive after two consecutive polls without an answer. Polls of one leader no longer count for the one announced since.

Before: TestOneLatePollDoesNotMakeTheLeaderUnresponsive fails after its first late poll.

--- a/internal/serve/lead/cutoff_test.go
+++ b/internal/serve/lead/cutoff_test.go
@@ -20,10 +20,10 @@
 // standIn answers other entries' polls in place of a leader.
 type standIn struct {
 	relay.Handler
-	digest func() relay.Digest
+	digest func(ctx context.Context) relay.Digest
 }
 
-func (s *standIn) Digest(context.Context, relay.Follower) relay.Digest { return s.digest() }
+func (s *standIn) Digest(ctx context.Context, _ relay.Follower) relay.Digest { return s.digest(ctx) }
 
 func (s *standIn) Query(context.Context, string) (model.State, bool) { return model.Unknown, false }
 
@@ -31,7 +31,7 @@
 
 // serveLeader makes e follow a leader that answers polls with digest, and whose last record is at
 // offset 10.
-func serveLeader(t *testing.T, e *Elector, digest func() relay.Digest) {
+func serveLeader(t *testing.T, e *Elector, digest func(ctx context.Context) relay.Digest) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -56,7 +56,7 @@
 	clk := clock.NewFake(time.Unix(0, 0))
 	e := newFollower(t, clk)
 	var renewed time.Duration
-	serveLeader(t, e, func() relay.Digest { return relay.Digest{Leads: true, LeaseAge: clk.Now() - renewed} })
+	serveLeader(t, e, func(context.Context) relay.Digest { return relay.Digest{Leads: true, LeaseAge: clk.Now() - renewed} })
 	e.follow(context.Background())
 	// No renewal is answered from here on. The records arrive, as the log shows.
 	for i := range int64(8) {
@@ -80,10 +80,34 @@
 func TestLeaderWithoutAccessToTheStoreIsReplacedInTime(t *testing.T) {
 	clk := clock.NewFake(time.Unix(0, 0))
 	e := newFollower(t, clk)
-	serveLeader(t, e, func() relay.Digest { return relay.Digest{Leads: true, LeaseAge: clk.Now()} })
+	serveLeader(t, e, func(context.Context) relay.Digest { return relay.Digest{Leads: true, LeaseAge: clk.Now()} })
 	for !e.Leader().IsSelf && clk.Now() < time.Minute {
 		clk.Advance(e.follow(context.Background()))
 	}
 	assert.Assert(t, clk.Now() >= elect.CutOffTimeout)
 	assert.Assert(t, clk.Now() <= elect.CutOffTimeout+pollInterval, "after %s", clk.Now())
 }
+
+// Guards against jobs that every entry stores itself because one poll of a living leader took too long.
+func TestOneLatePollDoesNotMakeTheLeaderUnresponsive(t *testing.T) {
+	e := newFollower(t, clock.NewFake(time.Unix(0, 0)))
+	serveLeader(t, e, func(ctx context.Context) relay.Digest {
+		<-ctx.Done()
+		return relay.Digest{}
+	})
+	for range 3 {
+		e.follow(context.Background())
+		assert.Assert(t, !e.IsLeaderUnresponsive())
+		e.applyAnswer(e.Leader(), answerLeads)
+	}
+	for range maxMisses {
+		e.follow(context.Background())
+	}
+	assert.Assert(t, e.IsLeaderUnresponsive())
+	// What was missed of one leader does not count for the next.
+	former := e.Leader()
+	e.HandleAnnouncement(100, "third", former.Addr)
+	e.applyAnswer(former, answerNo)
+	e.follow(context.Background())
+	assert.Assert(t, !e.IsLeaderUnresponsive())
+}
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +35,9 @@
 	successorCheck = 25 * time.Millisecond
 	// readInterval is the time between reads of the topic while the leader does not answer.
 	readInterval = 200 * time.Millisecond
+	// maxMisses is the number of consecutive polls without an answer after which a leader is
+	// unresponsive. A single one may only have been delayed.
+	maxMisses = 2
 	// overdueAge is the age of the last renewal from which a follower also reads the topic, so that it
 	// has watched it for as long when the leader counts as cut off.
 	overdueAge = elect.RenewEvery + 150*time.Millisecond
@@ -80,7 +82,8 @@
 	resignBy     time.Duration // when to resign even without a successor
 	stepDown     bool          // resign in favor of a larger instance
 	announced    bool          // another entry announced a leader since the last step
-	unresponsive bool          // the leader did not answer the last poll, or can't renew
+	unresponsive bool          // calls to the leader would probably time out
+	misses       int           // consecutive polls of the leader without an answer
 	nominated    bool          // a leader that resigned designated this entry as its successor
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
@@ -132,8 +135,8 @@
 	return e.leader
 }
 
-// IsLeaderUnresponsive reports whether the leader did not answer the last poll, or answered that it
-// can't renew. Calls to it would probably time out.
+// IsLeaderUnresponsive reports whether the leader did not answer the last polls, its process has
+// ended, or it can't renew. Calls to it would probably time out.
 func (e *Elector) IsLeaderUnresponsive() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -181,7 +184,7 @@
 	if l == e.leader {
 		return
 	}
-	e.unresponsive = false
+	e.unresponsive, e.misses = false, 0
 	e.log.Info().Uint64("token", l.Token).Str("leader", l.Name).Str("addr", l.Addr).Bool("mine", l.IsSelf).
 		Uint64("former", e.leader.Token).Msg("leader changed")
 	e.leader = l
@@ -272,14 +275,10 @@
 	if announced {
 		e.view = elect.LeaderView{LastChange: e.clk.Now(), LastRead: e.view.LastRead}
 	}
-	leads := false
+	got := answerNo
 	if leader.Addr != "" && !nominated {
-		var overdue bool
-		leads, overdue = e.pollLeader(ctx, leader)
-		if !e.view.CutOff {
-			e.setUnresponsive(!leads)
-		}
-		if leads && !overdue {
+		got = e.pollLeader(ctx, leader)
+		if e.applyAnswer(leader, got); got == answerLeads {
 			e.synced = false
 			return e.pollPause
 		}
@@ -293,13 +292,12 @@
 		e.nominated = e.nominated || nominated
 		e.mu.Unlock()
 		e.view.LastChange = max(e.view.LastChange, now-elect.LeaderTimeout/2)
-		if e.view.CutOff {
+		if got == answerCutOff {
 			e.setUnresponsive(true)
 		}
 		return readInterval
 	}
 	e.view.LastRead = now
-	cutOff := e.view.CutOff
 	if last != nil {
 		before := e.view
 		e.applyRecord(*last, now)
@@ -312,12 +310,12 @@
 		}
 	}
 	e.synced = true
-	if cutOff {
+	if got == answerCutOff {
 		// The answers to renewals may be late. Only the log shows that no renewal arrives.
 		e.setUnresponsive(now >= e.view.LastChange+elect.CutOffTimeout && now >= e.view.WatchedSince+overdueAge)
 	}
 	switch {
-	case leads:
+	case got == answerOverdue:
 		return e.pollPause
 	case last != nil && e.view.LastChange == now && !nominated, e.view.CutOff && now < e.view.WatchedSince+overdueAge:
 		return readInterval / 4
@@ -367,40 +365,6 @@
 	e.setLeader(Leader{Token: last.Token, Name: last.Name, Addr: last.Addr})
 }
 
-// pollLeader requests the leader's digest and reports whether that entry leads and can renew, and
-// whether its next renewal is overdue.
-func (e *Elector) pollLeader(ctx context.Context, leader Leader) (leads, overdue bool) {
-	call, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	sent := e.clk.Now()
-	d, err := e.peers.Digest(call, leader.Addr, e.asFollower())
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			e.view.ProcessGone = true
-		}
-		return false, false
-	}
-	e.view.ProcessGone = false
-	if !d.Leads {
-		return false, false
-	}
-	e.onDigest(d)
-	e.pollPause = max(pollInterval, d.PollInterval)
-	// A leader that can't renew is about to lose its lease, so a claim costs it nothing.
-	if e.view.CutOff = d.LeaseAge > elect.CutOffTimeout; e.view.CutOff {
-		return false, true
-	}
-	e.view.LastChange = max(e.view.LastChange, sent-d.LeaseAge)
-	return true, d.LeaseAge > overdueAge
-}
-
-// setUnresponsive records whether the leader is unresponsive.
-func (e *Elector) setUnresponsive(is bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.unresponsive = is
-}
-
 func (e *Elector) claim(ctx context.Context) {
 	sent := e.clk.Now()
 	e.claimSent = sent
