--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -85,15 +85,15 @@
 	return opened
 }
 
-// maxClockLead is how far the clock of an earlier leader may have been ahead: each of two clocks can
+// MaxClockLead is how far the clock of an earlier leader may have been ahead: each of two clocks can
 // be off by 5 s.
-const maxClockLead = 10 * time.Second
+const MaxClockLead = 10 * time.Second
 
 // OpenStarted opens the occurrences of a job up to that of a task that an earlier leader has
 // started. They may not be due yet at a wall-clock time of this process.
 func (tr *Tracker) OpenStarted(id model.TaskID, wall time.Duration) {
 	j := tr.jobs[id.Job]
-	if j == nil || !j.Spec.Scheduled || j.IsOver() || id.Occurrence >= j.Spec.Repeats || j.due(id.Occurrence) > wall+maxClockLead {
+	if j == nil || !j.Spec.Scheduled || j.IsOver() || id.Occurrence >= j.Spec.Repeats || j.due(id.Occurrence) > wall+MaxClockLead {
 		return
 	}
 	for j.nextOccurrence <= id.Occurrence && !j.isFull(2*maxOpenTasks) {
@@ -273,8 +273,8 @@
 	Over bool
 }
 
-// ApplyEnd applies the end of a run. The end of a run that was removed before changes nothing,
-// unless adopt is set, for an executor that was adopted from an earlier leader.
+// ApplyEnd applies the end of a run. If the run was removed before, only success counts, unless adopt
+// is set, for an executor that was adopted from an earlier leader.
 func (tr *Tracker) ApplyEnd(executor string, e model.End, adopt bool, wall time.Duration) Effect {
 	j := tr.jobs[e.Task.Job]
 	if j == nil || j.IsOver() && len(j.Open) == 0 {
@@ -286,7 +286,7 @@
 	}
 	t.Attempt = max(t.Attempt, e.Attempt)
 	r := tr.FindRun(executor, e.Task, e.Attempt)
-	if r == nil && (!adopt || t.Done) {
+	if r == nil && (t.Done || !adopt && (e.Ending != model.EndedDone || t.Step.LongRunning)) {
 		return Effect{}
 	}
 	if e.Checkpoint != "" {
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -81,6 +81,16 @@
 	m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(m.clockAt, m.clock, deadline))
 }
 
+// firstLease returns the longest time that leases on an executor may last after its first answer. A
+// start with a deadline on the clock of its former incarnation has granted up to the longest lease, if
+// it reached the executor soon after its start, when clocks begin at 0.
+func (l *Leader) firstLease(m *member) time.Duration {
+	if m.clock < l.Settings.Bounds.MaxLease {
+		return max(elect.RunLease, l.Settings.Bounds.MaxLease)
+	}
+	return elect.RunLease
+}
+
 // target returns the target of an order that must not be sent later than in limit.
 func (l *Leader) target(m *member, limit time.Duration) platform.Target {
 	return platform.Target{Addr: m.Addr, ID: m.ID, Centre: m.Centre, Fence: elect.FencingToken(l.token, m.fenceRaises), Expires: l.now + limit}
@@ -130,6 +140,9 @@
 		return // the report was written before the executor's end
 	}
 	m := l.members[key]
+	if m != nil && m.Contact == execs.Dead {
+		return
+	}
 	if m == nil {
 		if old != nil && old.StartMillis > e.StartMillis {
 			return // a late report of an earlier incarnation
@@ -209,10 +222,12 @@
 	e := m.Executor
 	e.StartMillis = born
 	key := executorKey(&e)
-	if l.members[key] != nil {
-		l.markDead(m, "it restarted")
+	if next := l.members[key]; next != nil && next.Contact != execs.Dead {
+		l.succeed(m, next)
+		l.queuePoll(next)
 		return
 	}
+	delete(l.ended, key) // it answers
 	n := &member{Member: execs.Member{Executor: e, Key: key, Slowness: 1, Listed: true}, firstListed: l.now}
 	l.members[key] = n
 	l.byService = nil
@@ -225,9 +240,9 @@
 // restart may have been carried out by the next one, so its first list decides on the runs.
 func (l *Leader) succeed(old, next *member) {
 	// Late orders to the former incarnation carry a lower fencing token than this.
-	next.fenceRaises, next.reportOffset = old.fenceRaises+1, old.reportOffset
+	next.fenceRaises, next.reportOffset = max(next.fenceRaises, old.fenceRaises+1), max(next.reportOffset, old.reportOffset)
 	// A deadline on the clock of the former incarnation grants up to the longest lease.
-	next.leaseEnd = elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease)
+	next.leaseEnd = max(next.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
 	for r := range l.tracker.RunsOn(old.Key) {
 		l.tracker.MoveRun(r, next.Key, l.now)
 		next.AddRun(r.Task.Step)
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -11,6 +11,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/platform"
@@ -164,3 +165,59 @@
 	l.poll(m)
 	assert.Equal(t, <-p.acked, int64(5))
 }
+
+// Guards against an executor whose runs are forgotten, and whose instance is taken down without being
+// drained: the last report of the former incarnation is read after the next one has answered.
+func TestLastReportOfAFormerIncarnationIsIgnored(t *testing.T) {
+	l, old, _, _ := newRunningLeader(t)
+	answerPoll(l, old, 2, platform.PollResult{})
+	next := l.byID["x"]
+	assert.Equal(t, next.StartMillis, int64(2))
+	l.applyReport(reportOf(1, 9, "ready"))
+	assert.Assert(t, l.byID["x"] == next && !old.Listed)
+	l.applyReport(reportOf(3, 10, "ready"))
+	assert.Equal(t, next.Contact, execs.Dead)
+	assert.Equal(t, len(l.tracker.RunsOn(l.byID["x"].Key)), 1)
+}
+
+// Guards against a second run of a task that was ordered before two incarnations of its executor were
+// found: the later one may have carried out the order.
+func TestRunsMoveToAnIncarnationThatIsKnownAlready(t *testing.T) {
+	for _, contact := range []execs.Contact{execs.Live, execs.Dead} {
+		l, old, r, _ := newRunningLeader(t)
+		key := executorKey(&model.Executor{ID: "x", StartMillis: 2})
+		next := &member{Member: execs.Member{Executor: old.Executor, Key: key, Contact: contact}, fenceRaises: 5}
+		next.StartMillis = 2
+		l.members[key] = next
+		answerPoll(l, old, 2, platform.PollResult{})
+		assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+		assert.Equal(t, r.Executor, key)
+		assert.Assert(t, l.members[key].Contact != execs.Dead)
+		assert.Assert(t, contact == execs.Dead || l.members[key].fenceRaises == 5)
+	}
+}
+
+// Guards against a task that runs again although an earlier run of it was done: the leader had given
+// up that run.
+func TestEndOfARunThatWasGivenUpCounts(t *testing.T) {
+	for _, phase := range []track.Phase{track.Running, track.Starting} {
+		l, m, _, _ := newRunningLeader(t)
+		j := l.tracker.Accept("two", model.Queue{Service: "s"}, model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: 2}}}, 0, 0)
+		task := j.Open[0].Steps[0].Tasks[0]
+		l.startRun(assign.Start{Task: task, Member: &m.Member})
+		r := task.Runs[0]
+		l.dropRun(r)
+		y := &member{Member: execs.Member{Executor: model.Executor{ID: "y", Service: "s", StartMillis: 1}, Key: "y", Contact: execs.Live}, adopted: true}
+		l.members["y"] = y
+		l.startRun(assign.Start{Task: task, Member: &y.Member})
+		second := task.Runs[0]
+		if phase == track.Running {
+			l.onStarted(startedRun{m: y, run: second})
+		}
+		answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: 1, Task: task.ID, Attempt: r.Attempt, Ending: model.EndedDone}}})
+		assert.Assert(t, task.Done)
+		l.now += 100 * time.Millisecond
+		answerPoll(l, y, 1, platform.PollResult{Running: []model.Run{{Task: task.ID, Attempt: second.Attempt}}})
+		assert.Equal(t, second.Phase, track.Stopping)
+	}
+}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -135,7 +135,7 @@
 	adopts := !m.adopted || m.formerUnlisted
 	if !m.adopted {
 		m.adopted, m.adoptedAt = true, l.now
-		m.extend(m.clock + elect.RunLease)
+		m.extend(m.clock + l.firstLease(m))
 	}
 	if adopts {
 		m.formerUnlisted = ev.list.IsPartial()
@@ -204,8 +204,12 @@
 		if row.Checkpoint != "" {
 			r.Checkpoint = row.Checkpoint
 		}
-		if r.Task.Step.Occ.Job.IsOver() && r.Phase == track.Running {
+		switch {
+		case r.Phase != track.Running:
+		case r.Task.Step.Occ.Job.IsOver():
 			l.stop(r, "job is over")
+		case r.Task.Done:
+			l.stop(r, "another run of the task is done")
 		}
 	}
 	if m.Orphans > 0 && orphans == 0 {
