lead: a former leader knows its successor

Callers would see jobs and cancels that the former leader's entry stores without a leader, up to the next renewal of the successor (0.5 s): the former leader read the claim that ended its leadership, dropped it, and read only later records. A successor that was announced while a renewal was in flight was dropped too. After a planned stop it knew no leader until the announcement.

The former leader now applies the claim that it has read, keeps a leader that was announced, and follows the successor that it named.

Before: TestFormerLeaderKnowsItsSuccessor shows a leader without an address in both cases, and so did a leader after a resignation (TestResignedLeaderFollowsTheNamedSuccessor).

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -90,6 +90,7 @@
 
 	topicEnd   int64 // end offset of the topic, as far as it was read
 	view       elect.LeaderView
+	claimedBy  *record // the record by which another entry ended this one's leadership
 	claimDelay time.Duration
 	// synced reports whether the topic was read since the leader last answered.
 	synced bool
@@ -256,13 +257,21 @@
 	return elect.RenewalDelay(e.clk.Now() - sent)
 }
 
+// endLeadership ends this entry's leadership. It then follows the leader that was announced, or whose
+// claim isStillLeader has read.
 func (e *Elector) endLeadership(cause string) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.log.Info().Str("cause", cause).Uint64("token", e.leader.Token).Msg("leadership ended")
-	e.setLeader(Leader{Token: e.leader.Token})
+	if e.leader.IsSelf {
+		e.setLeader(Leader{Token: e.leader.Token})
+	}
+	e.mu.Unlock()
 	e.view.LastChange = e.clk.Now()
 	e.view.ProcessGone = false
+	if last := e.claimedBy; last != nil {
+		e.claimedBy = nil
+		e.applyRecord(*last, e.view.LastChange)
+	}
 }
 
 // follow polls the leader, reads the topic if the leader does not answer, claims if there is no
--- a/internal/serve/lead/handover.go
+++ b/internal/serve/lead/handover.go
@@ -49,12 +49,17 @@
 	return len(e.followers)
 }
 
-// nominate asks the designated successor to claim. If the call is lost, other entries claim a
-// little later.
+// nominate follows the designated successor and asks it to claim. If the call is lost, other entries
+// claim a little later.
 func (e *Elector) nominate(ctx context.Context, token uint64, next elect.Candidate) {
 	if next.Addr == "" {
 		return
 	}
+	e.mu.Lock()
+	if e.leader == (Leader{Token: token}) {
+		e.setLeader(Leader{Token: token, Name: next.Name, Addr: next.Addr})
+	}
+	e.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	if err := e.peers.Announce(call, next.Addr, token, next.Name, next.Addr); err != nil {
--- a/internal/serve/lead/suspended_test.go
+++ b/internal/serve/lead/suspended_test.go
@@ -10,6 +10,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
@@ -59,3 +60,36 @@
 		})
 	}
 }
+
+// Guards against a former leader that forgets its successor, so that its callers' jobs are stored
+// without the leader until the successor's next renewal.
+func TestFormerLeaderKnowsItsSuccessor(t *testing.T) {
+	t.Run("claim is read", func(t *testing.T) {
+		e := newFollower(t, clock.NewFake(time.Unix(0, 0)))
+		e.leader = Leader{Token: 1, Name: "self", Addr: "x", IsSelf: true}
+		e.topicEnd = 10
+		appendRaw(t, e, `{"kind":"claim","name":"third","addr":"z","nonce":"t","token":11}`)
+		e.renewOrResign(context.Background())
+		assert.Equal(t, e.Leader(), Leader{Token: 11, Name: "third", Addr: "z"})
+	})
+	t.Run("claim was announced", func(t *testing.T) {
+		e := newFollower(t, clock.NewFake(time.Unix(0, 0)))
+		e.leader = Leader{Token: 1, Name: "self", Addr: "x", IsSelf: true}
+		e.HandleAnnouncement(11, "third", "z")
+		e.endLeadership("another entry claimed")
+		assert.Equal(t, e.Leader(), Leader{Token: 11, Name: "third", Addr: "z"})
+	})
+}
+
+// Guards against a planned stop in which the former leader's callers find no leader until the successor
+// announces itself.
+func TestResignedLeaderFollowsTheNamedSuccessor(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := newFollower(t, clk)
+	e.followers, e.topicEnd = map[string]elect.Candidate{}, 10
+	e.leader = Leader{Token: 1, Name: "self", Addr: "x", IsSelf: true}
+	e.RecordFollower(relay.Follower{Name: "other", Addr: "127.0.0.1:1"})
+	e.Resign()
+	e.renewOrResign(context.Background())
+	assert.Equal(t, e.Leader(), Leader{Token: 1, Name: "other", Addr: "127.0.0.1:1"})
+}
--- a/internal/serve/lead/topic.go
+++ b/internal/serve/lead/topic.go
@@ -30,12 +30,16 @@
 
 // isStillLeader reads the topic after an append that failed because the topic ends elsewhere. It
 // reports whether the last record belongs to this entry's leadership. It also returns true if there
-// is no new record or the topic can't be read.
+// is no new record or the topic can't be read. A record of another entry is kept for endLeadership,
+// since the topic is not read up to it again.
 func (e *Elector) isStillLeader(ctx context.Context, token uint64) bool {
 	last, err := e.read(ctx)
 	if err != nil {
 		return true // not known; the next renewal decides
 	}
+	if last != nil && last.Nonce != e.nonce {
+		e.claimedBy = last
+	}
 	return last == nil || last.Nonce == e.nonce && last.Token == token
 }
 
