serve/leader: ends are acknowledged only to an incarnation that is certain

Callers would see: a task runs twice. An executor restarts under its id, carries out a start that was sent to its former incarnation, and the run ends as done. The next poll acknowledges the ends of the former one by their numbers, which the new one counts anew: it forgets an end that it has not listed. The leader finds the run in neither list and starts the task again.

Class: a number is used with another incarnation than the one it is from. A poll acknowledges ends only if there are any to acknowledge, the last poll was answered, no call is unanswered, and no answer to a start showed a clock that went back (the clock of a new incarnation starts anew); otherwise the next answer says first which incarnation it is.

Found by reading; not seen in a run.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -78,6 +78,7 @@
 	releaseAtOnce
 	dropUnanswered
 	startAfterClaims
+	ackUnseen
 )
 
 // Option changes a model.
@@ -107,6 +108,9 @@
 // WithoutSoleStarts makes a leader start tasks when another entry may have claimed.
 func WithoutSoleStarts() Option { return func(m *Model) { m.mutation = startAfterClaims } }
 
+// WithoutCertainAcks makes a leader acknowledge ends although the executor may have restarted.
+func WithoutCertainAcks() Option { return func(m *Model) { m.mutation = ackUnseen } }
+
 // Ignoring does not check some promises.
 func Ignoring(b Breach) Option { return func(m *Model) { m.unchecked = b } }
 
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -184,3 +184,12 @@
 	_, race := SearchOrders(3*time.Second, true)
 	assert.Assert(t, race == nil, "%s", race)
 }
+
+// Guards against an end that a restarted executor forgets because a poll acknowledges the ends of its former
+// incarnation.
+func TestEndsOfARestartedExecutorAreNotAcknowledgedUnseen(t *testing.T) {
+	l := Limits{Claims: 1, Starts: 3, Polls: 3, Crashes: 1}
+	opts := []Option{WithSize(1, 1, 2), WithIdle(20 * time.Second)}
+	assertKept(t, search(t, l, opts...))
+	assert.Equal(t, search(t, l, append(opts, WithoutCertainAcks())...).Breach, Twice)
+}
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -127,7 +127,7 @@
 	run.token, run.raises = e.token, b.raises
 	return call{
 		kind: startCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true,
-		task: uint8(t), attempt: uint8(r.Attempt), sent: s.now, deadline: millis(deadline),
+		task: uint8(t), attempt: uint8(r.Attempt), sent: s.now, deadline: millis(deadline), least: millis(deadline - elect.RunLease),
 	}, true
 }
 
@@ -144,6 +144,7 @@
 			}
 			b.unanswered = true
 		case c.res == resultOK:
+			b.suspect = b.suspect || c.clock < c.least
 			tr.ConfirmRun(r, m.at(s.now))
 		default:
 			tr.RemoveRun(r)
@@ -169,10 +170,15 @@
 	if b.adopted && !b.unanswered && b.stored <= b.confirmed && !b.orphan && !busy {
 		return call{}, false
 	}
+	// The acknowledgement follows member.ackSeq.
+	ack := b.stored
+	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect) {
+		ack = 0
+	}
 	if b.unanswered {
 		b.raises++
 	}
-	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, ack: b.stored, sent: s.now}
+	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, ack: ack, sent: s.now}
 	b.unanswered = false
 	if b.adopted {
 		deadline := m.deadline(b, s.now)
@@ -215,7 +221,7 @@
 	b.clock, b.clockAt = c.clock, s.now
 	b.confirmed = max(b.confirmed, c.ack)
 	first := !b.adopted
-	b.adopted = true
+	b.adopted, b.suspect = true, false
 	key := keyOf(c.exec, b.born)
 	m.update(s, e, func(tr *track.Tracker) {
 		for _, d := range c.ends {
--- a/internal/proof/check/state.go
+++ b/internal/proof/check/state.go
@@ -110,6 +110,7 @@
 	contact            execs.Contact
 	adopted, listed    bool
 	unanswered, orphan bool
+	suspect            bool // an answer showed an earlier clock
 	visible            bool
 	raises             uint8
 	clock              int32 // in milliseconds
@@ -197,7 +198,7 @@
 	voids               bool
 	task, attempt, ack  uint8
 	sent                tick
-	deadline            int32
+	deadline, least     int32
 	res                 result
 	answerBorn          uint8
 	clock               int32
--- a/internal/proof/check/world.go
+++ b/internal/proof/check/world.go
@@ -235,6 +235,7 @@
 		return resultLate
 	}
 	m.extendLease(s, x, c.deadline)
+	c.clock = millis(m.clock(x, s.now))
 	t := c.task
 	if c.attempt <= x.top[t] {
 		return resultOld
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -35,6 +35,8 @@
 	fenceRaises int
 	// hasUnanswered is set if orders are unanswered; the next poll voids them.
 	hasUnanswered bool
+	// mayHaveRestarted is set if an answer showed an earlier clock than the answers before.
+	mayHaveRestarted bool
 	// clock is the executor's clock in the last answer, which arrived at clockAt.
 	clock, clockAt time.Duration
 	// leaseEnd is when the leases of all runs there have expired unless a poll extends them.
@@ -75,6 +77,24 @@
 	return m.clock + age + elect.RunLease
 }
 
+// clockSlack is how much earlier than expected the clock of an executor may be, for rounding.
+const clockSlack = 20 * time.Millisecond
+
+// leastClock returns the least reading that the executor's clock can show in the answer to a call that is
+// sent at now. The clock of a later incarnation starts anew.
+func (m *member) leastClock(now time.Duration) time.Duration {
+	return m.clock + time.Duration(float64(now-m.clockAt)*(1-elect.ClockDrift)) - clockSlack
+}
+
+// ackSeq returns the sequence number up to which the next poll acknowledges ends, 0 for none. A later
+// incarnation of the executor, which numbers its ends anew, would forget ends that it has not listed.
+func (m *member) ackSeq() int64 {
+	if m.storedSeq <= m.confirmedSeq || m.Contact != execs.Live || m.hasUnanswered || m.mayHaveRestarted {
+		return 0
+	}
+	return m.storedSeq
+}
+
 // extend records that a call may have extended the leases there to a deadline on the executor's
 // clock.
 func (m *member) extend(deadline time.Duration) {
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -59,7 +59,7 @@
 // answerPoll has an executor list its runs.
 func answerPoll(l *Leader, m *member, born int64, list platform.PollResult) {
 	list.Clock, list.Born = l.now, born
-	l.onPolled(polled{m: m, sent: l.now, fence: elect.FencingToken(l.token, m.fenceRaises), storedSeq: m.storedSeq, list: list})
+	l.onPolled(polled{m: m, sent: l.now, fence: elect.FencingToken(l.token, m.fenceRaises), ackedSeq: m.storedSeq, list: list})
 }
 
 // Guards against a second run of a task whose start was carried out by the next incarnation of an
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -72,6 +72,7 @@
 	if l.now < m.freshUntil {
 		wait, limit = min(wait, freshPollWait), immediatePollTimeout
 	}
+	acked := m.ackSeq()
 	if m.hasUnanswered {
 		m.fenceRaises++
 	}
@@ -82,15 +83,18 @@
 		deadline = m.deadline(l.now)
 		m.extend(deadline)
 	}
-	to, storedSeq := l.target(m, limit), m.storedSeq
-	ev.storedSeq = storedSeq
-	m.sentSeq = storedSeq
+	to := l.target(m, limit)
+	if acked > 0 {
+		to.Expires = l.now + immediatePollTimeout
+	}
+	ev.ackedSeq = acked
+	m.sentSeq = max(m.sentSeq, acked)
 	m.polling = true
 	l.Meters.polls.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		ev.list, ev.err = l.Execs.Poll(call, to, deadline, storedSeq, wait)
+		ev.list, ev.err = l.Execs.Poll(call, to, deadline, acked, wait)
 		return ev
 	})
 }
@@ -102,7 +106,7 @@
 	sent        time.Duration
 	fence       uint64
 	voidsOrders bool
-	storedSeq   int64
+	ackedSeq    int64
 	list        platform.PollResult
 	err         error
 }
@@ -129,7 +133,8 @@
 	}
 	m.Contact, m.pollFailures = execs.Live, 0
 	m.clock, m.clockAt = ev.list.Clock, l.now
-	m.confirmedSeq = max(m.confirmedSeq, ev.storedSeq)
+	m.confirmedSeq = max(m.confirmedSeq, ev.ackedSeq)
+	m.mayHaveRestarted = false
 	l.confirmFailures(m)
 	m.due = l.now
 	adopts := !m.adopted || m.formerUnlisted
--- a/internal/serve/leader/poll_test.go
+++ b/internal/serve/leader/poll_test.go
@@ -87,7 +87,7 @@
 				if !m.polling {
 					break
 				}
-				ev := polled{m: m, sent: l.now, fence: elect.FencingToken(l.token, m.fenceRaises), storedSeq: m.storedSeq, list: platform.PollResult{Clock: l.now, Born: m.StartMillis}}
+				ev := polled{m: m, sent: l.now, fence: elect.FencingToken(l.token, m.fenceRaises), ackedSeq: m.storedSeq, list: platform.PollResult{Clock: l.now, Born: m.StartMillis}}
 				for r := range l.tracker.RunsOn(m.Key) {
 					if rapid.Bool().Draw(rt, "ends") {
 						ev.list.Ended = append(ev.list.Ended, model.End{Seq: m.appliedSeq + int64(len(ev.list.Ended)) + 1, Task: r.Task.ID, Attempt: r.Attempt, Ending: model.EndedDone})
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -194,12 +194,12 @@
 		Uint64("fence", to.Fence).Str("by", l.Execs.Caller(to)).Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
 	m.startsInFlight++
 	l.window.Send()
-	sent := l.now
+	sent, least := l.now, m.leastClock(l.now)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		_, err := l.Execs.Start(call, to, order)
-		return startedRun{m: m, run: r, sent: sent, err: err}
+		clk, err := l.Execs.Start(call, to, order)
+		return startedRun{m: m, run: r, sent: sent, least: least, clock: clk, err: err}
 	})
 }
 
@@ -209,7 +209,9 @@
 	m    *member
 	run  *track.Run
 	sent time.Duration
-	err  error
+	// clock is the executor's, and least the reading that this incarnation shows at least.
+	clock, least time.Duration
+	err          error
 }
 
 func (l *Leader) onStarted(ev startedRun) {
@@ -227,6 +229,12 @@
 		return
 	}
 	if ev.err == nil {
+		if ev.clock < ev.least && !m.mayHaveRestarted {
+			l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Dur("clock", ev.clock).Dur("least", ev.least).Msg("clock of an executor went back")
+			m.mayHaveRestarted = true
+			m.due = l.now
+			l.queuePoll(m)
+		}
 		l.confirmRun(r)
 		if r.Task.Step.Occ.Job.IsOver() {
 			l.stop(r, "job is over")
--- a/internal/serve/leader/sole_test.go
+++ b/internal/serve/leader/sole_test.go
@@ -10,7 +10,9 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
@@ -71,6 +73,36 @@
 	assert.Equal(t, sent[0].Expires, elect.SoleUntil(renewed), "the order is not sent later")
 }
 
+// Guards against an end that a restarted executor forgets because a poll acknowledges the ends of its former
+// incarnation.
+func TestEndsAreAcknowledgedOnlyIfTheExecutorHasNotRestarted(t *testing.T) {
+	l, m, _ := newStoringLeader(t)
+	m.clock, m.clockAt, m.storedSeq, m.appliedSeq = time.Minute, l.now-time.Second, 7, 7
+	assert.Equal(t, m.ackSeq(), int64(7))
+	answered := func(clk time.Duration) {
+		l.onStarted(startedRun{m: m, run: onlyRun(l, m), sent: l.now, clock: clk, least: m.leastClock(l.now)})
+	}
+	answered(time.Minute + 980*time.Millisecond)
+	assert.Equal(t, m.ackSeq(), int64(7), "a clock may run slow")
+	answered(300 * time.Millisecond)
+	assert.Equal(t, m.ackSeq(), int64(0))
+	l.onPolled(polled{m: m, sent: l.now, list: platform.PollResult{Clock: time.Minute, Running: []model.Run{{Task: onlyRun(l, m).Task.ID, Attempt: 1}}}})
+	assert.Equal(t, m.ackSeq(), int64(7), "its lists show which incarnation it is")
+	m.hasUnanswered = true
+	assert.Equal(t, m.ackSeq(), int64(0), "a restarted executor may have carried out the order")
+	m.hasUnanswered, m.Contact = false, execs.Unresponsive
+	assert.Equal(t, m.ackSeq(), int64(0))
+	m.Contact, m.confirmedSeq = execs.Live, 7
+	assert.Equal(t, m.ackSeq(), int64(0), "there is nothing to acknowledge")
+}
+
+func onlyRun(l *Leader, m *member) *track.Run {
+	for r := range l.tracker.RunsOn(m.Key) {
+		return r
+	}
+	return nil
+}
+
 // recordingExecs records the targets of starts.
 type recordingExecs struct {
 	unresponsiveExecs
