agent: a former leader is asked for its successor

Callers would see a takeover in which their jobs and cancels are stored without a leader and read up to a second later, although a leader has claimed: the former leader hears of its successor first and answers that it does not lead, before the entry that was asked knows the successor.

Digests name the leader that the answering entry follows; nothing read that. An entry now asks the former leader for its successor when that answers that it does not lead, up to three times in 0.15 s, since a named successor claims within some 30 ms. Concurrent calls share one question, and one without a result is not repeated for 0.3 s. Polls use the same fields.

--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -61,6 +61,10 @@
 		}
 		notRun = notRun && err == nil && ans.Verdict == relay.NotLeader
 		cause = err
+		// An entry that has stopped leading knows its successor before others do.
+		if err == nil && a.elector.AskForSuccessor(ctx, elected) {
+			continue
+		}
 		if a.elector.Leader().Token == elected.Token {
 			break
 		}
@@ -168,7 +172,11 @@
 
 // Cancel has a cancel stored by the leader, or stores a leaderless record if there is no leader.
 func (a *Agent) Cancel(ctx context.Context, id string) relay.Verdict {
-	v, err := a.cancelAtLeader(ctx, id)
+	elected := a.elector.Leader()
+	v, err := a.cancelAtLeader(ctx, elected, id)
+	if err == nil && v == relay.NotLeader && a.elector.AskForSuccessor(ctx, elected) {
+		v, err = a.cancelAtLeader(ctx, a.elector.Leader(), id)
+	}
 	if err == nil && v != relay.NotLeader && v != relay.Unknown {
 		return v
 	}
@@ -180,13 +188,12 @@
 	return a.storeLeaderless(ctx, track.CancelRecord(id, wall), false).Verdict
 }
 
-func (a *Agent) cancelAtLeader(ctx context.Context, id string) (relay.Verdict, error) {
+func (a *Agent) cancelAtLeader(ctx context.Context, elected lead.Leader, id string) (relay.Verdict, error) {
 	call, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	if l := a.localLeader(); l != nil {
 		return l.Cancel(call, id), nil
 	}
-	elected := a.elector.Leader()
 	if elected.Addr == "" || elected.IsSelf || a.elector.IsLeaderUnresponsive() {
 		return relay.NotLeader, nil
 	}
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -88,6 +88,12 @@
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
 
+	askMu sync.Mutex // held while another entry is asked for its successor
+	// noSuccessor is the token of the leader that last named no successor, and noSuccessorUntil until
+	// when it is not asked again.
+	noSuccessor      uint64
+	noSuccessorUntil time.Duration
+
 	topicEnd   int64 // end offset of the topic, as far as it was read
 	view       elect.LeaderView
 	claimedBy  *record // the record by which another entry ended this one's leadership
@@ -291,6 +297,9 @@
 			e.synced = false
 			return e.pollPause
 		}
+		if e.Leader().Token != leader.Token {
+			return 0
+		}
 	}
 	last, err := e.read(ctx)
 	now := e.clk.Now()
--- a/internal/serve/lead/poll.go
+++ b/internal/serve/lead/poll.go
@@ -4,8 +4,20 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
+	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+)
+
+const (
+	// successorAsks is how often an entry that has just resigned is asked for its successor, which
+	// claims within some 30 ms, and successorPause the time between.
+	successorAsks  = 3
+	successorPause = 50 * time.Millisecond
+	// successorMemory is how long an entry that named no successor is not asked again.
+	successorMemory = 300 * time.Millisecond
 )
 
 // answer is what a poll of the leader shows.
@@ -40,6 +52,7 @@
 	}
 	e.view.ProcessGone = false
 	if !d.Leads {
+		e.adoptLeader(d)
 		return answerNo
 	}
 	e.onDigest(d)
@@ -74,6 +87,42 @@
 	}
 }
 
+// adoptLeader follows a later leader that an entry which does not lead has named.
+func (e *Elector) adoptLeader(d relay.Digest) {
+	if d.Addr != "" && d.Addr != e.id.Addr {
+		e.HandleAnnouncement(d.Token, "", d.Addr)
+	}
+}
+
+// AskForSuccessor asks an entry that no longer leads which entry does, and reports whether this entry
+// then follows a later leader. Concurrent calls share one question.
+func (e *Elector) AskForSuccessor(ctx context.Context, former Leader) bool {
+	e.askMu.Lock()
+	defer e.askMu.Unlock()
+	for range successorAsks {
+		if e.Leader().Token != former.Token {
+			return true
+		}
+		if former.Addr == "" || former.IsSelf || former.Token == e.noSuccessor && e.clk.Now() < e.noSuccessorUntil {
+			return false
+		}
+		call, cancel := context.WithTimeout(ctx, pollTimeout)
+		d, err := e.peers.Digest(call, former.Addr, e.asFollower())
+		cancel()
+		if err != nil || d.Leads {
+			break
+		}
+		if e.adoptLeader(d); e.Leader().Token == former.Token {
+			clock.Pause(ctx, e.clk, successorPause)
+		}
+	}
+	if e.Leader().Token != former.Token {
+		return true
+	}
+	e.noSuccessor, e.noSuccessorUntil = former.Token, e.clk.Now()+successorMemory
+	return false
+}
+
 // setUnresponsive records whether the leader is unresponsive.
 func (e *Elector) setUnresponsive(is bool) {
 	e.mu.Lock()
