lead: a question for the successor holds no mutex

A call that waits for another one's question to a former leader ends with its own context now, instead of after up to three polls of it. TestFormerLeaderTellsItsSuccessor and the tests of serve/lead pass.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -89,7 +89,8 @@
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
 
-	askMu sync.Mutex // held while another entry is asked for its successor
+	// asking is closed when another entry has been asked for its successor, nil while none is.
+	asking chan struct{}
 	// noSuccessor is the token of the leader that last named no successor, and noSuccessorUntil until
 	// when it is not asked again.
 	noSuccessor      uint64
--- a/internal/serve/lead/poll.go
+++ b/internal/serve/lead/poll.go
@@ -97,8 +97,10 @@
 // AskForSuccessor asks an entry that no longer leads which entry does, and reports whether this entry
 // then follows a later leader. Concurrent calls share one question.
 func (e *Elector) AskForSuccessor(ctx context.Context, former Leader) bool {
-	e.askMu.Lock()
-	defer e.askMu.Unlock()
+	if !e.beginAsking(ctx) {
+		return false
+	}
+	defer e.endAsking()
 	for range successorAsks {
 		if e.Leader().Token != former.Token {
 			return true
@@ -123,6 +125,33 @@
 	return false
 }
 
+// beginAsking waits until no other call asks. It returns false if the context has ended first.
+func (e *Elector) beginAsking(ctx context.Context) bool {
+	for {
+		e.mu.Lock()
+		other := e.asking
+		if other == nil {
+			e.asking = make(chan struct{})
+		}
+		e.mu.Unlock()
+		if other == nil {
+			return true
+		}
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (e *Elector) endAsking() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.asking)
+	e.asking = nil
+}
+
 // setUnresponsive records whether the leader is unresponsive.
 func (e *Elector) setUnresponsive(is bool) {
 	e.mu.Lock()
