--- a/internal/core/clock/clock.go
+++ b/internal/core/clock/clock.go
@@ -38,6 +38,9 @@
 	// bootOffset is the time from the boot to start, including suspensions. It is 0 for a
 	// clock that stops while the machine is suspended.
 	bootOffset time.Duration
+	// paused returns a channel that is closed when ticks may have to wait no longer, or nil if they
+	// don't wait.
+	paused func() <-chan struct{}
 }
 
 // NewSystem returns a system clock whose monotonic time starts at 0 and stops while the
@@ -48,6 +51,12 @@
 // the machine is suspended, as the leases that other machines keep do.
 func NewBootTime() *System { return &System{start: time.Now(), bootOffset: sinceBoot()} }
 
+// NewPausable returns a system clock whose ticks wait while a simulated process is paused. paused returns a
+// channel that is closed at the next change of that, or nil while the process runs.
+func NewPausable(paused func() <-chan struct{}) *System {
+	return &System{start: time.Now(), paused: paused}
+}
+
 // sinceBoot returns the time since the boot, including suspensions.
 func sinceBoot() time.Duration {
 	var ts unix.Timespec
@@ -90,7 +99,9 @@
 		for n := 0; limit == 0 || n < limit; n++ {
 			select {
 			case <-in:
-				offer(out, s.Now())
+				if s.awaitRunning(quit) {
+					offer(out, s.Now())
+				}
 			case <-quit:
 				return
 			}
@@ -99,6 +110,22 @@
 	return &Subscription{C: out, close: closeFunc(quit, done, stop)}
 }
 
+// awaitRunning waits while the process is paused. It returns false if quit was closed first.
+func (s *System) awaitRunning(quit <-chan struct{}) bool {
+	for s.paused != nil {
+		changed := s.paused()
+		if changed == nil {
+			break
+		}
+		select {
+		case <-changed:
+		case <-quit:
+			return false
+		}
+	}
+	return true
+}
+
 // Pause waits until d has passed or the context ends.
 func Pause(ctx context.Context, clk Clock, d time.Duration) {
 	s := clk.After(d)
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -47,6 +47,7 @@
 	settings    platform.Settings
 	log         zerolog.Logger
 	clk         clock.Clock
+	network     Network
 	client      *platform.Client
 	peerClient  *relay.Client
 	execs       *proxy.Pool
@@ -87,6 +88,26 @@
 // WithMetrics serves metrics on a port of the entry's own address.
 func WithMetrics(port int) Option { return func(a *Agent) { a.metricsPort = port } }
 
+// Network opens listeners and connections.
+type Network interface {
+	Listen(addr string) (net.Listener, error)
+	Dial(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// tcp is the network of the operating system.
+type tcp struct{ net.Dialer }
+
+func (*tcp) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+func (t *tcp) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return t.DialContext(ctx, network, addr)
+}
+
+// WithNetwork makes the entry use a network and a clock instead of those of the operating system.
+func WithNetwork(n Network, clk clock.Clock) Option {
+	return func(a *Agent) { a.network, a.clk = n, clk }
+}
+
 // WithLeaderCallback calls f with true when the entry starts leading, and with false when it stops.
 func WithLeaderCallback(f func(leads bool)) Option { return func(a *Agent) { a.onLeaderChange = f } }
 
@@ -101,15 +122,21 @@
 	for _, o := range opts {
 		o(a)
 	}
-	a.client = platform.NewClient(settings, platform.WithConnWrapper(a.countService), platform.WithNow(a.clk.Now))
-	a.peerClient = relay.NewClient(peers.WithConnWrapper(func(conn net.Conn) net.Conn { return a.traffic.Conn(links.Entries, conn) }))
+	clientOpts := []platform.ClientOption{platform.WithConnWrapper(a.countService), platform.WithNow(a.clk.Now)}
+	if a.network == nil {
+		a.network = &tcp{}
+	} else {
+		clientOpts = append(clientOpts, platform.WithDial(a.network.Dial))
+	}
+	a.client = platform.NewClient(settings, clientOpts...)
+	a.peerClient = relay.NewClient(peers.WithConnWrapper(func(conn net.Conn) net.Conn { return a.traffic.Conn(links.Entries, conn) }), peers.WithDial(a.network.Dial))
 	a.execs = proxy.New(ctx, a.client, a.clk, log, settings.Node, a.peerClient.OpenProxy)
 	a.meter = meter.New(settings.Node)
 	a.meters = leader.NewMeters(a.meter.Scope())
 	addr := net.JoinHostPort(settings.IP, strconv.Itoa(settings.Peers.First))
 	var listeners [3]net.Listener
 	for i, at := range []string{settings.Front, settings.Ready, addr} {
-		lis, err := net.Listen("tcp", at)
+		lis, err := a.network.Listen(at)
 		if err != nil {
 			cancel()
 			return nil, Err.Wrap(err)
@@ -155,7 +182,7 @@
 	if a.metricsPort == 0 {
 		return nil
 	}
-	lis, err := net.Listen("tcp", net.JoinHostPort(a.settings.IP, strconv.Itoa(a.metricsPort)))
+	lis, err := a.network.Listen(net.JoinHostPort(a.settings.IP, strconv.Itoa(a.metricsPort)))
 	if err != nil {
 		return Err.Wrap(err)
 	}
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -86,6 +86,7 @@
 	pool      *drpcpool.Pool[string, drpcpool.Conn]
 	tlsConfig func() (*tls.Config, error)
 	wrap      func(net.Conn) net.Conn
+	plainDial func(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
 // ClientOption configures a Client.
@@ -96,6 +97,11 @@
 	return func(c *Client) { c.wrap = wrap }
 }
 
+// WithDial makes a Client open connections without TLS with dial instead of TCP.
+func WithDial(dial func(ctx context.Context, network, addr string) (net.Conn, error)) ClientOption {
+	return func(c *Client) { c.plainDial = dial }
+}
+
 // NewClient returns a client. The function returns the TLS configuration of a new connection; nil
 // means plain TCP.
 func NewClient(conf func() (*tls.Config, error), opts ...ClientOption) *Client {
@@ -104,7 +110,7 @@
 		Capacity:    poolCapacity,
 		KeyCapacity: addrCapacity,
 	})
-	c := &Client{pool: pool, tlsConfig: conf, wrap: func(conn net.Conn) net.Conn { return conn }}
+	c := &Client{pool: pool, tlsConfig: conf, wrap: func(conn net.Conn) net.Conn { return conn }, plainDial: new(net.Dialer).DialContext}
 	for _, o := range opts {
 		o(c)
 	}
@@ -136,8 +142,7 @@
 
 func (c *Client) connect(ctx context.Context, addr string) (net.Conn, error) {
 	if c.tlsConfig == nil {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr)
+		return c.plainDial(ctx, "tcp", addr)
 	}
 	conf, err := c.tlsConfig()
 	if err != nil {
