--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +35,12 @@
 	successorCheck = 25 * time.Millisecond
 	// readInterval is the time between reads of the topic while the leader does not answer.
 	readInterval = 200 * time.Millisecond
+	// maxMisses is the number of consecutive polls without an answer after which a leader is
+	// unresponsive. A single one may only have been delayed.
+	maxMisses = 2
+	// overdueAge is the age of the last renewal from which a follower also reads the topic, so that it
+	// has watched it for as long when the leader counts as cut off.
+	overdueAge = elect.RenewEvery + 150*time.Millisecond
 )
 
 // Leader is the current leader, as far as this entry has learned.
@@ -78,13 +83,22 @@
 	stepDown     bool          // resign in favor of a larger instance
 	resignToken  uint64        // token of the leadership for which a resignation was sent last
 	announced    bool          // another entry announced a leader since the last step
-	unresponsive bool          // the leader did not answer the last poll, or can't renew
+	unresponsive bool          // calls to the leader would probably time out
+	misses       int           // consecutive polls of the leader without an answer
 	nominated    bool          // a leader that resigned designated this entry as its successor
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
 
+	// asking is closed when another entry has been asked for its successor, nil while none is.
+	asking chan struct{}
+	// noSuccessor is the token of the leader that last named no successor, and noSuccessorUntil until
+	// when it is not asked again.
+	noSuccessor      uint64
+	noSuccessorUntil time.Duration
+
 	topicEnd   int64 // end offset of the topic, as far as it was read
 	view       elect.LeaderView
+	claimedBy  *record // the record by which another entry ended this one's leadership
 	claimDelay time.Duration
 	// synced reports whether the topic was read since the leader last answered.
 	synced bool
@@ -130,8 +144,8 @@
 	return e.leader
 }
 
-// IsLeaderUnresponsive reports whether the leader did not answer the last poll, or answered that it
-// can't renew. Calls to it would probably time out.
+// IsLeaderUnresponsive reports whether the leader did not answer the last polls, its process has
+// ended, or it can't renew. Calls to it would probably time out.
 func (e *Elector) IsLeaderUnresponsive() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -187,7 +201,7 @@
 	if l == e.leader {
 		return
 	}
-	e.unresponsive = false
+	e.unresponsive, e.misses = false, 0
 	e.log.Info().Uint64("token", l.Token).Str("leader", l.Name).Str("addr", l.Addr).Bool("mine", l.IsSelf).
 		Uint64("former", e.leader.Token).Msg("leader changed")
 	e.leader = l
@@ -262,13 +276,21 @@
 	return elect.RenewalDelay(e.clk.Now() - sent)
 }
 
+// endLeadership ends this entry's leadership. It then follows the leader that was announced, or whose
+// claim isStillLeader has read.
 func (e *Elector) endLeadership(cause string) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.log.Info().Str("cause", cause).Uint64("token", e.leader.Token).Msg("leadership ended")
-	e.setLeader(Leader{Token: e.leader.Token})
+	if e.leader.IsSelf {
+		e.setLeader(Leader{Token: e.leader.Token})
+	}
+	e.mu.Unlock()
 	e.view.LastChange = e.clk.Now()
 	e.view.ProcessGone = false
+	if last := e.claimedBy; last != nil {
+		e.claimedBy = nil
+		e.applyRecord(*last, e.view.LastChange)
+	}
 }
 
 // follow polls the leader, reads the topic if the leader does not answer, claims if there is no
@@ -281,15 +303,16 @@
 	if announced {
 		e.view = elect.LeaderView{LastChange: e.clk.Now(), LastRead: e.view.LastRead}
 	}
+	got := answerNo
 	if leader.Addr != "" && !nominated {
-		leads := e.pollLeader(ctx, leader)
-		e.mu.Lock()
-		e.unresponsive = !leads
-		e.mu.Unlock()
-		if leads {
+		got = e.pollLeader(ctx, leader)
+		if e.applyAnswer(leader, got); got == answerLeads {
 			e.synced = false
 			return e.pollPause
 		}
+		if e.Leader().Token != leader.Token {
+			return 0
+		}
 	}
 	last, err := e.read(ctx)
 	now := e.clk.Now()
@@ -300,6 +323,9 @@
 		e.nominated = e.nominated || nominated
 		e.mu.Unlock()
 		e.view.LastChange = max(e.view.LastChange, now-elect.LeaderTimeout/2)
+		if got == answerCutOff {
+			e.setUnresponsive(true)
+		}
 		return readInterval
 	}
 	e.view.LastRead = now
@@ -313,10 +339,17 @@
 		if !e.synced {
 			e.view.WatchedSince = now
 		}
-		e.synced = true
-		if e.view.LastChange == now && !nominated {
-			return readInterval / 4
-		}
+	}
+	e.synced = true
+	if got == answerCutOff {
+		// The answers to renewals may be late. Only the log shows that no renewal arrives.
+		e.setUnresponsive(now >= e.view.LastChange+elect.CutOffTimeout && now >= e.view.WatchedSince+overdueAge)
+	}
+	switch {
+	case got == answerOverdue:
+		return e.pollPause
+	case last != nil && e.view.LastChange == now && !nominated, e.view.CutOff && now < e.view.WatchedSince+overdueAge:
+		return readInterval / 4
 	}
 	e.view.NoClaims = e.topicEnd == 0
 	e.mu.Lock()
@@ -363,32 +396,6 @@
 	e.setLeader(Leader{Token: last.Token, Name: last.Name, Addr: last.Addr})
 }
 
-// pollLeader requests the leader's digest and reports whether that entry leads and can renew.
-func (e *Elector) pollLeader(ctx context.Context, leader Leader) bool {
-	call, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	sent := e.clk.Now()
-	d, err := e.peers.Digest(call, leader.Addr, e.asFollower())
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			e.view.ProcessGone = true
-		}
-		return false
-	}
-	e.view.ProcessGone = false
-	if !d.Leads {
-		return false
-	}
-	e.onDigest(d)
-	e.pollPause = max(pollInterval, d.PollInterval)
-	// A leader that can't renew is about to lose its lease, so a claim costs it nothing.
-	if e.view.CutOff = d.LeaseAge > elect.CutOffTimeout; e.view.CutOff {
-		return false
-	}
-	e.view.LastChange = sent - d.LeaseAge
-	return true
-}
-
 func (e *Elector) claim(ctx context.Context) {
 	sent := e.clk.Now()
 	e.claimSent = sent
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -44,12 +45,18 @@
 	attemptStep = 2
 )
 
-// plan starts waiting tasks of the services that changed since the last round.
+// plan starts waiting tasks of the services that changed since the last round. It starts none once another
+// entry may have claimed. That entry may not have loaded a leaderless job that this one has read, and an
+// executor that has restarted since has not seen its fencing token: either could run a task twice.
 func (l *Leader) plan() {
 	room := l.window.Room()
 	if len(l.planDue) == 0 || l.now < l.nextPlan || l.Orders.Config() == nil || room == 0 {
 		return
 	}
+	if !l.isSole() {
+		l.Meters.startsHeld.Inc(1)
+		return
+	}
 	begin := l.Clock.Now()
 	defer func() {
 		end := l.Clock.Now()
@@ -117,9 +124,6 @@
 		return
 	}
 	for _, j := range l.tracker.Active() {
-		if _, held := l.heldJobs[j]; held {
-			continue
-		}
 		queue := l.queueOf(j)
 		if order := stale[queue.Service]; order != nil {
 			order.jobs = append(order.jobs, j)
@@ -183,18 +187,19 @@
 	// If a ticket is needed, the plan has used only executors for which there is one.
 	order.Ticket, _ = l.ticketFor(st.Task.Step, st.Member)
 	to := l.target(m, startTimeout)
+	to.Expires = min(to.Expires, elect.SoleUntil(l.LastRenewal()))
 	r.Fence = to.Fence
 	l.Meters.starts.Inc(1)
 	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
 		Uint64("fence", to.Fence).Str("by", l.Execs.Caller(to)).Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
 	m.startsInFlight++
 	l.window.Send()
-	sent := l.now
+	sent, least := l.now, m.leastClock(l.now)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		_, err := l.Execs.Start(call, to, order)
-		return startedRun{m: m, run: r, sent: sent, err: err}
+		clk, err := l.Execs.Start(call, to, order)
+		return startedRun{m: m, run: r, sent: sent, least: least, clock: clk, err: err}
 	})
 }
 
@@ -204,7 +209,9 @@
 	m    *member
 	run  *track.Run
 	sent time.Duration
-	err  error
+	// clock is the executor's, and least the reading that this incarnation shows at least.
+	clock, least time.Duration
+	err          error
 }
 
 func (l *Leader) onStarted(ev startedRun) {
@@ -222,6 +229,12 @@
 		return
 	}
 	if ev.err == nil {
+		if ev.clock < ev.least && !m.mayHaveRestarted {
+			l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Dur("clock", ev.clock).Dur("least", ev.least).Msg("clock of an executor went back")
+			m.mayHaveRestarted = true
+			m.due = l.now
+			l.queuePoll(m)
+		}
 		l.confirmRun(r)
 		if r.Task.Step.Occ.Job.IsOver() {
 			l.stop(r, "job is over")
