assign: a gang that a new leader adopts in part starts once it has ended

A test of what already holds: members of a gang that a new leader has not found are not started beside those that it has, also once the former runs count as known.

--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -76,6 +76,21 @@
 	assert.Equal(t, len(j.Open[0].Steps[0].Tasks[0].Runs)+len(j2.Open[0].Steps[0].Tasks[0].Runs), 1)
 }
 
+// Guards against a second run of a member of a gang of which a new leader has found only some.
+func TestGangAdoptedInPartStartsOnceItHasEnded(t *testing.T) {
+	h := newHarness(t, 2, cores(8))
+	j := h.accept("gang", model.Step{Count: 3, Need: cores(1), Gang: true, Estimate: time.Second})
+	row := model.Run{Task: model.TaskID{Job: "gang", Index: 1}, Attempt: 70}
+	assert.Assert(t, h.tracker.AdoptRun("a", row, 0) != nil)
+	assert.Equal(t, len(h.plan()), 0)
+	h.tracker.ApplyEnd("a", model.End{Task: row.Task, Attempt: row.Attempt, Ending: model.EndedAlone}, false, 0)
+	starts := h.plan()
+	assert.Equal(t, len(starts), len(j.Open[0].Steps[0].Tasks))
+	for _, s := range starts {
+		assert.Equal(t, s.Attempt, row.Attempt+1)
+	}
+}
+
 // Guards against the start of a step before the steps that it depends on are done.
 func TestStepWaitsForEarlierSteps(t *testing.T) {
 	h := newHarness(t, 1, cores(8))
