An instance missing from one list has not left

Operators could be told that a wave is complete while an instance had not had its maintenance, and one instance more than allowed could be down for it. The list is read page by page while instances join, move and leave, so that a row can shift to a page that was read before. An instance missing from one list did not count for its wave, and its operation ended although it was in maintenance.

An instance has left once two lists in a row miss it. Until then its last row stays, from which no operation is taken to have ended.

Before: TestInstanceMissingFromOneListStays failed at its first check, and maint.IsComplete was true after one list.

--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -29,8 +29,8 @@
 	listStall = 600 * time.Millisecond
 	// registrationLag is how much later than its report an executor may appear in the instance list.
 	registrationLag = 500 * time.Millisecond
-	// maxMissingLists is the number of successive instance lists without an executor after which it
-	// has ended. A single list can miss it: pages are read one after another while instances change.
+	// maxMissingLists is the number of successive lists without an instance or an executor after which
+	// it is gone. A single list can miss it: pages are read one after another while instances change.
 	maxMissingLists = 2
 	// orderRetryInterval is the time between attempts of an order.
 	orderRetryInterval = 300 * time.Millisecond
@@ -50,8 +50,12 @@
 type fleetState struct {
 	// unregistered are, by service, the executors in the first instance list that had no report
 	// in the store. What runs on them is not known.
-	unregistered   map[string][]*unregistered
-	instances      map[string]model.Instance
+	unregistered map[string][]*unregistered
+	instances    map[string]model.Instance
+	// missing is the number of successive lists without an instance, for those whose row in instances
+	// is that of an earlier list. hosts is the name of the instance of each executor in the last list.
+	missing        map[string]int
+	hosts          map[string]string
 	listedAt       time.Duration // when the last list was requested
 	listInFlight   bool
 	nextList       time.Duration
@@ -103,24 +107,33 @@
 	}
 }
 
-// applyInstances replaces the known instances by a list. From the first list it records the
+// applyInstances replaces the known instances by a list, and keeps those that too few lists have
+// missed. From the first list it records the
 // executors that have no report in the store.
 func (l *Leader) applyInstances(list []model.Instance, sent time.Duration) {
 	f := &l.fleet
 	first := f.listedAt == 0
 	f.listedAt = sent
-	f.instances = make(map[string]model.Instance, len(list))
+	former, missing := f.instances, f.missing
+	f.instances, f.missing, f.hosts = make(map[string]model.Instance, len(list)), map[string]int{}, make(map[string]string, len(list))
 	for _, in := range list {
 		f.instances[in.Name] = in
+		if in.Executor != "" {
+			f.hosts[in.Executor] = in.Name
+		}
 		if first && in.Phase == model.Up && in.Executor != "" && l.byID[in.Executor] == nil {
 			f.unregistered[in.Pool] = append(f.unregistered[in.Pool], &unregistered{executor: in.Executor, instance: in.Name})
 			l.Log.Warn().Str("instance", in.Name).Str("executor", in.Executor).Str("service", in.Pool).Msg("instance has an executor that is not in the store")
 		}
 	}
-	hosts := f.hosts()
+	for name, in := range former {
+		if _, listed := f.instances[name]; !listed && missing[name]+1 < maxMissingLists {
+			f.instances[name], f.missing[name] = in, missing[name]+1
+		}
+	}
 	for _, us := range f.unregistered {
 		for _, u := range us {
-			if _, listed := hosts[u.executor]; listed {
+			if _, listed := f.hosts[u.executor]; listed {
 				u.missing = 0
 				continue
 			}
@@ -133,17 +146,6 @@
 	}
 }
 
-// hosts returns the name of the instance of each executor in the last list.
-func (f *fleetState) hosts() map[string]string {
-	out := make(map[string]string, len(f.instances))
-	for name, in := range f.instances {
-		if in.Executor != "" {
-			out[in.Executor] = name
-		}
-	}
-	return out
-}
-
 // isUnclear reports whether the last list does not say which executor an instance has: it may still
 // have the one that it had.
 func (f *fleetState) isUnclear(instance string) bool {
@@ -240,6 +242,9 @@
 			l.endOperation(op, "instance is not listed any more")
 			continue
 		}
+		if f.missing[name] > 0 {
+			continue
+		}
 		if op.accepted && ev.sent > op.acceptedAt && op.former != nil && (in.Executor != op.former.ID || in.Phase != model.Up) {
 			l.markDead(op.former, "its instance was moved or maintained")
 		}
@@ -256,9 +261,8 @@
 // as one boot of its instance. sent is when the list was requested; only executors that were
 // known before that and have not answered since are considered.
 func (l *Leader) markReplacedDead(sent time.Duration) {
-	hosts := l.fleet.hosts()
 	for _, m := range l.members {
-		if host, listed := hosts[m.ID]; listed {
+		if host, listed := l.fleet.hosts[m.ID]; listed {
 			m.host, m.missingLists = host, 0
 			continue
 		}
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/maint"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
@@ -200,3 +201,32 @@
 		assert.Assert(t, !l.allContacted("s"), "the executor y may run tasks")
 	}
 }
+
+// Guards against a wave that is said to be complete, and against one instance too many that is down
+// for it, because one list did not show an instance.
+func TestInstanceMissingFromOneListStays(t *testing.T) {
+	l, m, op, up, rs := newDrainingLeader(t, 1, -1)
+	l.Meters = NewMeters(tally.NoopScope)
+	l.dropRun(rs[0])
+	other := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	list := func(rows ...model.Instance) {
+		l.now += time.Second
+		l.onInstancesListed(instancesListed{instances: rows, sent: l.now})
+	}
+	isDown := func() bool { return l.fleet.operations["m1"] == op || l.mayBeDown("m1") }
+	list(up, other)
+	op.ordered, op.former = true, m
+	l.onOrderAnswered(orderAnswered{op: op})
+	list(other)
+	assert.Assert(t, isDown(), "the last row of the instance is older than the order")
+	down := up
+	down.Phase, down.Executor = model.Maintenance, ""
+	list(down, other)
+	list(other)
+	assert.Assert(t, isDown(), "it is in maintenance")
+	wave := maint.Wave{Wave: model.Wave{Instances: []string{"m1", "m2"}}, Ordered: map[string]bool{"m1": true}}
+	list(down)
+	assert.Assert(t, !maint.IsComplete(wave, l.instanceViews()))
+	list(down)
+	assert.Assert(t, maint.IsComplete(wave, l.instanceViews()), "the instance has left")
+}
