proxy: an entry is not excluded while the leader's own send blocks

Orders counted as unanswered from when the leader began to send them; while Send was still blocked, the entry could not have had them.

An order now counts as unanswered only once its message has left this entry, and the silence is counted from then. A message that does not leave for 2 s, with no outcome meanwhile, still shows that the entry no longer reads; before, that case counted after 350 ms.

--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -19,6 +19,9 @@
 	// so that their number alone says nothing about a slow entry.
 	maxMisses    = 3
 	silenceLimit = 350 * time.Millisecond
+	// sendLimit is how long a message may take to leave this entry, without any outcome meanwhile,
+	// until the entry that it is for counts as unresponsive. Before, this entry's own link may be full.
+	sendLimit = 2 * time.Second
 	// retireTimeout is how long an unused link waits for its outcomes. The longest call, a poll
 	// that waits for an end, takes less. retireCheckInterval is the time between checks whether
 	// they have arrived.
@@ -46,9 +49,13 @@
 	seq     uint64
 	pending map[uint64]*pendingOrder
 	// misses counts the consecutive orders without an outcome, and silentSince is when the first of
-	// them was sent.
+	// them had left this entry.
 	misses      int
 	silentSince time.Duration
+	// sending is set while a message is sent, and blockedSince is when that began or when the last
+	// outcome arrived since.
+	sending      bool
+	blockedSince time.Duration
 	// specsSent is when the specification of each job was last sent.
 	specsSent map[string]time.Duration
 }
@@ -60,9 +67,10 @@
 	spec    string
 	expires time.Duration
 	reply   chan *workpb.Outcome
-	// sent reports whether the order may have left this process, and sentAt when.
+	// sent reports whether the order may have left this entry, and left whether it has, at leftAt.
 	sent   bool
-	sentAt time.Duration
+	left   bool
+	leftAt time.Duration
 }
 
 func newLink(ctx context.Context, clk clock.Clock, open func(ctx context.Context) (ClientStream, error)) *link {
@@ -128,6 +136,7 @@
 		if len(m.GetOrders()) == 0 {
 			return nil
 		}
+		defer l.recordSent(orders)
 		return stream.Send(m)
 	})
 	_ = stream.Close()
@@ -145,7 +154,7 @@
 		if limit <= 0 || l.pending[po.order.GetSeq()] != po {
 			continue
 		}
-		po.sent, po.sentAt = true, now
+		po.sent = true
 		po.order.Limit = uint32(limit.Milliseconds()) + 1
 		if at, ok := l.specsSent[po.job]; po.job != "" && (!ok || now > at+specResend) {
 			l.specsSent[po.job] = now
@@ -153,6 +162,9 @@
 		}
 		out.Orders = append(out.Orders, po.order)
 	}
+	if len(out.GetOrders()) > 0 {
+		l.sending, l.blockedSince = true, now
+	}
 	if len(out.GetSpecs()) > 0 {
 		for job, at := range l.specsSent {
 			if now > at+specResend {
@@ -163,9 +175,22 @@
 	return out
 }
 
+// recordSent records that a message with those of the orders that are sent has left this entry.
+func (l *link) recordSent(orders []*pendingOrder) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sending = false
+	for _, po := range orders {
+		if po.sent {
+			po.left, po.leftAt = true, l.clk.Now()
+		}
+	}
+}
+
 func (l *link) deliver(os []*workpb.Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.blockedSince = l.clk.Now()
 	for _, o := range os {
 		l.misses = 0
 		if po := l.pending[o.GetSeq()]; po != nil {
@@ -201,13 +226,23 @@
 		return o, true, false
 	default:
 	}
-	if timedOut && po.sent {
-		if l.misses == 0 || po.sentAt < l.silentSince {
-			l.silentSince = po.sentAt
+	return nil, po.sent, failed || timedOut && l.recordMiss(po)
+}
+
+// recordMiss records an order without an outcome, and reports whether the entry seems to be
+// unresponsive. The caller holds mu.
+func (l *link) recordMiss(po *pendingOrder) bool {
+	now := l.clk.Now()
+	if l.sending && now >= l.blockedSince+sendLimit {
+		return true
+	}
+	if po.left {
+		if l.misses == 0 || po.leftAt < l.silentSince {
+			l.silentSince = po.leftAt
 		}
 		l.misses++
 	}
-	return nil, po.sent, failed || l.misses >= maxMisses && l.clk.Now() >= l.silentSince+silenceLimit
+	return l.misses >= maxMisses && now >= l.silentSince+silenceLimit
 }
 
 // errUnanswered returns the error of an order without an outcome, an ErrUnknown of platform.
