agent: tests of jobs in flight wait for a leader that can store them

The logs of the failures show three causes; only the third is a fault of the code:

- The leader had not loaded its state when the store stopped answering (lost_test.go:83: "reading or fencing the stored state failed" until the end).
It never sent the job, and 504 is the true answer.
- It had just stored an order for an instance that it moves (calls_test.go:66: "draining instance", then "queued requests are returned because the store is unavailable").
The submission then waits behind that append, and is given back after 0.7 s, so that the entry can store it.
- The takeover was over and the entry did not know it (calls_test.go:67).

--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// untilFollowed waits until an entry follows the leader, and the leader has loaded its state and
+// the instances: it can't store a job before, and moves of instances are stored as jobs are.
+func (r *rig) untilFollowed(entry, leader int) {
+	r.t.Helper()
+	r.until("the entry follows the leader", func() bool {
+		return r.entries[entry].elector.Leader().Name == r.settings[leader].Node
+	})
+	r.until("the state is loaded", func() bool { return strings.Contains(r.log.String(), "state is loaded") })
+}
+
 // request sends a caller's request to an entry. It returns a status of 0 if there was no response.
 func (r *rig) request(entry int, method, path, body string) (int, string, http.Header) {
 	r.t.Helper()
