agent: a large configuration arrives through a slow link

Callers of an entry that can't read the store would see an old configuration for as long as that lasts: the leader sent it with the answer to a poll, whose limit of 250 ms a configuration of 0.8 MB on a link of 10 Mbit/s exceeds each time. Each of these polls also counted as missed, so that the entry went past a healthy leader, and the transfer started over with the next poll.

Polls no longer ask for a configuration. An entry that has not read the store for 1 s requests it with calls of their own, which end only when no byte arrives for 1.5 s. The calls between entries and their messages are the same.

Before: TestLargeConfigurationArrivesThroughASlowLink had no configuration after 30 s; now it passes in 2.8 s, of which 1 s is the wait for the store.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,18 +43,21 @@
 
 // Agent is a running entry.
 type Agent struct {
-	settings    platform.Settings
-	log         zerolog.Logger
-	clk         clock.Clock
-	client      *platform.Client
-	peerClient  *relay.Client
-	execs       *proxy.Pool
-	orders      *orders.Orders
-	elector     *lead.Elector
-	peerServer  *peers.Server
-	front       *front.Server
-	readyServer *http.Server
-	readyDone   chan error
+	settings   platform.Settings
+	log        zerolog.Logger
+	clk        clock.Clock
+	client     *platform.Client
+	peerClient *relay.Client
+	// configClient requests the leader's configuration.
+	configClient *relay.Client
+	configDone   chan struct{}
+	execs        *proxy.Pool
+	orders       *orders.Orders
+	elector      *lead.Elector
+	peerServer   *peers.Server
+	front        *front.Server
+	readyServer  *http.Server
+	readyDone    chan error
 
 	// onLeaderChange is called when this entry starts and stops leading.
 	onLeaderChange func(leads bool)
@@ -95,7 +97,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	a := &Agent{
 		settings: settings, log: log, clk: clock.NewBootTime(),
-		cancel: cancel, done: make(chan struct{}), readyDone: make(chan error, 1),
+		cancel: cancel, done: make(chan struct{}), configDone: make(chan struct{}), readyDone: make(chan error, 1),
 		metricsDone: make(chan error, 1), onLeaderChange: func(bool) {},
 	}
 	for _, o := range opts {
@@ -103,6 +105,7 @@
 	}
 	a.client = platform.NewClient(settings, platform.WithConnWrapper(a.countService))
 	a.peerClient = relay.NewClient(peers.WithConnWrapper(func(conn net.Conn) net.Conn { return a.traffic.Conn(links.Entries, conn) }))
+	a.configClient = a.newConfigClient()
 	a.execs = proxy.New(ctx, a.client, a.clk, log, settings.Node, a.peerClient.OpenProxy)
 	a.meter = meter.New(settings.Node)
 	a.meters = leader.NewMeters(a.meter.Scope())
@@ -118,7 +121,7 @@
 	}
 	a.orders = orders.Start(ctx, a.client, a.clk, log)
 	rank := elect.Rank(settings.Cores)
-	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.wantedConfigAbove, a.onDigest)
+	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.onDigest)
 	var err error
 	if a.peerServer, err = relay.Serve(ctx, a.traffic.Listener(links.Entries, listeners[2]), (*peerHandler)(a), peers.WithLog(log)); err != nil {
 		cancel()
@@ -134,6 +137,7 @@
 	}
 	a.watcher = links.Watch(ctx, &a.traffic, settings.Link, a.clk, log, a.meter.Scope())
 	go a.run(ctx)
+	go a.followConfig(ctx)
 	log.Info().Str("front", settings.Front).Str("peers", addr).Float64("cores", settings.Cores).Int64("memory", settings.Memory).Msg("entry starts")
 	return a, nil
 }
@@ -183,27 +187,8 @@
 	return 0
 }
 
-// storeReachableAge is the longest time since the store's last answer at which this entry counts as
-// able to read the configuration itself: the longest wait of a read plus its latency.
-const storeReachableAge = 1 * time.Second
-
-// wantedConfigAbove returns the version of the configuration above which the leader should send its
-// own. Entries that can read the store read the configuration there: the leader would otherwise
-// send it to all of them at once after each change, and it can be large.
-func (a *Agent) wantedConfigAbove() int64 {
-	if a.orders.SinceLastRead() < storeReachableAge {
-		return math.MaxInt64
-	}
-	return a.configVersion()
-}
-
 // onDigest applies a digest of the leader.
 func (a *Agent) onDigest(d relay.Digest) {
-	if len(d.Config) > 0 {
-		if err := a.orders.SetConfig(d.Config); err != nil {
-			a.log.Error().Err(err).Msg("configuration from the leader can't be decoded")
-		}
-	}
 	if d.Pending == nil {
 		return
 	}
@@ -379,13 +364,14 @@
 	err := a.front.Close(ctx)
 	a.cancel()
 	<-a.done
+	<-a.configDone
 	<-a.registered
 	a.announcing.Wait()
 	a.watcher.Close()
 	a.elector.Close()
 	a.execs.Close()
 	a.orders.Close()
-	err = errs.Combine(err, a.peerServer.Close(), a.readyServer.Close(), a.peerClient.Close(), a.closeMetrics())
+	err = errs.Combine(err, a.peerServer.Close(), a.readyServer.Close(), a.peerClient.Close(), a.configClient.Close(), a.closeMetrics())
 	<-a.readyDone
 	a.client.Close()
 	a.log.Info().Err(err).Dur("took", a.clk.Now()-begin).Msg("entry has stopped")
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -134,6 +134,7 @@
 	_ = a.peerServer.Close()
 	_ = a.readyServer.Close()
 	<-a.done
+	<-a.configDone
 	<-a.registered
 	a.announcing.Wait()
 	a.watcher.Close()
@@ -141,6 +142,7 @@
 	a.execs.Close()
 	a.orders.Close()
 	_ = a.peerClient.Close()
+	_ = a.configClient.Close()
 	a.client.Close()
 	_ = a.closeMetrics()
 }
--- a/internal/serve/agent/successor_test.go
+++ b/internal/serve/agent/successor_test.go
@@ -24,11 +24,19 @@
 	addr    string
 	verdict relay.Verdict
 	digest  atomic.Pointer[relay.Digest]
-	submits atomic.Int32
-	cancels atomic.Int32
+	// configVersion is the version of the configuration in digest.
+	configVersion atomic.Int64
+	submits       atomic.Int32
+	cancels       atomic.Int32
 }
 
-func (s *peerStandIn) Digest(context.Context, relay.Follower) relay.Digest { return *s.digest.Load() }
+func (s *peerStandIn) Digest(_ context.Context, f relay.Follower) relay.Digest {
+	d := *s.digest.Load()
+	if f.Version >= s.configVersion.Load() {
+		d.Config = nil
+	}
+	return d
+}
 
 func (s *peerStandIn) Query(context.Context, string) (model.State, bool) { return model.Unknown, false }
 
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -66,14 +66,13 @@
 // Elector takes part in the election: it follows the current leader, claims when there is none, and
 // renews the lease while it leads.
 type Elector struct {
-	client        *platform.Client
-	peers         *relay.Client
-	clk           clock.Clock
-	log           zerolog.Logger
-	id            Identity
-	nonce         string
-	onDigest      func(relay.Digest)
-	configVersion func() int64
+	client   *platform.Client
+	peers    *relay.Client
+	clk      clock.Clock
+	log      zerolog.Logger
+	id       Identity
+	nonce    string
+	onDigest func(relay.Digest)
 
 	mu           sync.Mutex
 	leader       Leader
@@ -114,13 +113,12 @@
 }
 
 // Start takes part in the election until Close. It calls onDigest with each digest that the leader
-// returns. configVersion returns the version above which the leader sends its configuration to this
-// entry.
+// returns.
 func Start(ctx context.Context, c *platform.Client, peers *relay.Client, clk clock.Clock, log zerolog.Logger, id Identity,
-	configVersion func() int64, onDigest func(relay.Digest)) *Elector {
+	onDigest func(relay.Digest)) *Elector {
 	ctx, cancel := context.WithCancel(ctx)
 	e := &Elector{
-		client: c, peers: peers, clk: clk, log: log, id: id, onDigest: onDigest, configVersion: configVersion,
+		client: c, peers: peers, clk: clk, log: log, id: id, onDigest: onDigest,
 		nonce: strconv.FormatUint(rand.Uint64(), 36), changed: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: cancel,
 		followers: map[string]elect.Candidate{}, done: make(chan struct{}),
 		claimDelay: elect.ClaimDelay(id.Rank, rand.Float64()),
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -42,7 +42,7 @@
 	t.Cleanup(func() { assert.NilError(t, peers.Close()) })
 	return &Elector{
 		client: c, peers: peers, clk: clk, log: zerolog.Nop(), id: Identity{Name: "self", Addr: "x"}, nonce: "s",
-		onDigest: func(relay.Digest) {}, configVersion: func() int64 { return 0 }, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		onDigest: func(relay.Digest) {}, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 		leader: Leader{Token: 1, Name: "other", Addr: addrs[0]}, topicEnd: 1,
 	}
 }
--- a/internal/serve/lead/handover.go
+++ b/internal/serve/lead/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
@@ -69,11 +70,12 @@
 	e.log.Info().Uint64("token", token).Str("next", next.Name).Msg("designated successor was asked to claim")
 }
 
-// asFollower returns the description of this entry that polls carry.
+// asFollower returns the description of this entry that polls carry. They ask for no configuration,
+// which could be too large for their time limit.
 func (e *Elector) asFollower() relay.Follower {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return relay.Follower{
-		Name: e.id.Name, Addr: e.id.Addr, Centre: e.id.Centre, Version: e.configVersion(), Rank: e.id.Rank, Leaving: e.resigning,
+		Name: e.id.Name, Addr: e.id.Addr, Centre: e.id.Centre, Version: math.MaxInt64, Rank: e.id.Rank, Leaving: e.resigning,
 	}
 }
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -86,6 +86,7 @@
 	pool      *drpcpool.Pool[string, drpcpool.Conn]
 	tlsConfig func() (*tls.Config, error)
 	wrap      func(net.Conn) net.Conn
+	stall     time.Duration
 }
 
 // ClientOption configures a Client.
@@ -131,7 +132,11 @@
 	if err != nil {
 		return nil, Err.Wrap(err)
 	}
-	return drpcconn.New(c.wrap(conn)), nil
+	conn = c.wrap(conn)
+	if c.stall > 0 {
+		conn = stallConn{conn, c.stall}
+	}
+	return drpcconn.New(conn), nil
 }
 
 func (c *Client) connect(ctx context.Context, addr string) (net.Conn, error) {
