serve/leader: the first list after a takeover shows which executors have ended

Callers would see a takeover that is 1.5 s longer. Since an executor that registers may appear in the instance list up to 0.5 s later, the first list after a load, 1 s after the one before, came too early to say that an executor has ended, and the next one followed a second later. The list is now read as soon as it can say so. TestFirstListAfterATakeoverShowsWhichExecutorsHaveEnded fails before.

--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -98,7 +98,8 @@
 	f.writtenStatus, f.refusedPools, f.arrivals = map[int64]string{}, map[string]map[string]bool{}, map[string]*scale.Arrivals{}
 	f.waitingSince, f.neededLabels, f.retryMaintAt = map[workKind]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if len(list) > 0 {
-		f.nextList = sent + listInterval
+		// The first list that can show the end of an executor that the store listed at the takeover.
+		f.nextList = l.now + registrationLag + time.Millisecond
 		l.applyInstances(list, sent)
 	}
 }
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -200,3 +200,16 @@
 		assert.Assert(t, !l.allContacted("s"), "the executor y may run tasks")
 	}
 }
+
+// Guards against a takeover that waits 1.5 s longer for executors whose instances were moved before it.
+func TestFirstListAfterATakeoverShowsWhichExecutorsHaveEnded(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	row := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "y"}
+	m.Instance, m.Contact, m.firstListed = "m1", execs.Uncontacted, l.now
+	l.initFleet([]model.Instance{row}, l.now-800*time.Millisecond)
+	assert.Assert(t, l.fleet.nextList <= l.now+listInterval)
+	l.now = l.fleet.nextList
+	l.onInstancesListed(instancesListed{instances: []model.Instance{row}, sent: l.now})
+	assert.Assert(t, r.Task.IsWaiting())
+}
