--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -132,33 +132,33 @@
 			f.instances[name], f.missing[name] = in, missing[name]+1
 		}
 	}
-	for _, us := range f.unregistered {
+	for service, us := range f.unregistered {
 		for _, u := range us {
 			if _, listed := f.hosts[u.executor]; listed {
 				u.missing = 0
 				continue
 			}
-			if f.isUnclear(u.instance) {
+			if f.isUnclear(u.instance, service) {
 				continue
 			}
 			u.missing++
-			u.ended = u.ended || u.missing >= maxMissingLists || f.showsEnd(u.instance, u.executor)
+			u.ended = u.ended || u.missing >= maxMissingLists || f.showsEnd(u.instance, service, u.executor)
 		}
 	}
 }
 
-// isUnclear reports whether the last list does not say which executor an instance has: it may still
-// have the one that it had.
-func (f *fleetState) isUnclear(instance string) bool {
+// isUnclear reports whether the last list does not say which executor of a service an instance has: it
+// may still have the one that it had. An instance that was moved to another pool has not.
+func (f *fleetState) isUnclear(instance, service string) bool {
 	in, ok := f.instances[instance]
-	return ok && in.Executor == "" && (in.Phase == model.Up || in.Phase == model.Other)
+	return ok && in.Pool == service && in.Executor == "" && (in.Phase == model.Up || in.Phase == model.Other)
 }
 
-// showsEnd reports whether the last list shows that an executor on an instance has ended: the
-// instance is not up, or has another executor.
-func (f *fleetState) showsEnd(instance, executor string) bool {
+// showsEnd reports whether the last list shows that an executor of a service on an instance has ended:
+// the instance is not up, has another executor or is in another pool.
+func (f *fleetState) showsEnd(instance, service, executor string) bool {
 	in, ok := f.instances[instance]
-	return ok && in.Executor != executor && !f.isUnclear(instance)
+	return ok && in.Executor != executor && !f.isUnclear(instance, service)
 }
 
 func (l *Leader) manageFleet() {
@@ -272,11 +272,11 @@
 			continue
 		}
 		host := cmp.Or(m.Instance, m.host)
-		if sent <= m.firstListed || sent <= m.clockAt || l.fleet.isUnclear(host) {
+		if sent <= m.firstListed || sent <= m.clockAt || l.fleet.isUnclear(host, m.Service) {
 			continue
 		}
 		m.missingLists++
-		if m.missingLists >= maxMissingLists || sent > m.firstListed+registrationLag && l.fleet.showsEnd(host, m.ID) {
+		if m.missingLists >= maxMissingLists || sent > m.firstListed+registrationLag && l.fleet.showsEnd(host, m.Service, m.ID) {
 			l.markDead(m, "no instance runs it any more")
 		}
 	}
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"testing"
 	"time"
@@ -147,12 +148,13 @@
 		{model.Instance{Phase: model.Up, Executor: "y"}, true},
 		{model.Instance{Phase: model.Up}, false},
 		{model.Instance{Phase: model.Other}, false},
+		{model.Instance{Pool: "standby", Phase: model.Up}, true},
 		{model.Instance{Phase: model.Down, Executor: "x"}, false},
 	} {
 		for _, age := range []time.Duration{registrationLag, registrationLag + 1} {
 			l, m, r, _ := newRunningLeader(t)
 			l.onStarted(startedRun{m: m, run: r})
-			c.row.Name, c.row.Pool = "m1", "s"
+			c.row.Name, c.row.Pool = "m1", cmp.Or(c.row.Pool, "s")
 			l.initFleet([]model.Instance{c.row}, l.now)
 			m.Instance, m.Contact, m.firstListed = "m1", execs.Unresponsive, l.now
 			l.onInstancesListed(instancesListed{instances: []model.Instance{c.row}, sent: l.now + age})
