--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"testing"
 	"time"
@@ -147,12 +148,13 @@
 		{model.Instance{Phase: model.Up, Executor: "y"}, true},
 		{model.Instance{Phase: model.Up}, false},
 		{model.Instance{Phase: model.Other}, false},
+		{model.Instance{Pool: "standby", Phase: model.Up}, true},
 		{model.Instance{Phase: model.Down, Executor: "x"}, false},
 	} {
 		for _, age := range []time.Duration{registrationLag, registrationLag + 1} {
 			l, m, r, _ := newRunningLeader(t)
 			l.onStarted(startedRun{m: m, run: r})
-			c.row.Name, c.row.Pool = "m1", "s"
+			c.row.Name, c.row.Pool = "m1", cmp.Or(c.row.Pool, "s")
 			l.initFleet([]model.Instance{c.row}, l.now)
 			m.Instance, m.Contact, m.firstListed = "m1", execs.Unresponsive, l.now
 			l.onInstancesListed(instancesListed{instances: []model.Instance{c.row}, sent: l.now + age})
@@ -202,6 +204,19 @@
 	}
 }
 
+// Guards against a takeover that waits 1.5 s longer for executors whose instances were moved before it.
+func TestFirstListAfterATakeoverShowsWhichExecutorsHaveEnded(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	row := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "y"}
+	m.Instance, m.Contact, m.firstListed = "m1", execs.Uncontacted, l.now
+	l.initFleet([]model.Instance{row}, l.now-800*time.Millisecond)
+	assert.Assert(t, l.fleet.nextList <= l.now+listInterval)
+	l.now = l.fleet.nextList
+	l.onInstancesListed(instancesListed{instances: []model.Instance{row}, sent: l.now})
+	assert.Assert(t, r.Task.IsWaiting())
+}
+
 // Guards against a wave that is said to be complete, and against one instance too many that is down
 // for it, because one list did not show an instance.
 func TestInstanceMissingFromOneListStays(t *testing.T) {
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -87,6 +87,7 @@
 	tlsConfig func() (*tls.Config, error)
 	wrap      func(net.Conn) net.Conn
 	plainDial func(ctx context.Context, network, addr string) (net.Conn, error)
+	stall     time.Duration
 }
 
 // ClientOption configures a Client.
@@ -137,7 +138,11 @@
 	if err != nil {
 		return nil, Err.Wrap(err)
 	}
-	return drpcconn.New(c.wrap(conn)), nil
+	conn = c.wrap(conn)
+	if c.stall > 0 {
+		conn = stallConn{conn, c.stall}
+	}
+	return drpcconn.New(conn), nil
 }
 
 func (c *Client) connect(ctx context.Context, addr string) (net.Conn, error) {
