--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -109,8 +109,7 @@
 }
 
 // applyInstances replaces the known instances by a list, and keeps those that too few lists have
-// missed. From the first list it records the
-// executors that have no report in the store.
+// missed. From the first list it records the executors that have no report in the store.
 func (l *Leader) applyInstances(list []model.Instance, sent time.Duration) {
 	f := &l.fleet
 	first := f.listedAt == 0
