soak: fleets of 100 executors and more, whose calls other entries make

From 100 executors on, a leader has other entries make its calls.

-executors sets the size of the fleet and -small the number of small entries; entries and machines are in three data centres. In a large fleet half of the faults are on the path of the calls: entries that lead or make calls are paused, killed or stopped, the connections to their peer ports are delayed, cut one way, reset or limited, and executors that have runs restart under their id, also in the middle of such a fault. Roles are read from the entries' logs when a fault starts. Half of the jobs have steps of up to 12 small tasks, which placement packs. -program runs another build of the product, -keep keeps all logs.

Each peer port has a link in front. An entry registers the address that it listens on, so the links to the store and to the peers replace addresses of the same length in what passes. A link refuses connections while its process does not run, as the port itself would.

CUT leaves out refused connections: no request was sent.

Open: docs/soak.md does not describe this yet.

--- a/cmd/chervilgauge/cmds/soak.go
+++ b/cmd/chervilgauge/cmds/soak.go
@@ -16,7 +16,11 @@
 	minutes := fs.Float64("minutes", 0, "time with faults in `minutes`")
 	seconds := fs.Float64("seconds", 30, "time with faults in `seconds`, used if the minutes are 0")
 	fs.IntVar(&cfg.Entries, "entries", 3, "number of entries, 3 to 40")
+	fs.IntVar(&cfg.Small, "small", 0, "number of these entries that are too small to lead beside larger ones")
+	fs.IntVar(&cfg.Executors, "executors", soak.DefaultExecutors, "number of executors, 5 to 1000; from 100 on other entries make the leader's calls")
+	fs.StringVar(&cfg.Program, "program", "", "`path` of the program that runs the entries, empty for this one")
 	fs.IntVar(&cfg.Series, "faults", 3, "number of faults at the same time")
+	fs.BoolVar(&cfg.Keep, "keep", false, "keep the logs of a run without findings too")
 	fs.StringVar(&cfg.Only, "only", "", "inject only faults whose line in the plan contains this `text`")
 	if _, err := parse(fs, args, 0); err != nil {
 		return err
@@ -29,8 +33,10 @@
 		cfg.Seed = rand.Uint64()
 	}
 	var err error
-	if cfg.Program, err = os.Executable(); err != nil {
-		return errFailed.Wrap(err)
+	if cfg.Program == "" {
+		if cfg.Program, err = os.Executable(); err != nil {
+			return errFailed.Wrap(err)
+		}
 	}
 	report, err := soak.Run(e.ctx, cfg, e.out)
 	if report != nil {
--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -78,7 +79,7 @@
 
 // submit submits a new job, at one entry after the other until it is accepted.
 func (c *caller) submit(ctx context.Context) {
-	j := newJob(c.rng)
+	j := newJob(c.rng, c.r.cfg.delegates())
 	j.submitted = c.r.clk.Now()
 	c.r.jobs.add(j)
 	timeout := callTimeout
@@ -141,7 +142,9 @@
 	defer cancel()
 	status, out, err := c.exchange(ctx, e, method, path, body, timeout)
 	end := c.r.clk.Now()
-	if err != nil && !errors.Is(err, context.DeadlineExceeded) && end-begin > cutSlack && c.r.signals.isCalmSince(entry, begin) {
+	var dial *net.OpError
+	isSent := !errors.As(err, &dial) || dial.Op != "dial" // a refused connection cuts no request
+	if err != nil && isSent && !errors.Is(err, context.DeadlineExceeded) && end-begin > cutSlack && c.r.signals.isCalmSince(entry, begin) {
 		c.r.found("CUT", path[max(0, len(path)-idDigits):], "%s %s at %s was cut after %s (last SIGTERM at %s): %v", method, path, e.name, end-begin, e.stoppedAt(), err)
 	}
 	c.r.count(method, status)
--- a/internal/bench/soak/entry.go
+++ b/internal/bench/soak/entry.go
@@ -24,6 +24,11 @@
 	logPath string
 	store   overlay[fake.Faults]
 	link    overlay[LinkFaults]
+	// peers is the address for other entries, peerLink the link in front of it, and peer the faults of
+	// the link.
+	peers    string
+	peerLink *Link
+	peer     overlay[LinkFaults]
 
 	// turn is held while a signal that ends the process is carried out, until the next one starts.
 	turn sync.Mutex
@@ -49,6 +54,9 @@
 	cmd.Stdout, cmd.Stderr = log, log
 	// A terminal's interrupt reaches only this process, which then ends the entries.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := e.peerLink.Open(); err != nil {
+		return err
+	}
 	if err := cmd.Start(); err != nil {
 		return Err.Wrap(err)
 	}
@@ -61,6 +69,8 @@
 	go func() {
 		defer r.wg.Done()
 		err := cmd.Wait()
+		// Other entries detect that a process has ended by refused connections.
+		e.peerLink.Shut()
 		e.mu.Lock()
 		ending := e.ending
 		e.mu.Unlock()
@@ -72,6 +82,13 @@
 	return nil
 }
 
+// isStarted reports whether a process was started.
+func (e *entry) isStarted() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cmd != nil
+}
+
 // signal sends a signal to the process, and returns a channel that is closed when it has ended.
 func (e *entry) signal(s syscall.Signal, ends bool) <-chan struct{} {
 	e.mu.Lock()
@@ -128,11 +145,12 @@
 	}
 }
 
-// newEntry creates an entry with its settings, its log and its connections to the store.
+// newEntry creates an entry with its settings, its log and its links.
 func (r *run) newEntry(i int, dir string, ports []int) (*entry, error) {
+	addr := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 	e := &entry{
 		index: i, name: fmt.Sprintf("entry-%d", i), program: r.cfg.Program,
-		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		front: addr(ports[0]), ready: addr(ports[1]), peers: addr(ports[2]),
 	}
 	e.file = filepath.Join(dir, e.name+".yaml")
 	e.logPath = filepath.Join(dir, e.name+".log")
@@ -144,7 +162,19 @@
 	}
 	r.links = append(r.links, link)
 	link.SetTarget(proxy.Addr())
+	link.SetRewrite(e.hideAddr)
 	e.link.apply = func(fs []LinkFaults) { link.Set(mergeLinks(fs)) }
-	text := r.platform.SettingsText(e.name, link.Addr(), ports[0], ports[1], ports[2], fake.BoundsLine(grace, stopTimeout))
+	if e.peerLink, err = NewLink(r.clk, WithAddr(addr(ports[3]))); err != nil {
+		return nil, err
+	}
+	r.links = append(r.links, e.peerLink)
+	e.peerLink.SetTarget(e.peers)
+	e.peerLink.SetRewrite(r.hidePeers(e))
+	e.peer.apply = func(fs []LinkFaults) { e.peerLink.Set(mergeLinks(fs)) }
+	settings := fake.Entry{Name: e.name, Zone: fake.Zone(i % zones), Cores: largeCores, Front: ports[0], Ready: ports[1], Peers: ports[2]}
+	if i >= r.cfg.Entries-r.cfg.Small {
+		settings.Cores = smallCores
+	}
+	text := r.platform.SettingsText(settings, link.Addr(), fake.BoundsLine(grace, stopTimeout))
 	return e, Err.Wrap(os.WriteFile(e.file, []byte(text), 0o600))
 }
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -95,6 +95,7 @@
 func (r *run) begin(ctx context.Context, f Fault) func() {
 	switch a := f.Action.(type) {
 	case StoreFault:
+		a.Entry = r.targets(a.Role, []int{a.Entry})[0]
 		calm := r.disturb(r.unplanned, a.Entry)
 		var undo []func()
 		for _, e := range r.entries {
@@ -115,13 +116,19 @@
 		calm, undo := r.disturb(r.unplanned, a.Entry), r.entries[a.Entry].link.add(a.Faults)
 		return func() { undo(); calm() }
 	case MachineLinkFault:
-		return r.machineLinks[a.Machine].add(a.Faults)
+		return r.machineLinks[r.machine(a.Machine)].add(a.Faults)
+	case PeerLinkFault:
+		return r.beginPeerLinks(r.targets(a.Role, []int{a.Entry}), a.Faults)
+	case RestartAround:
+		return r.beginAround(a, f.For, func(d time.Duration) { clock.Pause(ctx, r.clk, d) })
 	case Signal:
+		a.Entries = r.targets(a.Role, a.Entries)
 		return r.beginSignal(a)
 	case MachineFault:
+		a.Machine = r.machine(a.Machine)
 		return r.beginMachine(a, f.For)
 	case OrderFault:
-		e := r.platform.Executor(a.Machine)
+		e := r.platform.Executor(r.machine(a.Machine))
 		e.Set(a.Faults)
 		return func() { e.Set(fake.Faults{}) }
 	case InstanceFault:
--- a/internal/bench/soak/job.go
+++ b/internal/bench/soak/job.go
@@ -19,6 +19,9 @@
 	// longShare, hopelessShare and flakyShare are the shares of jobs, in percent, with tasks that run
 	// until they are cancelled, with a task that always fails, and with tasks that fail once.
 	longShare, hopelessShare, flakyShare = 4, 4, 10
+	// packedTasks is the largest number of tasks of a step that fits on one executor, and packedRuntime
+	// bounds the time that they run.
+	packedTasks, packedRuntime = 12, 2 * time.Second
 )
 
 // job is a job that callers submit.
@@ -44,8 +47,8 @@
 }
 
 // newJob draws a job. Its first step has no other before it, and each further one follows the one
-// before.
-func newJob(rng *rand.Rand) *job {
+// before. With packs, half of the jobs have steps of many small tasks.
+func newJob(rng *rand.Rand, packs bool) *job {
 	j := &job{
 		id: fmt.Sprintf("%016x", rng.Uint64()), plans: map[string]int{},
 		runtime: 30*time.Millisecond + time.Duration(rng.Int64N(int64(maxRuntime))),
@@ -54,7 +57,12 @@
 	j.long = kind < longShare
 	j.hopeless = !j.long && kind < longShare+hopelessShare
 	j.flaky = !j.long && !j.hopeless && kind < longShare+hopelessShare+flakyShare
+	packed := packs && !j.long && rng.IntN(2) == 0
 	steps := 1 + rng.IntN(3)
+	if packed {
+		steps = 1 + rng.IntN(2)
+		j.runtime += time.Duration(rng.Int64N(int64(packedRuntime)))
+	}
 	if j.long {
 		steps = 1
 	}
@@ -66,6 +74,9 @@
 		if j.long {
 			s.Count, s.Need.Cores = 1+rng.IntN(2), 500
 		}
+		if packed {
+			s.Count, s.Need.Cores = 2+rng.IntN(packedTasks-1), 500
+		}
 		if i > 0 {
 			s.After = []int{i - 1}
 		}
--- a/internal/bench/soak/link.go
+++ b/internal/bench/soak/link.go
@@ -31,34 +31,74 @@
 
 // Link is a TCP proxy on loopback with faults.
 type Link struct {
-	lis    net.Listener
+	addr   string
 	clk    clock.Clock
 	ctx    context.Context
 	cancel context.CancelFunc
 	faults atomic.Pointer[LinkFaults]
 	target atomic.Pointer[string]
-	wg     sync.WaitGroup
+	// rewrite changes what passes, in place, nil for not at all. isCall is set for data to the target.
+	rewrite atomic.Pointer[func(isCall bool, data []byte)]
+	wg      sync.WaitGroup
 
 	mu    sync.Mutex
+	lis   net.Listener // nil while the link is shut
 	conns map[*net.TCPConn]bool
 }
 
+// LinkOption configures a link.
+type LinkOption func(*Link)
+
+// WithAddr sets the address of the link. It has a free port otherwise.
+func WithAddr(addr string) LinkOption { return func(l *Link) { l.addr = addr } }
+
 // NewLink starts a link without a target. Close stops it. It returns an Err.
-func NewLink(clk clock.Clock) (*Link, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, Err.Wrap(err)
+func NewLink(clk clock.Clock, opts ...LinkOption) (*Link, error) {
+	l := &Link{addr: "127.0.0.1:0", clk: clk, conns: map[*net.TCPConn]bool{}}
+	for _, o := range opts {
+		o(l)
 	}
-	l := &Link{lis: lis, clk: clk, conns: map[*net.TCPConn]bool{}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.faults.Store(&LinkFaults{})
-	l.wg.Add(1)
-	go l.accept()
+	if err := l.Open(); err != nil {
+		return nil, err
+	}
+	l.addr = l.lis.Addr().String()
 	return l, nil
 }
 
+// Open accepts connections again after Shut. It returns an Err.
+func (l *Link) Open() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lis != nil {
+		return nil
+	}
+	lis, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return Err.Wrap(err)
+	}
+	l.lis = lis
+	l.wg.Add(1)
+	go l.accept(lis)
+	return nil
+}
+
+// Shut refuses new connections until Open.
+func (l *Link) Shut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lis != nil {
+		_ = l.lis.Close()
+		l.lis = nil
+	}
+}
+
 // Addr returns the host and port of the link.
-func (l *Link) Addr() string { return l.lis.Addr().String() }
+func (l *Link) Addr() string { return l.addr }
+
+// SetRewrite sets a function that changes what passes, in place.
+func (l *Link) SetRewrite(f func(isCall bool, data []byte)) { l.rewrite.Store(&f) }
 
 // SetTarget sets the address that new connections lead to.
 func (l *Link) SetTarget(addr string) { l.target.Store(&addr) }
@@ -74,7 +114,7 @@
 // Close closes the link and all its connections, and waits for its goroutines.
 func (l *Link) Close() {
 	l.cancel()
-	_ = l.lis.Close()
+	l.Shut()
 	l.reset()
 	l.wg.Wait()
 }
@@ -100,10 +140,10 @@
 	}
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(lis net.Listener) {
 	defer l.wg.Done()
 	for {
-		c, err := l.lis.Accept()
+		c, err := lis.Accept()
 		if err != nil {
 			return
 		}
@@ -133,9 +173,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.copy(server, caller, func(f *LinkFaults) bool { return f.NoCalls })
+		l.copy(server, caller, true)
 	}()
-	l.copy(caller, server, func(f *LinkFaults) bool { return f.NoAnswers })
+	l.copy(caller, server, false)
 	<-done
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -143,8 +183,14 @@
 	delete(l.conns, server)
 }
 
+// isHeld reports whether data to or from the server is held back.
+func (l *Link) isHeld(isCall bool) bool {
+	f := l.faults.Load()
+	return isCall && f.NoCalls || !isCall && f.NoAnswers
+}
+
 // copy passes data on until a connection is closed, and then closes both.
-func (l *Link) copy(to, from *net.TCPConn, isHeld func(*LinkFaults) bool) {
+func (l *Link) copy(to, from *net.TCPConn, isCall bool) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -163,7 +209,10 @@
 		if wait > 0 {
 			clock.Pause(l.ctx, l.clk, wait)
 		}
-		for isHeld(l.faults.Load()) && l.ctx.Err() == nil {
+		if rewrite := l.rewrite.Load(); rewrite != nil {
+			(*rewrite)(isCall, buf[:n])
+		}
+		for l.isHeld(isCall) && l.ctx.Err() == nil {
 			clock.Pause(l.ctx, l.clk, holdCheck)
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -22,6 +22,7 @@
 type StoreFault struct {
 	Entry  int
 	Faults fake.Faults
+	Role   Role
 }
 
 // Compact deletes the store's history.
@@ -34,7 +35,7 @@
 }
 
 // MachineLinkFault applies faults to the connections between all entries and the executor on a
-// machine.
+// machine. Without a machine, these and the other faults of executors affect one that has runs.
 type MachineLinkFault struct {
 	Machine string
 	Faults  LinkFaults
@@ -54,6 +55,7 @@
 type Signal struct {
 	Kind    SignalKind
 	Entries []int
+	Role    Role
 }
 
 // MachineKind is what happens to the executor on a machine.
@@ -114,7 +116,8 @@
 // String returns one line about the fault.
 func (f Fault) String() string {
 	action := strings.TrimPrefix(fmt.Sprintf("%T%+v", f.Action, f.Action), "soak.")
-	return fmt.Sprintf("%7.3fs %6.3fs %s", f.At.Seconds(), f.For.Seconds(), unsetField.ReplaceAllString(action, ""))
+	action = strings.NewReplacer(" Role:}", "}", "Machine: ", "Machine:busy ", "Machine:}", "Machine:busy}").Replace(unsetField.ReplaceAllString(action, ""))
+	return fmt.Sprintf("%7.3fs %6.3fs %s", f.At.Seconds(), f.For.Seconds(), action)
 }
 
 const (
@@ -141,6 +144,9 @@
 	machines []string
 }
 
+// delegates reports whether entries make the leader's calls to executors.
+func (p planner) delegates() bool { return len(p.machines) >= delegateFrom }
+
 // maxDraws is the number of faults that are drawn to find one whose description contains a text.
 const maxDraws = 10_000
 
@@ -230,9 +236,12 @@
 }
 
 func (p planner) action() Action {
+	if p.delegates() && p.rng.IntN(2) == 0 {
+		return p.callPath()
+	}
 	switch n := p.rng.IntN(20); n {
 	case 0, 1, 2, 3:
-		return StoreFault{p.storeTarget(), p.calls()}
+		return StoreFault{p.storeTarget(), p.calls(), ""}
 	case 4:
 		return Compact{}
 	case 5, 6:
@@ -240,7 +249,7 @@
 	case 7, 8:
 		return MachineLinkFault{p.machine(), p.link()}
 	case 9, 10, 11, 12, 13:
-		return Signal{[...]SignalKind{Pause, Pause, Kill, Kill, Stop}[n-9], p.some()}
+		return Signal{[...]SignalKind{Pause, Pause, Kill, Kill, Stop}[n-9], p.some(), ""}
 	case 14, 15:
 		kinds := []MachineKind{Crash, Restart, Drain, Failing}
 		return MachineFault{p.machine(), kinds[p.rng.IntN(len(kinds))]}
--- a/internal/bench/soak/report.go
+++ b/internal/bench/soak/report.go
@@ -46,7 +46,10 @@
 	Answers  map[string]int
 	Submits  *hdrhistogram.Histogram // latency of accepted submissions, with their repetitions
 	Findings []Finding
-	// Dir holds the logs of the entries. It is empty if there is no finding.
+	// Leaders is the number of entries that led, and Callers that of the entries that made calls to
+	// executors for a leader.
+	Leaders, Callers int
+	// Dir holds the logs of the entries. It is empty if they are not kept.
 	Dir string
 
 	logs []string
@@ -68,14 +71,15 @@
 	for _, e := range r.entries {
 		out.logs = append(out.logs, e.logPath)
 	}
+	out.Leaders, out.Callers = r.countRoles()
 	return out
 }
 
 // Write writes the report as text. It returns an Err if the logs of a finding can't be read.
 func (p *Report) Write(w io.Writer) error {
 	ms := func(q float64) float64 { return float64(p.Submits.ValueAtQuantile(q)) / 1000 }
-	say(w, "seed %d: %d faults, %d jobs, %d accepted, final states %v, accepted in %.1f ms (p50) %.1f ms (p99), %d findings\n",
-		p.Seed, p.Faults, p.Jobs, p.Accepted, p.Finals, ms(50), ms(99), len(p.Findings))
+	say(w, "seed %d: %d faults, %d jobs, %d accepted, final states %v, accepted in %.1f ms (p50) %.1f ms (p99), %d leaders, %d callers, %d findings\n",
+		p.Seed, p.Faults, p.Jobs, p.Accepted, p.Finals, ms(50), ms(99), p.Leaders, p.Callers, len(p.Findings))
 	for _, k := range slices.Sorted(maps.Keys(p.Answers)) {
 		say(w, "  %s: %d", k, p.Answers[k])
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -18,7 +17,6 @@
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
-	"chervilgauge.example/chervilgauge/internal/fake/local"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
@@ -36,12 +34,34 @@
 	// readyTimeout is how long the entries may take to be ready, and readyCheck the time between
 	// checks.
 	readyTimeout, readyCheck = 20 * time.Second, 100 * time.Millisecond
-	// portsPerEntry is the number of ports of an entry.
-	portsPerEntry = 3
+	// portsPerEntry is the number of ports of an entry and its links.
+	portsPerEntry = 4
+	// zones is the number of data centres, over which entries and machines are spread.
+	zones = 3
+	// largeCores and smallCores are the processor time of large and small entries in cores. A small one
+	// does not lead while there is a large one.
+	largeCores, smallCores = 0.4, 0.15
+	// largeHeartbeat is the time between the reports of an executor in a fleet of delegateFrom or more.
+	largeHeartbeat = 1500 * time.Millisecond
+	// targetStream is the random stream of the targets that are drawn when a fault starts.
+	targetStream = 1 << 41
 )
 
-// pools are the machines of each service.
-var pools = map[string]int{"pool-a": 4, "pool-b": 4, "rest": 2}
+// Limits of the number of executors.
+const (
+	MinExecutors = 5
+	MaxExecutors = 1000
+)
+
+// pools returns the number of machines of each service: two fifths each for those with queues, and the
+// rest for the spare one.
+func pools(executors int) map[string]int {
+	n := executors * 2 / 5
+	return map[string]int{"pool-a": n, "pool-b": n, "rest": executors - 2*n}
+}
+
+// DefaultExecutors is the number of executors of a run that does not set it.
+const DefaultExecutors = 10
 
 // Config describes a run.
 type Config struct {
@@ -50,12 +70,21 @@
 	Seed    uint64
 	// Length is the time in which there are faults. The checks after it take up to half a minute.
 	Length time.Duration
-	// Entries is the number of entries, and Series that of the series of faults, which overlap.
-	Entries, Series int
+	// Entries is the number of entries, Small the number of those that are small, and Series that of the
+	// series of faults, which overlap.
+	Entries, Small, Series int
+	// Executors is the number of executors, 0 for DefaultExecutors. From 100 on other entries make the
+	// leader's calls to executors.
+	Executors int
+	// Keep keeps the logs of a run without findings too.
+	Keep bool
 	// Only restricts the plan to the faults whose description contains it.
 	Only string
 }
 
+// delegates reports whether entries make the leader's calls to executors.
+func (c Config) delegates() bool { return c.Executors >= delegateFrom }
+
 // run is a run in progress.
 type run struct {
 	cfg          Config
@@ -66,6 +95,7 @@
 	links        []*Link
 	machineLinks map[string]*overlay[LinkFaults]
 	operator     *operator
+	roles        roles
 	jobs         *registry
 	waves        atomic.Int64
 	// unplanned and planned hold disturbances of entries and of the store, and signals those of
@@ -89,18 +119,22 @@
 // Run carries out a run, writes its plan to w and returns what it found. It returns an Err if the
 // run can't be carried out.
 func Run(ctx context.Context, cfg Config, w io.Writer) (*Report, error) {
+	if cfg.Executors == 0 {
+		cfg.Executors = DefaultExecutors
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, Err.Wrap(err)
 	}
 	r := &run{
 		cfg: cfg, clk: clock.NewSystem(), machineLinks: map[string]*overlay[LinkFaults]{}, jobs: &registry{byID: map[string]*job{}},
+		roles:     newRoles(rand.New(rand.NewPCG(cfg.Seed, targetStream))),
 		unplanned: newCalendar(), planned: newCalendar(), signals: newCalendar(), submits: newLatency(), answers: map[string]int{},
 	}
 	err = r.prepare(dir)
 	if err == nil {
 		r.plan = NewPlan(cfg.Seed, cfg.Length, cfg.Series, cfg.Entries, r.platform.Machines(), cfg.Only)
-		say(w, "seed %d, %d entries, %d series of faults, %s\n", cfg.Seed, cfg.Entries, cfg.Series, cfg.Length)
+		say(w, "seed %d, %d entries (%d small), %d executors, %d series of faults, %s\n", cfg.Seed, cfg.Entries, cfg.Small, cfg.Executors, cfg.Series, cfg.Length)
 		for _, f := range r.plan {
 			say(w, "%s\n", f)
 		}
@@ -108,7 +142,7 @@
 	}
 	r.close()
 	out := r.report()
-	if len(out.Findings) > 0 || err != nil {
+	if len(out.Findings) > 0 || err != nil || cfg.Keep {
 		out.Dir = dir
 		return out, err
 	}
@@ -120,8 +154,11 @@
 	if r.cfg.Entries < MinEntries || r.cfg.Entries > MaxEntries || r.cfg.Series < 0 {
 		return Err.New("%d entries and %d series: a run takes %d to %d entries", r.cfg.Entries, r.cfg.Series, MinEntries, MaxEntries)
 	}
+	if r.cfg.Executors < MinExecutors || r.cfg.Executors > MaxExecutors || r.cfg.Small < 0 || r.cfg.Small > r.cfg.Entries {
+		return Err.New("%d executors and %d small entries: a run takes %d to %d executors, and not more small entries than entries", r.cfg.Executors, r.cfg.Small, MinExecutors, MaxExecutors)
+	}
 	targets := map[string]*Link{}
-	for pool, n := range pools {
+	for pool, n := range pools(r.cfg.Executors) {
 		for i := range n {
 			l, err := NewLink(r.clk)
 			if err != nil {
@@ -132,33 +169,32 @@
 			r.machineLinks[name] = &overlay[LinkFaults]{apply: func(fs []LinkFaults) { l.Set(mergeLinks(fs)) }}
 		}
 	}
-	r.platform = fake.NewPlatform(pools, fake.WithUnguarded("pool-b"), fake.WithPlan(r.jobs.plan), fake.WithVia(func(machine, addr string) string {
-		targets[machine].SetTarget(addr)
-		return targets[machine].Addr()
-	}))
+	heartbeat := fake.HeartbeatInterval
+	if r.cfg.delegates() {
+		heartbeat = largeHeartbeat
+	}
+	r.platform = fake.NewPlatform(pools(r.cfg.Executors), fake.WithUnguarded("pool-b"), fake.WithPlan(r.jobs.plan), fake.WithZones(zones),
+		fake.WithSlowClocks(), fake.WithHeartbeat(heartbeat), fake.WithVia(func(machine, addr string) string {
+			targets[machine].SetTarget(addr)
+			return targets[machine].Addr()
+		}))
 	r.operator = &operator{store: r.platform.Store, rng: rand.New(rand.NewPCG(r.cfg.Seed, operatorStream))}
 	r.operator.configure(0)
-	addrs, err := local.FreeAddrs(portsPerEntry * r.cfg.Entries)
+	ports, err := freePorts(portsPerEntry * r.cfg.Entries)
 	if err != nil {
-		return Err.Wrap(err)
-	}
-	var ports []int
-	for _, a := range addrs {
-		ap, err := netip.ParseAddrPort(a)
-		if err != nil {
-			return Err.Wrap(err)
-		}
-		ports = append(ports, int(ap.Port()))
+		return err
 	}
 	for i := range r.cfg.Entries {
 		e, err := r.newEntry(i, dir, ports[portsPerEntry*i:])
 		if err != nil {
 			return err
 		}
+		r.entries = append(r.entries, e)
+	}
+	for _, e := range r.entries {
 		if err := e.start(r); err != nil {
 			return err
 		}
-		r.entries = append(r.entries, e)
 	}
 	return nil
 }
@@ -233,7 +269,9 @@
 		stopped.Add(1)
 		go func() {
 			defer stopped.Done()
-			<-e.signal(syscall.SIGKILL, true)
+			if e.isStarted() {
+				<-e.signal(syscall.SIGKILL, true)
+			}
 		}()
 	}
 	stopped.Wait()
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -39,7 +39,7 @@
 	for _, f := range NewPlan(7, time.Minute, 2, 5, machines, string(Restart)) {
 		assert.Equal(t, f.Action.(MachineFault).Kind, Restart)
 	}
-	assert.DeepEqual(t, newJob(rand.New(rand.NewPCG(7, 1))).body, newJob(rand.New(rand.NewPCG(7, 1))).body)
+	assert.DeepEqual(t, newJob(rand.New(rand.NewPCG(7, 1)), true).body, newJob(rand.New(rand.NewPCG(7, 1)), true).body)
 }
 
 // Guards against jobs that are lost or run twice, and all else that the soak checks, under faults
@@ -48,14 +48,19 @@
 	program := filepath.Join(t.TempDir(), "chervilgauge")
 	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/chervilgauge").CombinedOutput()
 	assert.NilError(t, err, "%s", out)
-	for _, seed := range []uint64{1, 2} {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+	for _, c := range []Config{
+		{Seed: 1, Entries: 3, Series: 4}, {Seed: 2, Entries: 3, Series: 4},
+		{Seed: 3, Entries: 5, Small: 2, Executors: 105, Series: 4},
+	} {
+		t.Run(fmt.Sprintf("seed%d", c.Seed), func(t *testing.T) {
+			c.Program, c.Length = program, 10*time.Second
 			var text strings.Builder
-			report, err := Run(context.Background(), Config{Program: program, Seed: seed, Length: 10 * time.Second, Entries: 3, Series: 4}, &text)
+			report, err := Run(context.Background(), c, &text)
 			assert.NilError(t, err)
 			assert.NilError(t, report.Write(&text))
 			assert.Equal(t, len(report.Findings), 0, "%s", text.String())
 			assert.Assert(t, report.Accepted > 20, "%s", text.String())
+			assert.Equal(t, report.Callers > 0, c.delegates(), "%s", text.String())
 		})
 	}
 }
@@ -74,7 +79,7 @@
 		r.findings = nil
 		return strings.Join(out, " ")
 	}
-	j := newJob(rand.New(rand.NewPCG(1, 1)))
+	j := newJob(rand.New(rand.NewPCG(1, 1)), true)
 	r.jobs.add(j)
 	for _, c := range []struct{ state, rules string }{
 		{"complete", "MIXED"}, {"failed", "LOST"}, {"cancelled", "LOST"}, {"active", ""}, {"queued", ""}, {"", ""},
