soak: find requests on open connections that a stopping entry cuts

Go's HTTP client sends a GET again without notice when an open connection breaks before the answer. A request that an entry cut when it ended was counted as answered by the next process, or as a refused connection. Each attempt is now traced: it is cut if its connection breaks more than 200 ms after it was sent. That also replaces the test of the error's kind: a refused connection has no such attempt.

A caller with an open connection goes on asking a stopping entry until its process has ended. Findings of one rule and job are recorded together, so that a job of which several tasks ran twice shows all of them.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -6,9 +6,10 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
@@ -26,6 +27,9 @@
 	retryDelay = 200 * time.Millisecond
 	// callerPause is the mean time between two actions of a caller.
 	callerPause = 150 * time.Millisecond
+	// openTimeout bounds the first call on a connection that is used until the process has ended, and
+	// usePause is the time between its calls.
+	openTimeout, usePause = 300 * time.Millisecond, 20 * time.Millisecond
 	// recentJobs is the number of the newest jobs that callers ask about.
 	recentJobs = 150
 	// cutSlack is the time after which a request counts as read by the entry.
@@ -103,6 +107,31 @@
 	}
 }
 
+// openCaller returns a caller with an open connection to an entry.
+func (r *run) openCaller(e *entry) *caller {
+	c := r.newCaller(callers + len(r.entries) + 1 + e.index)
+	c.call(e.index, http.MethodGet, queues[0].Prefix, nil, openTimeout)
+	return c
+}
+
+// useUntil asks an entry for the pending jobs and for the state of jobs in turn until its process has
+// ended.
+func (c *caller) useUntil(e *entry, ended <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-ended:
+			return
+		default:
+		}
+		if j := c.pick(); j != nil && n%2 == 0 {
+			c.query(j, e.index)
+		} else {
+			c.call(e.index, http.MethodGet, queues[0].Prefix, nil, callTimeout)
+		}
+		clock.Pause(context.Background(), c.r.clk, usePause)
+	}
+}
+
 // repeat submits an accepted job again. It remains one job, whatever the answer is.
 func (c *caller) repeat(j *job) {
 	c.call(c.rng.IntN(len(c.r.entries)), http.MethodPost, j.path, j.body, callTimeout)
@@ -140,17 +169,56 @@
 	e, begin := c.r.entries[entry], c.r.clk.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	status, out, err := c.exchange(ctx, e, method, path, body, timeout)
-	end := c.r.clk.Now()
-	var dial *net.OpError
-	isSent := !errors.As(err, &dial) || dial.Op != "dial" // a refused connection cuts no request
-	if err != nil && isSent && !errors.Is(err, context.DeadlineExceeded) && end-begin > cutSlack && c.r.signals.isCalmSince(entry, begin) {
-		c.r.found("CUT", path[max(0, len(path)-idDigits):], "%s %s at %s was cut after %s (last SIGTERM at %s): %v", method, path, e.name, end-begin, e.stoppedAt(), err)
+	t := &tries{clk: c.r.clk}
+	status, out, err := c.exchange(httptrace.WithClientTrace(ctx, t.trace()), e, method, path, body, timeout)
+	if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		t.broken()
+	}
+	if cut := t.longest(); cut > cutSlack && c.r.signals.isCalmSince(entry, begin) {
+		c.r.found("CUT", path[max(0, len(path)-idDigits):], "%s %s at %s was cut %s after it was sent, at %s (last SIGTERM at %s): %v", method, path, e.name, cut, c.r.clk.Now(), e.stoppedAt(), err)
 	}
 	c.r.count(method, status)
 	return status, out
 }
 
+// tries measures how long a request was at an entry before its connection broke. The HTTP client sends a
+// request again without notice if an open connection breaks before the answer.
+type tries struct {
+	clk    clock.Clock
+	mu     sync.Mutex
+	sentAt time.Duration // when the request was last sent, 0 while it is not
+	cut    time.Duration // the longest time from sending it to the break
+}
+
+func (t *tries) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GetConn: func(string) { t.broken() },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if info.Err == nil {
+				t.sentAt = t.clk.Now()
+			}
+		},
+	}
+}
+
+// broken records that the connection of the request broke, if the request was sent.
+func (t *tries) broken() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sentAt > 0 {
+		t.cut = max(t.cut, t.clk.Now()-t.sentAt)
+	}
+	t.sentAt = 0
+}
+
+func (t *tries) longest() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cut
+}
+
 func (c *caller) exchange(ctx context.Context, e *entry, method, path string, body []byte, timeout time.Duration) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.front+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -28,6 +28,8 @@
 	cancelTime, stopTimeout = 3 * time.Second, 900 * time.Millisecond
 	// grace is the time between SIGTERM and SIGKILL.
 	grace = 6 * time.Second
+	// maxMore is the largest number of further findings of a rule and job that are recorded.
+	maxMore = 20
 	// idDigits is the length of a job's id.
 	idDigits = 16
 )
@@ -37,21 +39,29 @@
 	At time.Duration
 	// Rule is the name of the rule, and Job the id of the job, empty for none.
 	Rule, Job, Text string
+	// More holds the texts of further findings of the same rule and job.
+	More []string
 }
 
-// String returns one line about the finding.
-func (f Finding) String() string { return fmt.Sprintf("%7.3fs %s %s", f.At.Seconds(), f.Rule, f.Text) }
+// String returns a line about the finding, and one about each further finding.
+func (f Finding) String() string {
+	return fmt.Sprintf("%7.3fs %s %s", f.At.Seconds(), f.Rule, strings.Join(append([]string{f.Text}, f.More...), "\n      also "))
+}
 
-// found records a finding. Of each rule and job it records only the first one, and of those without a
-// job each text once.
+// found records a finding. Those of the same rule and job are recorded together, and each text once.
 func (r *run) found(rule, job, format string, args ...any) {
-	f := Finding{r.clk.Now(), rule, job, fmt.Sprintf(format, args...)}
+	f := Finding{At: r.clk.Now(), Rule: rule, Job: job, Text: fmt.Sprintf(format, args...)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, old := range r.findings {
-		if old.Rule == rule && old.Job == job && (job != "" || old.Text == f.Text) {
-			return
+	for i := range r.findings {
+		old := &r.findings[i]
+		if old.Rule != rule || old.Job != job || job == "" && old.Text != f.Text {
+			continue
 		}
+		if old.Text != f.Text && len(old.More) < maxMore && !slices.Contains(old.More, f.Text) {
+			old.More = append(old.More, f.Text)
+		}
+		return
 	}
 	r.findings = append(r.findings, f)
 }
--- a/internal/bench/soak/entry.go
+++ b/internal/bench/soak/entry.go
@@ -128,11 +128,18 @@
 // stop sends SIGTERM and kills the process when it has not ended within the grace time, which is a
 // finding unless the entry was disturbed.
 func (e *entry) stop(r *run) {
+	c := r.openCaller(e)
+	defer c.http.CloseIdleConnections()
 	begin := r.clk.Now()
 	e.mu.Lock()
 	e.stopAt = begin
 	e.mu.Unlock()
 	ended := e.signal(syscall.SIGTERM, true)
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		c.useUntil(e, ended)
+	}()
 	t := r.clk.After(grace)
 	defer t.Close()
 	select {
