lead: a leader's lease ends with its leadership

Two leaders could act at a hand-over: an entry that resigned, read another entry's claim or heard of a later leader kept a lease of up to 5 s, and its leader acted on it until another goroutine had closed it. On a busy machine that takes a while, and a named successor claims within some 30 ms. Fences and leases at the executors refuse most of what it does; orders for instances have no fence.

The lease now ends in the moment in which the entry stops leading, so that the leader makes no further call.

Before: TestLeaseEndsWithTheLeadership fails in all three cases, with elect.CanAct true.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -184,11 +184,15 @@
 	}
 }
 
-// setLeader replaces the leader. The caller holds mu.
+// setLeader replaces the leader. This entry's lease ends with its leadership, before its control
+// goroutine is closed. The caller holds mu.
 func (e *Elector) setLeader(l Leader) {
 	if l == e.leader {
 		return
 	}
+	if e.leader.IsSelf && !l.IsSelf {
+		e.lastRenewal = min(e.lastRenewal, e.clk.Now()-elect.LeadershipTTL)
+	}
 	e.unresponsive, e.misses = false, 0
 	e.log.Info().Uint64("token", l.Token).Str("leader", l.Name).Str("addr", l.Addr).Bool("mine", l.IsSelf).
 		Uint64("former", e.leader.Token).Msg("leader changed")
--- a/internal/serve/lead/suspended_test.go
+++ b/internal/serve/lead/suspended_test.go
@@ -93,3 +93,35 @@
 	e.renewOrResign(context.Background())
 	assert.Equal(t, e.Leader(), Leader{Token: 1, Name: "other", Addr: "127.0.0.1:1"})
 }
+
+// Guards against two leaders that act at a hand-over: the former one held its lease until its control
+// goroutine was closed.
+func TestLeaseEndsWithTheLeadership(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(e *Elector)
+	}{
+		{"resigned", func(e *Elector) {
+			e.RecordFollower(relay.Follower{Name: "other", Addr: "127.0.0.1:1"})
+			e.Resign()
+			e.renewOrResign(context.Background())
+		}},
+		{"another entry claimed", func(e *Elector) {
+			appendRaw(t, e, `{"kind":"claim","name":"third","addr":"z","nonce":"t","token":11}`)
+			e.renewOrResign(context.Background())
+		}},
+		{"another leader is announced", func(e *Elector) { e.HandleAnnouncement(11, "third", "z") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			clk := clock.NewFake(time.Unix(0, 0))
+			clk.Advance(time.Minute)
+			e := newFollower(t, clk)
+			e.followers, e.topicEnd = map[string]elect.Candidate{}, 10
+			e.leader, e.lastRenewal = Leader{Token: 1, Name: "self", Addr: "x", IsSelf: true}, clk.Now()
+			assert.Assert(t, elect.CanAct(e.LastRenewal(), clk.Now()))
+			c.end(e)
+			assert.Assert(t, !e.Leader().IsSelf)
+			assert.Assert(t, !elect.CanAct(e.LastRenewal(), clk.Now()))
+		})
+	}
+}
