lead: an announced leader that can't exist is forgotten

A malformed announcement, or digest of another entry, with a token that no claim can have made an entry follow that leader until it was restarted: every record of the claim log has a lower token and was ignored. Its callers' jobs were stored without the leader, and it never claimed while the real leader renewed.

A claim's token is one above its offset, so that the topic ends at or above the token of every leader. A leader with a higher token is now dropped when the topic is read.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -360,6 +360,11 @@
 	e.view.ProcessGone, e.view.CutOff, e.view.LedBeforeRestart = false, false, false
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leader.Token > uint64(e.topicEnd) {
+		// No claim can have this token: it is one above the claim's offset.
+		e.log.Error().Uint64("token", e.leader.Token).Str("addr", e.leader.Addr).Msg("leader that was announced does not exist")
+		e.setLeader(Leader{})
+	}
 	if last.Token < e.leader.Token {
 		return // another entry has announced a later leader
 	}
--- a/internal/serve/lead/suspended_test.go
+++ b/internal/serve/lead/suspended_test.go
@@ -125,3 +125,19 @@
 		})
 	}
 }
+
+// Guards against an entry that follows a leader which does not exist until it is restarted: an
+// announcement had a token that no claim can have.
+func TestAnnouncementOfAnImpossibleTokenIsForgotten(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := newFollower(t, clk)
+	addr := e.Leader().Addr
+	e.HandleAnnouncement(1<<60, "third", addr)
+	for i := range int64(3) {
+		e.follow(context.Background())
+		renewAs(t, e, 10+i)
+		clk.Advance(elect.RenewEvery)
+	}
+	e.follow(context.Background())
+	assert.Equal(t, e.Leader().Token, uint64(1))
+}
