agent: a leadership that is claimed again starts a new leader

An entry that lost the leadership and claimed again before its control goroutine noticed (a busy or suspended machine, a leader that led for a moment in between) went on with the leader of its former claim: its fencing tokens and its store epoch are below those of the leader in between, so that executors refuse its orders and the store its appends, while it renews its lease. No job would have been carried out until it lost the lease.

The entry now compares tokens, and a leader's lease belongs to its own token.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -208,25 +208,26 @@
 // run starts and closes the leader as the elected entry changes.
 func (a *Agent) run(ctx context.Context) {
 	defer close(a.done)
+	var token uint64 // of the leader that runs
 	for {
 		elected := a.elector.Leader()
-		a.mu.Lock()
-		l := a.leader
-		a.mu.Unlock()
-		switch {
-		case elected.IsSelf && l == nil:
+		l := a.localLeader()
+		if l != nil && (!elected.IsSelf || elected.Token != token) {
+			a.setLeader(nil)
+			l.Close()
+			a.execs.Reset()
+			a.onLeaderChange(false)
+			continue
+		}
+		if elected.IsSelf && l == nil {
+			token = elected.Token
 			l = leader.Start(ctx, leader.Deps{
 				Client: a.client, Execs: a.execs, Settings: a.settings, Orders: a.orders, Clock: a.clk, Log: a.log,
-				Meters: a.meters, LastRenewal: a.elector.LastRenewal,
+				Meters: a.meters, LastRenewal: func() time.Duration { return a.elector.LastRenewalOf(elected.Token) },
 			}, elected.Token)
 			a.setLeader(l)
 			a.onLeaderChange(true)
 			a.announce(ctx, elected)
-		case !elected.IsSelf && l != nil:
-			a.setLeader(nil)
-			l.Close()
-			a.execs.Reset()
-			a.onLeaderChange(false)
 		}
 		select {
 		case <-a.elector.Changed():
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -155,6 +155,16 @@
 	return e.lastRenewal
 }
 
+// LastRenewalOf is LastRenewal for the leadership with a token, which has no lease once it has ended.
+func (e *Elector) LastRenewalOf(token uint64) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leader.Token != token {
+		return min(e.lastRenewal, e.clk.Now()-elect.LeadershipTTL)
+	}
+	return e.lastRenewal
+}
+
 // Changed returns a channel that receives a value after changes of the leader.
 func (e *Elector) Changed() <-chan struct{} { return e.changed }
 
