lead: a call does not wait for another call's question beyond its limit

Calls that share a question for the successor waited on a mutex, so that they outlasted their own limit by up to the time of that question. They now wait on a channel, and stop when their context ends.

--- a/internal/serve/lead/cutoff_test.go
+++ b/internal/serve/lead/cutoff_test.go
@@ -111,3 +111,27 @@
 	e.follow(context.Background())
 	assert.Assert(t, !e.IsLeaderUnresponsive())
 }
+
+// Guards against calls that outlast their time limit because another one asks an entry that does not answer.
+func TestWaitForTheSuccessorEndsWithTheCall(t *testing.T) {
+	e := newFollower(t, clock.NewFake(time.Unix(0, 0)))
+	asked, release := make(chan struct{}, 9), make(chan struct{})
+	serveLeader(t, e, func(context.Context) relay.Digest {
+		asked <- struct{}{}
+		<-release
+		return relay.Digest{Leads: true}
+	})
+	first, cancel := context.WithCancel(context.Background())
+	former, done := e.Leader(), make(chan bool)
+	go func() { done <- e.AskForSuccessor(first, former) }()
+	<-asked
+	over, end := context.WithCancel(context.Background())
+	end()
+	begin := time.Now()
+	assert.Assert(t, !e.AskForSuccessor(over, former))
+	took := time.Since(begin)
+	close(release)
+	cancel()
+	assert.Assert(t, !<-done)
+	assert.Assert(t, took < pollTimeout/2, "took %s", took)
+}
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -87,7 +87,7 @@
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
 
-	askMu sync.Mutex // held while another entry is asked for its successor
+	asking chan struct{} // holds a value while another entry is asked for its successor
 	// noSuccessor is the token of the leader that last named no successor, and noSuccessorUntil until
 	// when it is not asked again.
 	noSuccessor      uint64
@@ -120,7 +120,7 @@
 	e := &Elector{
 		client: c, peers: peers, clk: clk, log: log, id: id, onDigest: onDigest,
 		nonce: strconv.FormatUint(rand.Uint64(), 36), changed: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: cancel,
-		followers: map[string]elect.Candidate{}, done: make(chan struct{}),
+		followers: map[string]elect.Candidate{}, done: make(chan struct{}), asking: make(chan struct{}, 1),
 		claimDelay: elect.ClaimDelay(id.Rank, rand.Float64()),
 	}
 	go e.run(ctx)
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -43,7 +43,7 @@
 	return &Elector{
 		client: c, peers: peers, clk: clk, log: zerolog.Nop(), id: Identity{Name: "self", Addr: "x"}, nonce: "s",
 		onDigest: func(relay.Digest) {}, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1),
-		leader: Leader{Token: 1, Name: "other", Addr: addrs[0]}, topicEnd: 1,
+		leader: Leader{Token: 1, Name: "other", Addr: addrs[0]}, topicEnd: 1, asking: make(chan struct{}, 1),
 	}
 }
 
--- a/internal/serve/lead/poll.go
+++ b/internal/serve/lead/poll.go
@@ -97,8 +97,12 @@
 // AskForSuccessor asks an entry that no longer leads which entry does, and reports whether this entry
 // then follows a later leader. Concurrent calls share one question.
 func (e *Elector) AskForSuccessor(ctx context.Context, former Leader) bool {
-	e.askMu.Lock()
-	defer e.askMu.Unlock()
+	select {
+	case e.asking <- struct{}{}:
+		defer func() { <-e.asking }()
+	case <-ctx.Done():
+		return e.Leader().Token != former.Token
+	}
 	for range successorAsks {
 		if e.Leader().Token != former.Token {
 			return true
