leader: a load reads the store one topic at a time

A new leader read the jobs and the executors' reports at the same time. On a slow link the answers queue on the leader's link, and its first renewals wait behind what each of them has on its way; a renewal has 0.6 s. Such a leader is replaced while it loads, and the next one reads all of it again.

The store's topics are now read one after the other, executors first, so that leases are extended no later. The store offers no smaller pages, and on a full link a load takes as long as before.

Before: TestLoadReadsTheStoreOneAnswerAtATime counts two answers at a time.

--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -69,16 +69,16 @@
 	loading, loadedJobs := context.WithCancel(ctx)
 	defer loadedJobs()
 	steps := []func(context.Context) error{
-		func(ctx context.Context) error {
-			defer loadedJobs()
-			return l.loadJobs(ctx, &out)
-		},
 		func(ctx context.Context) (err error) {
+			// The store is read one topic after the other: on a slow link, what each further answer has
+			// on its way delays the first renewals of the lease.
 			out.executorsFrom, err = l.readNewest(ctx, platform.ExecutorTopic, 0, func(r platform.Record) { out.executors = append(out.executors, r) })
-			if err == nil {
-				out.heldAt = l.holdLeases(loading, out.executors)
+			if err != nil {
+				return err
 			}
-			return err
+			all.Go(func() { out.heldAt = l.holdLeases(loading, out.executors) })
+			defer loadedJobs()
+			return l.loadJobs(ctx, &out)
 		},
 		func(ctx context.Context) error {
 			// Without the list, tasks stay unresolved until a later list or the end of all leases.
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -4,7 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,6 +89,38 @@
 	}
 }
 
+// Guards against a leader that is replaced while it loads: its first renewals waited behind several
+// answers of the store at once on its link.
+func TestLoadReadsTheStoreOneAnswerAtATime(t *testing.T) {
+	t.Parallel()
+	w := fake.NewPlatform(map[string]int{"s": 1})
+	t.Cleanup(w.Close)
+	l := newLinkedLeader(t, w, 1<<30)
+	to := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: l.Settings.Store.Addr})
+	var reads, most atomic.Int32
+	srv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			n := reads.Add(1)
+			defer reads.Add(-1)
+			for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		to.ServeHTTP(rw, r)
+	}))
+	t.Cleanup(srv.Close)
+	set := l.Settings
+	set.Store.Addr = srv.Listener.Addr().String()
+	l.Client.SetAddrs(set)
+	putJobs(w.Store, leaderPart, 600, 10)
+	ev, ok := l.load(context.Background()).(loaded)
+	assert.Assert(t, ok)
+	assert.NilError(t, ev.err)
+	assert.Equal(t, ev.records, 600)
+	assert.Equal(t, len(ev.executors), 1)
+	assert.Equal(t, most.Load(), int32(1))
+}
+
 // Guards against leaderless jobs that are never taken over because one read can't carry the backlog.
 func TestLeaderlessBacklogIsReadThroughASlowLink(t *testing.T) {
 	t.Parallel()
