lead: an announcement names a leader that is known by its address

An entry that learns of a leader from a digest knows only its address, and logged it without a name until the leadership changed: the later announcement of the same leader was ignored. It now fills in the name.

Before: TestAnnouncementNamesALeaderKnownByAddress has no name.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -188,9 +188,12 @@
 		}
 		return
 	}
-	if token > e.leader.Token {
+	switch {
+	case token > e.leader.Token:
 		e.setLeader(Leader{Token: token, Name: name, Addr: addr})
 		e.announced = true
+	case e.leader == Leader{Token: token, Addr: addr}:
+		e.setLeader(Leader{Token: token, Name: name, Addr: addr})
 	}
 }
 
--- a/internal/serve/lead/suspended_test.go
+++ b/internal/serve/lead/suspended_test.go
@@ -141,3 +141,14 @@
 	e.follow(context.Background())
 	assert.Equal(t, e.Leader().Token, uint64(1))
 }
+
+// Guards against logs without the leader's name: a digest names only its address.
+func TestAnnouncementNamesALeaderKnownByAddress(t *testing.T) {
+	e := newFollower(t, clock.NewFake(time.Unix(0, 0)))
+	e.adoptLeader(relay.Digest{Token: 11, Addr: "z"})
+	assert.Equal(t, e.Leader(), Leader{Token: 11, Addr: "z"})
+	e.HandleAnnouncement(11, "third", "z")
+	assert.Equal(t, e.Leader(), Leader{Token: 11, Name: "third", Addr: "z"})
+	e.HandleAnnouncement(11, "fourth", "y")
+	assert.Equal(t, e.Leader().Name, "third")
+}
