Revert "agent: the handover test waits for the list of instances"

The log of one failure has a list of the instances, and moves of many idle instances whose answers are lost, so that the commit's cause is at most part of it.

--- a/internal/serve/agent/handover_test.go
+++ b/internal/serve/agent/handover_test.go
@@ -41,8 +41,6 @@
 			}
 			submit(0)
 			r.until("others make calls", func() bool { return strings.Contains(r.log.String(), "entries make calls to executors") })
-			// Without a list of the instances, which is lost below, no wave begins.
-			r.until("the instances are listed", func() bool { return strings.Contains(r.log.String(), "former runs are known") })
 			// Orders are repeated, and are so at the handover.
 			r.platform.Cloud.Set(fake.Faults{LoseAnswers: true})
 			r.platform.Store.Put(platform.OperatorTopic, "wave/1", []byte(`{"wave":1,"machines":["m-pool-a-0","m-pool-a-1","m-pool-a-2",`+
