--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -89,6 +89,22 @@
 	}
 }
 
+// awaitReport returns the reports of executors in the store once there is one. Executors report some
+// time after they start.
+func awaitReport(t *testing.T, l *Leader) []platform.Record {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		var records []platform.Record
+		_, err := l.readNewest(context.Background(), platform.ExecutorTopic, 0, func(r platform.Record) { records = append(records, r) })
+		assert.NilError(t, err)
+		if len(records) > 0 {
+			return records
+		}
+	}
+	t.Fatal("no executor has reported")
+	return nil
+}
+
 // Guards against a leader that is replaced while it loads: its first renewals waited behind several
 // answers of the store at once on its link.
 func TestLoadReadsTheStoreOneAnswerAtATime(t *testing.T) {
@@ -113,6 +129,8 @@
 	set.Store.Addr = srv.Listener.Addr().String()
 	l.Client.SetAddrs(set)
 	putJobs(w.Store, leaderPart, 600, 10)
+	awaitReport(t, l)
+	most.Store(0)
 	ev, ok := l.load(context.Background()).(loaded)
 	assert.Assert(t, ok)
 	assert.NilError(t, ev.err)
@@ -164,9 +182,7 @@
 	t.Cleanup(w.Close)
 	w.Plan = func(string, string) fake.RunPlan { return fake.RunPlan{Duration: time.Minute, Result: "done"} }
 	l := newLinkedLeader(t, w, 1<<30)
-	var records []platform.Record
-	_, err := l.readNewest(context.Background(), platform.ExecutorTopic, 0, func(r platform.Record) { records = append(records, r) })
-	assert.NilError(t, err)
+	records := awaitReport(t, l)
 	e, err := platform.DecodeExecutor(records[0].Key, records[0].Value)
 	assert.NilError(t, err)
 	to := platform.Target{Addr: e.Addr, ID: e.ID, Fence: elect.FencingToken(l.token, 0)}
