--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -157,12 +157,22 @@
 	return e.lastRenewal
 }
 
-// HasSentResignation reports whether this entry leads and has sent a resignation. Another entry may
-// have claimed at once, even if the store's answer did not arrive.
-func (e *Elector) HasSentResignation() bool {
+// HasSentResignation reports whether this entry has sent a resignation of the leadership with a token.
+// Another entry may have claimed at once, even if the store's answer did not arrive.
+func (e *Elector) HasSentResignation(token uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.leader.IsSelf && e.resignToken == e.leader.Token
+	return e.resignToken == token
+}
+
+// LastRenewalOf is LastRenewal for the leadership with a token, which has no lease once it has ended.
+func (e *Elector) LastRenewalOf(token uint64) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leader.Token != token {
+		return min(e.lastRenewal, e.clk.Now()-elect.LeadershipTTL)
+	}
+	return e.lastRenewal
 }
 
 // Changed returns a channel that receives a value after changes of the leader.
@@ -188,17 +198,24 @@
 		}
 		return
 	}
-	if token > e.leader.Token {
+	switch {
+	case token > e.leader.Token:
 		e.setLeader(Leader{Token: token, Name: name, Addr: addr})
 		e.announced = true
+	case e.leader == Leader{Token: token, Addr: addr}:
+		e.setLeader(Leader{Token: token, Name: name, Addr: addr})
 	}
 }
 
-// setLeader replaces the leader. The caller holds mu.
+// setLeader replaces the leader. This entry's lease ends with its leadership, before its control
+// goroutine is closed. The caller holds mu.
 func (e *Elector) setLeader(l Leader) {
 	if l == e.leader {
 		return
 	}
+	if e.leader.IsSelf && !l.IsSelf {
+		e.lastRenewal = min(e.lastRenewal, e.clk.Now()-elect.LeadershipTTL)
+	}
 	e.unresponsive, e.misses = false, 0
 	e.log.Info().Uint64("token", l.Token).Str("leader", l.Name).Str("addr", l.Addr).Bool("mine", l.IsSelf).
 		Uint64("former", e.leader.Token).Msg("leader changed")
@@ -369,6 +386,11 @@
 	e.view.ProcessGone, e.view.CutOff, e.view.LedBeforeRestart = false, false, false
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.leader.Token > uint64(e.topicEnd) {
+		// No claim can have this token: it is one above the claim's offset.
+		e.log.Error().Uint64("token", e.leader.Token).Str("addr", e.leader.Addr).Msg("leader that was announced does not exist")
+		e.setLeader(Leader{})
+	}
 	if last.Token < e.leader.Token {
 		return // another entry has announced a later leader
 	}
