jobs/fanout: the decisions on orders that other entries carry out

Whether an order may still be sent or carried out, and what the leader assumes of an order without an outcome, are functions that the model check can call. No change of behaviour.

--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -6,14 +6,12 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/fanout"
 	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
 const (
-	// answerMargin is how much earlier than the leader an entry abandons a call, so that its
-	// outcome arrives before the leader's timeout.
-	answerMargin = 50 * time.Millisecond
 	// maxMisses is how many consecutive orders without an outcome show that an entry no longer
 	// makes calls, if it has been silent for silenceLimit. Orders of one message end at the same time,
 	// so that their number alone says nothing about a slow entry.
@@ -141,7 +139,7 @@
 	now := l.clk.Now()
 	out := &workpb.Orders{}
 	for _, po := range orders {
-		limit := po.expires - now - answerMargin
+		limit := fanout.SendLimit(po.expires, now)
 		if limit <= 0 || l.pending[po.order.GetSeq()] != po {
 			continue
 		}
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -211,13 +211,15 @@
 	if failed {
 		p.exclude(l, name)
 	}
-	switch {
-	case o != nil:
+	if o != nil {
 		return o, outcomeError(o), true
-	case sent:
+	}
+	switch fanout.FateOf(sent, ctx.Err() != nil) {
+	case fanout.Unknown:
 		return &workpb.Outcome{}, errUnanswered(name), true
-	case ctx.Err() != nil:
+	case fanout.Expired:
 		return &workpb.Outcome{}, &platform.OrderError{Reason: platform.ReasonLate}, true
+	case fanout.Unsent:
 	}
 	return nil, nil, false
 }
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/fanout"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 	"chervilgauge.example/chervilgauge/platform"
@@ -97,9 +98,8 @@
 	return t.Job
 }
 
-// execute makes one call. It refuses an order whose time limit has passed since it arrived: the
-// leader no longer waits for it, and its lease may have expired since. The outcome of a call that
-// panics is not known.
+// execute makes one call, if there is time left for it. The outcome of a call that panics is not
+// known.
 func (c *callServer) execute(ctx context.Context, o *workpb.Order, text string, arrived time.Duration) (out *workpb.Outcome) {
 	out = &workpb.Outcome{Seq: o.GetSeq()}
 	defer func() {
@@ -108,7 +108,7 @@
 			setError(out, Err.New("call panicked: %v", cause))
 		}
 	}()
-	remaining := time.Duration(o.GetLimit())*time.Millisecond - (c.clk.Now() - arrived)
+	remaining := fanout.Remaining(time.Duration(o.GetLimit())*time.Millisecond, arrived, c.clk.Now())
 	if remaining <= 0 {
 		out.Verdict, out.Reason = uint32(verdictRefused), uint32(platform.ReasonLate)
 		return out
