serve/proxy: orders expire on the clock of the entry that makes the call

An entry that made a leader's calls counted the time limit of an order from when it read the order. An entry that was stopped, or whose stream was slow, carried out a start long after the leader had voided it and started the task elsewhere. The fencing token and the deadline of the lease refuse such a start, but not at an executor that has restarted under its id in between: it has seen no token, and its clock starts anew. The task then ran twice.

An entry now sends its clock first on each stream, and with each message of outcomes. The leader sends no order before it knows that clock, and gives each order a time at which it expires on it. A reading is late by its way, so that the estimate is never ahead and no order outlasts the leader's wait. An entry that sends no clock within 500 ms, such as one of an earlier version, gets no calls. Orders of a leader of an earlier version expire as before.

--- a/internal/jobs/fanout/order.go
+++ b/internal/jobs/fanout/order.go
@@ -10,10 +10,41 @@
 // limit is not positive is not sent.
 func SendLimit(expires, now time.Duration) time.Duration { return expires - now - AnswerMargin }
 
-// Remaining returns how long an order that arrived at arrived may still be carried out. An order
-// whose remaining time is not positive is refused: the leader no longer waits for it, and its lease
-// may have expired since.
-func Remaining(limit, arrived, now time.Duration) time.Duration { return limit - (now - arrived) }
+// readingKeep is how long a reading of an entry's clock is used at most, since clocks drift.
+const readingKeep = 5 * time.Second
+
+// EntryClock is the leader's estimate of another entry's clock, which is not ahead of that clock. The
+// zero value has no estimate.
+type EntryClock struct {
+	known         bool
+	ahead, readAt time.Duration
+}
+
+// With returns the estimate after a reading of the entry's clock arrived at now.
+func (c EntryClock) With(reading, now time.Duration) EntryClock {
+	// A reading that was delayed less is closer.
+	if ahead := reading - now; !c.known || ahead >= c.ahead || now > c.readAt+readingKeep {
+		return EntryClock{known: true, ahead: ahead, readAt: now}
+	}
+	return c
+}
+
+// IsKnown reports whether there is an estimate.
+func (c EntryClock) IsKnown() bool { return c.known }
+
+// At returns what the entry's clock shows at least at a time of the leader's clock.
+func (c EntryClock) At(t time.Duration) time.Duration { return t + c.ahead }
+
+// Remaining returns how long an order that expires at until may still be carried out, on the clock of
+// the entry that makes the call. An order whose remaining time is not positive is refused: the leader
+// no longer waits for it, and may have taken its run for gone since. An order without until comes from
+// an entry of an earlier version, and expires limit after its arrival.
+func Remaining(limit, arrived, until, now time.Duration) time.Duration {
+	if until != 0 {
+		return until - now
+	}
+	return limit - (now - arrived)
+}
 
 // Fate is what the leader assumes of an order for which it has no outcome.
 type Fate uint8
--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -61,6 +61,7 @@
 	mutation              mutation
 	repairs               Repair
 	unchecked             Breach
+	relayed               bool
 
 	spec     model.JobSpec
 	queue    model.Queue
@@ -78,6 +79,10 @@
 	acceptAnyFence
 	releaseAtOnce
 	dropUnanswered
+	sendLate
+	callLate
+	limitFromArrival
+	loseUnknown
 )
 
 // Option changes a model.
@@ -104,6 +109,23 @@
 // raising the fencing token first.
 func WithoutVoiding() Option { return func(m *Model) { m.mutation = dropUnanswered } }
 
+// WithRelays has slow calls made by another entry. Calls that the leader makes itself are those that
+// another entry makes at once.
+func WithRelays() Option { return func(m *Model) { m.relayed = true } }
+
+// WithoutSendLimit makes a leader count the time limit of a call from when it sends it to another entry.
+func WithoutSendLimit() Option { return func(m *Model) { m.mutation = sendLate } }
+
+// WithoutCallLimit makes entries make the calls of a leader however old they are.
+func WithoutCallLimit() Option { return func(m *Model) { m.mutation = callLate } }
+
+// WithLimitFromArrival makes entries count the time limit of a call from its arrival, as for the calls of
+// a leader of an earlier version.
+func WithLimitFromArrival() Option { return func(m *Model) { m.mutation = limitFromArrival } }
+
+// WithoutUnknownOutcomes makes a leader take calls without an outcome for calls that were not made.
+func WithoutUnknownOutcomes() Option { return func(m *Model) { m.mutation = loseUnknown } }
+
 // Repair is a set of changes to decisions of serve/leader that are proposed because of a breach.
 type Repair uint16
 
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,11 +30,31 @@
 
 const tightTick = 1600 * time.Millisecond
 
-var searches = []struct {
+// searchCase is a search with its bounds.
+type searchCase struct {
 	name   string
 	limits Limits
 	opts   []Option
-}{
+}
+
+// searchAll runs searches in which no promise may be broken. It returns the transitions by their kind.
+func searchAll(t *testing.T, list []searchCase, opts ...Option) map[string]int {
+	t.Helper()
+	seen := map[string]int{}
+	for _, c := range list {
+		t.Run(c.name, func(t *testing.T) {
+			r := search(t, c.limits, slices.Concat([]Option{WithRepairs(AllRepairs)}, opts, c.opts)...)
+			assert.Assert(t, r.Breach == 0, "%s:\n%s", r.Breach, strings.Join(r.Trace, "\n"))
+			assert.Assert(t, r.Complete || c.limits.States > 0)
+			for name, n := range r.Seen {
+				seen[name] += n
+			}
+		})
+	}
+	return seen
+}
+
+var searches = []searchCase{
 	{"takeover with slow calls", Limits{Ticks: 2, Claims: 2, Starts: 2, Polls: 2, SlowStarts: 1}, nil},
 	{"silent executor", Limits{Ticks: 2, Claims: 2, Starts: 2, Polls: 2, SlowPolls: 1}, nil},
 	{"leases of the former leader", Limits{Ticks: 7, Claims: 2, Starts: 2, Polls: 1}, nil},
@@ -45,11 +66,7 @@
 	{"three entries", Limits{Ticks: 2, Claims: 3, Starts: 1, Polls: 1, Lost: 1}, []Option{WithSize(3, 1, 1)}},
 }
 
-var deepSearches = []struct {
-	name   string
-	limits Limits
-	opts   []Option
-}{
+var deepSearches = []searchCase{
 	{"slow calls", Limits{Ticks: 3, Claims: 2, Starts: 3, Polls: 3, SlowStarts: 1, SlowPolls: 1, States: 1_000_000}, nil},
 	{"silent executor", Limits{Ticks: 3, Claims: 2, Starts: 2, Polls: 3, SlowPolls: 1}, nil},
 	{"slow clocks", Limits{Ticks: 8, Claims: 2, Starts: 2, Polls: 1}, []Option{WithIdle(200 * time.Second), WithTick(tightTick)}},
@@ -70,17 +87,7 @@
 	if *deep {
 		list = deepSearches
 	}
-	seen := map[string]int{}
-	for _, c := range list {
-		t.Run(c.name, func(t *testing.T) {
-			r := search(t, c.limits, append([]Option{WithRepairs(AllRepairs)}, c.opts...)...)
-			assert.Assert(t, r.Breach == 0, "%s:\n%s", r.Breach, strings.Join(r.Trace, "\n"))
-			assert.Assert(t, r.Complete || c.limits.States > 0)
-			for name, n := range r.Seen {
-				seen[name] += n
-			}
-		})
-	}
+	seen := searchAll(t, list)
 	for _, name := range []string{
 		"claim", "time and renewal", "resignation", "unanswered claim", "delayed claim", "unanswered resignation", "late claim record",
 		"learns of a claim", "learns of its claim", "load", "store", "poll", "start", "poll slowly", "start slowly", "carried out: start",
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -130,14 +130,15 @@
 func (m *Model) onStarted(s *state, e *entry, c *call, answered bool) {
 	b := &e.members[c.exec]
 	m.update(s, e, func(tr *track.Tracker) {
-		r := tr.FindRun(keyOf(c.exec, c.born), taskID(int(c.task)), int(c.attempt))
+		// The run may have moved to the next incarnation.
+		r := tr.FindRun(keyOf(c.exec, b.born), taskID(int(c.task)), int(c.attempt))
 		switch {
 		case r == nil:
 		case !answered:
 			if r.Phase == track.Starting {
 				r.Phase, r.PhaseSince = track.Uncertain, m.at(s.now)
 			}
-			b.unanswered = true
+			b.unanswered = b.unanswered || b.born == c.born
 		case c.res == resultOK:
 			tr.ConfirmRun(r, m.at(s.now))
 		default:
@@ -291,6 +292,7 @@
 	e.members[x] = newMember(born, s.now)
 	e.members[x].raises = raises
 	e.members[x].raises, e.members[x].unanswered = old.raises, true
+	e.members[x].leaseEnd = millis(elect.LeaseEnd(m.at(s.now), 0, maxLease))
 	m.update(s, e, func(tr *track.Tracker) {
 		for r := range tr.RunsOn(keyOf(uint8(x), old.born)) {
 			tr.RemoveRun(r)
--- a/internal/proof/check/state.go
+++ b/internal/proof/check/state.go
@@ -193,19 +193,24 @@
 // call is a call to an executor. It is kept until it was carried out and no leader waits for it.
 type call struct {
 	kind                callKind
+	place               place
 	by, exec, born      uint8
 	token, raises       uint8
 	waiting, carriedOut bool
 	lost                bool // it is never carried out
-	voids               bool
-	task, attempt, ack  uint8
-	sent                tick
-	deadline            int32
-	res                 result
-	answerBorn          uint8
-	clock               int32
-	running             [maxTasks]uint8
-	ends                [maxEnds]end
+	// expired is set once its time limit is over, late if it arrived at the entry that makes it after
+	// that, and held once the limit is over since it arrived. stale is set once the executor has
+	// answered a call that was made later.
+	expired, late, held, stale bool
+	voids                      bool
+	task, attempt, ack         uint8
+	sent                       tick
+	deadline                   int32
+	res                        result
+	answerBorn                 uint8
+	clock                      int32
+	running                    [maxTasks]uint8
+	ends                       [maxEnds]end
 }
 
 func fenceOf(token, raises uint8) uint64 { return elect.FencingToken(uint64(token), int(raises)) }
@@ -227,7 +232,7 @@
 // calls, and times that are too long ago to matter.
 func (m *Model) normalize(s *state) {
 	slices.SortFunc(s.calls[:], func(a, b call) int {
-		return cmp.Or(cmp.Compare(b.kind, a.kind), cmp.Compare(a.by, b.by), cmp.Compare(a.exec, b.exec), cmp.Compare(a.sent, b.sent),
+		return cmp.Or(cmp.Compare(b.kind, a.kind), cmp.Compare(a.place, b.place), cmp.Compare(a.by, b.by), cmp.Compare(a.exec, b.exec), cmp.Compare(a.sent, b.sent),
 			cmp.Compare(fenceOf(a.token, a.raises), fenceOf(b.token, b.raises)), cmp.Compare(a.attempt, b.attempt), cmp.Compare(a.task, b.task))
 	})
 	oldest := s.now
@@ -284,7 +289,7 @@
 
 // stopWaiting ends the wait for a call. Nothing is left of one that was carried out.
 func (c *call) stopWaiting() {
-	if c.carriedOut || c.lost {
+	if c.carriedOut || c.lost || c.place == atLeader {
 		*c = call{}
 		return
 	}
--- a/internal/proof/check/world.go
+++ b/internal/proof/check/world.go
@@ -74,6 +74,11 @@
 // happens at the new time.
 func (m *Model) advance(s *state) {
 	s.now++
+	for i := range s.calls {
+		if c := &s.calls[i]; c.place != onConnection {
+			c.expire(true)
+		}
+	}
 	for i := range m.entries {
 		if e := &s.entries[i]; e.leads && e.token != s.log.token && !elect.CanAct(m.at(e.renewed), m.at(s.now)) {
 			m.endLeadership(s, i)
@@ -116,21 +121,31 @@
 	}
 	if int(s.used.crashes) < m.limits.Crashes {
 		n := s
-		n.used.crashes++
-		n.execs[i] = executor{born: x.born + 1, reported: x.reported, bornAt: s.now}
-		for k := range n.calls {
-			// The connections of the earlier incarnation end with it.
-			if c := &n.calls[k]; c.kind != noCall && int(c.exec) == i && !c.carriedOut {
-				c.lost = true
-				if !c.waiting {
-					*c = call{}
-				}
-			}
-		}
+		m.restartExecutor(&n, i)
 		emit(step{"restart of executor", uint8(i), x.born + 1, 0}, n)
 	}
 }
 
+// restartExecutor starts the next incarnation of an executor. The connections of the earlier one end
+// with it. Calls that another entry holds go to the next one, on a fresh connection.
+func (m *Model) restartExecutor(s *state, i int) {
+	s.used.crashes++
+	x := &s.execs[i]
+	*x = executor{born: x.born + 1, reported: x.reported, bornAt: s.now}
+	for k := range s.calls {
+		c := &s.calls[k]
+		switch {
+		case c.kind == noCall || int(c.exec) != i || c.carriedOut:
+		case c.place != onConnection:
+			c.expire(c.stale)
+		case c.waiting:
+			c.lost = true
+		default:
+			*c = call{}
+		}
+	}
+}
+
 // stepCall adds the steps of a call: it is carried out, its answer arrives, or the leader does not
 // wait for it any more.
 func (m *Model) stepCall(s state, i int, emit func(step, state)) {
@@ -141,6 +156,10 @@
 	by := func(name string) step {
 		return step{name + [...]string{"", " start", " poll"}[c.kind], c.by, c.exec, c.attempt}
 	}
+	if c.place != onConnection {
+		m.stepRelayed(s, i, emit)
+		return
+	}
 	if !c.carriedOut && !c.lost {
 		n := s
 		m.execute(&n, &n.calls[i])
@@ -176,6 +195,9 @@
 		return
 	}
 	n = s
+	if m.relayed {
+		c.place = atLeader
+	}
 	if c.kind == startCall {
 		n.used.slowStarts++
 	} else {
@@ -218,6 +240,7 @@
 	} else if c.res != resultFence {
 		s.broken |= Fence
 	}
+	s.answered(c.exec)
 	if c.carriedOut = true; !c.waiting {
 		*c = call{}
 	}
--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -17,6 +17,8 @@
 	// so that their number alone says nothing about a slow entry.
 	maxMisses    = 3
 	silenceLimit = 350 * time.Millisecond
+	// clockTimeout is how long the first reading of an entry's clock may take. Orders wait for it.
+	clockTimeout = 500 * time.Millisecond
 	// retireTimeout is how long an unused link waits for its outcomes. The longest call, a poll
 	// that waits for an end, takes less. retireCheckInterval is the time between checks whether
 	// they have arrived.
@@ -43,6 +45,9 @@
 	mu      sync.Mutex
 	seq     uint64
 	pending map[uint64]*pendingOrder
+	// entryClock estimates the clock of the entry, and clockRead is closed once there is an estimate.
+	entryClock fanout.EntryClock
+	clockRead  chan struct{}
 	// misses counts the consecutive orders without an outcome, and silentSince is when the first of
 	// them was sent.
 	misses      int
@@ -66,7 +71,7 @@
 func newLink(ctx context.Context, clk clock.Clock, open func(ctx context.Context) (ClientStream, error)) *link {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &link{
-		clk: clk, open: open, out: newBatcher[*pendingOrder](clk), cancel: cancel, done: make(chan struct{}), closed: make(chan struct{}),
+		clk: clk, open: open, out: newBatcher[*pendingOrder](clk), cancel: cancel, done: make(chan struct{}), closed: make(chan struct{}), clockRead: make(chan struct{}),
 		pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{},
 	}
 	go l.run(ctx)
@@ -117,21 +122,37 @@
 			if err != nil {
 				return
 			}
-			l.deliver(in.GetOutcomes())
+			l.deliver(in)
 		}
 	}()
-	// An error of Send needs no handling: the stream ends, and its orders count as unanswered.
-	_ = l.out.run(ctx, func(orders []*pendingOrder) error {
-		m := l.message(orders)
-		if len(m.GetOrders()) == 0 {
-			return nil
-		}
-		return stream.Send(m)
-	})
+	if l.awaitClock(ctx) {
+		// An error of Send needs no handling: the stream ends, and its orders count as unanswered.
+		_ = l.out.run(ctx, func(orders []*pendingOrder) error {
+			m := l.message(orders)
+			if len(m.GetOrders()) == 0 {
+				return nil
+			}
+			return stream.Send(m)
+		})
+	}
 	_ = stream.Close()
 	<-received
 }
 
+// awaitClock waits for the first reading of the entry's clock, without which no order can be sent. It
+// returns false if there is none for clockTimeout.
+func (l *link) awaitClock(ctx context.Context) bool {
+	p := l.clk.After(clockTimeout)
+	defer p.Close()
+	select {
+	case <-l.clockRead:
+		return true
+	case <-p.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // message returns a message with the orders whose callers still wait for an outcome.
 func (l *link) message(orders []*pendingOrder) *workpb.Orders {
 	l.mu.Lock()
@@ -145,6 +166,7 @@
 		}
 		po.sent, po.sentAt = true, now
 		po.order.Limit = uint32(limit.Milliseconds()) + 1
+		po.order.Until = l.entryClock.At(now + limit).Microseconds()
 		if at, ok := l.specsSent[po.job]; po.job != "" && (!ok || now > at+specResend) {
 			l.specsSent[po.job] = now
 			out.Specs = append(out.Specs, &workpb.Spec{Job: po.job, Text: po.spec})
@@ -161,10 +183,16 @@
 	return out
 }
 
-func (l *link) deliver(os []*workpb.Outcome) {
+func (l *link) deliver(in *workpb.Outcomes) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, o := range os {
+	if in.GetClock() > 0 {
+		if !l.entryClock.IsKnown() {
+			close(l.clockRead)
+		}
+		l.entryClock = l.entryClock.With(time.Duration(in.GetClock())*time.Microsecond, l.clk.Now())
+	}
+	for _, o := range in.GetOutcomes() {
 		l.misses = 0
 		if po := l.pending[o.GetSeq()]; po != nil {
 			delete(l.pending, o.GetSeq())
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -107,6 +107,18 @@
 // newPoolWithPeer returns a pool and its peer. If mute, the entry receives orders and never
 // answers.
 func newPoolWithPeer(t *testing.T, mute bool) *poolWithPeer {
+	t.Helper()
+	return newPoolWith(t, func(p *poolWithPeer, w *pipe) {
+		if mute {
+			_ = entryEnd{w}.Send(&workpb.Outcomes{Clock: 1})
+			return
+		}
+		_ = Serve(entryEnd{w}, p.remote, clock.NewSystem())
+	})
+}
+
+// newPoolWith returns a pool and its peer, which serves streams with a function.
+func newPoolWith(t *testing.T, serve func(*poolWithPeer, *pipe)) *poolWithPeer {
 	t.Helper()
 	p := &poolWithPeer{direct: &execRecorder{}, remote: &execRecorder{}}
 	clk := clock.NewSystem()
@@ -119,9 +131,7 @@
 		p.mu.Lock()
 		p.pipes = append(p.pipes, w)
 		p.mu.Unlock()
-		if !mute {
-			served.Go(func() { _ = Serve(entryEnd{w}, p.remote, clk) })
-		}
+		served.Go(func() { serve(p, w) })
 		return leaderEnd{w}, nil
 	})
 	t.Cleanup(func() {
@@ -194,15 +204,56 @@
 	assert.Assert(t, platform.ErrUnknown.Has(p.pool.Stop(ctx, to, task, 1)))
 }
 
+// heldEnd is the end of a pipe at an entry that is stopped, or whose stream is slow, until held is
+// closed.
+type heldEnd struct {
+	entryEnd
+	held chan struct{}
+}
+
+func (p heldEnd) Recv() (*workpb.Orders, error) {
+	<-p.held
+	return p.entryEnd.Recv()
+}
+
+// Guards against a start that the next incarnation of its executor carries out, because an entry that
+// was stopped counts the time limit from when it reads the order.
+func TestOrdersThatWereHeldAreNotCarriedOut(t *testing.T) {
+	held := make(chan struct{})
+	p := newPoolWith(t, func(p *poolWithPeer, w *pipe) {
+		_ = Serve(heldEnd{entryEnd{w}, held}, p.remote, clock.NewSystem())
+	})
+	p.pool.RecordPeer("deputy", "at", "z", 0)
+	_, err := p.start(0, "s", 150*time.Millisecond)
+	assert.Assert(t, platform.ErrUnknown.Has(err), "%v", err)
+	close(held)
+	_, err = p.start(1, "s", 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, p.remote.count(), 1)
+	assert.Equal(t, p.direct.count(), 0)
+}
+
+// Guards against orders that wait for an entry whose clock is not known, and against orders to it.
+func TestEntriesWithoutAClockGetNoOrders(t *testing.T) {
+	p := newPoolWith(t, func(*poolWithPeer, *pipe) {})
+	p.pool.RecordPeer("deputy", "at", "z", 0)
+	_, err := p.start(0, "s", 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, p.direct.count(), 1)
+	assert.Equal(t, len(p.pipes[0].sentOrders), 0)
+}
+
 // Guards against a start that is made twice, or counted as not made, because the entry that was to
 // make it became unresponsive: its outcome is unknown. After maxMisses such orders the leader makes
 // its calls itself.
 func TestOrdersToAnUnresponsiveEntryAreUnknown(t *testing.T) {
 	p := newPoolWithPeer(t, true)
 	p.pool.RecordPeer("deputy", "at", "z", 0)
+	l, _ := p.pool.route(platform.Target{ID: "x", Centre: "z"})
+	<-l.clockRead
 	for i := range maxMisses {
 		_, err := p.start(i, "s", 120*time.Millisecond)
-		assert.Assert(t, platform.ErrUnknown.Has(err))
+		assert.Assert(t, platform.ErrUnknown.Has(err), "%v", err)
 	}
 	assert.Equal(t, p.direct.count(), 0)
 	_, err := p.start(9, "s", 5*time.Second)
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -49,7 +49,14 @@
 	c := &callServer{execs: execs, clk: clk, specs: map[string]cachedSpec{}, outcomes: newBatcher[*workpb.Outcome](clk)}
 	sent := make(chan error, 1)
 	go func() {
-		err := c.outcomes.run(ctx, func(os []*workpb.Outcome) error { return s.Send(&workpb.Outcomes{Outcomes: os}) })
+		send := func(os []*workpb.Outcome) error {
+			return s.Send(&workpb.Outcomes{Outcomes: os, Clock: clk.Now().Microseconds()})
+		}
+		// The leader sends no order before it knows this entry's clock.
+		err := Err.Wrap(send(nil))
+		if err == nil {
+			err = c.outcomes.run(ctx, send)
+		}
 		cancel()
 		sent <- err
 	}()
@@ -108,7 +115,8 @@
 			setError(out, Err.New("call panicked: %v", cause))
 		}
 	}()
-	remaining := fanout.Remaining(time.Duration(o.GetLimit())*time.Millisecond, arrived, c.clk.Now())
+	until := time.Duration(o.GetUntil()) * time.Microsecond
+	remaining := fanout.Remaining(time.Duration(o.GetLimit())*time.Millisecond, arrived, until, c.clk.Now())
 	if remaining <= 0 {
 		out.Verdict, out.Reason = uint32(verdictRefused), uint32(platform.ReasonLate)
 		return out
