serve/leader: a run whose end is beyond a full list is not given up

An executor lists at most 500 ends; further ones follow once these are acknowledged. The run of such an end is in neither list. The leader took it for gone after two lists, or at once if its start was unanswered, and a new leader released its task after the first list. A task that was done ran again, and its first end was acknowledged after that.

TestRunsWhoseEndsAreNotListedYetAreNotStartedAgain failed ("r.Task.IsWaiting() is true"), and TestEndsOfFormerRunsBeyondTheFirstListAreAwaited ("l.allContacted("s") is true").

A list with as many ends as one can hold says nothing about runs that it lacks, and the first list of an executor counts as incomplete until one is shorter.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -62,6 +62,7 @@
 	repairs               Repair
 	unchecked             Breach
 	relayed               bool
+	page                  int
 
 	spec     model.JobSpec
 	queue    model.Queue
@@ -83,6 +84,7 @@
 	callLate
 	limitFromArrival
 	loseUnknown
+	trustFullLists
 )
 
 // Option changes a model.
@@ -113,6 +115,12 @@
 // another entry makes at once.
 func WithRelays() Option { return func(m *Model) { m.relayed = true } }
 
+// WithPage has executors list at most n ends at a time.
+func WithPage(n int) Option { return func(m *Model) { m.page = n } }
+
+// WithoutPages makes a leader take full lists of ends for whole ones.
+func WithoutPages() Option { return func(m *Model) { m.mutation = trustFullLists } }
+
 // WithoutSendLimit makes a leader count the time limit of a call from when it sends it to another entry.
 func WithoutSendLimit() Option { return func(m *Model) { m.mutation = sendLate } }
 
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -162,7 +162,7 @@
 		r := e.book.tasks[t].run
 		busy = busy || r.attempt != 0 && int(r.exec) == x
 	}
-	if b.adopted && !b.unanswered && b.stored <= b.confirmed && !b.orphan && !busy {
+	if b.adopted && !b.partial && !b.unanswered && b.stored <= b.confirmed && !b.orphan && !busy {
 		return call{}, false
 	}
 	if b.unanswered {
@@ -210,7 +210,8 @@
 	b.contact = execs.Live
 	b.clock, b.clockAt = c.clock, s.now
 	b.confirmed = max(b.confirmed, c.ack)
-	first := !b.adopted
+	first := !b.adopted || b.partial
+	b.partial = first && m.mayLackEnds(c)
 	b.adopted = true
 	key := keyOf(c.exec, b.born)
 	m.update(s, e, func(tr *track.Tracker) {
@@ -262,11 +263,11 @@
 		}
 		switch r.Phase {
 		case track.Starting, track.Uncertain:
-			if m.mutation != dropUnanswered && fenceOf(c.token, c.raises) <= r.Fence {
-				continue // its start order may still arrive
+			if m.mutation != dropUnanswered && fenceOf(c.token, c.raises) <= r.Fence || m.mayLackEnds(c) {
+				continue // its start order may still arrive, or its end is not listed yet
 			}
 		case track.Running, track.Stopping:
-			if r.PhaseSince >= m.at(c.sent) {
+			if r.PhaseSince >= m.at(c.sent) || m.mayLackEnds(c) {
 				continue
 			}
 			if r.MissedLists++; r.MissedLists < 2 {
@@ -277,6 +278,9 @@
 	}
 }
 
+// mayLackEnds follows platform.PollResult.MayLackEnds.
+func (m *Model) mayLackEnds(c *call) bool { return c.full && m.mutation != trustFullLists }
+
 // dropRuns removes all runs on an incarnation.
 func (m *Model) dropRuns(s *state, e *entry, key string) {
 	m.update(s, e, func(tr *track.Tracker) {
@@ -333,7 +337,7 @@
 		unresolved = unresolved || e.book.tasks[t].unresolved
 	}
 	for x := range m.execs {
-		known = known && e.members[x].contact != execs.Uncontacted
+		known = known && e.members[x].contact != execs.Uncontacted && !e.members[x].partial
 	}
 	expired := m.at(s.now) >= elect.FormerRunsEnd(m.at(e.started)) || m.mutation == releaseAtOnce
 	if !unresolved || !known && !expired {
--- /dev/null
+++ b/internal/proof/check/list_test.go
@@ -0,0 +1,35 @@
+package check
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var pagedSearches = []searchCase{
+	{"own runs", Limits{Ticks: 1, Claims: 1, Starts: 3, Polls: 4}, []Option{WithSize(2, 2, 2)}},
+	{"runs of the former leader", Limits{Ticks: 1, Claims: 2, Starts: 3, Polls: 4}, []Option{WithSize(2, 1, 2)}},
+	{"unanswered start", Limits{Ticks: 1, Claims: 1, Starts: 3, Polls: 3, SlowStarts: 1}, []Option{WithSize(2, 1, 2)}},
+}
+
+var deepPagedSearches = []searchCase{
+	{"runs of the former leader", Limits{Ticks: 2, Claims: 2, Starts: 4, Polls: 4, States: 1_000_000}, []Option{WithSize(2, 2, 2)}},
+	{"unanswered starts", Limits{Ticks: 1, Claims: 2, Starts: 3, Polls: 4, SlowStarts: 1, States: 1_000_000}, []Option{WithSize(2, 2, 2)}},
+}
+
+// Guards against an end beyond a full list of ends that breaks a promise.
+func TestEndsBeyondFullLists(t *testing.T) {
+	list := pagedSearches
+	if *deep {
+		list = deepPagedSearches
+	}
+	searchAll(t, list, WithPage(1))
+}
+
+// Guards against a second run of a task that is done, whose end is beyond the end of a full list.
+func TestWithoutPagesATaskRunsTwice(t *testing.T) {
+	for _, c := range pagedSearches {
+		r := search(t, c.limits, append([]Option{WithRepairs(AllRepairs), WithPage(1), WithoutPages()}, c.opts...)...)
+		assert.Equal(t, r.Breach, Twice)
+	}
+}
--- a/internal/proof/check/state.go
+++ b/internal/proof/check/state.go
@@ -112,6 +112,7 @@
 	born               uint8
 	contact            execs.Contact
 	adopted, listed    bool
+	partial            bool
 	unanswered, orphan bool
 	visible            bool
 	raises             uint8
@@ -208,6 +209,7 @@
 	deadline                   int32
 	res                        result
 	answerBorn                 uint8
+	full                       bool // the list of ends may lack some
 	clock                      int32
 	running                    [maxTasks]uint8
 	ends                       [maxEnds]end
--- a/internal/proof/check/world.go
+++ b/internal/proof/check/world.go
@@ -1,6 +1,8 @@
 package check
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
@@ -301,8 +303,22 @@
 		}
 		*n = end{}
 	}
-	c.answerBorn, c.clock, c.running, c.ends = x.born, millis(m.clock(x, s.now)), x.running, x.ends
-	for d := range c.ends {
-		c.ends[d].void, c.ends[d].restarted = false, false
+	c.answerBorn, c.clock, c.running = x.born, millis(m.clock(x, s.now)), x.running
+	c.ends, c.full = m.listEnds(x)
+}
+
+// listEnds returns the first ends of an executor, and whether that may not be all of them.
+func (m *Model) listEnds(x *executor) ([maxEnds]end, bool) {
+	out := x.ends
+	slices.SortFunc(out[:], func(a, b end) int { return cmp.Compare(a.seq, b.seq) })
+	n := 0
+	for d := range out {
+		if out[d].seq == 0 || m.page > 0 && n == m.page {
+			out[d] = end{}
+			continue
+		}
+		n++
+		out[d].void, out[d].restarted = false, false
 	}
+	return out, m.page > 0 && n == m.page
 }
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -46,9 +46,11 @@
 	confirmedSeq int64         // highest one that the executor has acknowledged as stored
 	sentSeq      int64         // highest one that a poll has announced as stored
 	pollFailures int
-	adopted      bool          // the first answer has arrived
-	adoptedAt    time.Duration // when it arrived
-	unconfirmed  []unconfirmedFailure
+	adopted      bool // the first answer has arrived
+	// isPartial is set while the lists may lack ends of runs of earlier leaders.
+	isPartial   bool
+	adoptedAt   time.Duration // when it arrived
+	unconfirmed []unconfirmedFailure
 	// freshUntil is until when polls use freshPollWait, and firstListed when the executor became
 	// known.
 	freshUntil  time.Duration
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -250,7 +250,7 @@
 
 func (l *Leader) allContacted(service string) bool {
 	for _, m := range l.members {
-		if m.Service == service && m.Contact == execs.Uncontacted {
+		if m.Service == service && (m.Contact == execs.Uncontacted || m.Contact != execs.Dead && m.isPartial) {
 			return false
 		}
 	}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -31,7 +31,7 @@
 // needsPoll reports whether an executor has to be polled. Idle ones are not, since each poll is
 // charged.
 func (l *Leader) needsPoll(m *member) bool {
-	if !m.adopted || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
+	if !m.adopted || m.isPartial || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
 		return true
 	}
 	return len(l.tracker.RunsOn(m.Key)) > 0
@@ -132,7 +132,8 @@
 	m.confirmedSeq = max(m.confirmedSeq, ev.storedSeq)
 	l.confirmFailures(m)
 	m.due = l.now
-	first := !m.adopted
+	first := !m.adopted || m.isPartial
+	m.isPartial = first && ev.list.MayLackEnds()
 	if first {
 		m.adopted, m.adoptedAt = true, l.now
 		l.lastContact = l.now
@@ -219,12 +220,12 @@
 		}
 		switch r.Phase {
 		case track.Starting, track.Uncertain:
-			if ev.fence <= r.Fence {
-				continue // its start order may still arrive
+			if ev.fence <= r.Fence || ev.list.MayLackEnds() {
+				continue // its start order may still arrive, or its end is not listed yet
 			}
 		case track.Running, track.Stopping:
-			if r.PhaseSince >= ev.sent || ev.list.Unreadable > 0 {
-				continue // a run whose row can't be read is not gone
+			if r.PhaseSince >= ev.sent || ev.list.Unreadable > 0 || ev.list.MayLackEnds() {
+				continue // a run whose row can't be read or is not listed yet is not gone
 			}
 			if r.MissedLists++; r.MissedLists < maxMissedLists {
 				continue
--- a/internal/serve/leader/poll_test.go
+++ b/internal/serve/leader/poll_test.go
@@ -15,6 +15,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
@@ -134,3 +135,49 @@
 		}
 	})
 }
+
+// fullEnds returns as many ends as a list holds at most, from a sequence number on.
+func fullEnds(from int64) []model.End {
+	const listed = 500
+	out := make([]model.End, listed)
+	for i := range out {
+		out[i] = model.End{Seq: from + int64(i), Task: model.TaskID{Job: "other", Index: i}, Attempt: 1, Ending: model.EndedDone}
+	}
+	return out
+}
+
+// Guards against a second run of a task that is done, whose end is beyond the end of a full list.
+func TestRunsWhoseEndsAreNotListedYetAreNotStartedAgain(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		l, m, r, _ := newRunningLeader(t)
+		if answered {
+			l.confirmRun(r)
+		} else {
+			l.onStarted(startedRun{m: m, run: r})
+			m.fenceRaises++
+		}
+		for range 3 * maxMissedLists {
+			l.now += time.Second
+			answerPoll(l, m, 1, platform.PollResult{Ended: fullEnds(1)})
+			assert.Assert(t, !r.Task.IsWaiting())
+		}
+		l.now += time.Second
+		answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: 501, Task: r.Task.ID, Attempt: r.Attempt, Ending: model.EndedDone}}})
+		assert.Assert(t, r.Task.Done)
+	}
+}
+
+// Guards against a second run of a task that was done under an earlier leader, whose end is beyond the end
+// of the first list.
+func TestEndsOfFormerRunsBeyondTheFirstListAreAwaited(t *testing.T) {
+	l, m, task := newTestLeader(t)
+	m.adopted, m.Contact, m.StartMillis = false, execs.Uncontacted, 1
+	l.Orders, l.runtimeRatios, l.Meters = &orders.Orders{}, map[string]*runtimeRatio{}, NewMeters(tally.NoopScope)
+	task.Unresolved = true
+	answerPoll(l, m, 1, platform.PollResult{Ended: fullEnds(1)})
+	assert.Assert(t, !l.allContacted("s"))
+	assert.Assert(t, l.needsPoll(m))
+	answerPoll(l, m, 1, platform.PollResult{Ended: []model.End{{Seq: 501, Task: task.ID, Attempt: 3, Ending: model.EndedDone}}})
+	assert.Assert(t, l.allContacted("s"))
+	assert.Assert(t, task.Done)
+}
