serve/leader: runs on the former service of a queue are awaited

A new leader asked only the executors of the service that the present configuration names before it took the runs of earlier leaders for known. If the queue had moved to another service, what ran on the former one's executors was started again while it still ran. If the queue moved after the new service's executors had been asked, its tasks were never released.

TestRunsOnTheFormerServiceOfAQueueAreAwaited failed in both cases with only the present service asked ("expression is false: moved.Unresolved").

The tasks of a job are released once the executors of both services have answered: the one for which it was accepted, which its record has, and the present one.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -63,6 +63,7 @@
 	unchecked             Breach
 	relayed               bool
 	page                  int
+	services              []int
 
 	spec     model.JobSpec
 	queue    model.Queue
@@ -85,6 +86,7 @@
 	limitFromArrival
 	loseUnknown
 	trustFullLists
+	askCurrentService
 )
 
 // Option changes a model.
@@ -118,6 +120,14 @@
 // WithPage has executors list at most n ends at a time.
 func WithPage(n int) Option { return func(m *Model) { m.page = n } }
 
+// WithServices has each executor serve a service of its own, of the same number. The queue of the job is on
+// these services in turn, under the leaders with the tokens from 1 on, and stays on the last one.
+func WithServices(services ...int) Option { return func(m *Model) { m.services = services } }
+
+// WithoutFormerServices makes a leader ask only the executors of the present service for runs of earlier
+// leaders.
+func WithoutFormerServices() Option { return func(m *Model) { m.mutation = askCurrentService } }
+
 // WithoutPages makes a leader take full lists of ends for whole ones.
 func WithoutPages() Option { return func(m *Model) { m.mutation = trustFullLists } }
 
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -105,7 +105,7 @@
 func (m *Model) startRun(s *state, i, x, t int) (call, bool) {
 	e := &s.entries[i]
 	b := &e.members[x]
-	if int(s.used.starts) >= m.limits.Starts || !e.book.known || e.book.over || e.book.tasks[t].run.attempt != 0 || e.renewed < e.jobAt || !m.canStart(e, b, s.now) {
+	if int(s.used.starts) >= m.limits.Starts || !e.book.known || e.book.over || e.book.tasks[t].run.attempt != 0 || e.renewed < e.jobAt || !m.canStart(e, b, s.now) || !m.serves(x, e.token) {
 		return call{}, false
 	}
 	tr := m.open(&e.book, s.now)
@@ -329,15 +329,21 @@
 	return e.book != old
 }
 
-// resolveFormerRuns follows Leader.resolveFormerRuns and Leader.allContacted. All executors serve
-// one service, and the first list of instances has no executor that the store does not list.
+// serves reports whether an executor is of the service on which the queue is under a leader.
+func (m *Model) serves(x int, token uint8) bool {
+	return len(m.services) == 0 || m.services[min(int(token), len(m.services))-1] == x
+}
+
+// resolveFormerRuns follows Leader.resolveFormerRuns and Leader.allContacted. The job was accepted under
+// the first leader, and the first list of instances has no executor that the store does not list.
 func (m *Model) resolveFormerRuns(s *state, e *entry) {
 	known, unresolved := true, false
 	for t := range m.tasks {
 		unresolved = unresolved || e.book.tasks[t].unresolved
 	}
 	for x := range m.execs {
-		known = known && e.members[x].contact != execs.Uncontacted && !e.members[x].partial
+		asked := m.serves(x, e.token) || m.serves(x, 1) && m.mutation != askCurrentService
+		known = known && (!asked || e.members[x].contact != execs.Uncontacted && !e.members[x].partial)
 	}
 	expired := m.at(s.now) >= elect.FormerRunsEnd(m.at(e.started)) || m.mutation == releaseAtOnce
 	if !unresolved || !known && !expired {
--- a/internal/proof/check/list_test.go
+++ b/internal/proof/check/list_test.go
@@ -33,3 +33,19 @@
 		assert.Equal(t, r.Breach, Twice)
 	}
 }
+
+// Guards against a second run of a task whose queue has moved to another service: the first run is on an
+// executor of the former one.
+func TestQueueThatMovedToAnotherService(t *testing.T) {
+	l := Limits{Ticks: 1, Claims: 2, Starts: 2, Polls: 3, SlowStarts: 1}
+	searchAll(t, []searchCase{{"moved", l, nil}}, WithServices(0, 1))
+	r := search(t, l, WithRepairs(AllRepairs), WithServices(0, 1), WithoutFormerServices())
+	assert.Equal(t, r.Breach, Twice)
+}
+
+// Guards against a second run of a task whose queue has moved away from the service of its first run and
+// that was accepted for neither of the others.
+func TestQueueThatMovedTwice(t *testing.T) {
+	l := Limits{Ticks: 2, Claims: 3, Starts: 2, Polls: 3}
+	assertKept(t, search(t, l, WithRepairs(AllRepairs), WithServices(0, 1, 0)))
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -88,7 +88,7 @@
 	// ends that are not stored yet.
 	pollCandidates map[*member]struct{}
 	unstoredEnds   map[*member]struct{}
-	resolved       map[string]bool // services for which no run of an earlier leader is unresolved
+	resolved       map[formerServices]bool // services for whose jobs no run of an earlier leader is unresolved
 	// allResolved is set once all leases granted by earlier leaders have expired and all services are
 	// resolved. lastContact is when an executor last answered for the first time.
 	allResolved   bool
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{
 		Deps: d, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
-		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[string]bool{}, runtimeRatios: map[string]*runtimeRatio{},
+		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[formerServices]bool{}, runtimeRatios: map[string]*runtimeRatio{},
 		pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{}, jobOrders: map[string]*jobOrder{}, ended: map[string]time.Duration{},
 		planDue: map[string]bool{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]struct{}{},
 	}
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -217,16 +217,24 @@
 	l.deferred = nil
 }
 
-// resolveFormerRuns releases the unresolved tasks of services whose runs under earlier leaders are
-// known: every executor of the service has listed its runs, or all earlier leases have expired and
-// no further executor answers.
+// formerServices are the services whose executors may run tasks of a job for an earlier leader. The
+// queue of a job may have moved to another service since the job was accepted.
+type formerServices struct{ accepted, current string }
+
+func (l *Leader) formerServicesOf(j *track.Job) formerServices {
+	return formerServices{accepted: j.Settings.Service, current: l.queueOf(j).Service}
+}
+
+// resolveFormerRuns releases the unresolved tasks of jobs whose runs under earlier leaders are known:
+// every executor of their services has listed its runs, or all earlier leases have expired and no
+// further executor answers.
 func (l *Leader) resolveFormerRuns() {
 	if l.allResolved {
 		return
 	}
 	l.allResolved = l.now >= max(elect.FormerRunsEnd(l.start), l.heldRunsEnd)
 	for _, j := range l.tracker.Active() {
-		s := l.queueOf(j).Service
+		s := l.formerServicesOf(j)
 		if _, ok := l.resolved[s]; !ok {
 			l.resolved[s] = false
 		}
@@ -236,14 +244,14 @@
 			continue
 		}
 		late := l.now >= l.heldRunsEnd && elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
-		if !late && !l.allContacted(s) {
+		if !late && !(l.allContacted(s.accepted) && l.allContacted(s.current)) {
 			l.allResolved = false
 			continue
 		}
 		l.resolved[s] = true
-		n := l.tracker.ReleaseUnresolved(func(j *track.Job) bool { return l.queueOf(j).Service == s }, l.wall)
-		l.planDue[s] = true
-		l.Log.Info().Str("service", s).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
+		n := l.tracker.ReleaseUnresolved(func(j *track.Job) bool { return l.formerServicesOf(j) == s }, l.wall)
+		l.planDue[s.current] = true
+		l.Log.Info().Str("service", s.current).Str("accepted_for", s.accepted).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
 			Msg("former runs are known")
 	}
 }
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -14,6 +14,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
@@ -145,3 +146,37 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(list.Running), 1)
 }
+
+// Guards against a second run of a task whose queue has moved to another service: the first run is on
+// an executor of the former one. Also guards against tasks that are never released, since the new service
+// was asked before the queue moved.
+func TestRunsOnTheFormerServiceOfAQueueAreAwaited(t *testing.T) {
+	for _, moves := range []string{"before the takeover", "after it"} {
+		t.Run(moves, func(t *testing.T) {
+			l, x, _ := newTestLeader(t)
+			l.resolved = map[formerServices]bool{}
+			x.Contact = execs.Uncontacted
+			y := &member{Member: execs.Member{Executor: model.Executor{ID: "y", Service: "t"}, Key: "y@1", Contact: execs.Live}}
+			l.members[y.Key] = y
+			accept := func(id, queue, service string) *track.Task {
+				j := l.tracker.Accept(id, model.Queue{Name: queue, Service: service}, model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: 1}}}, 0, 0)
+				task := j.Open[0].Steps[0].Tasks[0]
+				task.Unresolved = true
+				return task
+			}
+			moved, other := accept("moved", "q", "s"), accept("other", "p", "t")
+			if moves == "after it" {
+				l.resolveFormerRuns()
+				assert.Assert(t, !other.Unresolved && moved.Unresolved)
+			}
+			assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":2,"services":[{"name":"s"},{"name":"t"}],"routes":[`+
+				`{"name":"q","service":"t","host":"h","path_prefix":"/q/"},{"name":"p","service":"t","host":"h","path_prefix":"/p/"}]}`)))
+			l.resolveFormerRuns()
+			assert.Assert(t, !other.Unresolved)
+			assert.Assert(t, moved.Unresolved)
+			x.Contact = execs.Live
+			l.resolveFormerRuns()
+			assert.Assert(t, !moved.Unresolved)
+		})
+	}
+}
