serve/leader: ends of an executor's next incarnation are not acknowledged

An executor that restarts under its id numbers its ends anew. The leader's polls repeated the highest stored number in each poll. If the next incarnation had carried out a start and its run was done before the next poll, that poll made it forget the end. The leader then learned of the restart, found the run in neither list, and started the done task again.

A poll acknowledges only ends that are not acknowledged yet, and none while a run there is not confirmed: the next incarnation can only have ends of starts that the former one has not listed. The answer to a start has the executor's clock, which starts anew as well. If it shows less than it must, the next poll acknowledges nothing and its list shows the new incarnation. A poll whose ends would have to wait is sent 20 ms later, and from 100 ends on they don't wait, so that executors with very short tasks don't fill their lists.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -87,6 +87,7 @@
 	loseUnknown
 	trustFullLists
 	askCurrentService
+	repeatAcks
 )
 
 // Option changes a model.
@@ -128,6 +129,9 @@
 // leaders.
 func WithoutFormerServices() Option { return func(m *Model) { m.mutation = askCurrentService } }
 
+// WithRepeatedAcks makes each poll acknowledge all ends that are stored, whatever incarnation answers.
+func WithRepeatedAcks() Option { return func(m *Model) { m.mutation = repeatAcks } }
+
 // WithoutPages makes a leader take full lists of ends for whole ones.
 func WithoutPages() Option { return func(m *Model) { m.mutation = trustFullLists } }
 
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -141,6 +141,8 @@
 			b.unanswered = b.unanswered || b.born == c.born
 		case c.res == resultOK:
 			tr.ConfirmRun(r, m.at(s.now))
+			// A clock that shows less than it must is that of the next incarnation.
+			b.unanswered = b.unanswered || c.answerBorn > b.born && m.mutation != repeatAcks
 		default:
 			tr.RemoveRun(r)
 			if c.res == resultOld {
@@ -168,7 +170,7 @@
 	if b.unanswered {
 		b.raises++
 	}
-	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, ack: b.stored, sent: s.now}
+	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, ack: m.ack(s, i, x), sent: s.now}
 	b.unanswered = false
 	if b.adopted {
 		deadline := m.deadline(b, s.now)
@@ -179,6 +181,25 @@
 	return c, true
 }
 
+// ack follows Leader.ack.
+func (m *Model) ack(s *state, i, x int) uint8 {
+	b := &s.entries[i].members[x]
+	if m.mutation != repeatAcks && (b.unanswered || b.stored <= b.confirmed || s.entries[i].isStarting(x)) {
+		return 0
+	}
+	return b.stored
+}
+
+// isStarting follows Leader.hasUnconfirmedRuns.
+func (e *entry) isStarting(x int) bool {
+	for _, t := range e.book.tasks {
+		if r := t.run; r.attempt != 0 && int(r.exec) == x && (r.phase == track.Starting || r.phase == track.Uncertain) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) isPolling(i, x int) bool {
 	for _, c := range s.calls {
 		if c.kind == pollCall && c.waiting && int(c.by) == i && int(c.exec) == x {
--- a/internal/proof/check/list_test.go
+++ b/internal/proof/check/list_test.go
@@ -49,3 +49,21 @@
 	l := Limits{Ticks: 2, Claims: 3, Starts: 2, Polls: 3}
 	assertKept(t, search(t, l, WithRepairs(AllRepairs), WithServices(0, 1, 0)))
 }
+
+// Guards against an end of the next incarnation of an executor that a poll of the former one acknowledges:
+// its task runs again after it was done.
+func TestEndsOfTheNextIncarnationAreKept(t *testing.T) {
+	l := Limits{Claims: 1, Starts: 3, Polls: 3, Crashes: 1}
+	searchAll(t, []searchCase{
+		{"restart", l, nil},
+		{"unanswered start", Limits{Claims: 1, Starts: 3, Polls: 3, Crashes: 1, SlowStarts: 1}, nil},
+	}, WithSize(2, 1, 2))
+	r := search(t, l, WithRepairs(AllRepairs), WithSize(2, 1, 2), WithRepeatedAcks())
+	assert.Equal(t, r.Breach, Twice)
+}
+
+// Guards against the same by a poll that was sent before a start and is carried out after the end of its
+// run.
+func TestSlowPollsAcknowledgeNoEndsOfTheNextIncarnation(t *testing.T) {
+	assertKept(t, search(t, Limits{Claims: 1, Starts: 3, Polls: 4, Crashes: 1, SlowPolls: 1}, WithRepairs(AllRepairs), WithSize(2, 1, 2)))
+}
--- a/internal/proof/check/world.go
+++ b/internal/proof/check/world.go
@@ -261,6 +261,7 @@
 	}
 	m.extendLease(s, x, c.deadline)
 	t := c.task
+	c.answerBorn = x.born
 	if c.attempt <= x.top[t] {
 		return resultOld
 	}
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -26,6 +26,11 @@
 	maxPollDelay = 400 * time.Millisecond
 	// immediatePollTimeout limits a poll that the executor answers at once.
 	immediatePollTimeout = 500 * time.Millisecond
+	// ackRetryInterval is the time to the next poll if ends can't be acknowledged.
+	ackRetryInterval = 20 * time.Millisecond
+	// maxUnacked is how many stored ends may wait for the answers to starts until they are acknowledged
+	// all the same. An executor with very short tasks always has a start in flight.
+	maxUnacked = 100
 )
 
 // member is one incarnation of an executor with the state that the leader keeps of it.
@@ -64,13 +69,15 @@
 	reportOffset int64
 }
 
-// deadline returns the end of a lease granted at now, on the executor's clock.
-func (m *member) deadline(now time.Duration) time.Duration {
-	// The clock may run slow: a deadline that is too late would outlast elect.FormerRunsEnd.
-	age := time.Duration(float64(now-m.clockAt) * (1 - elect.ClockDrift))
-	return m.clock + age + elect.RunLease
+// leastClock returns what the executor's clock shows at least at now. It may run slow.
+func (m *member) leastClock(now time.Duration) time.Duration {
+	return m.clock + time.Duration(float64(now-m.clockAt)*(1-elect.ClockDrift))
 }
 
+// deadline returns the end of a lease granted at now, on the executor's clock. A deadline that is too
+// late would outlast elect.FormerRunsEnd.
+func (m *member) deadline(now time.Duration) time.Duration { return m.leastClock(now) + elect.RunLease }
+
 // extend records that a call may have extended the leases there to a deadline on the executor's
 // clock.
 func (m *member) extend(deadline time.Duration) {
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -164,3 +164,29 @@
 	l.poll(m)
 	assert.Equal(t, <-p.acked, int64(5))
 }
+
+// Guards against a second run of a task that is done: a poll of the former incarnation acknowledged an end
+// of the next one, which the leader did not know.
+func TestEndsOfTheNextIncarnationAreNotAcknowledged(t *testing.T) {
+	l, m, r, p := newRunningLeader(t)
+	m.clock, m.clockAt = time.Minute, l.now
+	poll := func() int64 {
+		for len(p.acked) > 0 {
+			<-p.acked
+		}
+		m.polling = false
+		l.poll(m)
+		return <-p.acked
+	}
+	m.appliedSeq, m.storedSeq = 3, 3
+	assert.Equal(t, poll(), int64(0), "a start is in flight")
+	l.onStarted(startedRun{m: m, run: r, clock: time.Minute, leastClock: time.Minute})
+	assert.Equal(t, poll(), int64(3))
+	m.confirmedSeq = 3
+	assert.Equal(t, poll(), int64(0), "all ends are forgotten already")
+	m.appliedSeq, m.storedSeq = 4, 4
+	l.onStarted(startedRun{m: m, run: r, clock: time.Second, leastClock: time.Minute})
+	assert.Equal(t, poll(), int64(0), "the next incarnation has started the run")
+	m.hasUnanswered, r.Phase, m.storedSeq = false, track.Starting, m.confirmedSeq+maxUnacked
+	assert.Equal(t, poll(), m.storedSeq, "there are always starts in flight")
+}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -75,26 +75,50 @@
 	if m.hasUnanswered {
 		m.fenceRaises++
 	}
-	ev := polled{m: m, sent: l.now, voidsOrders: m.hasUnanswered, fence: elect.FencingToken(l.token, m.fenceRaises)}
+	ev := polled{m: m, sent: l.now, voidsOrders: m.hasUnanswered, fence: elect.FencingToken(l.token, m.fenceRaises), storedSeq: l.ack(m)}
 	m.hasUnanswered = false
 	var deadline time.Duration
 	if m.clockAt > 0 && m.adopted {
 		deadline = m.deadline(l.now)
 		m.extend(deadline)
 	}
-	to, storedSeq := l.target(m), m.storedSeq
-	ev.storedSeq = storedSeq
-	m.sentSeq = storedSeq
+	to := l.target(m)
+	m.sentSeq = max(m.sentSeq, ev.storedSeq)
 	m.polling = true
 	l.Meters.polls.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		ev.list, ev.err = l.Execs.Poll(call, to, deadline, storedSeq, wait)
+		ev.list, ev.err = l.Execs.Poll(call, to, deadline, ev.storedSeq, wait)
 		return ev
 	})
 }
 
+// ack returns the sequence number up to which a poll acknowledges ends, 0 for none. The next incarnation
+// of an executor numbers its ends anew and forgets those that are acknowledged, so none are while a
+// run may have been started there and is not confirmed.
+func (l *Leader) ack(m *member) int64 {
+	if m.hasUnanswered || m.storedSeq <= m.confirmedSeq || l.holdsAck(m) {
+		return 0
+	}
+	return m.storedSeq
+}
+
+// holdsAck reports whether ends can't be acknowledged because of runs that are not confirmed.
+func (l *Leader) holdsAck(m *member) bool {
+	unacked := m.storedSeq - m.confirmedSeq
+	return unacked > 0 && unacked < maxUnacked && l.hasUnconfirmedRuns(m)
+}
+
+func (l *Leader) hasUnconfirmedRuns(m *member) bool {
+	for r := range l.tracker.RunsOn(m.Key) {
+		if r.Phase == track.Starting || r.Phase == track.Uncertain {
+			return true
+		}
+	}
+	return false
+}
+
 // polled is the answer to a poll.
 type polled struct {
 	report
@@ -102,7 +126,7 @@
 	sent        time.Duration
 	fence       uint64
 	voidsOrders bool
-	storedSeq   int64
+	storedSeq   int64 // highest sequence number of the ends that it acknowledged, 0 for none
 	list        platform.PollResult
 	err         error
 }
@@ -132,6 +156,9 @@
 	m.confirmedSeq = max(m.confirmedSeq, ev.storedSeq)
 	l.confirmFailures(m)
 	m.due = l.now
+	if ev.storedSeq == 0 && m.storedSeq > m.confirmedSeq {
+		m.due += ackRetryInterval // it would list the same ends at once
+	}
 	first := !m.adopted || m.isPartial
 	m.isPartial = first && ev.list.MayLackEnds()
 	if first {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -40,6 +40,8 @@
 	startRetryDelay = 60 * time.Millisecond
 	// invalidOrderDelay delays the next start of a task whose order was refused as invalid.
 	invalidOrderDelay = 1 * time.Second
+	// clockResolution is that of executors' clocks in answers.
+	clockResolution = 1 * time.Millisecond
 	// attemptStep is added to an attempt number that an executor refused as too low.
 	attemptStep = 2
 )
@@ -186,12 +188,12 @@
 		Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
 	m.startsInFlight++
 	l.window.Send()
-	sent := l.now
+	ev := startedRun{m: m, run: r, sent: l.now, leastClock: m.leastClock(l.now)}
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		_, err := l.Execs.Start(call, to, order)
-		return startedRun{m: m, run: r, sent: sent, err: err}
+		ev.clock, ev.err = l.Execs.Start(call, to, order)
+		return ev
 	})
 }
 
@@ -201,7 +203,15 @@
 	m    *member
 	run  *track.Run
 	sent time.Duration
-	err  error
+	// clock is the executor's clock in the answer, 0 for none, and leastClock what it showed at least
+	// when the start was sent.
+	clock, leastClock time.Duration
+	err               error
+}
+
+// isFromNext reports whether the next incarnation of the executor has answered: its clock starts anew.
+func (ev *startedRun) isFromNext() bool {
+	return ev.clock > 0 && ev.clock+clockResolution < ev.leastClock
 }
 
 func (l *Leader) onStarted(ev startedRun) {
@@ -220,6 +230,12 @@
 	}
 	if ev.err == nil {
 		l.confirmRun(r)
+		if ev.isFromNext() {
+			l.Log.Info().Str("executor", m.ID).Dur("clock", ev.clock).Dur("least", ev.leastClock).Msg("executor's clock shows that it restarted")
+			m.hasUnanswered = true
+			m.due = l.now
+			l.queuePoll(m)
+		}
 		if r.Task.Step.Occ.Job.IsOver() {
 			l.stop(r, "job is over")
 		}
