--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -9,7 +9,7 @@
 // Some decisions can't be called, since they are methods of the control goroutine of serve/leader or
 // of the elector in serve/lead. They are written out once more, each under the name of the function
 // that it follows: when an unanswered start is void and which runs are given up (reconcileRuns,
-// expireLeases, replaceIncarnation), when the runs of earlier leaders are known (resolveFormerRuns,
+// expireLeases, replaceIncarnation), which ends a poll acknowledges (ack), when the runs of earlier leaders are known (resolveFormerRuns,
 // allContacted), which ends count as stored (flush, onAppended), and who leads (applyRecord,
 // isStillLeader). A change of one of them has to be made here as well.
 //
--- a/internal/serve/proxy/proxy.go
+++ b/internal/serve/proxy/proxy.go
@@ -1,8 +1,8 @@
 // Package proxy makes a leader's calls to executors through other entries. The leader sends orders
 // on one stream to each of a few entries. They make the calls and send back the outcomes, many in a
 // message. The orders carry the leader's fencing tokens and leases, so that they take effect
-// exactly as calls of the leader itself would: an order that arrives late is refused by its
-// executor, or its lease has expired.
+// exactly as calls of the leader itself would. An executor that has restarted has seen no token and its
+// clock starts anew, so each order also expires on the clock of the entry that carries it out.
 package proxy
 
 import (
