--- a/internal/jobs/fanout/order.go
+++ b/internal/jobs/fanout/order.go
@@ -6,44 +6,23 @@
 // arrives before the leader's timeout.
 const AnswerMargin = 50 * time.Millisecond
 
-// SendLimit returns the time limit of a call that the leader waits for until expires. An order whose
-// limit is not positive is not sent.
-func SendLimit(expires, now time.Duration) time.Duration { return expires - now - AnswerMargin }
-
-// readingKeep is how long a reading of an entry's clock is used at most, since clocks drift.
-const readingKeep = 5 * time.Second
-
-// EntryClock is the leader's estimate of another entry's clock, which is not ahead of that clock. The
-// zero value has no estimate.
-type EntryClock struct {
-	known         bool
-	ahead, readAt time.Duration
-}
-
-// With returns the estimate after a reading of the entry's clock arrived at now.
-func (c EntryClock) With(reading, now time.Duration) EntryClock {
-	// A reading that was delayed less is closer.
-	if ahead := reading - now; !c.known || ahead >= c.ahead || now > c.readAt+readingKeep {
-		return EntryClock{known: true, ahead: ahead, readAt: now}
+// SendLimit returns the time limit of a call that the leader waits for until expires, and that may be begun
+// until until. An order whose limit is not positive is not sent.
+func SendLimit(expires, until, now time.Duration) time.Duration {
+	if now >= until {
+		return 0
 	}
-	return c
+	return expires - now - AnswerMargin
 }
 
-// IsKnown reports whether there is an estimate.
-func (c EntryClock) IsKnown() bool { return c.known }
-
-// At returns what the entry's clock shows at least at a time of the leader's clock.
-func (c EntryClock) At(t time.Duration) time.Duration { return t + c.ahead }
-
-// Remaining returns how long an order that expires at until may still be carried out, on the clock of
-// the entry that makes the call. An order whose remaining time is not positive is refused: the leader
-// no longer waits for it, and may have taken its run for gone since. An order without until comes from
-// an entry of an earlier version, and expires limit after its arrival.
-func Remaining(limit, arrived, until, now time.Duration) time.Duration {
+// Expiry returns when an order expires, on the clock of the entry that makes the call: at until, or limit
+// after its arrival if that is earlier. The leader no longer waits for it then, and may have started the
+// task elsewhere. An order without until comes from an entry of an earlier version.
+func Expiry(limit, arrived, until time.Duration) time.Duration {
 	if until != 0 {
-		return until - now
+		return min(arrived+limit, until)
 	}
-	return limit - (now - arrived)
+	return arrived + limit
 }
 
 // Fate is what the leader assumes of an order for which it has no outcome.
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -36,6 +35,12 @@
 	successorCheck = 25 * time.Millisecond
 	// readInterval is the time between reads of the topic while the leader does not answer.
 	readInterval = 200 * time.Millisecond
+	// maxMisses is the number of consecutive polls without an answer after which a leader is
+	// unresponsive. A single one may only have been delayed.
+	maxMisses = 2
+	// overdueAge is the age of the last renewal from which a follower also reads the topic, so that it
+	// has watched it for as long when the leader counts as cut off.
+	overdueAge = elect.RenewEvery + 150*time.Millisecond
 )
 
 // Leader is the current leader, as far as this entry has learned.
@@ -61,14 +66,13 @@
 // Elector takes part in the election: it follows the current leader, claims when there is none, and
 // renews the lease while it leads.
 type Elector struct {
-	client        *platform.Client
-	peers         *relay.Client
-	clk           clock.Clock
-	log           zerolog.Logger
-	id            Identity
-	nonce         string
-	onDigest      func(relay.Digest)
-	configVersion func() int64
+	client   *platform.Client
+	peers    *relay.Client
+	clk      clock.Clock
+	log      zerolog.Logger
+	id       Identity
+	nonce    string
+	onDigest func(relay.Digest)
 
 	mu           sync.Mutex
 	leader       Leader
@@ -76,14 +80,24 @@
 	resigning    bool          // resign and claim no more
 	resignBy     time.Duration // when to resign even without a successor
 	stepDown     bool          // resign in favor of a larger instance
+	resignToken  uint64        // token of the leadership for which a resignation was sent last
 	announced    bool          // another entry announced a leader since the last step
-	unresponsive bool          // the leader did not answer the last poll, or can't renew
+	unresponsive bool          // calls to the leader would probably time out
+	misses       int           // consecutive polls of the leader without an answer
 	nominated    bool          // a leader that resigned designated this entry as its successor
 	// followers are the entries that polled this one, by name.
 	followers map[string]elect.Candidate
 
+	// asking is closed when another entry has been asked for its successor, nil while none is.
+	asking chan struct{}
+	// noSuccessor is the token of the leader that last named no successor, and noSuccessorUntil until
+	// when it is not asked again.
+	noSuccessor      uint64
+	noSuccessorUntil time.Duration
+
 	topicEnd   int64 // end offset of the topic, as far as it was read
 	view       elect.LeaderView
+	claimedBy  *record // the record by which another entry ended this one's leadership
 	claimDelay time.Duration
 	// synced reports whether the topic was read since the leader last answered.
 	synced bool
@@ -101,13 +115,12 @@
 }
 
 // Start takes part in the election until Close. It calls onDigest with each digest that the leader
-// returns. configVersion returns the version above which the leader sends its configuration to this
-// entry.
+// returns.
 func Start(ctx context.Context, c *platform.Client, peers *relay.Client, clk clock.Clock, log zerolog.Logger, id Identity,
-	configVersion func() int64, onDigest func(relay.Digest)) *Elector {
+	onDigest func(relay.Digest)) *Elector {
 	ctx, cancel := context.WithCancel(ctx)
 	e := &Elector{
-		client: c, peers: peers, clk: clk, log: log, id: id, onDigest: onDigest, configVersion: configVersion,
+		client: c, peers: peers, clk: clk, log: log, id: id, onDigest: onDigest,
 		nonce: strconv.FormatUint(rand.Uint64(), 36), changed: make(chan struct{}, 1), wake: make(chan struct{}, 1), cancel: cancel,
 		followers: map[string]elect.Candidate{}, done: make(chan struct{}),
 		claimDelay: elect.ClaimDelay(id.Rank, rand.Float64()),
@@ -129,8 +142,8 @@
 	return e.leader
 }
 
-// IsLeaderUnresponsive reports whether the leader did not answer the last poll, or answered that it
-// can't renew. Calls to it would probably time out.
+// IsLeaderUnresponsive reports whether the leader did not answer the last polls, its process has
+// ended, or it can't renew. Calls to it would probably time out.
 func (e *Elector) IsLeaderUnresponsive() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -144,6 +157,14 @@
 	return e.lastRenewal
 }
 
+// HasSentResignation reports whether this entry leads and has sent a resignation. Another entry may
+// have claimed at once, even if the store's answer did not arrive.
+func (e *Elector) HasSentResignation() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader.IsSelf && e.resignToken == e.leader.Token
+}
+
 // Changed returns a channel that receives a value after changes of the leader.
 func (e *Elector) Changed() <-chan struct{} { return e.changed }
 
@@ -178,7 +199,7 @@
 	if l == e.leader {
 		return
 	}
-	e.unresponsive = false
+	e.unresponsive, e.misses = false, 0
 	e.log.Info().Uint64("token", l.Token).Str("leader", l.Name).Str("addr", l.Addr).Bool("mine", l.IsSelf).
 		Uint64("former", e.leader.Token).Msg("leader changed")
 	e.leader = l
@@ -223,6 +244,9 @@
 			return successorCheck
 		}
 		kind = "resign"
+		e.mu.Lock()
+		e.resignToken = leader.Token
+		e.mu.Unlock()
 	}
 	err := e.append(ctx, record{Kind: kind, Token: leader.Token, Next: next.Name}, elect.RenewalTimeout(e.renewalTook))
 	end := (*platform.EndError)(nil)
@@ -250,13 +274,21 @@
 	return elect.RenewalDelay(e.clk.Now() - sent)
 }
 
+// endLeadership ends this entry's leadership. It then follows the leader that was announced, or whose
+// claim isStillLeader has read.
 func (e *Elector) endLeadership(cause string) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.log.Info().Str("cause", cause).Uint64("token", e.leader.Token).Msg("leadership ended")
-	e.setLeader(Leader{Token: e.leader.Token})
+	if e.leader.IsSelf {
+		e.setLeader(Leader{Token: e.leader.Token})
+	}
+	e.mu.Unlock()
 	e.view.LastChange = e.clk.Now()
 	e.view.ProcessGone = false
+	if last := e.claimedBy; last != nil {
+		e.claimedBy = nil
+		e.applyRecord(*last, e.view.LastChange)
+	}
 }
 
 // follow polls the leader, reads the topic if the leader does not answer, claims if there is no
@@ -269,15 +301,16 @@
 	if announced {
 		e.view = elect.LeaderView{LastChange: e.clk.Now(), LastRead: e.view.LastRead}
 	}
+	got := answerNo
 	if leader.Addr != "" && !nominated {
-		leads := e.pollLeader(ctx, leader)
-		e.mu.Lock()
-		e.unresponsive = !leads
-		e.mu.Unlock()
-		if leads {
+		got = e.pollLeader(ctx, leader)
+		if e.applyAnswer(leader, got); got == answerLeads {
 			e.synced = false
 			return e.pollPause
 		}
+		if e.Leader().Token != leader.Token {
+			return 0
+		}
 	}
 	last, err := e.read(ctx)
 	now := e.clk.Now()
@@ -288,6 +321,9 @@
 		e.nominated = e.nominated || nominated
 		e.mu.Unlock()
 		e.view.LastChange = max(e.view.LastChange, now-elect.LeaderTimeout/2)
+		if got == answerCutOff {
+			e.setUnresponsive(true)
+		}
 		return readInterval
 	}
 	e.view.LastRead = now
@@ -301,10 +337,17 @@
 		if !e.synced {
 			e.view.WatchedSince = now
 		}
-		e.synced = true
-		if e.view.LastChange == now && !nominated {
-			return readInterval / 4
-		}
+	}
+	e.synced = true
+	if got == answerCutOff {
+		// The answers to renewals may be late. Only the log shows that no renewal arrives.
+		e.setUnresponsive(now >= e.view.LastChange+elect.CutOffTimeout && now >= e.view.WatchedSince+overdueAge)
+	}
+	switch {
+	case got == answerOverdue:
+		return e.pollPause
+	case last != nil && e.view.LastChange == now && !nominated, e.view.CutOff && now < e.view.WatchedSince+overdueAge:
+		return readInterval / 4
 	}
 	e.view.NoClaims = e.topicEnd == 0
 	e.mu.Lock()
@@ -351,32 +394,6 @@
 	e.setLeader(Leader{Token: last.Token, Name: last.Name, Addr: last.Addr})
 }
 
-// pollLeader requests the leader's digest and reports whether that entry leads and can renew.
-func (e *Elector) pollLeader(ctx context.Context, leader Leader) bool {
-	call, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	sent := e.clk.Now()
-	d, err := e.peers.Digest(call, leader.Addr, e.asFollower())
-	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			e.view.ProcessGone = true
-		}
-		return false
-	}
-	e.view.ProcessGone = false
-	if !d.Leads {
-		return false
-	}
-	e.onDigest(d)
-	e.pollPause = max(pollInterval, d.PollInterval)
-	// A leader that can't renew is about to lose its lease, so a claim costs it nothing.
-	if e.view.CutOff = d.LeaseAge > elect.CutOffTimeout; e.view.CutOff {
-		return false
-	}
-	e.view.LastChange = sent - d.LeaseAge
-	return true
-}
-
 func (e *Elector) claim(ctx context.Context) {
 	sent := e.clk.Now()
 	e.claimSent = sent
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -26,11 +26,6 @@
 	maxPollDelay = 400 * time.Millisecond
 	// immediatePollTimeout limits a poll that the executor answers at once.
 	immediatePollTimeout = 500 * time.Millisecond
-	// ackRetryInterval is the time to the next poll if ends can't be acknowledged.
-	ackRetryInterval = 20 * time.Millisecond
-	// maxUnacked is how many stored ends may wait for the answers to starts until they are acknowledged
-	// all the same. An executor with very short tasks always has a start in flight.
-	maxUnacked = 100
 )
 
 // member is one incarnation of an executor with the state that the leader keeps of it.
@@ -40,6 +35,8 @@
 	fenceRaises int
 	// hasUnanswered is set if orders are unanswered; the next poll voids them.
 	hasUnanswered bool
+	// mayHaveRestarted is set if an answer showed an earlier clock than the answers before.
+	mayHaveRestarted bool
 	// clock is the executor's clock in the last answer, which arrived at clockAt.
 	clock, clockAt time.Duration
 	// leaseEnd is when the leases of all runs there have expired unless a poll extends them.
@@ -51,11 +48,11 @@
 	confirmedSeq int64         // highest one that the executor has acknowledged as stored
 	sentSeq      int64         // highest one that a poll has announced as stored
 	pollFailures int
-	adopted      bool // the first answer has arrived
-	// isPartial is set while the lists may lack ends of runs of earlier leaders.
-	isPartial   bool
-	adoptedAt   time.Duration // when it arrived
-	unconfirmed []unconfirmedFailure
+	adopted      bool          // the first answer has arrived
+	adoptedAt    time.Duration // when it arrived
+	// formerUnlisted is set if its answers have not listed all runs and ends of earlier leaders yet.
+	formerUnlisted bool
+	unconfirmed    []unconfirmedFailure
 	// freshUntil is until when polls use freshPollWait, and firstListed when the executor became
 	// known.
 	freshUntil  time.Duration
@@ -63,20 +60,40 @@
 	// visible is set once a later leader would know the executor: no other entry can have claimed
 	// the leadership before firstListed.
 	visible bool
+	// host is the instance that has it by the instance list, and missingLists the number of successive
+	// lists that did not show it while it did not answer.
+	host         string
+	missingLists int
 	// startsInFlight counts unanswered starts; an instance with any of them is not drained yet.
 	startsInFlight int
 	// reportOffset is the offset of the newest report of its id that was applied.
 	reportOffset int64
 }
 
-// leastClock returns what the executor's clock shows at least at now. It may run slow.
+// deadline returns the end of a lease granted at now, on the executor's clock.
+func (m *member) deadline(now time.Duration) time.Duration {
+	// The clock may run slow: a deadline that is too late would outlast elect.FormerRunsEnd.
+	age := time.Duration(float64(now-m.clockAt) * (1 - elect.ClockDrift))
+	return m.clock + age + elect.RunLease
+}
+
+// clockSlack is how much earlier than expected the clock of an executor may be, for rounding.
+const clockSlack = 20 * time.Millisecond
+
+// leastClock returns the least reading that the executor's clock can show in the answer to a call that is
+// sent at now. The clock of a later incarnation starts anew.
 func (m *member) leastClock(now time.Duration) time.Duration {
-	return m.clock + time.Duration(float64(now-m.clockAt)*(1-elect.ClockDrift))
+	return m.clock + time.Duration(float64(now-m.clockAt)*(1-elect.ClockDrift)) - clockSlack
 }
 
-// deadline returns the end of a lease granted at now, on the executor's clock. A deadline that is too
-// late would outlast elect.FormerRunsEnd.
-func (m *member) deadline(now time.Duration) time.Duration { return m.leastClock(now) + elect.RunLease }
+// ackSeq returns the sequence number up to which the next poll acknowledges ends, 0 for none. A later
+// incarnation of the executor, which numbers its ends anew, would forget ends that it has not listed.
+func (m *member) ackSeq() int64 {
+	if m.storedSeq <= m.confirmedSeq || m.Contact != execs.Live || m.hasUnanswered || m.mayHaveRestarted {
+		return 0
+	}
+	return m.storedSeq
+}
 
 // extend records that a call may have extended the leases there to a deadline on the executor's
 // clock.
@@ -84,8 +101,19 @@
 	m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(m.clockAt, m.clock, deadline))
 }
 
-func (l *Leader) target(m *member) platform.Target {
-	return platform.Target{Addr: m.Addr, ID: m.ID, Centre: m.Centre, Fence: elect.FencingToken(l.token, m.fenceRaises)}
+// firstLease returns the longest time that leases on an executor may last after its first answer. A
+// start with a deadline on the clock of its former incarnation has granted up to the longest lease, if
+// it reached the executor soon after its start, when clocks begin at 0.
+func (l *Leader) firstLease(m *member) time.Duration {
+	if m.clock < l.Settings.Bounds.MaxLease {
+		return max(elect.RunLease, l.Settings.Bounds.MaxLease)
+	}
+	return elect.RunLease
+}
+
+// target returns the target of an order that must not be sent later than in limit.
+func (l *Leader) target(m *member, limit time.Duration) platform.Target {
+	return platform.Target{Addr: m.Addr, ID: m.ID, Centre: m.Centre, Fence: elect.FencingToken(l.token, m.fenceRaises), Expires: l.now + limit}
 }
 
 func executorKey(e *model.Executor) string { return e.ID + "@" + strconv.FormatInt(e.StartMillis, 36) }
@@ -132,11 +160,14 @@
 		return // the report was written before the executor's end
 	}
 	m := l.members[key]
+	if m != nil && m.Contact == execs.Dead {
+		return
+	}
 	if m == nil {
 		if old != nil && old.StartMillis > e.StartMillis {
 			return // a late report of an earlier incarnation
 		}
-		m = &member{Member: execs.Member{Key: key, Slowness: 1}, firstListed: l.now, visible: elect.IsSoleLeader(l.LastRenewal(), l.now)}
+		m = &member{Member: execs.Member{Key: key, Slowness: 1}, firstListed: l.now, visible: l.isSole()}
 		l.members[key] = m
 		l.byService = nil
 		l.queuePoll(m)
@@ -188,8 +219,9 @@
 // dropRuns gives up all runs on an executor. It must be certain that they have ended.
 func (l *Leader) dropRuns(m *member, cause string) {
 	for r := range l.tracker.RunsOn(m.Key) {
-		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Str("cause", cause).Msg("run is lost")
-		l.Meters.runsLost.Inc(1)
+		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
+			Stringer("phase", r.Phase).Str("cause", cause).Msg("run is lost")
+		l.Meters.lose(cause)
 		l.dropRun(r)
 	}
 }
@@ -210,10 +242,12 @@
 	e := m.Executor
 	e.StartMillis = born
 	key := executorKey(&e)
-	if l.members[key] != nil {
-		l.markDead(m, "it restarted")
+	if next := l.members[key]; next != nil && next.Contact != execs.Dead {
+		l.succeed(m, next)
+		l.queuePoll(next)
 		return
 	}
+	delete(l.ended, key) // it answers
 	n := &member{Member: execs.Member{Executor: e, Key: key, Slowness: 1, Listed: true}, firstListed: l.now}
 	l.members[key] = n
 	l.byService = nil
@@ -226,9 +260,9 @@
 // restart may have been carried out by the next one, so its first list decides on the runs.
 func (l *Leader) succeed(old, next *member) {
 	// Late orders to the former incarnation carry a lower fencing token than this.
-	next.fenceRaises, next.reportOffset = old.fenceRaises+1, old.reportOffset
+	next.fenceRaises, next.reportOffset = max(next.fenceRaises, old.fenceRaises+1), max(next.reportOffset, old.reportOffset)
 	// A deadline on the clock of the former incarnation grants up to the longest lease.
-	next.leaseEnd = elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease)
+	next.leaseEnd = max(next.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
 	for r := range l.tracker.RunsOn(old.Key) {
 		l.tracker.MoveRun(r, next.Key, l.now)
 		next.AddRun(r.Task.Step)
--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -26,6 +27,11 @@
 	listTimeout = 2 * time.Second
 	// listStall is how long no byte of a page may arrive before the read is given up.
 	listStall = 600 * time.Millisecond
+	// registrationLag is how much later than its report an executor may appear in the instance list.
+	registrationLag = 500 * time.Millisecond
+	// maxMissingLists is the number of successive lists without an instance or an executor after which
+	// it is gone. A single list can miss it: pages are read one after another while instances change.
+	maxMissingLists = 2
 	// orderRetryInterval is the time between attempts of an order.
 	orderRetryInterval = 300 * time.Millisecond
 	// drainGrace is how long runs on a draining instance may go on before they are stopped.
@@ -44,8 +50,12 @@
 type fleetState struct {
 	// unregistered are, by service, the executors in the first instance list that had no report
 	// in the store. What runs on them is not known.
-	unregistered   map[string][]string
-	instances      map[string]model.Instance
+	unregistered map[string][]*unregistered
+	instances    map[string]model.Instance
+	// missing is the number of successive lists without an instance, for those whose row in instances
+	// is that of an earlier list. hosts is the name of the instance of each executor in the last list.
+	missing        map[string]int
+	hosts          map[string]string
 	listedAt       time.Duration // when the last list was requested
 	listInFlight   bool
 	nextList       time.Duration
@@ -68,6 +78,13 @@
 	waitingSince map[workKind]time.Duration
 }
 
+// unregistered is an executor without a report in the store.
+type unregistered struct {
+	executor, instance string
+	missing            int  // successive lists without it
+	ended              bool // no instance has it any more
+}
+
 type instancesListed struct {
 	report
 	instances []model.Instance
@@ -78,32 +95,70 @@
 // initFleet initializes the fleet state with the first list of instances, if it could be read.
 func (l *Leader) initFleet(list []model.Instance, sent time.Duration) {
 	f := &l.fleet
-	f.unregistered, f.instances, f.operations = map[string][]string{}, map[string]model.Instance{}, map[string]*operation{}
+	f.unregistered, f.instances, f.operations = map[string][]*unregistered{}, map[string]model.Instance{}, map[string]*operation{}
 	if f.lastOrders == nil {
 		f.lastOrders = map[string]lastOrder{}
 	}
 	f.writtenStatus, f.refusedPools, f.arrivals = map[int64]string{}, map[string]map[string]bool{}, map[string]*scale.Arrivals{}
 	f.waitingSince, f.neededLabels, f.retryMaintAt = map[workKind]time.Duration{}, map[string]bool{}, map[string]time.Duration{}
 	if len(list) > 0 {
-		f.nextList = sent + listInterval
+		// The first list that can show the end of an executor that the store listed at the takeover.
+		f.nextList = l.now + registrationLag + time.Millisecond
 		l.applyInstances(list, sent)
 	}
 }
 
-// applyInstances replaces the known instances by a list. From the first list it records the
+// applyInstances replaces the known instances by a list, and keeps those that too few lists have
+// missed. From the first list it records the
 // executors that have no report in the store.
 func (l *Leader) applyInstances(list []model.Instance, sent time.Duration) {
 	f := &l.fleet
 	first := f.listedAt == 0
 	f.listedAt = sent
-	f.instances = make(map[string]model.Instance, len(list))
+	former, missing := f.instances, f.missing
+	f.instances, f.missing, f.hosts = make(map[string]model.Instance, len(list)), map[string]int{}, make(map[string]string, len(list))
 	for _, in := range list {
 		f.instances[in.Name] = in
+		if in.Executor != "" {
+			f.hosts[in.Executor] = in.Name
+		}
 		if first && in.Phase == model.Up && in.Executor != "" && l.byID[in.Executor] == nil {
-			f.unregistered[in.Pool] = append(f.unregistered[in.Pool], in.Executor)
+			f.unregistered[in.Pool] = append(f.unregistered[in.Pool], &unregistered{executor: in.Executor, instance: in.Name})
 			l.Log.Warn().Str("instance", in.Name).Str("executor", in.Executor).Str("service", in.Pool).Msg("instance has an executor that is not in the store")
 		}
 	}
+	for name, in := range former {
+		if _, listed := f.instances[name]; !listed && missing[name]+1 < maxMissingLists {
+			f.instances[name], f.missing[name] = in, missing[name]+1
+		}
+	}
+	for service, us := range f.unregistered {
+		for _, u := range us {
+			if _, listed := f.hosts[u.executor]; listed {
+				u.missing = 0
+				continue
+			}
+			if f.isUnclear(u.instance, service) {
+				continue
+			}
+			u.missing++
+			u.ended = u.ended || u.missing >= maxMissingLists || f.showsEnd(u.instance, service, u.executor)
+		}
+	}
+}
+
+// isUnclear reports whether the last list does not say which executor of a service an instance has: it
+// may still have the one that it had. An instance that was moved to another pool has not.
+func (f *fleetState) isUnclear(instance, service string) bool {
+	in, ok := f.instances[instance]
+	return ok && in.Pool == service && in.Executor == "" && (in.Phase == model.Up || in.Phase == model.Other)
+}
+
+// showsEnd reports whether the last list shows that an executor of a service on an instance has ended:
+// the instance is not up, has another executor or is in another pool.
+func (f *fleetState) showsEnd(instance, service, executor string) bool {
+	in, ok := f.instances[instance]
+	return ok && in.Executor != executor && !f.isUnclear(instance, service)
 }
 
 func (l *Leader) manageFleet() {
@@ -188,6 +243,12 @@
 			l.endOperation(op, "instance is not listed any more")
 			continue
 		}
+		if f.missing[name] > 0 {
+			continue
+		}
+		if op.accepted && ev.sent > op.acceptedAt && op.former != nil && (in.Executor != op.former.ID || in.Phase != model.Up) {
+			l.markDead(op.former, "its instance was moved or maintained")
+		}
 		if op.accepted && ev.sent > op.acceptedAt && (in.Phase == model.Up || l.isStandby(in.Pool) && in.Phase != model.Maintenance && in.Phase != model.Moving) {
 			if op.pool == "" || in.Pool == op.pool {
 				l.endOperation(op, "instance is available again")
@@ -199,14 +260,23 @@
 
 // markReplacedDead marks executors dead that no instance has any more: an executor lives as long
 // as one boot of its instance. sent is when the list was requested; only executors that were
-// known before that are considered.
+// known before that and have not answered since are considered.
 func (l *Leader) markReplacedDead(sent time.Duration) {
-	alive := map[string]bool{}
-	for _, in := range l.fleet.instances {
-		alive[in.Executor] = true
-	}
 	for _, m := range l.members {
-		if m.Contact != execs.Live && m.Contact != execs.Dead && !alive[m.ID] && m.firstListed < sent {
+		if host, listed := l.fleet.hosts[m.ID]; listed {
+			m.host, m.missingLists = host, 0
+			continue
+		}
+		if m.Contact == execs.Live || m.Contact == execs.Dead {
+			m.missingLists = 0
+			continue
+		}
+		host := cmp.Or(m.Instance, m.host)
+		if sent <= m.firstListed || sent <= m.clockAt || l.fleet.isUnclear(host, m.Service) {
+			continue
+		}
+		m.missingLists++
+		if m.missingLists >= maxMissingLists || sent > m.firstListed+registrationLag && l.fleet.showsEnd(host, m.Service, m.ID) {
 			l.markDead(m, "no instance runs it any more")
 		}
 	}
--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/maint"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
@@ -70,3 +73,175 @@
 	l.now += l.Settings.Bounds.Migrate
 	assert.Assert(t, l.expectsExecutor())
 }
+
+// Guards against an executor that lives and counts as dead: its instance had its maintenance under
+// the former leader, and the order of this one changed nothing.
+func TestRepeatedOrderDoesNotEndTheExecutor(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after model.Instance
+		lives bool
+	}{
+		{"done before", model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}, true},
+		{"in maintenance", model.Instance{Name: "m1", Pool: "s", Phase: model.Maintenance}, false},
+		{"back from maintenance", model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "y"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, m, op, in, rs := newDrainingLeader(t, 1, -1)
+			l.Meters, m.Listed = NewMeters(tally.NoopScope), true
+			l.dropRun(rs[0])
+			op.ordered, op.former = true, l.memberOn(in)
+			l.onOrderAnswered(orderAnswered{op: op})
+			assert.Assert(t, m.Leaving, "nothing starts there until the next list")
+			sent := l.now + time.Second
+			l.now = sent
+			l.onInstancesListed(instancesListed{instances: []model.Instance{c.after}, sent: sent})
+			assert.Equal(t, m.CanAcceptTasks(l.now), c.lives)
+			assert.Equal(t, m.Contact == execs.Dead, !c.lives)
+		})
+	}
+}
+
+// Guards against a second run of the tasks on an executor that lives: it moved from one page of the
+// instance list to another while the list was read, or registered before the list shows it, and its
+// poll was unanswered.
+func TestExecutorMissingFromOneListIsNotDead(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	l.initFleet([]model.Instance{{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}}, l.now)
+	list := func(after time.Duration, rows ...model.Instance) {
+		l.now += after
+		sent := l.now
+		l.now += 10 * time.Millisecond
+		l.onInstancesListed(instancesListed{instances: rows, sent: sent})
+	}
+	up := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+	other := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	unanswered := func() { l.onPolled(polled{m: m, sent: l.now, err: platform.ErrUnknown.New("lost")}) }
+
+	unanswered()
+	list(time.Second, other)
+	assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+	list(time.Second, up, other)
+	list(time.Second, other)
+	assert.Assert(t, !r.Task.IsWaiting())
+	// It answers after the list was requested, so that the list says nothing.
+	answerPoll(l, m, 1, platform.PollResult{Running: []model.Run{{Task: r.Task.ID, Attempt: r.Attempt}}})
+	unanswered()
+	l.onInstancesListed(instancesListed{instances: []model.Instance{other}, sent: l.now - time.Second})
+	assert.Assert(t, !r.Task.IsWaiting())
+	list(time.Second, other)
+	list(time.Second, other)
+	assert.Assert(t, r.Task.IsWaiting())
+}
+
+// Guards against work that waits for two lists although the first one shows that an executor has
+// ended, and against an executor that counts as dead because the list is older than its start.
+func TestInstanceShowsThatItsExecutorHasEnded(t *testing.T) {
+	for _, c := range []struct {
+		row  model.Instance
+		ends bool
+	}{
+		{model.Instance{Phase: model.Down}, true},
+		{model.Instance{Phase: model.Moving}, true},
+		{model.Instance{Phase: model.Maintenance}, true},
+		{model.Instance{Phase: model.Up, Executor: "y"}, true},
+		{model.Instance{Phase: model.Up}, false},
+		{model.Instance{Phase: model.Other}, false},
+		{model.Instance{Pool: "standby", Phase: model.Up}, true},
+		{model.Instance{Phase: model.Down, Executor: "x"}, false},
+	} {
+		for _, age := range []time.Duration{registrationLag, registrationLag + 1} {
+			l, m, r, _ := newRunningLeader(t)
+			l.onStarted(startedRun{m: m, run: r})
+			c.row.Name, c.row.Pool = "m1", cmp.Or(c.row.Pool, "s")
+			l.initFleet([]model.Instance{c.row}, l.now)
+			m.Instance, m.Contact, m.firstListed = "m1", execs.Unresponsive, l.now
+			l.onInstancesListed(instancesListed{instances: []model.Instance{c.row}, sent: l.now + age})
+			assert.Equal(t, r.Task.IsWaiting(), c.ends && age > registrationLag, "%v", c.row)
+		}
+	}
+}
+
+// Guards against a second run of a task on an executor without a report in the store: a later list
+// missed it while the instances changed.
+func TestUnregisteredExecutorMissingFromOneListIsAwaited(t *testing.T) {
+	l, m, _ := newTestLeader(t)
+	task := newFormerTask(t, l, "s")
+	l.byID = map[string]*member{"x": m}
+	up := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	other := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+	l.initFleet([]model.Instance{other, up}, l.now)
+	for _, rows := range [][]model.Instance{{other}, {other, up}, {other}} {
+		l.now += time.Second
+		l.applyInstances(rows, l.now)
+		l.resolveFormerRuns()
+		assert.Assert(t, !task.IsWaiting(), "the task would be started a second time")
+	}
+	l.applyInstances([]model.Instance{other}, l.now)
+	l.resolveFormerRuns()
+	assert.Assert(t, task.IsWaiting())
+}
+
+// Guards against a second run of the tasks on an executor whose instance is listed without its id.
+func TestInstanceWithoutAnExecutorShowsNoEnd(t *testing.T) {
+	for _, phase := range []model.Phase{model.Up, model.Other} {
+		l, m, r, _ := newRunningLeader(t)
+		l.onStarted(startedRun{m: m, run: r})
+		m.Contact = execs.Unresponsive
+		row := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "x"}
+		y := row
+		y.Name, y.Executor = "m2", "y"
+		l.initFleet([]model.Instance{row, y}, l.now)
+		l.onInstancesListed(instancesListed{instances: []model.Instance{row, y}, sent: l.now + registrationLag})
+		row.Executor, row.Phase = "", phase
+		y.Executor, y.Phase = "", phase
+		for n := range 2 * maxMissingLists {
+			l.onInstancesListed(instancesListed{instances: []model.Instance{row, y}, sent: l.now + time.Duration(n+2)*time.Second})
+		}
+		assert.Assert(t, !r.Task.IsWaiting(), "the task would be started a second time")
+		assert.Assert(t, !l.allContacted("s"), "the executor y may run tasks")
+	}
+}
+
+// Guards against a takeover that waits 1.5 s longer for executors whose instances were moved before it.
+func TestFirstListAfterATakeoverShowsWhichExecutorsHaveEnded(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	row := model.Instance{Name: "m1", Pool: "s", Phase: model.Up, Executor: "y"}
+	m.Instance, m.Contact, m.firstListed = "m1", execs.Uncontacted, l.now
+	l.initFleet([]model.Instance{row}, l.now-800*time.Millisecond)
+	assert.Assert(t, l.fleet.nextList <= l.now+listInterval)
+	l.now = l.fleet.nextList
+	l.onInstancesListed(instancesListed{instances: []model.Instance{row}, sent: l.now})
+	assert.Assert(t, r.Task.IsWaiting())
+}
+
+// Guards against a wave that is said to be complete, and against one instance too many that is down
+// for it, because one list did not show an instance.
+func TestInstanceMissingFromOneListStays(t *testing.T) {
+	l, m, op, up, rs := newDrainingLeader(t, 1, -1)
+	l.Meters = NewMeters(tally.NoopScope)
+	l.dropRun(rs[0])
+	other := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	list := func(rows ...model.Instance) {
+		l.now += time.Second
+		l.onInstancesListed(instancesListed{instances: rows, sent: l.now})
+	}
+	isDown := func() bool { return l.fleet.operations["m1"] == op || l.mayBeDown("m1") }
+	list(up, other)
+	op.ordered, op.former = true, m
+	l.onOrderAnswered(orderAnswered{op: op})
+	list(other)
+	assert.Assert(t, isDown(), "the last row of the instance is older than the order")
+	down := up
+	down.Phase, down.Executor = model.Maintenance, ""
+	list(down, other)
+	list(other)
+	assert.Assert(t, isDown(), "it is in maintenance")
+	wave := maint.Wave{Wave: model.Wave{Instances: []string{"m1", "m2"}}, Ordered: map[string]bool{"m1": true}}
+	list(down)
+	assert.Assert(t, !maint.IsComplete(wave, l.instanceViews()))
+	list(down)
+	assert.Assert(t, maint.IsComplete(wave, l.instanceViews()), "the instance has left")
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -43,6 +43,8 @@
 	proxy.Executors
 	// SetCentreSizes sets the number of executors in each data centre.
 	SetCentreSizes(centres map[string]int)
+	// Caller returns the name of the entry that makes the calls to an executor.
+	Caller(to platform.Target) string
 }
 
 // Deps are the dependencies of a leader.
@@ -56,6 +58,9 @@
 	Meters   *Meters
 	// LastRenewal returns when the last successful renewal of the leader lease was sent.
 	LastRenewal func() time.Duration
+	// HasSentResignation reports whether a resignation was sent. It is nil for a leader that never
+	// resigns.
+	HasSentResignation func() bool
 }
 
 // Leader is one term of leadership, from Start to Close.
@@ -88,9 +93,9 @@
 	// ends that are not stored yet.
 	pollCandidates map[*member]struct{}
 	unstoredEnds   map[*member]struct{}
-	resolved       map[formerServices]bool // services for whose jobs no run of an earlier leader is unresolved
-	// allResolved is set once all leases granted by earlier leaders have expired and all services are
-	// resolved. lastContact is when an executor last answered for the first time.
+	resolved       map[string]bool // services all of whose executors have listed the runs of earlier leaders
+	// allResolved is set once the runs of earlier leaders are known for all jobs. lastContact is
+	// when an executor last answered for the first time.
 	allResolved   bool
 	lastContact   time.Duration
 	runtimeRatios map[string]*runtimeRatio // by service
@@ -133,7 +138,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{
 		Deps: d, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
-		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[formerServices]bool{}, runtimeRatios: map[string]*runtimeRatio{},
+		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[string]bool{}, runtimeRatios: map[string]*runtimeRatio{},
 		pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{}, jobOrders: map[string]*jobOrder{}, ended: map[string]time.Duration{},
 		planDue: map[string]bool{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]struct{}{},
 	}
@@ -221,6 +226,14 @@
 // isValid reports whether this leader's lease still allows it to act.
 func (l *Leader) isValid() bool { return elect.CanAct(l.LastRenewal(), l.now) }
 
+// isSole reports whether no other entry can have claimed the leadership by now.
+func (l *Leader) isSole() bool {
+	if l.HasSentResignation != nil && l.HasSentResignation() {
+		return false
+	}
+	return elect.IsSoleLeader(l.LastRenewal(), l.now)
+}
+
 func (l *Leader) handle(ev event) {
 	if _, ok := ev.(reporting); ok {
 		l.calls--
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -217,70 +217,84 @@
 	l.deferred = nil
 }
 
-// formerServices are the services whose executors may run tasks of a job for an earlier leader. The
-// queue of a job may have moved to another service since the job was accepted.
-type formerServices struct{ accepted, current string }
-
-func (l *Leader) formerServicesOf(j *track.Job) formerServices {
-	return formerServices{accepted: j.Settings.Service, current: l.queueOf(j).Service}
-}
-
 // resolveFormerRuns releases the unresolved tasks of jobs whose runs under earlier leaders are known:
-// every executor of their services has listed its runs, or all earlier leases have expired and no
-// further executor answers.
+// every executor of the services to which these may have sent them has listed its runs, or all
+// earlier leases have expired and no further executor answers.
 func (l *Leader) resolveFormerRuns() {
 	if l.allResolved {
 		return
 	}
-	l.allResolved = l.now >= max(elect.FormerRunsEnd(l.start), l.heldRunsEnd)
-	for _, j := range l.tracker.Active() {
-		s := l.formerServicesOf(j)
-		if _, ok := l.resolved[s]; !ok {
-			l.resolved[s] = false
+	late := l.now >= l.heldRunsEnd && elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
+	contacted := map[string]bool{}
+	isKnown := func(service string) bool {
+		if _, ok := contacted[service]; !ok {
+			contacted[service] = l.resolved[service] || l.allContacted(service)
 		}
+		return contacted[service]
 	}
-	for s, done := range l.resolved {
-		if done {
-			continue
+	released := map[string]int{}
+	l.allResolved = true
+	l.tracker.ReleaseUnresolved(func(j *track.Job) bool {
+		if !j.IsUnresolved() {
+			return false
 		}
-		late := l.now >= l.heldRunsEnd && elect.MayReleaseFormerRuns(l.start, l.readyAt, l.lastContact, l.now)
-		if !late && !(l.allContacted(s.accepted) && l.allContacted(s.current)) {
+		if !late && !l.areFormerRunsKnown(j, isKnown) {
 			l.allResolved = false
-			continue
+			return false
 		}
-		l.resolved[s] = true
-		n := l.tracker.ReleaseUnresolved(func(j *track.Job) bool { return l.formerServicesOf(j) == s }, l.wall)
-		l.planDue[s.current] = true
-		l.Log.Info().Str("service", s.current).Str("accepted_for", s.accepted).Int("tasks", n).Bool("late", late).Dur("after", l.now-l.start).
-			Msg("former runs are known")
+		released[l.queueOf(j).Service]++
+		return true
+	}, l.wall)
+	for s, known := range contacted {
+		l.resolved[s] = known
+	}
+	for s, jobs := range released {
+		l.planDue[s] = true
+		contacts := map[execs.Contact]int{}
+		for _, m := range l.members {
+			if m.Service == s {
+				contacts[m.Contact]++
+			}
+		}
+		l.Log.Info().Str("service", s).Int("jobs", jobs).Bool("late", late).Dur("after", l.now-l.start).
+			Int("uncontacted", contacts[execs.Uncontacted]).Int("answering", contacts[execs.Live]).
+			Int("unresponsive", contacts[execs.Unresponsive]).Int("dead", contacts[execs.Dead]).Msg("former runs are known")
 	}
 }
 
+// formerRunsEnd returns when the runs of earlier leaders have ended on executors that do not answer.
+func (l *Leader) formerRunsEnd() time.Duration {
+	return max(elect.FormerRunsEnd(l.start), l.heldRunsEnd)
+}
+
+// areFormerRunsKnown reports whether isKnown holds for all services to which earlier leaders may have
+// sent the tasks of a job: that of its queue when it was accepted, the present one, and those between.
+func (l *Leader) areFormerRunsKnown(j *track.Job, isKnown func(service string) bool) bool {
+	if !isKnown(l.queueOf(j).Service) || !isKnown(j.Settings.Service) {
+		return false
+	}
+	for _, s := range l.Orders.FormerServices(j.Queue, j.Accepted-track.MaxClockLead) {
+		if !isKnown(s) {
+			return false
+		}
+	}
+	return true
+}
+
 func (l *Leader) allContacted(service string) bool {
 	for _, m := range l.members {
-		if m.Service == service && (m.Contact == execs.Uncontacted || m.Contact != execs.Dead && m.isPartial) {
+		if m.Service == service && (m.Contact == execs.Uncontacted || m.Contact != execs.Dead && m.formerUnlisted) {
 			return false
 		}
 	}
 	if l.fleet.listedAt == 0 && l.Settings.Cloud.Addr != "" {
 		return false // executors without a report in the store are not known yet
 	}
-	for _, id := range l.fleet.unregistered[service] {
-		// An executor that has just started is not in the store at once. One that no instance
-		// has any more has ended.
-		if l.byID[id] == nil && l.hasInstance(id) {
+	for _, u := range l.fleet.unregistered[service] {
+		// An executor that has just started is not in the store at once.
+		if l.byID[u.executor] == nil && !u.ended {
 			return false
 		}
 	}
 	return true
 }
-
-// hasInstance reports whether the last list shows an executor on an instance.
-func (l *Leader) hasInstance(id string) bool {
-	for _, in := range l.fleet.instances {
-		if in.Executor == id {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -7,9 +7,9 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
-// applyEnds applies the ends of runs that an executor lists and that are not applied yet. first
-// is set for the executor's first answer to this leader.
-func (l *Leader) applyEnds(m *member, ends []model.End, first bool) {
+// applyEnds applies the ends of runs that an executor lists and that are not applied yet. adopts is
+// set if they may be those of runs of earlier leaders.
+func (l *Leader) applyEnds(m *member, ends []model.End, adopts bool) {
 	for _, e := range ends {
 		if e.Seq <= m.appliedSeq {
 			continue
@@ -19,21 +19,24 @@
 		if e.Task.Job == "" {
 			continue
 		}
-		l.applyEnd(m, e, first)
+		l.applyEnd(m, e, adopts)
 	}
 }
 
-func (l *Leader) applyEnd(m *member, e model.End, first bool) {
+func (l *Leader) applyEnd(m *member, e model.End, adopts bool) {
+	if adopts {
+		l.tracker.OpenStarted(e.Task, l.wall)
+	}
 	r := l.tracker.FindRun(m.Key, e.Task, e.Attempt)
 	j := l.tracker.Job(e.Task.Job)
-	eff := l.tracker.ApplyEnd(m.Key, e, first, l.wall)
+	eff := l.tracker.ApplyEnd(m.Key, e, adopts, l.wall)
 	if r != nil {
 		m.RemoveRun(r.Task.Step)
 		l.updateHealth(m, r, e)
 	}
 	l.Meters.runEnds[e.Ending].Inc(1)
 	l.Log.Info().Stringer("task", e.Task).Int("attempt", e.Attempt).Str("executor", m.ID).Stringer("how", e.Ending).
-		Bool("known", eff.Known).Bool("first", first).Msg("run ended")
+		Bool("known", eff.Known).Bool("first", adopts).Msg("run ended")
 	l.planDue[m.Service] = true
 	if j == nil {
 		return
@@ -45,8 +48,8 @@
 	if eff.Over {
 		l.stopJob(j)
 	}
-	if r != nil && e.Ending == model.EndedDone {
-		l.stopOtherRuns(r.Task)
+	if eff.Done {
+		l.stopOtherRuns(j, e.Task)
 	}
 	if r != nil && r.Task.Step.Gang && e.Ending == model.EndedDone {
 		for _, t := range r.Task.Step.Tasks {
@@ -94,8 +97,13 @@
 	m.unconfirmed = nil
 }
 
-// stopOtherRuns stops the other runs of a task that is done.
-func (l *Leader) stopOtherRuns(t *track.Task) {
+// stopOtherRuns stops the other runs of a task that is done. Those that are starting are stopped once
+// their executor lists them.
+func (l *Leader) stopOtherRuns(j *track.Job, id model.TaskID) {
+	t := j.Task(id)
+	if t == nil {
+		return // its job is over
+	}
 	for _, r := range t.Runs {
 		if r.Phase == track.Running {
 			l.stop(r, "another run of the task is done")
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -31,7 +31,7 @@
 // needsPoll reports whether an executor has to be polled. Idle ones are not, since each poll is
 // charged.
 func (l *Leader) needsPoll(m *member) bool {
-	if !m.adopted || m.isPartial || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
+	if !m.adopted || m.formerUnlisted || m.hasUnanswered || l.isClockOld(m) || m.storedSeq > m.confirmedSeq || m.Orphans > 0 {
 		return true
 	}
 	return len(l.tracker.RunsOn(m.Key)) > 0
@@ -72,53 +72,33 @@
 	if l.now < m.freshUntil {
 		wait, limit = min(wait, freshPollWait), immediatePollTimeout
 	}
+	acked := m.ackSeq()
 	if m.hasUnanswered {
 		m.fenceRaises++
 	}
-	ev := polled{m: m, sent: l.now, voidsOrders: m.hasUnanswered, fence: elect.FencingToken(l.token, m.fenceRaises), storedSeq: l.ack(m)}
+	ev := polled{m: m, sent: l.now, voidsOrders: m.hasUnanswered, fence: elect.FencingToken(l.token, m.fenceRaises)}
 	m.hasUnanswered = false
 	var deadline time.Duration
 	if m.clockAt > 0 && m.adopted {
 		deadline = m.deadline(l.now)
 		m.extend(deadline)
 	}
-	to := l.target(m)
-	m.sentSeq = max(m.sentSeq, ev.storedSeq)
+	to := l.target(m, limit)
+	if acked > 0 {
+		to.Expires = l.now + immediatePollTimeout
+	}
+	ev.ackedSeq = acked
+	m.sentSeq = max(m.sentSeq, acked)
 	m.polling = true
 	l.Meters.polls.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		ev.list, ev.err = l.Execs.Poll(call, to, deadline, ev.storedSeq, wait)
+		ev.list, ev.err = l.Execs.Poll(call, to, deadline, acked, wait)
 		return ev
 	})
 }
 
-// ack returns the sequence number up to which a poll acknowledges ends, 0 for none. The next incarnation
-// of an executor numbers its ends anew and forgets those that are acknowledged, so none are while a
-// run may have been started there and is not confirmed.
-func (l *Leader) ack(m *member) int64 {
-	if m.hasUnanswered || m.storedSeq <= m.confirmedSeq || l.holdsAck(m) {
-		return 0
-	}
-	return m.storedSeq
-}
-
-// holdsAck reports whether ends can't be acknowledged because of runs that are not confirmed.
-func (l *Leader) holdsAck(m *member) bool {
-	unacked := m.storedSeq - m.confirmedSeq
-	return unacked > 0 && unacked < maxUnacked && l.hasUnconfirmedRuns(m)
-}
-
-func (l *Leader) hasUnconfirmedRuns(m *member) bool {
-	for r := range l.tracker.RunsOn(m.Key) {
-		if r.Phase == track.Starting || r.Phase == track.Uncertain {
-			return true
-		}
-	}
-	return false
-}
-
 // polled is the answer to a poll.
 type polled struct {
 	report
@@ -126,7 +106,7 @@
 	sent        time.Duration
 	fence       uint64
 	voidsOrders bool
-	storedSeq   int64 // highest sequence number of the ends that it acknowledged, 0 for none
+	ackedSeq    int64
 	list        platform.PollResult
 	err         error
 }
@@ -147,26 +127,27 @@
 		return
 	}
 	if m.Contact != execs.Live {
-		l.Log.Info().Str("executor", m.ID).Str("service", m.Service).Int("running", len(ev.list.Running)).
-			Int("ended", len(ev.list.Ended)).Bool("first", !m.adopted).Msg("executor answers")
+		l.Log.Info().Str("executor", m.ID).Int64("born", ev.list.Born).Str("service", m.Service).Uint64("fence", ev.fence).
+			Int("running", len(ev.list.Running)).Int("ended", len(ev.list.Ended)).Bool("first", !m.adopted).Msg("executor answers")
 		l.planDue[m.Service] = true
 	}
 	m.Contact, m.pollFailures = execs.Live, 0
 	m.clock, m.clockAt = ev.list.Clock, l.now
-	m.confirmedSeq = max(m.confirmedSeq, ev.storedSeq)
+	m.confirmedSeq = max(m.confirmedSeq, ev.ackedSeq)
+	m.mayHaveRestarted = false
 	l.confirmFailures(m)
 	m.due = l.now
-	if ev.storedSeq == 0 && m.storedSeq > m.confirmedSeq {
-		m.due += ackRetryInterval // it would list the same ends at once
-	}
-	first := !m.adopted || m.isPartial
-	m.isPartial = first && ev.list.MayLackEnds()
-	if first {
+	adopts := !m.adopted || m.formerUnlisted
+	if !m.adopted {
 		m.adopted, m.adoptedAt = true, l.now
+		m.extend(m.clock + l.firstLease(m))
+	}
+	if adopts {
+		m.formerUnlisted = ev.list.IsPartial()
 		l.lastContact = l.now
 	}
-	l.applyEnds(m, ev.list.Ended, first)
-	l.reconcileRuns(m, ev, first)
+	l.applyEnds(m, ev.list.Ended, adopts)
+	l.reconcileRuns(m, ev, adopts)
 }
 
 func (l *Leader) pollFailed(ev polled) {
@@ -200,13 +181,14 @@
 const maxMissedLists = 2
 
 // reconcileRuns compares the runs that an executor lists with the tracker. It adopts runs of
-// earlier leaders from the first list, stops orphaned runs and drops missing ones.
-func (l *Leader) reconcileRuns(m *member, ev polled, first bool) {
+// earlier leaders if adopts is set, stops orphaned runs and drops missing ones.
+func (l *Leader) reconcileRuns(m *member, ev polled, adopts bool) {
 	listed := map[*track.Run]bool{}
 	orphans := 0
 	for _, row := range ev.list.Running {
 		r := l.tracker.FindRun(m.Key, row.Task, row.Attempt)
-		if r == nil && first {
+		if r == nil && adopts {
+			l.tracker.OpenStarted(row.Task, l.wall)
 			if r = l.tracker.AdoptRun(m.Key, row, l.now); r != nil {
 				m.AddRun(r.Task.Step)
 			}
@@ -227,38 +209,44 @@
 		if row.Checkpoint != "" {
 			r.Checkpoint = row.Checkpoint
 		}
-		if r.Task.Step.Occ.Job.IsOver() && r.Phase == track.Running {
+		switch {
+		case r.Phase != track.Running:
+		case r.Task.Step.Occ.Job.IsOver():
 			l.stop(r, "job is over")
+		case r.Task.Done:
+			l.stop(r, "another run of the task is done")
 		}
 	}
 	if m.Orphans > 0 && orphans == 0 {
 		l.planDue[m.Service] = true
 	}
 	m.Orphans = orphans
-	if first {
-		m.extend(m.clock + elect.RunLease)
-	}
 	if n := ev.list.Unreadable; n > 0 {
 		l.Log.Warn().Str("executor", m.ID).Int("rows", n).Msg("rows of an executor's lists can't be read")
 	}
+	if ev.list.IsPartial() {
+		return
+	}
 	for r := range l.tracker.RunsOn(m.Key) {
 		if listed[r] {
 			continue
 		}
 		switch r.Phase {
 		case track.Starting, track.Uncertain:
-			if ev.fence <= r.Fence || ev.list.MayLackEnds() {
-				continue // its start order may still arrive, or its end is not listed yet
+			if ev.fence <= r.Fence {
+				continue // its start order may still arrive
 			}
 		case track.Running, track.Stopping:
-			if r.PhaseSince >= ev.sent || ev.list.Unreadable > 0 || ev.list.MayLackEnds() {
-				continue // a run whose row can't be read or is not listed yet is not gone
+			if r.PhaseSince >= ev.sent {
+				continue
 			}
 			if r.MissedLists++; r.MissedLists < maxMissedLists {
 				continue
 			}
+			l.Meters.lose("not listed")
 		}
-		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Msg("run is not listed by its executor")
+		l.Log.Info().Stringer("task", r.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Stringer("phase", r.Phase).
+			Uint64("fence", r.Fence).Msg("run is not listed by its executor")
 		l.dropRun(r)
 	}
 }
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -40,18 +41,22 @@
 	startRetryDelay = 60 * time.Millisecond
 	// invalidOrderDelay delays the next start of a task whose order was refused as invalid.
 	invalidOrderDelay = 1 * time.Second
-	// clockResolution is that of executors' clocks in answers.
-	clockResolution = 1 * time.Millisecond
 	// attemptStep is added to an attempt number that an executor refused as too low.
 	attemptStep = 2
 )
 
-// plan starts waiting tasks of the services that changed since the last round.
+// plan starts waiting tasks of the services that changed since the last round. It starts none once another
+// entry may have claimed. That entry may not have loaded a leaderless job that this one has read, and an
+// executor that has restarted since has not seen its fencing token: either could run a task twice.
 func (l *Leader) plan() {
 	room := l.window.Room()
 	if len(l.planDue) == 0 || l.now < l.nextPlan || l.Orders.Config() == nil || room == 0 {
 		return
 	}
+	if !l.isSole() {
+		l.Meters.startsHeld.Inc(1)
+		return
+	}
 	begin := l.Clock.Now()
 	defer func() {
 		end := l.Clock.Now()
@@ -181,19 +186,20 @@
 	}
 	// If a ticket is needed, the plan has used only executors for which there is one.
 	order.Ticket, _ = l.ticketFor(st.Task.Step, st.Member)
-	to := l.target(m)
+	to := l.target(m, startTimeout)
+	to.Expires = min(to.Expires, elect.SoleUntil(l.LastRenewal()))
 	r.Fence = to.Fence
 	l.Meters.starts.Inc(1)
-	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).
-		Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
+	l.Log.Info().Stringer("task", st.Task.ID).Int("attempt", r.Attempt).Str("executor", m.ID).Int64("born", m.StartMillis).
+		Uint64("fence", to.Fence).Str("by", l.Execs.Caller(to)).Int64("cores", st.Task.Step.Reservation().Cores).Int64("free", m.Free().Cores).Msg("starting run")
 	m.startsInFlight++
 	l.window.Send()
-	ev := startedRun{m: m, run: r, sent: l.now, leastClock: m.leastClock(l.now)}
+	sent, least := l.now, m.leastClock(l.now)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		ev.clock, ev.err = l.Execs.Start(call, to, order)
-		return ev
+		clk, err := l.Execs.Start(call, to, order)
+		return startedRun{m: m, run: r, sent: sent, least: least, clock: clk, err: err}
 	})
 }
 
@@ -203,15 +209,9 @@
 	m    *member
 	run  *track.Run
 	sent time.Duration
-	// clock is the executor's clock in the answer, 0 for none, and leastClock what it showed at least
-	// when the start was sent.
-	clock, leastClock time.Duration
-	err               error
-}
-
-// isFromNext reports whether the next incarnation of the executor has answered: its clock starts anew.
-func (ev *startedRun) isFromNext() bool {
-	return ev.clock > 0 && ev.clock+clockResolution < ev.leastClock
+	// clock is the executor's, and least the reading that this incarnation shows at least.
+	clock, least time.Duration
+	err          error
 }
 
 func (l *Leader) onStarted(ev startedRun) {
@@ -229,13 +229,13 @@
 		return
 	}
 	if ev.err == nil {
-		l.confirmRun(r)
-		if ev.isFromNext() {
-			l.Log.Info().Str("executor", m.ID).Dur("clock", ev.clock).Dur("least", ev.leastClock).Msg("executor's clock shows that it restarted")
-			m.hasUnanswered = true
+		if ev.clock < ev.least && !m.mayHaveRestarted {
+			l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Dur("clock", ev.clock).Dur("least", ev.least).Msg("clock of an executor went back")
+			m.mayHaveRestarted = true
 			m.due = l.now
 			l.queuePoll(m)
 		}
+		l.confirmRun(r)
 		if r.Task.Step.Occ.Job.IsOver() {
 			l.stop(r, "job is over")
 		}
@@ -324,7 +324,7 @@
 	if !l.isValid() {
 		return
 	}
-	to := l.target(m)
+	to := l.target(m, stopTimeout)
 	l.Meters.stops.Inc(1)
 	l.call(func(ctx context.Context) event {
 		call, cancel := context.WithTimeout(ctx, stopTimeout)
--- a/internal/serve/proxy/link.go
+++ b/internal/serve/proxy/link.go
@@ -17,8 +17,9 @@
 	// so that their number alone says nothing about a slow entry.
 	maxMisses    = 3
 	silenceLimit = 350 * time.Millisecond
-	// clockTimeout is how long the first reading of an entry's clock may take. Orders wait for it.
-	clockTimeout = 500 * time.Millisecond
+	// sendLimit is how long a message may take to leave this entry, without any outcome meanwhile,
+	// until the entry that it is for counts as unresponsive. Before, this entry's own link may be full.
+	sendLimit = 2 * time.Second
 	// retireTimeout is how long an unused link waits for its outcomes. The longest call, a poll
 	// that waits for an end, takes less. retireCheckInterval is the time between checks whether
 	// they have arrived.
@@ -41,38 +42,43 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	closed chan struct{} // closed when the stream has ended
+	synced chan struct{} // closed when the clock of the entry is known
 
 	mu      sync.Mutex
+	remote  remoteClock
 	seq     uint64
 	pending map[uint64]*pendingOrder
-	// entryClock estimates the clock of the entry, and clockRead is closed once there is an estimate.
-	entryClock fanout.EntryClock
-	clockRead  chan struct{}
 	// misses counts the consecutive orders without an outcome, and silentSince is when the first of
-	// them was sent.
+	// them had left this entry.
 	misses      int
 	silentSince time.Duration
+	// sending is set while a message is sent, and blockedSince is when that began or when the last
+	// outcome arrived since.
+	sending      bool
+	blockedSince time.Duration
 	// specsSent is when the specification of each job was last sent.
 	specsSent map[string]time.Duration
 }
 
 // pendingOrder is an order whose outcome has not arrived.
 type pendingOrder struct {
-	order   *workpb.Order
-	job     string
-	spec    string
-	expires time.Duration
-	reply   chan *workpb.Outcome
-	// sent reports whether the order may have left this process, and sentAt when.
+	order *workpb.Order
+	job   string
+	spec  string
+	// expires is the end of the wait for the outcome, and until when the call may be begun.
+	expires, until time.Duration
+	reply          chan *workpb.Outcome
+	// sent reports whether the order may have left this entry, and left whether it has, at leftAt.
 	sent   bool
-	sentAt time.Duration
+	left   bool
+	leftAt time.Duration
 }
 
 func newLink(ctx context.Context, clk clock.Clock, open func(ctx context.Context) (ClientStream, error)) *link {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &link{
-		clk: clk, open: open, out: newBatcher[*pendingOrder](clk), cancel: cancel, done: make(chan struct{}), closed: make(chan struct{}), clockRead: make(chan struct{}),
-		pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{},
+		clk: clk, open: open, out: newBatcher[*pendingOrder](clk), cancel: cancel, done: make(chan struct{}), closed: make(chan struct{}),
+		synced: make(chan struct{}), pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{},
 	}
 	go l.run(ctx)
 	return l
@@ -132,23 +138,26 @@
 			if len(m.GetOrders()) == 0 {
 				return nil
 			}
+			defer l.recordSent(orders)
 			return stream.Send(m)
 		})
+	} else {
+		l.cancel()
 	}
 	_ = stream.Close()
 	<-received
 }
 
-// awaitClock waits for the first reading of the entry's clock, without which no order can be sent. It
-// returns false if there is none for clockTimeout.
+// awaitClock waits for the first message of the entry, which has its clock. It returns false if there is none
+// in silenceLimit.
 func (l *link) awaitClock(ctx context.Context) bool {
-	p := l.clk.After(clockTimeout)
-	defer p.Close()
+	limit := l.clk.After(silenceLimit)
+	defer limit.Close()
 	select {
-	case <-l.clockRead:
+	case <-l.synced:
 		return true
-	case <-p.C:
 	case <-ctx.Done():
+	case <-limit.C:
 	}
 	return false
 }
@@ -160,19 +169,22 @@
 	now := l.clk.Now()
 	out := &workpb.Orders{}
 	for _, po := range orders {
-		limit := fanout.SendLimit(po.expires, now)
+		limit := fanout.SendLimit(po.expires, po.until, now)
 		if limit <= 0 || l.pending[po.order.GetSeq()] != po {
 			continue
 		}
-		po.sent, po.sentAt = true, now
+		po.sent = true
 		po.order.Limit = uint32(limit.Milliseconds()) + 1
-		po.order.Until = l.entryClock.At(now + limit).Microseconds()
+		po.order.Until = max(l.remote.at(po.until, now).Microseconds(), 1)
 		if at, ok := l.specsSent[po.job]; po.job != "" && (!ok || now > at+specResend) {
 			l.specsSent[po.job] = now
 			out.Specs = append(out.Specs, &workpb.Spec{Job: po.job, Text: po.spec})
 		}
 		out.Orders = append(out.Orders, po.order)
 	}
+	if len(out.GetOrders()) > 0 {
+		l.sending, l.blockedSince = true, now
+	}
 	if len(out.GetSpecs()) > 0 {
 		for job, at := range l.specsSent {
 			if now > at+specResend {
@@ -183,14 +195,25 @@
 	return out
 }
 
-func (l *link) deliver(in *workpb.Outcomes) {
+// recordSent records that a message with those of the orders that are sent has left this entry.
+func (l *link) recordSent(orders []*pendingOrder) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if in.GetClock() > 0 {
-		if !l.entryClock.IsKnown() {
-			close(l.clockRead)
+	l.sending = false
+	for _, po := range orders {
+		if po.sent {
+			po.left, po.leftAt = true, l.clk.Now()
 		}
-		l.entryClock = l.entryClock.With(time.Duration(in.GetClock())*time.Microsecond, l.clk.Now())
+	}
+}
+
+func (l *link) deliver(in *workpb.Outcomes) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clk.Now()
+	l.blockedSince = now
+	if l.remote.sync(in.GetClock(), now) {
+		close(l.synced)
 	}
 	for _, o := range in.GetOutcomes() {
 		l.misses = 0
@@ -227,13 +250,23 @@
 		return o, true, false
 	default:
 	}
-	if timedOut && po.sent {
-		if l.misses == 0 || po.sentAt < l.silentSince {
-			l.silentSince = po.sentAt
+	return nil, po.sent, failed || timedOut && l.recordMiss(po)
+}
+
+// recordMiss records an order without an outcome, and reports whether the entry seems to be
+// unresponsive. The caller holds mu.
+func (l *link) recordMiss(po *pendingOrder) bool {
+	now := l.clk.Now()
+	if l.sending && now >= l.blockedSince+sendLimit {
+		return true
+	}
+	if po.left {
+		if l.misses == 0 || po.leftAt < l.silentSince {
+			l.silentSince = po.leftAt
 		}
 		l.misses++
 	}
-	return nil, po.sent, failed || l.misses >= maxMisses && l.clk.Now() >= l.silentSince+silenceLimit
+	return l.misses >= maxMisses && now >= l.silentSince+silenceLimit
 }
 
 // errUnanswered returns the error of an order without an outcome, an ErrUnknown of platform.
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -146,6 +146,14 @@
 	return l, c.Name
 }
 
+// Caller returns the name of the entry that makes the calls to an executor.
+func (p *Pool) Caller(to platform.Target) string {
+	if _, name := p.route(to); name != "" {
+		return name
+	}
+	return p.self
+}
+
 // assign chooses the entries that call the executors of each data centre. The caller holds mu.
 func (p *Pool) assign(now time.Duration) {
 	p.callers = p.chooser.Choose(p.centreSizes, slices.Collect(maps.Values(p.peers)), now)
@@ -207,6 +215,12 @@
 	if end, ok := ctx.Deadline(); ok {
 		po.expires = p.clk.Now() + time.Until(end)
 	}
+	if po.until = po.expires; to.Expires > 0 {
+		po.until = min(po.until, to.Expires)
+	}
+	if p.clk.Now() >= po.until {
+		return &workpb.Outcome{}, &platform.OrderError{Reason: platform.ReasonLate}, true
+	}
 	o, sent, failed := l.call(ctx, po)
 	if failed {
 		p.exclude(l, name)
