serve/leader: no end is acknowledged while a start is unconfirmed

An executor restarted, its next incarnation carried out a start and its run was done. Before the answer to the start arrived, a poll acknowledged ends of the former incarnation, and the next one forgot its end of the same number. The leader found the run in neither list and started the done task again.

TestEndsAreNotAcknowledgedWhileAStartIsUnconfirmed is new.

The next incarnation can only have ends of starts that the former one has not listed, so a poll acknowledges none while a run there is not confirmed. Such a poll is sent 20 ms later instead. From 100 ends on they are acknowledged all the same, so that an executor that always has a start in flight does not fill its lists.

--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -173,7 +173,7 @@
 	}
 	// The acknowledgement follows member.ackSeq.
 	ack := b.stored
-	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect) {
+	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect || e.holdsAck(x)) {
 		ack = 0
 	}
 	if b.unanswered {
@@ -190,6 +190,16 @@
 	return c, true
 }
 
+// holdsAck follows Leader.holdsAck.
+func (e *entry) holdsAck(x int) bool {
+	for _, t := range e.book.tasks {
+		if r := t.run; r.attempt != 0 && int(r.exec) == x && (r.phase == track.Starting || r.phase == track.Uncertain) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) isPolling(i, x int) bool {
 	for _, c := range s.calls {
 		if c.kind == pollCall && c.waiting && int(c.by) == i && int(c.exec) == x {
--- a/internal/serve/leader/ends_test.go
+++ b/internal/serve/leader/ends_test.go
@@ -103,3 +103,22 @@
 	assert.Assert(t, !list.IsPartial())
 	assert.Equal(t, len(list.Ended), 1)
 }
+
+// Guards against a second run of a task that is done: before its start was answered, a poll of the former
+// incarnation acknowledged the end that the next one had given it.
+func TestEndsAreNotAcknowledgedWhileAStartIsUnconfirmed(t *testing.T) {
+	l, m, r, p := newRunningLeader(t)
+	poll := func() int64 {
+		m.polling = false
+		l.poll(m)
+		return <-p.acked
+	}
+	m.appliedSeq, m.storedSeq = 3, 3
+	assert.Equal(t, poll(), int64(0))
+	m.polling, m.storedSeq = false, maxUnacked
+	m.appliedSeq = m.storedSeq
+	assert.Equal(t, poll(), int64(maxUnacked), "an executor with very short tasks always has a start in flight")
+	m.appliedSeq, m.storedSeq = 3, 3
+	l.confirmRun(r)
+	assert.Equal(t, poll(), int64(3))
+}
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -26,6 +26,11 @@
 	maxPollDelay = 400 * time.Millisecond
 	// immediatePollTimeout limits a poll that the executor answers at once.
 	immediatePollTimeout = 500 * time.Millisecond
+	// ackRetryInterval is the time to the next poll if ends can't be acknowledged.
+	ackRetryInterval = 20 * time.Millisecond
+	// maxUnacked is how many stored ends may wait for the answers to starts until they are acknowledged
+	// all the same. An executor with very short tasks always has a start in flight.
+	maxUnacked = 100
 )
 
 // member is one incarnation of an executor with the state that the leader keeps of it.
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -73,6 +73,9 @@
 		wait, limit = min(wait, freshPollWait), immediatePollTimeout
 	}
 	acked := m.ackSeq()
+	if l.holdsAck(m) {
+		acked = 0
+	}
 	if m.hasUnanswered {
 		m.fenceRaises++
 	}
@@ -99,6 +102,20 @@
 	})
 }
 
+// holdsAck reports whether no poll may acknowledge ends because a start there is not confirmed: the next
+// incarnation may have carried it out, and would forget its end.
+func (l *Leader) holdsAck(m *member) bool {
+	if n := m.storedSeq - m.confirmedSeq; n <= 0 || n >= maxUnacked {
+		return false
+	}
+	for r := range l.tracker.RunsOn(m.Key) {
+		if r.Phase == track.Starting || r.Phase == track.Uncertain {
+			return true
+		}
+	}
+	return false
+}
+
 // polled is the answer to a poll.
 type polled struct {
 	report
@@ -137,6 +154,9 @@
 	m.mayHaveRestarted = false
 	l.confirmFailures(m)
 	m.due = l.now
+	if ev.ackedSeq == 0 && m.storedSeq > m.confirmedSeq {
+		m.due += ackRetryInterval // it would list the same ends at once
+	}
 	adopts := !m.adopted || m.formerUnlisted
 	if !m.adopted {
 		m.adopted, m.adoptedAt = true, l.now
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -194,6 +194,9 @@
 	for m, n := range ev.appliedSeqs {
 		m.storedSeq = max(m.storedSeq, n)
 		m.due = min(m.due, l.now)
+		if l.holdsAck(m) {
+			m.due = l.now + ackRetryInterval // a poll that can't acknowledge ends would list them again at once
+		}
 		l.queuePoll(m)
 		if m.storedSeq >= m.appliedSeq {
 			delete(l.unstoredEnds, m)
