serve/leader: the late answer of an earlier poll does not deny a restart

The clock in the answer to a start showed that its executor had restarted. A poll that the former incarnation had answered before that, and whose answer came later, cleared this: the next poll acknowledged ends of the former incarnation to the next one, which forgot the end of the run. The done task ran again.

Found by the model check in 12 steps (start, slow poll, end, the poll is carried out, restart, start, answer to the poll, store, end, poll, poll, start). TestAnswersBeforeARestartDoNotDenyIt failed without the change. Only an answer to a poll that was sent after the restart was seen shows which incarnation answers.

--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -179,7 +179,7 @@
 	if b.unanswered {
 		b.raises++
 	}
-	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, ack: ack, sent: s.now}
+	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, suspect: b.suspect, ack: ack, sent: s.now}
 	b.unanswered = false
 	if b.adopted {
 		deadline := m.deadline(b, s.now)
@@ -233,7 +233,7 @@
 	b.confirmed = max(b.confirmed, c.ack)
 	first := !b.adopted || b.partial
 	b.partial = first && m.mayLackEnds(c)
-	b.adopted, b.suspect = true, false
+	b.adopted, b.suspect = true, b.suspect && !c.suspect
 	key := keyOf(c.exec, b.born)
 	m.update(s, e, func(tr *track.Tracker) {
 		for _, d := range c.ends {
--- a/internal/proof/check/state.go
+++ b/internal/proof/check/state.go
@@ -208,6 +208,7 @@
 	res                        result
 	answerBorn                 uint8
 	full                       bool // the list of ends may lack some
+	suspect                    bool // the executor may have restarted when the poll was sent
 	clock                      int32
 	running                    [maxTasks]uint8
 	ends                       [maxEnds]end
--- a/internal/serve/leader/ends_test.go
+++ b/internal/serve/leader/ends_test.go
@@ -122,3 +122,18 @@
 	l.confirmRun(r)
 	assert.Equal(t, poll(), int64(3))
 }
+
+// Guards against the same after the late answer of a poll that was sent before the clock of the next
+// incarnation showed the restart.
+func TestAnswersBeforeARestartDoNotDenyIt(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	m.appliedSeq, m.storedSeq = 3, 3
+	sent := l.now
+	l.now += time.Second
+	l.onStarted(startedRun{m: m, run: r, clock: time.Second, least: time.Minute})
+	list := platform.PollResult{Clock: time.Minute, Born: 1}
+	l.onPolled(polled{m: m, sent: sent, list: list})
+	assert.Equal(t, m.ackSeq(), int64(0))
+	l.onPolled(polled{m: m, sent: l.now, list: list})
+	assert.Equal(t, m.ackSeq(), int64(3))
+}
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -40,8 +40,9 @@
 	fenceRaises int
 	// hasUnanswered is set if orders are unanswered; the next poll voids them.
 	hasUnanswered bool
-	// mayHaveRestarted is set if an answer showed an earlier clock than the answers before.
+	// mayHaveRestarted is set if an answer showed an earlier clock than the answers before, at restartSeenAt.
 	mayHaveRestarted bool
+	restartSeenAt    time.Duration
 	// clock is the executor's clock in the last answer, which arrived at clockAt.
 	clock, clockAt time.Duration
 	// leaseEnd is when the leases of all runs there have expired unless a poll extends them.
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -151,7 +151,9 @@
 	m.Contact, m.pollFailures = execs.Live, 0
 	m.clock, m.clockAt = ev.list.Clock, l.now
 	m.confirmedSeq = max(m.confirmedSeq, ev.ackedSeq)
-	m.mayHaveRestarted = false
+	if ev.sent >= m.restartSeenAt {
+		m.mayHaveRestarted = false // an earlier poll may have been answered before the restart
+	}
 	l.confirmFailures(m)
 	m.due = l.now
 	if ev.ackedSeq == 0 && m.storedSeq > m.confirmedSeq {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -231,7 +231,7 @@
 	if ev.err == nil {
 		if ev.clock < ev.least && !m.mayHaveRestarted {
 			l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Dur("clock", ev.clock).Dur("least", ev.least).Msg("clock of an executor went back")
-			m.mayHaveRestarted = true
+			m.mayHaveRestarted, m.restartSeenAt = true, l.now
 			m.due = l.now
 			l.queuePoll(m)
 		}
