--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -88,6 +88,7 @@
 	askCurrentService
 	startAfterClaims
 	ackUnseen
+	ackUnconfirmed
 )
 
 // Option changes a model.
@@ -151,6 +152,9 @@
 // WithoutCertainAcks makes a leader acknowledge ends although the executor may have restarted.
 func WithoutCertainAcks() Option { return func(m *Model) { m.mutation = ackUnseen } }
 
+// WithoutHeldAcks makes a leader acknowledge ends although the start of a run there is not confirmed.
+func WithoutHeldAcks() Option { return func(m *Model) { m.mutation = ackUnconfirmed } }
+
 // Ignoring does not check some promises.
 func Ignoring(b Breach) Option { return func(m *Model) { m.unchecked = b } }
 
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -173,7 +173,7 @@
 	}
 	// The acknowledgement follows member.ackSeq.
 	ack := b.stored
-	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect || e.holdsAck(x)) {
+	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect || m.mutation != ackUnconfirmed && e.holdsAck(x)) {
 		ack = 0
 	}
 	if b.unanswered {
--- a/internal/proof/check/list_test.go
+++ b/internal/proof/check/list_test.go
@@ -55,7 +55,9 @@
 // although the start of its run is unanswered.
 func TestEndsOfTheNextIncarnationAreKept(t *testing.T) {
 	l := Limits{Claims: 1, Starts: 3, Polls: 3, Crashes: 1, SlowStarts: 1}
-	searchAll(t, []searchCase{{"unanswered start", l, nil}}, WithSize(1, 1, 2), WithIdle(20*time.Second))
+	opts := []Option{WithSize(1, 1, 2), WithIdle(20 * time.Second)}
+	searchAll(t, []searchCase{{"unanswered start", l, nil}}, opts...)
+	assert.Equal(t, search(t, l, append(opts, WithoutHeldAcks())...).Breach, Twice)
 }
 
 // Guards against the same by a poll that was sent before a start and is carried out after the end of its
