--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -9,7 +9,7 @@
 // Some decisions can't be called, since they are methods of the control goroutine of serve/leader or
 // of the elector in serve/lead. They are written out once more, each under the name of the function
 // that it follows: when an unanswered start is void and which runs are given up (reconcileRuns,
-// expireLeases, replaceIncarnation), when the runs of earlier leaders are known (resolveFormerRuns,
+// expireLeases, replaceIncarnation), which ends a poll acknowledges (ack), when the runs of earlier leaders are known (resolveFormerRuns,
 // allContacted), which ends count as stored (flush, onAppended), and who leads (applyRecord,
 // isStillLeader). A change of one of them has to be made here as well.
 //
@@ -60,6 +60,9 @@
 	limits                Limits
 	mutation              mutation
 	unchecked             Breach
+	relayed               bool
+	page                  int
+	services              []int
 
 	spec     model.JobSpec
 	queue    model.Queue
@@ -77,8 +80,15 @@
 	acceptAnyFence
 	releaseAtOnce
 	dropUnanswered
+	sendLate
+	callLate
+	limitFromArrival
+	loseUnknown
+	trustFullLists
+	askCurrentService
 	startAfterClaims
 	ackUnseen
+	ackUnconfirmed
 )
 
 // Option changes a model.
@@ -105,12 +115,46 @@
 // raising the fencing token first.
 func WithoutVoiding() Option { return func(m *Model) { m.mutation = dropUnanswered } }
 
+// WithRelays has slow calls made by another entry. Calls that the leader makes itself are those that
+// another entry makes at once.
+func WithRelays() Option { return func(m *Model) { m.relayed = true } }
+
+// WithPage has executors list at most n ends at a time.
+func WithPage(n int) Option { return func(m *Model) { m.page = n } }
+
+// WithServices has each executor serve a service of its own, of the same number. The queue of the job is on
+// these services in turn, under the leaders with the tokens from 1 on, and stays on the last one.
+func WithServices(services ...int) Option { return func(m *Model) { m.services = services } }
+
+// WithoutFormerServices makes a leader ask only the executors of the present service for runs of earlier
+// leaders.
+func WithoutFormerServices() Option { return func(m *Model) { m.mutation = askCurrentService } }
+
+// WithoutPages makes a leader take full lists of ends for whole ones.
+func WithoutPages() Option { return func(m *Model) { m.mutation = trustFullLists } }
+
+// WithoutSendLimit makes a leader count the time limit of a call from when it sends it to another entry.
+func WithoutSendLimit() Option { return func(m *Model) { m.mutation = sendLate } }
+
+// WithoutCallLimit makes entries make the calls of a leader however old they are.
+func WithoutCallLimit() Option { return func(m *Model) { m.mutation = callLate } }
+
+// WithLimitFromArrival makes entries count the time limit of a call from its arrival, as for the calls of
+// a leader of an earlier version.
+func WithLimitFromArrival() Option { return func(m *Model) { m.mutation = limitFromArrival } }
+
+// WithoutUnknownOutcomes makes a leader take calls without an outcome for calls that were not made.
+func WithoutUnknownOutcomes() Option { return func(m *Model) { m.mutation = loseUnknown } }
+
 // WithoutSoleStarts makes a leader start tasks when another entry may have claimed.
 func WithoutSoleStarts() Option { return func(m *Model) { m.mutation = startAfterClaims } }
 
 // WithoutCertainAcks makes a leader acknowledge ends although the executor may have restarted.
 func WithoutCertainAcks() Option { return func(m *Model) { m.mutation = ackUnseen } }
 
+// WithoutHeldAcks makes a leader acknowledge ends although the start of a run there is not confirmed.
+func WithoutHeldAcks() Option { return func(m *Model) { m.mutation = ackUnconfirmed } }
+
 // Ignoring does not check some promises.
 func Ignoring(b Breach) Option { return func(m *Model) { m.unchecked = b } }
 
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -110,7 +110,7 @@
 func (m *Model) startRun(s *state, i, x, t int) (call, bool) {
 	e := &s.entries[i]
 	b := &e.members[x]
-	if int(s.used.starts) >= m.limits.Starts || !e.book.known || e.book.over || e.book.tasks[t].run.attempt != 0 || !m.canStart(e, b, s.now) {
+	if int(s.used.starts) >= m.limits.Starts || !e.book.known || e.book.over || e.book.tasks[t].run.attempt != 0 || !m.canStart(e, b, s.now) || !m.serves(x, e.token) {
 		return call{}, false
 	}
 	tr := m.open(&e.book, s.now)
@@ -135,16 +135,17 @@
 func (m *Model) onStarted(s *state, e *entry, c *call, answered bool) {
 	b := &e.members[c.exec]
 	m.update(s, e, func(tr *track.Tracker) {
-		r := tr.FindRun(keyOf(c.exec, c.born), taskID(int(c.task)), int(c.attempt))
+		// The run may have moved to the next incarnation.
+		r := tr.FindRun(keyOf(c.exec, b.born), taskID(int(c.task)), int(c.attempt))
 		switch {
 		case r == nil:
 		case !answered:
 			if r.Phase == track.Starting {
 				r.Phase, r.PhaseSince = track.Uncertain, m.at(s.now)
 			}
-			b.unanswered = true
+			b.unanswered = b.unanswered || b.born == c.born
 		case c.res == resultOK:
-			b.suspect = b.suspect || c.clock < c.least
+			b.suspect = b.suspect || b.born == c.born && c.clock < c.least
 			tr.ConfirmRun(r, m.at(s.now))
 		default:
 			tr.RemoveRun(r)
@@ -167,18 +168,18 @@
 		r := e.book.tasks[t].run
 		busy = busy || r.attempt != 0 && int(r.exec) == x
 	}
-	if b.adopted && !b.unanswered && b.stored <= b.confirmed && !b.orphan && !busy {
+	if b.adopted && !b.partial && !b.unanswered && b.stored <= b.confirmed && !b.orphan && !busy {
 		return call{}, false
 	}
 	// The acknowledgement follows member.ackSeq.
 	ack := b.stored
-	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect) {
+	if m.mutation != ackUnseen && (b.stored <= b.confirmed || b.contact != execs.Live || b.unanswered || b.suspect || m.mutation != ackUnconfirmed && e.holdsAck(x)) {
 		ack = 0
 	}
 	if b.unanswered {
 		b.raises++
 	}
-	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, ack: ack, sent: s.now}
+	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, suspect: b.suspect, ack: ack, sent: s.now}
 	b.unanswered = false
 	if b.adopted {
 		deadline := m.deadline(b, s.now)
@@ -189,6 +190,16 @@
 	return c, true
 }
 
+// holdsAck follows Leader.holdsAck.
+func (e *entry) holdsAck(x int) bool {
+	for _, t := range e.book.tasks {
+		if r := t.run; r.attempt != 0 && int(r.exec) == x && (r.phase == track.Starting || r.phase == track.Uncertain) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *state) isPolling(i, x int) bool {
 	for _, c := range s.calls {
 		if c.kind == pollCall && c.waiting && int(c.by) == i && int(c.exec) == x {
@@ -220,8 +231,9 @@
 	b.contact = execs.Live
 	b.clock, b.clockAt = c.clock, s.now
 	b.confirmed = max(b.confirmed, c.ack)
-	first := !b.adopted
-	b.adopted, b.suspect = true, false
+	first := !b.adopted || b.partial
+	b.partial = first && m.mayLackEnds(c)
+	b.adopted, b.suspect = true, b.suspect && !c.suspect
 	key := keyOf(c.exec, b.born)
 	m.update(s, e, func(tr *track.Tracker) {
 		for _, d := range c.ends {
@@ -272,11 +284,11 @@
 		}
 		switch r.Phase {
 		case track.Starting, track.Uncertain:
-			if m.mutation != dropUnanswered && fenceOf(c.token, c.raises) <= r.Fence {
-				continue // its start order may still arrive
+			if m.mutation != dropUnanswered && fenceOf(c.token, c.raises) <= r.Fence || m.mayLackEnds(c) {
+				continue // its start order may still arrive, or its end is not listed yet
 			}
 		case track.Running, track.Stopping:
-			if r.PhaseSince >= m.at(c.sent) {
+			if r.PhaseSince >= m.at(c.sent) || m.mayLackEnds(c) {
 				continue
 			}
 			if r.MissedLists++; r.MissedLists < 2 {
@@ -287,6 +299,9 @@
 	}
 }
 
+// mayLackEnds follows platform.PollResult.MayLackEnds.
+func (m *Model) mayLackEnds(c *call) bool { return c.full && m.mutation != trustFullLists }
+
 // dropRuns removes all runs on an incarnation.
 func (m *Model) dropRuns(s *state, e *entry, key string) {
 	m.update(s, e, func(tr *track.Tracker) {
@@ -302,6 +317,7 @@
 	e.members[x] = newMember(born, s.now)
 	e.members[x].raises = raises
 	e.members[x].raises, e.members[x].unanswered = old.raises, true
+	e.members[x].leaseEnd = millis(elect.LeaseEnd(m.at(s.now), 0, maxLease))
 	m.update(s, e, func(tr *track.Tracker) {
 		for r := range tr.RunsOn(keyOf(uint8(x), old.born)) {
 			tr.RemoveRun(r)
@@ -334,15 +350,25 @@
 	return e.book != old
 }
 
-// resolveFormerRuns follows Leader.resolveFormerRuns and Leader.allContacted. All executors serve
-// one service, and the first list of instances has no executor that the store does not list.
+// serves reports whether an executor is of the service on which the queue is under a leader.
+func (m *Model) serves(x int, token uint8) bool {
+	return len(m.services) == 0 || m.services[min(int(token), len(m.services))-1] == x
+}
+
+// resolveFormerRuns follows Leader.resolveFormerRuns, areFormerRunsKnown and allContacted. The job was
+// accepted under the first leader, and the first list of instances has no executor that the store does
+// not list.
 func (m *Model) resolveFormerRuns(s *state, e *entry) {
 	known, unresolved := true, false
 	for t := range m.tasks {
 		unresolved = unresolved || e.book.tasks[t].unresolved
 	}
 	for x := range m.execs {
-		known = known && e.members[x].contact != execs.Uncontacted
+		asked := m.serves(x, e.token)
+		for former := uint8(1); former < e.token && m.mutation != askCurrentService; former++ {
+			asked = asked || m.serves(x, former)
+		}
+		known = known && (!asked || e.members[x].contact != execs.Uncontacted && !e.members[x].partial)
 	}
 	expired := m.at(s.now) >= elect.FormerRunsEnd(m.at(e.started)) || m.mutation == releaseAtOnce
 	if !unresolved || !known && !expired {
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -26,6 +26,11 @@
 	maxPollDelay = 400 * time.Millisecond
 	// immediatePollTimeout limits a poll that the executor answers at once.
 	immediatePollTimeout = 500 * time.Millisecond
+	// ackRetryInterval is the time to the next poll if ends can't be acknowledged.
+	ackRetryInterval = 20 * time.Millisecond
+	// maxUnacked is how many stored ends may wait for the answers to starts until they are acknowledged
+	// all the same. An executor with very short tasks always has a start in flight.
+	maxUnacked = 100
 )
 
 // member is one incarnation of an executor with the state that the leader keeps of it.
@@ -35,8 +40,9 @@
 	fenceRaises int
 	// hasUnanswered is set if orders are unanswered; the next poll voids them.
 	hasUnanswered bool
-	// mayHaveRestarted is set if an answer showed an earlier clock than the answers before.
+	// mayHaveRestarted is set if an answer showed an earlier clock than the answers before, at restartSeenAt.
 	mayHaveRestarted bool
+	restartSeenAt    time.Duration
 	// clock is the executor's clock in the last answer, which arrived at clockAt.
 	clock, clockAt time.Duration
 	// leaseEnd is when the leases of all runs there have expired unless a poll extends them.
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/fanout"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 	"chervilgauge.example/chervilgauge/platform"
@@ -123,17 +124,14 @@
 		}
 	}()
 	now := c.clk.Now()
-	remaining := time.Duration(o.GetLimit())*time.Millisecond - (now - arrived)
-	expires := now + remaining
-	if o.GetUntil() != 0 {
-		expires = min(expires, time.Duration(o.GetUntil())*time.Microsecond)
-	}
+	limit, until := time.Duration(o.GetLimit())*time.Millisecond, time.Duration(o.GetUntil())*time.Microsecond
+	expires := fanout.Expiry(limit, arrived, until)
 	if now >= expires {
 		c.late.Add(1)
 		out.Verdict, out.Reason = uint32(verdictRefused), uint32(platform.ReasonLate)
 		return out
 	}
-	call, cancel := context.WithTimeout(ctx, remaining)
+	call, cancel := context.WithTimeout(ctx, arrived+limit-now)
 	defer cancel()
 	to := platform.Target{Addr: o.GetAddr(), ID: o.GetId(), Fence: o.GetFence(), Expires: expires}
 	t, ok := model.ParseTaskID(o.GetTask())
