soak: starts on another service and of tasks that nobody sent

The stand-in recorded ROUTE and UNASKED (another specification, or a task that no caller sent) nowhere: a start with an empty specification was a run that fails. Both are violations now.

TestStartsThatNobodyAskedForAreFound sends such starts to an executor.

--- a/internal/bench/soak/job.go
+++ b/internal/bench/soak/job.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 // job is a job that callers submit.
 type job struct {
 	id, path string
+	service  string // the one whose executors run the tasks
 	spec     model.JobSpec
 	body     []byte
 	tasks    int
@@ -85,18 +87,19 @@
 	}
 	j.spec.Payload = j.id
 	j.body = fake.EncodeJob(j.spec)
-	j.path = queues[rng.IntN(len(queues))].Prefix + j.id
+	q := queues[rng.IntN(len(queues))]
+	j.path, j.service = q.Prefix+j.id, q.Service
 	return j
 }
 
 // plan returns how a run of a task goes.
 func (j *job) plan(task string) fake.RunPlan {
 	t, ok := model.ParseTaskID(task)
-	if !ok || t.Step >= len(j.spec.Steps) {
-		return fake.RunPlan{Result: "failed"}
+	if !ok || t.Step >= len(j.spec.Steps) || t.Index >= j.spec.Steps[t.Step].Count {
+		return fake.RunPlan{Result: "failed", Unasked: true}
 	}
 	s := j.spec.Steps[t.Step]
-	p := fake.RunPlan{Duration: j.runtime, Result: "done", Cores: int(s.Need.Cores), MaxFailures: maxAttempts}
+	p := fake.RunPlan{Duration: j.runtime, Result: "done", Service: j.service, Cores: int(s.Need.Cores), MaxFailures: maxAttempts}
 	for _, before := range s.After {
 		for i := range j.spec.Steps[before].Count {
 			p.After = append(p.After, model.TaskID{Job: j.id, Step: before, Index: i}.String())
@@ -197,8 +200,8 @@
 	g.mu.Lock()
 	j := g.byID[spec]
 	g.mu.Unlock()
-	if j == nil {
-		return fake.RunPlan{Result: "failed"}
+	if j == nil || !strings.HasPrefix(task, j.id+".") {
+		return fake.RunPlan{Result: "failed", Unasked: true}
 	}
 	return j.plan(task)
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -97,6 +99,31 @@
 	assert.Assert(t, !j.view().refused, "an attempt without an answer may have been accepted")
 }
 
+// Guards against starts on executors of another service, and of tasks that nobody sent, that are not found.
+func TestStartsThatNobodyAskedForAreFound(t *testing.T) {
+	jobs := &registry{byID: map[string]*job{}}
+	w := fake.NewPlatform(pools(MinExecutors), fake.WithPlan(jobs.plan))
+	defer w.Close()
+	j := newJob(rand.New(rand.NewPCG(1, 1)), false)
+	jobs.add(j)
+	start := func(pool, task, spec string) string {
+		seen := len(w.Violations())
+		body := fmt.Sprintf(`{"task":%q,"spec":%q,"attempt":1,"deadline_ms":9000}`, task, spec)
+		w.Executor("m-"+pool+"-0").ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/chervilgauge/run-start", strings.NewReader(body)))
+		rules := ""
+		for _, v := range w.Violations()[seen:] {
+			rule, _, _ := strings.Cut(v, " ")
+			rules += rule
+		}
+		return rules
+	}
+	assert.Equal(t, start(j.service, j.id+".0.0.0", j.id), "")
+	assert.Equal(t, start("rest", j.id+".0.0.0", j.id), "TWICEROUTE")
+	assert.Equal(t, start(j.service, j.id+".0.0.99", j.id), "UNASKED")
+	assert.Equal(t, start(j.service, j.id+".0.0.98", ""), "UNASKED")
+	assert.Equal(t, start(j.service, "00000000000000aa.0.0.0", j.id), "UNASKED")
+}
+
 // Guards against a link that does not hold data back, or does not reset connections.
 func TestLinkFaults(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
