soak: a leader that is cut off beside executors that restart

SplitLeader cuts the leader off from the other entries and from the store until another entry has taken over, and then restarts executors that have runs: they have forgotten the new leader's fencing token.

--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -121,6 +121,8 @@
 		return r.beginPeerLinks(r.targets(a.Role, []int{a.Entry}), a.Faults)
 	case RestartAround:
 		return r.beginAround(a, f.For, func(d time.Duration) { clock.Pause(ctx, r.clk, d) })
+	case SplitLeader:
+		return r.beginSplit(a, func(d time.Duration) { clock.Pause(ctx, r.clk, d) })
 	case Signal:
 		a.Entries = r.targets(a.Role, a.Entries)
 		return r.beginSignal(a)
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -96,6 +97,7 @@
 	machineLinks map[string]*overlay[LinkFaults]
 	operator     *operator
 	roles        roles
+	reserved     net.Listener // keeps the ports of the entries from other runs
 	jobs         *registry
 	waves        atomic.Int64
 	// unplanned and planned hold disturbances of entries and of the store, and signals those of
@@ -180,10 +182,11 @@
 		}))
 	r.operator = &operator{store: r.platform.Store, rng: rand.New(rand.NewPCG(r.cfg.Seed, operatorStream))}
 	r.operator.configure(0)
-	ports, err := freePorts(portsPerEntry * r.cfg.Entries)
+	ports, reserved, err := reservePorts(portsPerEntry * r.cfg.Entries)
 	if err != nil {
 		return err
 	}
+	r.reserved = reserved
 	for i := range r.cfg.Entries {
 		e, err := r.newEntry(i, dir, ports[portsPerEntry*i:])
 		if err != nil {
@@ -282,4 +285,7 @@
 	if r.platform != nil {
 		r.platform.Close()
 	}
+	if r.reserved != nil {
+		_ = r.reserved.Close()
+	}
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -44,29 +44,47 @@
 	assert.DeepEqual(t, newJob(rand.New(rand.NewPCG(7, 1)), true).body, newJob(rand.New(rand.NewPCG(7, 1)), true).body)
 }
 
-// Guards against jobs that are lost or run twice, and all else that the soak checks, under faults
-// that overlap.
-func TestShortSoak(t *testing.T) {
+// build returns the path of a program that runs entries.
+func build(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "chervilgauge")
 	out, err := exec.Command("go", "build", "-o", program, "../../../cmd/chervilgauge").CombinedOutput()
 	assert.NilError(t, err, "%s", out)
+	return program
+}
+
+// play plays a run that must find nothing.
+func play(t *testing.T, c Config) {
+	t.Helper()
+	var text strings.Builder
+	report, err := Run(context.Background(), c, &text)
+	assert.NilError(t, err)
+	assert.NilError(t, report.Write(&text))
+	assert.Equal(t, len(report.Findings), 0, "%s", text.String())
+	assert.Assert(t, report.Accepted > 20, "%s", text.String())
+	assert.Equal(t, report.Callers > 0, c.delegates(), "%s", text.String())
+}
+
+// Guards against jobs that are lost or run twice, and all else that the soak checks, under faults
+// that overlap.
+func TestShortSoak(t *testing.T) {
+	program := build(t)
 	for _, c := range []Config{
 		{Seed: 1, Entries: 3, Series: 4}, {Seed: 2, Entries: 3, Series: 4},
 		{Seed: 3, Entries: 5, Small: 2, Executors: 105, Series: 4},
 	} {
 		t.Run(fmt.Sprintf("seed%d", c.Seed), func(t *testing.T) {
 			c.Program, c.Length = program, 10*time.Second
-			var text strings.Builder
-			report, err := Run(context.Background(), c, &text)
-			assert.NilError(t, err)
-			assert.NilError(t, report.Write(&text))
-			assert.Equal(t, len(report.Findings), 0, "%s", text.String())
-			assert.Assert(t, report.Accepted > 20, "%s", text.String())
-			assert.Equal(t, report.Callers > 0, c.delegates(), "%s", text.String())
+			play(t, c)
 		})
 	}
 }
 
+// Guards against a former leader that may still act and starts tasks on executors which have restarted.
+func TestSplitLeadersStartNoTaskTwice(t *testing.T) {
+	play(t, Config{Program: build(t), Seed: 7001, Length: 20 * time.Second, Entries: 6, Executors: 120, Series: 2, Only: "SplitLeader"})
+}
+
 // Guards against checks that find nothing: a job that is shown in a state without cause, and one
 // that was refused and runs.
 func TestChecksFindBrokenPromises(t *testing.T) {
