soak: runs in virtual time

The soak's entries run as processes, which takes as long as their faults. What stands for a process has an interface (`process`): a command, or a routine whose host is paused, killed or closed. A paused routine gets no ticks and receives nothing, and what it has sent arrives; the interleaving of goroutines at one instant is not determined by the seed.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -44,7 +44,7 @@
 }
 
 func (r *run) newCaller(n int) *caller {
-	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}}
 }
 
 // callerStream is the first random stream of callers. Those below are the series of faults.
--- a/internal/bench/soak/entry.go
+++ b/internal/bench/soak/entry.go
@@ -3,17 +3,14 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
-	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
-// entry is an entry that runs as a process.
+// entry is an entry with its process.
 type entry struct {
 	index   int
 	name    string
@@ -34,7 +31,7 @@
 	turn sync.Mutex
 
 	mu       sync.Mutex
-	cmd      *exec.Cmd
+	proc     process
 	ended    chan struct{} // closed when the process has ended
 	ending   bool          // a signal that ends the process was sent
 	lifetime int
@@ -44,38 +41,29 @@
 
 // start starts the process. It returns an Err.
 func (e *entry) start(r *run) error {
-	log, err := os.OpenFile(e.logPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err != nil {
-		return Err.Wrap(err)
-	}
-	defer func() { _ = log.Close() }() // the process has a descriptor of its own
-	cmd := exec.Command(e.program, "agent")
-	cmd.Env = append(os.Environ(), platform.SettingsVar(e.file), "GOMAXPROCS=1")
-	cmd.Stdout, cmd.Stderr = log, log
-	// A terminal's interrupt reaches only this process, which then ends the entries.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := e.peerLink.Open(); err != nil {
 		return err
 	}
-	if err := cmd.Start(); err != nil {
-		return Err.Wrap(err)
+	proc, err := r.launch(e)
+	if err != nil {
+		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.cmd, e.ended, e.ending, e.pauses = cmd, make(chan struct{}), false, 0
+	e.proc, e.ended, e.ending, e.pauses = proc, make(chan struct{}), false, 0
 	e.lifetime++
 	ended := e.ended
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
-		err := cmd.Wait()
+		err := proc.wait()
 		// Other entries detect that a process has ended by refused connections.
 		e.peerLink.Shut()
 		e.mu.Lock()
 		ending := e.ending
 		e.mu.Unlock()
 		if !ending {
-			r.found("FAULT", "", "%s (process %d) ended by itself: %v", e.name, cmd.Process.Pid, err)
+			r.found("FAULT", "", "%s (%s) ended by itself: %v", e.name, proc, err)
 		}
 		close(ended)
 	}()
@@ -86,15 +74,19 @@
 func (e *entry) isStarted() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.cmd != nil
+	return e.proc != nil
 }
 
-// signal sends a signal to the process, and returns a channel that is closed when it has ended.
-func (e *entry) signal(s syscall.Signal, ends bool) <-chan struct{} {
+// terminate ends the process, at once or as planned, and returns a channel that is closed when it has ended.
+func (e *entry) terminate(atOnce bool) <-chan struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.ending = e.ending || ends
-	_ = e.cmd.Process.Signal(s) // a process that has ended needs no signal
+	e.ending = true
+	if atOnce {
+		e.proc.kill()
+	} else {
+		e.proc.stop()
+	}
 	return e.ended
 }
 
@@ -102,13 +94,12 @@
 func (e *entry) pause(begin bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := syscall.SIGSTOP
 	if begin {
 		e.pauses++
-	} else if e.pauses = max(0, e.pauses-1); e.pauses == 0 {
-		s = syscall.SIGCONT
+	} else {
+		e.pauses = max(0, e.pauses-1)
 	}
-	_ = e.cmd.Process.Signal(s)
+	e.proc.pause(e.pauses > 0)
 }
 
 // life returns the number of the process's lifetime.
@@ -134,7 +125,7 @@
 	e.mu.Lock()
 	e.stopAt = begin
 	e.mu.Unlock()
-	ended := e.signal(syscall.SIGTERM, true)
+	ended := e.terminate(false)
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
@@ -148,7 +139,7 @@
 		if r.unplanned.isCalmSince(e.index, begin-stabilityWindow) {
 			r.found("STOP", "", "%s has not ended %s after SIGTERM", e.name, grace)
 		}
-		<-e.signal(syscall.SIGKILL, true)
+		<-e.terminate(true)
 	}
 }
 
@@ -163,7 +154,7 @@
 	e.logPath = filepath.Join(dir, e.name+".log")
 	proxy := r.platform.NewStoreProxy()
 	e.store.apply = func(fs []fake.Faults) { proxy.Set(mergeCalls(fs)) }
-	link, err := NewLink(r.clk)
+	link, err := r.newLink()
 	if err != nil {
 		return nil, err
 	}
@@ -171,7 +162,7 @@
 	link.SetTarget(proxy.Addr())
 	link.SetRewrite(e.hideAddr)
 	e.link.apply = func(fs []LinkFaults) { link.Set(mergeLinks(fs)) }
-	if e.peerLink, err = NewLink(r.clk, WithAddr(addr(ports[3]))); err != nil {
+	if e.peerLink, err = r.newLink(WithAddr(addr(ports[3]))); err != nil {
 		return nil, err
 	}
 	r.links = append(r.links, e.peerLink)
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
@@ -190,7 +189,7 @@
 				e.stop(r)
 				return
 			}
-			<-e.signal(syscall.SIGKILL, true)
+			<-e.terminate(true)
 		}()
 		undo = append(undo, func() {
 			<-ended
--- a/internal/bench/soak/link.go
+++ b/internal/bench/soak/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/serve/agent"
 )
 
 // LinkFaults are faults of a link.
@@ -32,6 +33,7 @@
 // Link is a TCP proxy on loopback with faults.
 type Link struct {
 	addr   string
+	net    agent.Network
 	clk    clock.Clock
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -43,7 +45,7 @@
 
 	mu    sync.Mutex
 	lis   net.Listener // nil while the link is shut
-	conns map[*net.TCPConn]bool
+	conns map[net.Conn]bool
 }
 
 // LinkOption configures a link.
@@ -52,9 +54,12 @@
 // WithAddr sets the address of the link. It has a free port otherwise.
 func WithAddr(addr string) LinkOption { return func(l *Link) { l.addr = addr } }
 
+// WithNetwork sets where the link listens and connects. It uses TCP otherwise.
+func WithNetwork(n agent.Network) LinkOption { return func(l *Link) { l.net = n } }
+
 // NewLink starts a link without a target. Close stops it. It returns an Err.
 func NewLink(clk clock.Clock, opts ...LinkOption) (*Link, error) {
-	l := &Link{addr: "127.0.0.1:0", clk: clk, conns: map[*net.TCPConn]bool{}}
+	l := &Link{addr: "127.0.0.1:0", net: agent.TCP{}, clk: clk, conns: map[net.Conn]bool{}}
 	for _, o := range opts {
 		o(l)
 	}
@@ -74,7 +79,7 @@
 	if l.lis != nil {
 		return nil
 	}
-	lis, err := net.Listen("tcp", l.addr)
+	lis, err := l.net.Listen(l.addr)
 	if err != nil {
 		return Err.Wrap(err)
 	}
@@ -124,14 +129,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		_ = c.SetLinger(0)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
 		_ = c.Close()
 	}
 	clear(l.conns)
 }
 
 // add records a connection, and resets it if that is the fault at present or the link is closed.
-func (l *Link) add(c *net.TCPConn) {
+func (l *Link) add(c net.Conn) {
 	l.mu.Lock()
 	l.conns[c] = true
 	l.mu.Unlock()
@@ -150,25 +157,24 @@
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
-			l.serve(c.(*net.TCPConn))
+			l.serve(c)
 		}()
 	}
 }
 
 // serve connects a caller to the target until either side closes its connection.
-func (l *Link) serve(caller *net.TCPConn) {
+func (l *Link) serve(caller net.Conn) {
 	l.add(caller)
 	target := l.target.Load()
 	if target == nil {
 		_ = caller.Close()
 		return
 	}
-	conn, err := new(net.Dialer).DialContext(l.ctx, "tcp", *target)
+	server, err := l.net.Dial(l.ctx, "tcp", *target)
 	if err != nil {
 		_ = caller.Close()
 		return
 	}
-	server := conn.(*net.TCPConn)
 	l.add(server)
 	done := make(chan struct{})
 	go func() {
@@ -190,7 +196,7 @@
 }
 
 // copy passes data on until a connection is closed, and then closes both.
-func (l *Link) copy(to, from *net.TCPConn, isCall bool) {
+func (l *Link) copy(to, from net.Conn, isCall bool) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -1,5 +1,5 @@
-// Package soak runs entries as processes beside the platform's test servers, injects faults at
-// random, and checks what callers, executors and the instance service see.
+// Package soak runs entries as processes, or in virtual time in this one, beside the platform's test
+// servers, injects faults at random, and checks what callers, executors and the instance service see.
 package soak
 
 import (
@@ -12,12 +12,13 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/fake/memnet"
+	"chervilgauge.example/chervilgauge/internal/serve/agent"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
@@ -79,6 +80,9 @@
 	Executors int
 	// Keep keeps the logs of a run without findings too.
 	Keep bool
+	// Virtual runs the entries in this process on a network in memory. Run then has to be called within
+	// testing/synctest, whose time passes as fast as the processor allows. Program is not used.
+	Virtual bool
 	// Only restricts the plan to the faults whose description contains it.
 	Only string
 }
@@ -90,6 +94,9 @@
 type run struct {
 	cfg          Config
 	clk          clock.Clock
+	net          agent.Network // of the stand-ins, links and callers
+	memory       *memnet.Network
+	nextPort     int
 	plan         []Fault
 	platform     *fake.Platform
 	entries      []*entry
@@ -129,10 +136,14 @@
 		return nil, Err.Wrap(err)
 	}
 	r := &run{
-		cfg: cfg, clk: clock.NewSystem(), machineLinks: map[string]*overlay[LinkFaults]{}, jobs: &registry{byID: map[string]*job{}},
+		cfg: cfg, clk: clock.NewSystem(), net: agent.TCP{}, machineLinks: map[string]*overlay[LinkFaults]{}, jobs: &registry{byID: map[string]*job{}},
 		roles:     newRoles(rand.New(rand.NewPCG(cfg.Seed, targetStream))),
 		unplanned: newCalendar(), planned: newCalendar(), signals: newCalendar(), submits: newLatency(), answers: map[string]int{},
 	}
+	if cfg.Virtual {
+		r.memory, r.nextPort = memnet.New(memoryDelay), firstPort
+		r.net = r.memory.Host("stand-ins")
+	}
 	err = r.prepare(dir)
 	if err == nil {
 		r.plan = NewPlan(cfg.Seed, cfg.Length, cfg.Series, cfg.Entries, r.platform.Machines(), cfg.Only)
@@ -162,7 +173,7 @@
 	targets := map[string]*Link{}
 	for pool, n := range pools(r.cfg.Executors) {
 		for i := range n {
-			l, err := NewLink(r.clk)
+			l, err := r.newLink()
 			if err != nil {
 				return err
 			}
@@ -175,18 +186,23 @@
 	if r.cfg.delegates() {
 		heartbeat = largeHeartbeat
 	}
-	r.platform = fake.NewPlatform(pools(r.cfg.Executors), fake.WithUnguarded("pool-b"), fake.WithPlan(r.jobs.plan), fake.WithZones(zones),
-		fake.WithSlowClocks(), fake.WithHeartbeat(heartbeat), fake.WithVia(func(machine, addr string) string {
+	opts := []fake.Option{
+		fake.WithUnguarded("pool-b"), fake.WithPlan(r.jobs.plan), fake.WithZones(zones), fake.WithSlowClocks(), fake.WithHeartbeat(heartbeat),
+		fake.WithVia(func(machine, addr string) string {
 			targets[machine].SetTarget(addr)
 			return targets[machine].Addr()
-		}))
+		}),
+	}
+	if r.memory != nil {
+		opts = append(opts, fake.WithListen(r.listen))
+	}
+	r.platform = fake.NewPlatform(pools(r.cfg.Executors), opts...)
 	r.operator = &operator{store: r.platform.Store, rng: rand.New(rand.NewPCG(r.cfg.Seed, operatorStream))}
 	r.operator.configure(0)
-	ports, reserved, err := reservePorts(portsPerEntry * r.cfg.Entries)
+	ports, err := r.ports(portsPerEntry * r.cfg.Entries)
 	if err != nil {
 		return err
 	}
-	r.reserved = reserved
 	for i := range r.cfg.Entries {
 		e, err := r.newEntry(i, dir, ports[portsPerEntry*i:])
 		if err != nil {
@@ -273,7 +289,7 @@
 		go func() {
 			defer stopped.Done()
 			if e.isStarted() {
-				<-e.signal(syscall.SIGKILL, true)
+				<-e.terminate(true)
 			}
 		}()
 	}
--- a/internal/fake/memnet/conn.go
+++ b/internal/fake/memnet/conn.go
@@ -49,26 +49,26 @@
 
 // take returns data that has arrived. Without any it returns what to wait for: a change, and the time until
 // the next chunk arrives, 0 for none.
-func (s *stream) take(b []byte) (n int, err error, changed <-chan struct{}, left time.Duration) {
+func (s *stream) take(b []byte) (n int, changed <-chan struct{}, left time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.broken:
-		return 0, failed("read", syscall.ECONNRESET), nil, 0
+		return 0, nil, 0, failed("read", syscall.ECONNRESET)
 	case len(s.chunks) > 0:
 		c := &s.chunks[0]
 		if left = time.Until(c.at); left > 0 {
-			return 0, nil, s.changed, left
+			return 0, s.changed, left, nil
 		}
 		n = copy(b, c.data)
 		if c.data = c.data[n:]; len(c.data) == 0 {
 			s.chunks = s.chunks[1:]
 		}
-		return n, nil, nil, 0
+		return n, nil, 0, nil
 	case s.ended:
-		return 0, io.EOF, nil, 0
+		return 0, nil, 0, io.EOF
 	}
-	return 0, nil, s.changed, 0
+	return 0, s.changed, 0, nil
 }
 
 func (s *stream) read(b []byte, deadline <-chan struct{}) (int, error) {
@@ -86,7 +86,7 @@
 		if passes {
 			var n int
 			var err error
-			if n, err, changed, left = s.take(b); n > 0 || err != nil {
+			if n, changed, left, err = s.take(b); n > 0 || err != nil {
 				return n, err
 			}
 		} else if s.isBroken() {
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -96,13 +96,15 @@
 	Dial(ctx context.Context, network, addr string) (net.Conn, error)
 }
 
-// tcp is the network of the operating system.
-type tcp struct{ net.Dialer }
+// TCP is the network of the operating system.
+type TCP struct{}
 
-func (*tcp) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+// Listen implements Network.
+func (TCP) Listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
-func (t *tcp) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	return t.DialContext(ctx, network, addr)
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	return new(net.Dialer).DialContext(ctx, network, addr)
 }
 
 // WithNetwork makes the entry use a network and a clock instead of those of the operating system.
@@ -126,7 +128,7 @@
 	}
 	clientOpts := []platform.ClientOption{platform.WithConnWrapper(a.countService), platform.WithNow(a.clk.Now)}
 	if a.network == nil {
-		a.network = &tcp{}
+		a.network = TCP{}
 	} else {
 		clientOpts = append(clientOpts, platform.WithDial(a.network.Dial))
 	}
