--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -154,6 +154,10 @@
 		err = r.play(ctx)
 	}
 	r.close()
+	if cfg.Virtual {
+		// A connection that was opened while its entry ended closes when it has been idle for long enough.
+		clock.Pause(context.Background(), r.clk, idleTimeout)
+	}
 	out := r.report()
 	if len(out.Findings) > 0 || err != nil || cfg.Keep {
 		out.Dir = dir
--- a/internal/bench/soak/virtual.go
+++ b/internal/bench/soak/virtual.go
@@ -18,6 +18,9 @@
 // memoryDelay is the time that data takes from one process to another in memory.
 const memoryDelay = 300 * time.Microsecond
 
+// idleTimeout is longer than any connection stays open without use.
+const idleTimeout = time.Minute
+
 // newLink starts a link on the network of the run.
 func (r *run) newLink(opts ...LinkOption) (*Link, error) {
 	if r.memory != nil {
--- a/internal/fake/memnet/conn.go
+++ b/internal/fake/memnet/conn.go
@@ -89,7 +89,7 @@
 			if n, changed, left, err = s.take(b); n > 0 || err != nil {
 				return n, err
 			}
-		} else if s.isBroken() {
+		} else if changed = s.untilBroken(); changed == nil {
 			return 0, failed("read", syscall.ECONNRESET)
 		}
 		arrival := time.NewTimer(left)
@@ -107,10 +107,14 @@
 	}
 }
 
-func (s *stream) isBroken() bool {
+// untilBroken returns a channel that is closed after the next change, or nil if the connection was reset.
+func (s *stream) untilBroken() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.broken
+	if s.broken {
+		return nil
+	}
+	return s.changed
 }
 
 // conn is one end of a connection.
--- a/internal/fake/memnet/memnet_test.go
+++ b/internal/fake/memnet/memnet_test.go
@@ -106,6 +106,18 @@
 	})
 }
 
+// Guards against a read that does not end when its connection is closed while the process is paused.
+func TestReadsOfAPausedProcessEndWithTheirConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, b, _, far := pair(t)
+		resume := b.Pause()
+		defer resume()
+		time.AfterFunc(time.Second, func() { assert.Check(t, far.Close()) })
+		_, err := far.Read(make([]byte, 1))
+		assert.Assert(t, err != nil)
+	})
+}
+
 // Guards against a connection through a cut.
 func TestConnectionsWaitForACut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
