serve/leader: a job of a queue that the leader does not know is not stored by it

Callers would see: a job is shown as failed after its first failed run. A leader that had just started had not read the configuration, and stored the job with one attempt and no service. A leader with an older configuration did the same to jobs of added queues. The entry that took the job has its queue, and stores it without the leader now.

TestJobsOfUnknownQueuesAreNotStored fails before. Tests that submit to a leader give it a configuration first; what they check is the same.

--- a/internal/serve/leader/limits_test.go
+++ b/internal/serve/leader/limits_test.go
@@ -18,6 +18,7 @@
 	l, _, _ := newTestLeader(t)
 	l.Meters, l.ready, l.Settings.Store.RecordBytes = NewMeters(tally.NoopScope), true, 1000
 	l.LastRenewal = func() time.Duration { return l.now }
+	moveQueue(t, l, 1, "s")
 	for size, stored := range map[int]bool{500: true, 990: false, 1000: false, 1 << 20: false} {
 		s := &submitRequest{Submission: relay.Submission{ID: "0123456789abcdef", Queue: "q", Body: make([]byte, size)}, reply: make(chan relay.Answer, 1)}
 		l.store.accepts = nil
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -167,12 +167,18 @@
 		ev.answer(notLeaderAnswer)
 		return
 	}
-	ev.settings = model.Queue{Name: ev.Queue, Attempts: 1}
+	q := (*model.Queue)(nil)
 	if c := l.Orders.Config(); c != nil {
-		if q := c.Queue(ev.Queue); q != nil {
-			ev.settings = *q
-		}
+		q = c.Queue(ev.Queue)
+	}
+	if q == nil {
+		// This leader has not read the configuration that the entry has, which stores the job with the settings
+		// of its queue.
+		l.Meters.refuse("queue")
+		ev.answer(notLeaderAnswer)
+		return
 	}
+	ev.settings = *q
 	if len(ev.Body)+len(ev.settings.Name)+len(ev.settings.Service)+recordOverhead > l.Settings.Store.RecordBytes {
 		// The store would refuse the record for ever, and with it all that waits behind it.
 		l.Meters.refuse("size")
--- a/internal/serve/leader/stored_test.go
+++ b/internal/serve/leader/stored_test.go
@@ -23,6 +23,7 @@
 	l.Meters, l.ready, l.Settings.Store.RecordBytes = NewMeters(tally.NoopScope), true, 1<<18
 	l.byID, l.runtimeRatios, l.leaderless = map[string]*member{"x": m}, map[string]*runtimeRatio{}, map[string]struct{}{}
 	l.LastRenewal = func() time.Duration { return l.now }
+	assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":1,"routes":[{"name":"q","service":"s"}]}`)))
 	r := l.tracker.BeginRun(task, m.Key, 0, l.now)
 	m.AddRun(task.Step)
 	return l, m, &runningTask{task.ID, r.Attempt, task.IsWaiting}
@@ -81,9 +82,9 @@
 func TestRequestsThatEndedDuringTheLoadAreNotStored(t *testing.T) {
 	l, _, _ := newStoringLeader(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	l.onSubmit(&submitRequest{Submission: relay.Submission{ID: "waits"}, ctx: ctx, reply: make(chan relay.Answer, 1)})
+	l.onSubmit(&submitRequest{Submission: relay.Submission{ID: "waits", Queue: "q"}, ctx: ctx, reply: make(chan relay.Answer, 1)})
 	cancel()
-	l.onSubmit(&submitRequest{Submission: relay.Submission{ID: "late"}, ctx: ctx, reply: make(chan relay.Answer, 1)})
+	l.onSubmit(&submitRequest{Submission: relay.Submission{ID: "late", Queue: "q"}, ctx: ctx, reply: make(chan relay.Answer, 1)})
 	assert.Equal(t, len(l.store.accepts), 1)
 }
 
@@ -114,3 +115,14 @@
 	assert.Assert(t, l.knowsAllJobs())
 	assert.Assert(t, l.tracker.Job("00000000000025"+"71") != nil)
 }
+
+// Guards against a job that fails after its first failed run: the leader had not read the configuration.
+func TestJobsOfUnknownQueuesAreNotStored(t *testing.T) {
+	l, _, _ := newStoringLeader(t)
+	for _, queue := range []string{"q", "added"} {
+		ev := &submitRequest{Submission: relay.Submission{ID: queue, Queue: queue}, reply: make(chan relay.Answer, 1)}
+		l.onSubmit(ev)
+		assert.Equal(t, len(ev.reply) == 1 && (<-ev.reply).Verdict == relay.NotLeader, queue == "added")
+	}
+	assert.Equal(t, len(l.store.accepts), 1)
+}
