serve/leader: failing test of a row without an executor after an order

An executor that lives counts as dead if the list after an accepted order shows its instance without an executor, although such a row shows no end elsewhere.

--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -245,3 +245,18 @@
 	list(down)
 	assert.Assert(t, maint.IsComplete(wave, l.instanceViews()), "the instance has left")
 }
+
+// Guards against an executor that lives and counts as dead: the list after an order that changed nothing
+// shows its instance without its executor.
+func TestRowWithoutAnExecutorDoesNotEndIt(t *testing.T) {
+	for _, phase := range []model.Phase{model.Up, model.Other} {
+		l, m, op, in, rs := newDrainingLeader(t, 1, -1)
+		l.Meters, m.Listed = NewMeters(tally.NoopScope), true
+		l.dropRun(rs[0])
+		op.ordered, op.former = true, l.memberOn(in)
+		l.onOrderAnswered(orderAnswered{op: op})
+		l.now += time.Second
+		l.onInstancesListed(instancesListed{instances: []model.Instance{{Name: "m1", Pool: "s", Phase: phase}}, sent: l.now})
+		assert.Assert(t, m.Contact != execs.Dead, "%v", phase)
+	}
+}
