serve/leader: failing test of the lease of a start after a restart

A start that the next incarnation of an executor has carried out has the longest lease. The leader gives its run up after RunLease if it learns of the restart only by the clock in the answer.

--- a/internal/serve/leader/lease_test.go
+++ b/internal/serve/leader/lease_test.go
@@ -70,3 +70,21 @@
 		assert.Equal(t, m.leaseEnd, elect.LeaseEnd(l.now, 0, lease))
 	}
 }
+
+// Guards against a second run of a task on an executor that restarts, carries out a start for its former
+// incarnation, which grants the longest lease, and is then cut off before a poll or report shows its restart.
+func TestLeaseOfAStartAfterWhichTheClockWentBack(t *testing.T) {
+	const longest = 2 * elect.RunLease
+	l, m, r, _ := newRunningLeader(t)
+	l.Settings.Bounds.MaxLease = longest
+	m.Contact, m.adopted = execs.Live, true
+	started := l.now
+	l.onStarted(startedRun{m: m, run: r, sent: started, clock: 10 * time.Millisecond, least: m.leastClock(started)})
+	assert.Assert(t, m.mayHaveRestarted)
+	unanswered := func() { l.onPolled(polled{m: m, sent: l.now, err: platform.ErrUnknown.New("lost")}) }
+	unanswered()
+	l.now = started + longest - 10*time.Millisecond
+	unanswered()
+	l.expireLeases()
+	assert.Assert(t, !r.Task.IsWaiting(), "the run goes on there")
+}
