lead: failing test of a leader that is announced during a read

A claim that is stored after a read was answered has a token above the end that was read. The entry forgets this leader, logs an error and follows the former one until the next poll or read.

--- a/internal/serve/lead/claim_test.go
+++ b/internal/serve/lead/claim_test.go
@@ -66,3 +66,15 @@
 	assert.Assert(t, e.Leader().IsSelf && e.LastRenewal() > renewed)
 	assert.Assert(t, !e.HasSentResignation(1), "no start is sent for the rest of the term")
 }
+
+// Guards against an entry that goes back to a former leader: the next one claimed and announced itself while the
+// answer to a read of the topic was on its way.
+func TestLeaderThatWasAnnouncedDuringAReadIsFollowed(t *testing.T) {
+	e := newFollower(t, clock.NewFake(time.Unix(0, 0)))
+	last, err := e.read(context.Background())
+	assert.NilError(t, err)
+	next := uint64(e.topicEnd) + 1
+	e.HandleAnnouncement(next, "third", "z")
+	e.applyRecord(*last, e.clk.Now())
+	assert.Equal(t, e.Leader(), Leader{Token: next, Name: "third", Addr: "z"})
+}
