serve/leader: failing test of executors that stay excluded after an operation

An operation that ends while the list does not show the instance's executor leaves that executor excluded from placement, also once it is listed again.

--- a/internal/serve/leader/fleet_test.go
+++ b/internal/serve/leader/fleet_test.go
@@ -260,3 +260,32 @@
 		assert.Assert(t, m.Contact != execs.Dead, "%v", phase)
 	}
 }
+
+// Guards against an executor that lives and gets no more tasks: the lists missed its instance while it drained,
+// or show it without its executor after an order that changed nothing.
+func TestExecutorAcceptsTasksOnceItsInstanceIsListedAgain(t *testing.T) {
+	row := model.Instance{Name: "m1", Pool: "s", Phase: model.Up}
+	other := model.Instance{Name: "m2", Pool: "s", Phase: model.Up, Executor: "y"}
+	for _, c := range []struct {
+		name    string
+		ordered bool
+		row     model.Instance
+	}{{"missed", false, other}, {"without its executor", true, row}} {
+		t.Run(c.name, func(t *testing.T) {
+			l, m, op, in, rs := newDrainingLeader(t, 1, -1)
+			l.Meters, m.Listed = NewMeters(tally.NoopScope), true
+			l.dropRun(rs[0])
+			l.tryDrain(op, in)
+			if c.ordered {
+				op.ordered = true
+				l.onOrderAnswered(orderAnswered{op: op})
+			}
+			for _, rows := range [][]model.Instance{{c.row}, {c.row}, {in, other}, {in, other}} {
+				l.now += time.Second
+				l.onInstancesListed(instancesListed{instances: rows, sent: l.now})
+			}
+			assert.Equal(t, len(l.fleet.operations), 0)
+			assert.Assert(t, m.CanAcceptTasks(l.now))
+		})
+	}
+}
