lead: a renewal shows that a resignation was not stored; a leader announced during a read is followed

Two findings of the review, each with a test that failed before.

After a step-down that the store refused, a leader that goes on renewing started nothing for the rest of its term (TestRenewalAfterAFailedResignationShowsThatItWasNotStored): a renewal is appended at the end of the topic, so that it shows that no earlier resignation can be stored any more.

An entry went back to the former leader when the next one claimed and announced itself while the answer to a read was on its way (TestLeaderThatWasAnnouncedDuringAReadIsFollowed): only a leader known before the read is compared with it.

--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -95,10 +95,12 @@
 	noSuccessor      uint64
 	noSuccessorUntil time.Duration
 
-	topicEnd   int64 // end offset of the topic, as far as it was read
-	view       elect.LeaderView
-	claimedBy  *record // the record by which another entry ended this one's leadership
-	claimDelay time.Duration
+	topicEnd int64 // end offset of the topic, as far as it was read
+	// tokenAtRead is the leader's token before the last read: a later one may be announced meanwhile.
+	tokenAtRead uint64
+	view        elect.LeaderView
+	claimedBy   *record // the record by which another entry ended this one's leadership
+	claimDelay  time.Duration
 	// synced reports whether the topic was read since the leader last answered.
 	synced bool
 	// renewalTook is the duration of the last renewal, or of the wait for its answer.
@@ -276,6 +278,8 @@
 		e.mu.Lock()
 		if e.leader.Token == leader.Token {
 			e.lastRenewal = sent
+			// It was appended at the end of the topic, so that no earlier resignation can be stored any more.
+			e.resignToken = 0
 		}
 		e.mu.Unlock()
 	case errors.As(err, &end):
@@ -386,7 +390,7 @@
 	e.view.ProcessGone, e.view.CutOff, e.view.LedBeforeRestart = false, false, false
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leader.Token > uint64(e.topicEnd) {
+	if e.leader.Token > uint64(e.topicEnd) && e.leader.Token == e.tokenAtRead {
 		// No claim can have this token: it is one above the claim's offset.
 		e.log.Error().Uint64("token", e.leader.Token).Str("addr", e.leader.Addr).Msg("leader that was announced does not exist")
 		e.setLeader(Leader{})
--- a/internal/serve/lead/topic.go
+++ b/internal/serve/lead/topic.go
@@ -67,6 +67,7 @@
 // read reads the topic to its end. It returns the last record that can be decoded, or nil if there is
 // no new one.
 func (e *Elector) read(ctx context.Context) (*record, error) {
+	e.tokenAtRead = e.Leader().Token
 	rs, end, err := e.client.Read(ctx, topic, 0, e.topicEnd, 0, storeTimeout)
 	if gone := (*platform.GoneError)(nil); errors.As(err, &gone) {
 		rs, end, err = e.client.Read(ctx, topic, 0, gone.First, 0, storeTimeout)
