serve/leader: findings of the review on leases, polls and instances

- A start whose answer shows that the clock went back extends the lease in mind by the longest lease, which the next incarnation grants (TestLeaseOfAStartAfterWhichTheClockWentBack).
- An instance that is listed without its executor after an order does not end it (TestRowWithoutAnExecutorDoesNotEndIt).
- A poll that is not sent in time gives the next one more time, and leases lapse also where no poll is sent (TestPollsThatExpireBeforeTheyAreSentGetMoreTime, TestLeasesExpireIfNoPollIsSentInTime).
- The executor that an operation has kept from tasks gets them again when it ends, whatever the list shows (TestExecutorAcceptsTasksOnceItsInstanceIsListedAgain).

--- a/internal/serve/leader/fleet.go
+++ b/internal/serve/leader/fleet.go
@@ -245,7 +245,7 @@
 		if f.missing[name] > 0 {
 			continue
 		}
-		if op.accepted && ev.sent > op.acceptedAt && op.former != nil && (in.Executor != op.former.ID || in.Phase != model.Up) {
+		if op.accepted && ev.sent > op.acceptedAt && op.former != nil && l.fleet.showsEnd(name, op.former.Service, op.former.ID) {
 			l.markDead(op.former, "its instance was moved or maintained")
 		}
 		if op.accepted && ev.sent > op.acceptedAt && (in.Phase == model.Up || l.isStandby(in.Pool) && in.Phase != model.Maintenance && in.Phase != model.Moving) {
--- a/internal/serve/leader/operation.go
+++ b/internal/serve/leader/operation.go
@@ -33,6 +33,7 @@
 	decided, stored bool
 	decidedAt       time.Duration
 	former          *member // the instance's executor when the order was first sent, if known
+	drained         *member // the executor that takes no tasks because of the operation, if any
 }
 
 type orderAnswered struct {
@@ -97,6 +98,7 @@
 	runs := 0
 	if m != nil {
 		m.Leaving = true
+		op.drained = m
 		runs = len(l.tracker.RunsOn(m.Key))
 	}
 	l.Log.Info().Str("instance", op.instance).Str("executor", in.Executor).Str("service", in.Pool).Str("to", op.pool).Int64("wave", op.wave).
@@ -105,11 +107,10 @@
 
 func (l *Leader) endOperation(op *operation, cause string) {
 	delete(l.fleet.operations, op.instance)
-	if in, ok := l.fleet.instances[op.instance]; ok {
-		if m := l.memberOn(in); m != nil && m.Leaving {
-			m.Leaving = false
-			l.planDue[m.Service] = true
-		}
+	// The list may not show the instance, or not with this executor.
+	if m := op.drained; m != nil && m.Leaving {
+		m.Leaving = false
+		l.planDue[m.Service] = true
 	}
 	l.Log.Info().Str("instance", op.instance).Str("to", op.pool).Int64("wave", op.wave).Str("cause", cause).
 		Dur("took", l.now-op.since).Msg("instance operation ended")
@@ -177,6 +178,7 @@
 		return in.Executor == "" || in.Phase != model.Up || l.now >= l.formerRunsEnd()
 	}
 	m.Leaving = true
+	op.drained = m
 	if m.Contact != execs.Live {
 		if l.now >= max(m.leaseEnd, l.formerRunsEnd()) && len(l.tracker.RunsOn(m.Key)) == 0 {
 			return true
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -185,6 +185,9 @@
 		l.markDead(m, "another incarnation answers at its address")
 		return
 	case errors.As(ev.err, &refused):
+		if refused.Reason == platform.ReasonLate {
+			m.pollFailures++ // it was not sent in time, so that the next one gets more
+		}
 		if refused.Reason == platform.ReasonFence && ev.fence == elect.FencingToken(l.token, m.fenceRaises) {
 			l.Log.Warn().Str("executor", m.ID).Uint64("fence", ev.fence).Msg("executor has seen a higher fencing token")
 			m.due = l.now + pollWait
@@ -277,9 +280,12 @@
 func (l *Leader) expireLeases() {
 	for _, m := range l.members {
 		// A later leader may have extended the leases, if another entry has claimed since.
-		if m.Contact == execs.Live || m.Contact == execs.Dead || l.LastRenewal() < m.leaseEnd || len(l.tracker.RunsOn(m.Key))+len(m.unconfirmed) == 0 {
+		if m.Contact == execs.Live && m.leaseEnd == 0 || m.Contact == execs.Dead || l.LastRenewal() < m.leaseEnd || len(l.tracker.RunsOn(m.Key))+len(m.unconfirmed) == 0 {
 			continue
 		}
+		if m.Contact == execs.Live {
+			m.Contact = execs.Unresponsive // no poll was sent in time
+		}
 		l.resolveFailures(m)
 		l.dropRuns(m, "its leases expired")
 		m.hasUnanswered = true
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -232,6 +232,8 @@
 		if ev.clock < ev.least && !m.mayHaveRestarted {
 			l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Dur("clock", ev.clock).Dur("least", ev.least).Msg("clock of an executor went back")
 			m.mayHaveRestarted, m.restartSeenAt = true, l.now
+			// The deadline on the clock of the former incarnation granted up to the longest lease.
+			m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
 			m.due = l.now
 			l.queuePoll(m)
 		}
