elect: renewals start 300 ms apart

With renewals 300 ms apart instead of 500 ms it stays below 650 ms up to answers of 320 ms; the store gets no more calls than that. TestSlowRenewalsCauseNoClaim asserted the former distance, and asserts the new one and that starts don't wait.

--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// RenewEvery is the time between renewals. Two of them, with the store's response time of some
+	// RenewEvery is the longest time between renewals while the store answers in time. Two of them, with the store's response time of some
 	// milliseconds, fit into LeaderTimeout.
 	RenewEvery = 500 * time.Millisecond
 	// LeaderTimeout is how long the claim log must stay unchanged before another entry claims. An
@@ -37,10 +37,14 @@
 	ClaimJitter = 50 * time.Millisecond
 )
 
+// renewInterval is the time between the starts of a leader's renewals. It is below RenewEvery, so that a
+// renewal whose response takes up to 320 ms, from the store or in a busy process, does not hold up starts.
+const renewInterval = 300 * time.Millisecond
+
 // RenewalDelay returns how long a leader waits before its next renewal if the response to the last
-// one took so long. Renewals start RenewEvery apart, or follow one another without a pause while
+// one took so long. Renewals start renewInterval apart, or follow one another without a pause while
 // the store is slow.
-func RenewalDelay(took time.Duration) time.Duration { return max(RenewEvery-took, 0) }
+func RenewalDelay(took time.Duration) time.Duration { return max(renewInterval-took, 0) }
 
 const (
 	// minRenewalTimeout and maxRenewalTimeout bound how long a leader waits for the response to a
--- a/internal/jobs/elect/elect_test.go
+++ b/internal/jobs/elect/elect_test.go
@@ -79,7 +79,10 @@
 		// time.
 		apart := answer + RenewalDelay(answer) + answer
 		assert.Assert(t, apart < CutOffTimeout && apart < LeaderTimeout, "%s apart with answers of %s", apart, answer)
-		assert.Assert(t, answer+RenewalDelay(answer) >= RenewEvery)
+		assert.Assert(t, answer+RenewalDelay(answer) >= renewInterval, "the store gets no more calls")
+		// Between two responses the last renewal is up to this old.
+		oldest := answer + RenewalDelay(answer) + answer
+		assert.Equal(t, IsSoleLeader(0, oldest), answer <= 320*time.Millisecond, "starts wait")
 		for _, v := range []LeaderView{{}, {CutOff: true}} {
 			assert.Assert(t, !MayClaim(v, apart, 0))
 		}
