Tests share their set-up; an unused method of memnet goes

The last read of the change: TestVirtualSoak repeated play, and now asserts as much as the other soak tests (entries make calls); four tests of serve/lead built the same store with faults; memnet.Host.ResetConns had no caller.

--- a/internal/bench/soak/virtual_test.go
+++ b/internal/bench/soak/virtual_test.go
@@ -1,15 +1,11 @@
 package soak
 
 import (
-	"context"
 	"flag"
 	"fmt"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"gotest.tools/v3/assert"
 )
 
 var (
@@ -34,14 +30,7 @@
 		c.Seed, c.Length = *virtualFirst+uint64(n), *virtualLength
 		t.Run(fmt.Sprintf("seed%d", c.Seed), func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				var text strings.Builder
-				report, err := Run(context.Background(), c, &text)
-				assert.NilError(t, err)
-				assert.NilError(t, report.Write(&text))
-				assert.Equal(t, len(report.Findings), 0, "%s", text.String())
-				assert.Assert(t, report.Accepted > 20, "%s", text.String())
-			})
+			synctest.Test(t, func(t *testing.T) { play(t, c) })
 		})
 	}
 }
--- a/internal/fake/memnet/memnet.go
+++ b/internal/fake/memnet/memnet.go
@@ -111,19 +111,6 @@
 	}
 }
 
-// ResetConns resets all connections of the process.
-func (h *Host) ResetConns() {
-	h.n.mu.Lock()
-	var open []*conn
-	for c := range h.conns {
-		open = append(open, c)
-	}
-	h.n.mu.Unlock()
-	for _, c := range open {
-		c.reset()
-	}
-}
-
 // gate returns a channel that is closed after the next change, and whether data to the host from
 // another one passes.
 func (h *Host) gate(from string) (changed <-chan struct{}, passes bool) {
--- a/internal/serve/lead/claim_test.go
+++ b/internal/serve/lead/claim_test.go
@@ -12,7 +12,6 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
-	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
@@ -43,13 +42,7 @@
 
 // Guards against a leader that starts nothing for the rest of its term after it could not step down.
 func TestRenewalAfterAFailedResignationShowsThatItWasNotStored(t *testing.T) {
-	w := fake.NewPlatform(nil)
-	defer w.Close()
-	storeProxy := w.NewStoreProxy()
-	set := w.Settings("self", 1, 2, 3)
-	set.Store.Addr = storeProxy.Addr()
-	c := platform.NewClient(set)
-	defer c.Close()
+	c, storeProxy := newStoreRig(t)
 	e := &Elector{
 		client: c, clk: clock.NewSystem(), log: zerolog.Nop(), nonce: "s", leader: Leader{Token: 1, IsSelf: true},
 		followers: map[string]elect.Candidate{"larger": {Name: "larger"}},
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -133,13 +133,7 @@
 // Guards against renewals whose interval grows with the store's latency.
 func TestRenewalIntervalIncludesStoreLatency(t *testing.T) {
 	const answer = 200 * time.Millisecond
-	w := fake.NewPlatform(nil)
-	defer w.Close()
-	storeProxy := w.NewStoreProxy()
-	set := w.Settings("self", 1, 2, 3)
-	set.Store.Addr = storeProxy.Addr()
-	c := platform.NewClient(set)
-	defer c.Close()
+	c, storeProxy := newStoreRig(t)
 	e := &Elector{client: c, clk: clock.NewSystem(), log: zerolog.Nop(), nonce: "s", leader: Leader{Token: 1, IsSelf: true}}
 	storeProxy.Set(fake.Faults{Delay: answer})
 	assert.Assert(t, e.renewOrResign(context.Background()) <= elect.RenewEvery-answer)
@@ -234,13 +228,7 @@
 
 // Guards against a leader that takes itself for the only one after a resignation whose answer was lost.
 func TestALostResignationIsRemembered(t *testing.T) {
-	w := fake.NewPlatform(nil)
-	defer w.Close()
-	storeProxy := w.NewStoreProxy()
-	set := w.Settings("self", 1, 2, 3)
-	set.Store.Addr = storeProxy.Addr()
-	c := platform.NewClient(set)
-	defer c.Close()
+	c, storeProxy := newStoreRig(t)
 	e := &Elector{client: c, clk: clock.NewSystem(), log: zerolog.Nop(), nonce: "s", leader: Leader{Token: 1, IsSelf: true}}
 	e.renewOrResign(context.Background())
 	assert.Assert(t, !e.HasSentResignation(1))
@@ -252,3 +240,16 @@
 	assert.Assert(t, e.HasSentResignation(1), "the leader still runs")
 	assert.Assert(t, !e.HasSentResignation(9))
 }
+
+// newStoreRig returns a client of a store with faults, and a proxy that sets them.
+func newStoreRig(t *testing.T) (*platform.Client, *fake.StoreProxy) {
+	t.Helper()
+	w := fake.NewPlatform(nil)
+	t.Cleanup(w.Close)
+	storeProxy := w.NewStoreProxy()
+	set := w.Settings("self", 1, 2, 3)
+	set.Store.Addr = storeProxy.Addr()
+	c := platform.NewClient(set)
+	t.Cleanup(c.Close)
+	return c, storeProxy
+}
--- a/internal/serve/lead/suspended_test.go
+++ b/internal/serve/lead/suspended_test.go
@@ -11,7 +11,6 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
-	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
 
@@ -35,13 +34,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := fake.NewPlatform(nil)
-			defer w.Close()
-			storeProxy := w.NewStoreProxy()
-			set := w.Settings("self", 1, 2, 3)
-			set.Store.Addr = storeProxy.Addr()
-			cl := platform.NewClient(set)
-			defer cl.Close()
+			cl, storeProxy := newStoreRig(t)
 			clk := clock.NewFake(time.Unix(0, 0))
 			clk.Advance(time.Minute)
 			e := &Elector{client: cl, clk: clk, log: zerolog.Nop(), id: Identity{Name: "self"}, nonce: "s", changed: make(chan struct{}, 1)}
