review: subtasks of a queue that was moved twice run twice after a restart (TWICE)

Shows: a queue is moved from service A to B and on to C; after a restart of all entries with two executors of B cut off, the subtasks that run there are started again on C at once.

Why: the services that a queue belonged to between acceptance and now are kept in memory only.

--- a/review/_stand/executor.go
+++ b/review/_stand/executor.go
@@ -69,6 +69,7 @@
 	news       chan struct{}
 	dead       bool
 	fails      bool // fails all that it starts
+	isCut      bool // reached by nobody, and reaches nobody
 	srv        *http.Server
 }
 
@@ -111,6 +112,12 @@
 		}
 		e.w.mu.Lock()
 		defer e.w.mu.Unlock()
+		if e.isCut {
+			e.w.mu.Unlock()
+			<-r.Context().Done()
+			e.w.mu.Lock()
+			panic(http.ErrAbortHandler)
+		}
 		if e.dead {
 			panic(http.ErrAbortHandler)
 		}
@@ -210,6 +217,9 @@
 	if e.fails {
 		x.result = "failed"
 	}
+	if o := w.otherRun(b.Task); o != nil {
+		w.violate("TWICE: start of %s/%d on %s while it runs on %s, which is up", b.Task, b.Attempt, e.id, o.id)
+	}
 	e.runs[b.Task] = x
 	w.say("start %s/%d on %s (%s) with checkpoint %q", b.Task, b.Attempt, e.id, e.m.name, b.Checkpoint)
 	if st.Gang {
@@ -220,6 +230,16 @@
 	e.reply(rw, http.StatusOK, nil)
 }
 
+// otherRun returns an executor that is up and runs a subtask, or nil.
+func (w *world) otherRun(task string) *executor {
+	for _, m := range w.machines {
+		if m.state == "up" && m.exec.runs[task] != nil {
+			return m.exec
+		}
+	}
+	return nil
+}
+
 // isValid reports whether the ticket of a start is valid.
 func (e *executor) isValid(b orderBody) bool {
 	f := strings.Split(b.Ticket, adviceSeparator)
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -33,7 +33,7 @@
 
 // cases are the cases by their names. trouble is false for the same case without its disruption.
 var cases = map[string]func(w *world, dir string, trouble bool){
-	"advice": playAdvice, "gang": playGang, "upkeep": playUpkeep, "reserve": playReserve,
+	"advice": playAdvice, "gang": playGang, "upkeep": playUpkeep, "reserve": playReserve, "moved": playMoved,
 }
 
 func main() {
@@ -86,14 +86,23 @@
 // configure writes a configuration with two queues of one service. The route of the first one has further
 // fields.
 func (w *world) configure(further string) {
-	route := func(name, prefix, further string) string {
-		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":%q,"kind":"unsafe","timeout_ms":3000,"target_runtime_ms":600,`+
-			`"priority":0,"service":%q,"max_attempts":2,"slack_factor":1.6%s}`, name, host, prefix, pool, further)
+	w.write(1, []string{pool}, route("r-anu6wsj", prefix, pool, further), route("r-8nbkxxm", plainPrefix, pool, ""))
+}
+
+func route(name, prefix, service, further string) string {
+	return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":%q,"kind":"unsafe","timeout_ms":3000,"target_runtime_ms":600,`+
+		`"priority":0,"service":%q,"max_attempts":2,"slack_factor":1.6%s}`, name, host, prefix, service, further)
+}
+
+// write writes a version of the configuration.
+func (w *world) write(version int, services []string, routes ...string) {
+	var list []string
+	for _, s := range services {
+		list = append(list, fmt.Sprintf(`{"name":%q,"health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":true,"standby":false}`, s))
 	}
-	w.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":1,"routes":[%s,%s],`+
-		`"services":[{"name":%q,"health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":true,"standby":false}],`+
+	w.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[%s],`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		route("r-anu6wsj", prefix, further), route("r-8nbkxxm", plainPrefix, ""), pool))
+		version, strings.Join(routes, ","), strings.Join(list, ",")))
 }
 
 const (
@@ -241,3 +250,45 @@
 	time.Sleep(finishTime)
 	w.checkLost(c, pool, jobs)
 }
+
+// playMoved has a queue that the configuration moves to a second service, where subtasks start, and then to
+// a third one. All processes of the system are killed at once and start again.
+func playMoved(w *world, dir string, trouble bool) {
+	services := []string{pool, "kafi81c", "lovo22d"}
+	move := func(version int) {
+		w.say("configuration %d: the queue belongs to %s", version, services[version-1])
+		w.write(version, services, route("r-anu6wsj", prefix, services[version-1], ""))
+	}
+	move(1)
+	w.addMachines(services[1], 12)
+	w.addMachines(services[2], 3)
+	c := w.begin(dir, 3)
+	s := &submission{
+		Prefix: prefix, Work: 9 * time.Second, Allowed: -1,
+		Steps: []step{
+			{Count: 1, CPU: 9900, Memory: 7100, Estimate: 9000},
+			{Count: 12, CPU: 9900, Memory: 7100, Estimate: 9000, After: []int{0}, PerServer: 1},
+		},
+	}
+	if !c.submit(s) {
+		cannotRun("the submission was not accepted")
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		move(2)
+	}
+	time.Sleep(9 * time.Second)
+	if trouble {
+		move(3)
+		time.Sleep(3 * time.Second)
+		w.cut(w.machines[:2], 5500*time.Millisecond)
+		w.mu.Lock()
+		w.disturb("herd_kill: all processes are killed")
+		w.mu.Unlock()
+		for _, e := range running {
+			e.signal(syscall.SIGKILL)
+		}
+	}
+	time.Sleep(25 * time.Second)
+	w.say("GET %s%s: %s", s.Prefix, s.ID, c.state(s))
+}
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -195,7 +195,7 @@
 			return
 		}
 		for _, m := range w.machines {
-			if m.state == "up" {
+			if m.state == "up" && !m.exec.isCut {
 				w.report(m)
 			}
 		}
@@ -216,6 +216,27 @@
 	})
 }
 
+// cut cuts the executors of machines off for a time. They run on.
+func (w *world) cut(ms []*machine, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range ms {
+		w.disturb("node_cut (servers): executor %s on %s is cut off for %v", m.exec.id, m.name, d)
+		e := m.exec
+		e.isCut = true
+		time.AfterFunc(silentBeats*heartbeat, func() { w.store.Put("keyed.servers", e.id, nil) })
+		time.AfterFunc(d, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.disturb("node_cut (servers): executor %s on %s is reached again", e.id, m.name)
+			e.isCut = false
+			if !e.dead {
+				w.report(m)
+			}
+		})
+	}
+}
+
 // lose loses the executor of a machine for good.
 func (w *world) lose(m *machine) {
 	w.mu.Lock()
