review: an order of an entry that no longer leads exceeds a wave's limit (LIMIT)

Shows: an upkeep order gets no answer, its sender is killed, and the next leader takes other machines of the wave down; the old order is carried out 9 s late and brings a second machine down, where the wave allows one.

Why: a new leader takes the machine for possibly down for 3.5 s only, and does not raise its fence.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,4 +8,4 @@
   echo "build first: the build of deploy/system.toml, and review/build.sh" >&2
   exit 2
 fi
-exec target/review-stand moved "$folder"
+exec target/review-stand gang "$folder"
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -213,6 +213,10 @@
 	}
 	w.store.Put("keyed.op", "wave/1", fmt.Appendf(nil, `{"wave":1,"machines":[%s],"deadline_s":26,"max_count":1}`, strings.Join(names, ",")))
 	w.say("wave 1 of %d machines is ordered, one at once, within 26 s", len(names))
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		c.submit(&submission{Prefix: prefix, Steps: []step{{Count: 5, CPU: 3000, Memory: 8700, Estimate: 500, Lasts: true}}, Allowed: -1})
+	}()
 	end := time.Now().Add(40 * time.Second)
 	for time.Now().Before(end) {
 		s := &submission{Prefix: prefix, Steps: []step{{Count: 12, CPU: 4600, Memory: 2500, Estimate: 1000}}, Work: time.Second, Allowed: -1}
