--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -75,14 +75,11 @@
 	waveLimit   int
 	interval    time.Duration // of checkpoints
 	violations  []string
-	unguarded   bool
 	needTickets bool
 	// lateUpkeep delays the first order of an upkeep, which is not answered then, 0 for none.
-	lateUpkeep time.Duration
-	onLate     func(holder string)
-	onUpkeep   func()
-	// lateStart delays a start, which is not answered then, if it returns more than 0.
-	lateStart   func(e *executor, task string) time.Duration
+	lateUpkeep  time.Duration
+	onLate      func(holder string)
+	onUpkeep    func()
 	disturbedAt []time.Time
 	servers     []*http.Server
 	closed      bool
