--- a/review/_stand/entry.go
+++ b/review/_stand/entry.go
@@ -212,7 +212,11 @@
 			c.w.mu.Unlock()
 			return true
 		}
-		time.Sleep(500 * time.Millisecond)
+		if status == 0 {
+			time.Sleep(50 * time.Millisecond) // the next try reaches another entry
+		} else {
+			time.Sleep(500 * time.Millisecond)
+		}
 	}
 	return false
 }
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -125,7 +125,7 @@
 func playAdvice(w *world, dir string, trouble bool) {
 	w.needTickets = true
 	w.configure(adviceInConfig)
-	const machines = 10
+	const machines = 12
 	c := w.begin(dir, machines)
 	setFailing := func(fails bool) {
 		w.mu.Lock()
@@ -154,7 +154,7 @@
 // playGang hands in a submission with a gang that writes checkpoints. An executor of a member crashes.
 func playGang(w *world, dir string, trouble bool) {
 	w.configure("")
-	c := w.begin(dir, 7)
+	c := w.begin(dir, 8)
 	s := &submission{
 		Prefix: prefix, Work: 8 * time.Second, Allowed: -1,
 		Steps: []step{{Count: 4, CPU: 9900, Memory: 7100, Estimate: 8000, Gang: true, Checkpoints: true, PerServer: 1}},
@@ -188,15 +188,24 @@
 	}
 }
 
-// playUpkeep has a wave of upkeep with one machine at once. An order of it is carried out late, and the
-// entry that sent it is killed.
+// playUpkeep has a wave of upkeep with one machine at once, under load. An order of it is carried out late,
+// while another machine of the wave is down, and the entry that sent it is killed.
 func playUpkeep(w *world, dir string, trouble bool) {
 	w.configure("")
 	w.waveLimit = 1
 	c := w.begin(dir, 9)
+	end := time.Now().Add(40 * time.Second)
+	go func() {
+		for time.Now().Before(end) {
+			s := &submission{Prefix: prefix, Steps: []step{{Count: 12, CPU: 4600, Memory: 2500, Estimate: 1000}}, Work: time.Second, Allowed: -1}
+			go c.submit(s)
+			time.Sleep(150 * time.Millisecond)
+		}
+	}()
+	time.Sleep(stabilityWindow)
+	w.mu.Lock()
 	if trouble {
-		w.mu.Lock()
-		w.lateUpkeep = 9 * time.Second
+		w.lateUpkeep = true
 		w.onLate = func(holder string) {
 			for _, e := range running {
 				if e.name == holder {
@@ -205,24 +214,15 @@
 				}
 			}
 		}
-		w.mu.Unlock()
 	}
-	names := make([]string, 0, 9)
+	var names []string
 	for _, m := range w.machines {
 		names = append(names, fmt.Sprintf("%q", m.name))
 	}
+	w.mu.Unlock()
 	w.store.Put("keyed.op", "wave/1", fmt.Appendf(nil, `{"wave":1,"machines":[%s],"deadline_s":26,"max_count":1}`, strings.Join(names, ",")))
 	w.say("wave 1 of %d machines is ordered, one at once, within 26 s", len(names))
-	go func() {
-		time.Sleep(300 * time.Millisecond)
-		c.submit(&submission{Prefix: prefix, Steps: []step{{Count: 5, CPU: 3000, Memory: 8700, Estimate: 500, Lasts: true}}, Allowed: -1})
-	}()
-	end := time.Now().Add(40 * time.Second)
-	for time.Now().Before(end) {
-		s := &submission{Prefix: prefix, Steps: []step{{Count: 12, CPU: 4600, Memory: 2500, Estimate: 1000}}, Work: time.Second, Allowed: -1}
-		go c.submit(s)
-		time.Sleep(150 * time.Millisecond)
-	}
+	time.Sleep(time.Until(end))
 }
 
 // playReserve has subtasks that last on the only machine that their queue's policy allows. The machine is
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilgauge.example/chervilgauge/platform/fake"
@@ -26,6 +27,8 @@
 	stopTime        = 200 * time.Millisecond
 	upkeepTime      = 2 * time.Second
 	heartbeat       = 1500 * time.Millisecond
+	leastLate       = 2 * time.Second // of orders that are carried out late
+	mostLate        = 12 * time.Second
 	silentBeats     = 3
 )
 
@@ -76,10 +79,12 @@
 	interval    time.Duration // of checkpoints
 	violations  []string
 	needTickets bool
-	// lateUpkeep delays the first order of an upkeep, which is not answered then, 0 for none.
-	lateUpkeep  time.Duration
+	// lateUpkeep is set if the next order of an upkeep is not answered and carried out late. onLate is
+	// called then, with its holder. late carries it out, nil if none waits, from when mayBeLate is set.
+	lateUpkeep  bool
 	onLate      func(holder string)
-	onUpkeep    func()
+	late        func()
+	mayBeLate   atomic.Bool
 	disturbedAt []time.Time
 	servers     []*http.Server
 	closed      bool
@@ -321,16 +326,17 @@
 	_ = json.NewDecoder(r.Body).Decode(&b)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if late := w.lateUpkeep; late > 0 {
-		w.lateUpkeep = 0
-		w.disturb("applied_late: upkeep of %s, ordered by %s with token %s, is not answered and carried out %v later", b.Machine, r.Header.Get("X-Duty-Holder"), r.Header.Get("X-Fencing-Token"), late)
-		header := r.Header.Clone()
-		time.AfterFunc(late, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.say("late order of an upkeep arrives: %s", b.Machine)
+	if w.lateUpkeep {
+		w.lateUpkeep = false
+		w.disturb("applied_late (cloud): upkeep of %s, ordered by %s with token %s, is not answered and carried out 2 to 12 s later", b.Machine, r.Header.Get("X-Duty-Holder"), r.Header.Get("X-Fencing-Token"))
+		header, at := r.Header.Clone(), time.Now()
+		w.late = func() {
+			w.late = nil
+			w.say("late order of an upkeep arrives after %.1f s: %s", time.Since(at).Seconds(), b.Machine)
 			w.carryOut(nothing{}, &http.Request{Header: header}, b.Machine, b.Wave)
-		})
+		}
+		time.AfterFunc(leastLate, func() { w.mayBeLate.Store(true) })
+		time.AfterFunc(mostLate, w.carryOutLate)
 		if w.onLate != nil {
 			w.onLate(r.Header.Get("X-Duty-Holder"))
 		}
@@ -339,6 +345,15 @@
 	w.carryOut(rw, r, b.Machine, b.Wave)
 }
 
+// carryOutLate carries out the late order if it still waits.
+func (w *world) carryOutLate() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.late != nil {
+		w.late()
+	}
+}
+
 // carryOut takes a machine down for its upkeep. The caller holds mu.
 func (w *world) carryOut(rw http.ResponseWriter, r *http.Request, name string, wave int64) {
 	m := w.find(name)
@@ -377,8 +392,8 @@
 		w.boot(m)
 	})
 	answer(rw, http.StatusOK, obj{})
-	if w.onUpkeep != nil {
-		w.onUpkeep()
+	if w.late != nil && w.mayBeLate.Load() {
+		time.AfterFunc(upkeepTime/4, w.carryOutLate)
 	}
 }
 
