assign: a waiting task reserves only executors that its queue's policy approved

Two submissions of long-running tasks run on the only executor that the policy of their queue allows.

Cause: reserve() takes an executor out of the round of placement for each long-running task that finds no capacity. It looked at labels, room and the limit per executor, not at the tickets, so that 10 waiting tasks reserved all 8 executors that had been denied to them.

TestTasksReserveOnlyExecutorsThatTheyMayUse without the condition in reserve(): "assertion failed: true (len(h.plan()) == 0 bool) != false (c.reserves bool): permission 0".

Why it works: a policy says denied, undecided, approved or startable, and only approved executors are reserved. An approval outlasts its tickets, so a task still reserves a full executor.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -185,10 +185,9 @@
 }
 
 // Plan returns the tasks to start now, best first, for jobs of one service in the given order. It
-// returns limit tasks at most, or a single gang that has more members. allowed reports whether an
-// executor may run a step.
-func Plan(jobs []*track.Job, members []*execs.Member, allowed func(*track.Step, *execs.Member) bool, rarity Rarity, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, allowed: allowed}
+// returns limit tasks at most, or a single gang that has more members.
+func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, now time.Duration, limit int) []Start {
+	p := plan{now: now, limit: limit, policy: policy}
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
 			p.slots = append(p.slots, &slot{m: m, free: m.Free(), rarity: rarity.Of(m.Labels)})
@@ -221,10 +220,10 @@
 }
 
 type plan struct {
-	now     time.Duration
-	limit   int
-	allowed func(*track.Step, *execs.Member) bool
-	slots   []*slot
+	now    time.Duration
+	limit  int
+	policy Policy
+	slots  []*slot
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
@@ -285,13 +284,13 @@
 
 // reserve excludes an executor from the rest of the plan, so that a long-running task can start
 // there later. Otherwise smaller tasks of less urgent jobs would take each core that becomes free.
-// It chooses the executor with the most free capacity among those where the task fits once other
-// work has ended.
+// It chooses the executor with the most free capacity among those where the task may run and fits
+// once other work has ended.
 func (p *plan) reserve(s *track.Step, placed map[string]int) {
 	best := -1
 	need := s.Reservation()
 	for i, sl := range p.slots {
-		if !canHost(s, sl.m, placed) {
+		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved {
 			continue
 		}
 		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
@@ -403,7 +402,7 @@
 		if !canHost(s, sl.m, placed) {
 			continue
 		}
-		if !p.allowed(s, sl.m) || slices.Contains(t.Avoided, sl.m.Key) && p.hasAlternative(s, t, placed) {
+		if p.policy(s, sl.m) != Startable || slices.Contains(t.Avoided, sl.m.Key) && p.hasAlternative(s, t, placed) {
 			continue
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -329,7 +329,7 @@
 			free[m.Key] = m.Capacity
 		}
 		placed := map[*track.Task]bool{}
-		for _, st := range Plan(jobs, members, anywhere, nil, time.Second, 1000) {
+		for _, st := range Plan(jobs, members, Unrestricted, nil, time.Second, 1000) {
 			free[st.Member.Key] = free[st.Member.Key].Minus(st.Task.Step.Reservation())
 			placed[st.Task] = true
 		}
@@ -343,3 +343,23 @@
 		}
 	})
 }
+
+// Guards against a service where nothing starts any more: long-running tasks wait for an executor that
+// was lost, the only one that the policy of their queue allows, and reserve all others.
+func TestTasksReserveOnlyExecutorsThatTheyMayUse(t *testing.T) {
+	for _, c := range []struct {
+		others   Permission
+		reserves bool
+	}{{Denied, false}, {Undecided, false}, {Approved, true}} {
+		h := newHarness(t, 3, cores(8))
+		h.policy = func(s *track.Step, _ *execs.Member) Permission {
+			if s.LongRunning {
+				return c.others
+			}
+			return Startable
+		}
+		h.accept("lasting", model.Step{Count: 3, Need: cores(4), LongRunning: true})
+		h.accept("other", model.Step{Need: cores(4), Estimate: time.Second})
+		assert.Equal(t, len(h.plan()) == 0, c.reserves, "permission %d", c.others)
+	}
+}
--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -20,13 +20,14 @@
 	ends    map[*track.Run]time.Duration
 	ended   map[string]time.Duration // when each job ended, by ID
 	rarity  Rarity
+	policy  Policy
 	// order replaces OrderJobs if it is set.
 	order func([]*track.Job) []*track.Job
 }
 
 func newHarness(t *testing.T, executors int, room model.Amount) *harness {
 	h := &harness{
-		t: t, tracker: track.New(0), byKey: map[string]*execs.Member{}, ends: map[*track.Run]time.Duration{}, ended: map[string]time.Duration{},
+		t: t, tracker: track.New(0), policy: Unrestricted, byKey: map[string]*execs.Member{}, ends: map[*track.Run]time.Duration{}, ended: map[string]time.Duration{},
 		queues: map[string]*model.Queue{"q": {Name: "q", Service: "s", Attempts: 2, Slack: 1.6, Objective: 600 * time.Millisecond}},
 	}
 	for i := range executors {
@@ -67,7 +68,7 @@
 	if h.order != nil {
 		order = h.order(jobs)
 	}
-	starts := Plan(order, h.members, anywhere, h.rarity, h.now, 64)
+	starts := Plan(order, h.members, h.policy, h.rarity, h.now, 64)
 	for _, s := range starts {
 		run := h.tracker.BeginRun(s.Task, s.Member.Key, s.Attempt, h.now)
 		h.tracker.ConfirmRun(run, h.now)
@@ -113,5 +114,3 @@
 }
 
 func cores(n int64) model.Amount { return model.Amount{Cores: n * 1000} }
-
-func anywhere(*track.Step, *execs.Member) bool { return true }
--- a/internal/serve/leader/advice.go
+++ b/internal/serve/leader/advice.go
@@ -1,12 +1,11 @@
 package leader
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strconv"
 	"time"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -30,7 +29,8 @@
 
 // stepAdvice holds the answers of the advice service for one step.
 type stepAdvice struct {
-	tickets map[string]ticket // by executor key
+	// tickets has the last ticket for each approved executor, by its key. It may have expired.
+	tickets map[string]ticket
 	// denied are the keys of the executors that may not run the step. That answer never changes.
 	denied   map[string]bool
 	inFlight bool
@@ -42,6 +42,14 @@
 	expires time.Duration
 }
 
+// expire makes the ticket for an executor unusable.
+func (a *stepAdvice) expire(key string) {
+	if t, ok := a.tickets[key]; ok {
+		t.expires = 0
+		a.tickets[key] = t
+	}
+}
+
 // adviceAnswered is the outcome of a call to the advice service.
 type adviceAnswered struct {
 	report
@@ -53,18 +61,25 @@
 	err     error
 }
 
-// ticketFor returns a ticket for a step on an executor, and whether a task may be started there.
-// Queues without advice need no ticket.
-func (l *Leader) ticketFor(s *track.Step, m *execs.Member) (string, bool) {
+// permission returns the permission of a step on an executor. Queues without advice need no ticket.
+func (l *Leader) permission(s *track.Step, m *execs.Member) assign.Permission {
 	if l.queueOf(s.Occ.Job).Advice == nil {
-		return "", true
+		return assign.Startable
 	}
 	a := l.advice[s]
 	if a == nil {
-		return "", false
+		return assign.Undecided
 	}
-	t, ok := a.tickets[m.Key]
-	return t.value, ok && l.now < t.expires-ticketSlack
+	t, approved := a.tickets[m.Key]
+	switch {
+	case a.denied[m.Key]:
+		return assign.Denied
+	case !approved:
+		return assign.Undecided
+	case l.now >= t.expires-ticketSlack:
+		return assign.Approved
+	}
+	return assign.Startable
 }
 
 // requestAdvice requests tickets for the ready steps of a job that have no usable ones. Jobs must
@@ -101,25 +116,10 @@
 	if a.inFlight || l.now < a.next {
 		return
 	}
-	need := s.Reservation()
-	var ms []*execs.Member
-	usable := 0
-	for _, m := range members {
-		if !m.CanAcceptTasks(l.now) || a.denied[m.Key] || !m.HasLabel(s.Label) || !need.FitsIn(m.Free()) {
-			continue
-		}
-		if t, ok := a.tickets[m.Key]; ok && l.now < t.expires-ticketSlack {
-			usable++
-			continue
-		}
-		ms = append(ms, m)
-	}
-	if usable > 0 || len(ms) == 0 {
+	ms := assign.ToAsk(s, members, l.permission, l.now)
+	if len(ms) == 0 {
 		return
 	}
-	slices.SortFunc(ms, func(x, y *execs.Member) int {
-		return cmp.Or(cmp.Compare(y.Free().Cores, x.Free().Cores), cmp.Compare(x.Key, y.Key))
-	})
 	ms = ms[:min(len(ms), maxAdviceExecutors)]
 	ev := adviceAnswered{step: s, sent: l.now, valid: adv.TicketTTL}
 	ids := make([]string, len(ms))
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -80,15 +80,15 @@
 			continue
 		}
 		order := l.jobOrders[s]
-		allowed := anyExecutor
+		policy := assign.Unrestricted
 		if order.needsAdvice {
-			allowed = l.hasTicket
+			policy = l.permission
 			for _, j := range order.jobs {
 				l.requestAdvice(j, members[s])
 			}
 		}
 		limit := min(max(minStartLimit, len(members[s])), room)
-		starts := assign.Plan(order.jobs, members[s], allowed, rare, l.now, limit)
+		starts := assign.Plan(order.jobs, members[s], policy, rare, l.now, limit)
 		for _, st := range starts {
 			l.startRun(st)
 		}
@@ -100,8 +100,6 @@
 	}
 }
 
-func anyExecutor(*track.Step, *execs.Member) bool { return true }
-
 // jobOrder is the order in which the jobs of a service are placed.
 type jobOrder struct {
 	jobs []*track.Job
@@ -169,11 +167,6 @@
 	return out
 }
 
-func (l *Leader) hasTicket(s *track.Step, m *execs.Member) bool {
-	_, ok := l.ticketFor(s, m)
-	return ok
-}
-
 func (l *Leader) startRun(st assign.Start) {
 	m := l.members[st.Member.Key]
 	r := l.tracker.BeginRun(st.Task, m.Key, st.Attempt, l.now)
@@ -185,7 +178,9 @@
 		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Spec.Payload, Deadline: deadline, Checkpoint: st.Task.Checkpoint,
 	}
 	// If a ticket is needed, the plan has used only executors for which there is one.
-	order.Ticket, _ = l.ticketFor(st.Task.Step, st.Member)
+	if a := l.advice[st.Task.Step]; a != nil {
+		order.Ticket = a.tickets[m.Key].value
+	}
 	to := l.target(m, startTimeout)
 	to.Expires = min(to.Expires, elect.SoleUntil(l.LastRenewal()))
 	r.Fence = to.Fence
@@ -276,7 +271,7 @@
 		m.RecordUnhealthy(l.now)
 	case platform.ReasonTicket:
 		if a := l.advice[t.Step]; a != nil {
-			delete(a.tickets, m.Key)
+			a.expire(m.Key)
 		}
 	case platform.ReasonLate, platform.ReasonOther, platform.ReasonBusy, platform.ReasonWave:
 		t.NotBefore = l.now + startRetryDelay
