leader: a round of placement follows once a delay has ended

Cause: plan() looks at services with events only, and none of these ends is one.

Evidence: TestTasksStartAfterADelayWithoutAnEvent, with replan() making nothing due: "assertion failed: 0 (int) != 1 (int)".

Why it works: while ready tasks wait, the service has a round 200 ms after its last one at the latest. A busy service has them more often by its events.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -108,6 +108,7 @@
 
 	deferred  []event // requests that arrived before the state was loaded
 	planDue   map[string]bool
+	replanAt  map[string]time.Duration // by service
 	nextPlan  time.Duration
 	jobOrders map[string]*jobOrder // by service
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
@@ -140,7 +141,7 @@
 		Deps: d, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[string]bool{}, runtimeRatios: map[string]*runtimeRatio{},
 		pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{}, jobOrders: map[string]*jobOrder{}, ended: map[string]time.Duration{},
-		planDue: map[string]bool{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]struct{}{},
+		planDue: map[string]bool{}, replanAt: map[string]time.Duration{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]struct{}{},
 	}
 	l.start = d.Clock.Now()
 	l.Log = d.Log.With().Uint64("token", token).Logger()
@@ -298,6 +299,7 @@
 	l.returnQueued()
 	l.openDue()
 	l.planNewlyVisible()
+	l.replan()
 	l.tailTopics()
 	if l.now >= l.nextSweep {
 		l.nextSweep = l.now + sweepInterval
--- a/internal/serve/leader/leader_test.go
+++ b/internal/serve/leader/leader_test.go
@@ -28,7 +28,7 @@
 	l := &Leader{
 		Deps: Deps{Orders: &orders.Orders{}, Log: zerolog.Nop(), Meters: NewMeters(tally.NoopScope)}, token: 3, tracker: track.New(0),
 		members: map[string]*member{}, pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{},
-		ended: map[string]time.Duration{}, planDue: map[string]bool{}, resolved: map[string]bool{}, now: 5 * time.Second,
+		ended: map[string]time.Duration{}, planDue: map[string]bool{}, replanAt: map[string]time.Duration{}, resolved: map[string]bool{}, now: 5 * time.Second,
 	}
 	m := &member{Member: execs.Member{Executor: model.Executor{ID: "x", Service: "s"}, Key: "x@1", Contact: execs.Live}, adopted: true}
 	l.members[m.Key] = m
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -24,6 +24,9 @@
 	// minStartLimit is the limit of starts per round for a service with few executors. Larger
 	// pools start up to one task for each executor in a round.
 	minStartLimit = 64
+	// replanInterval is the time to the next round of placement for a service with waiting tasks if
+	// no event makes one due before: a delay, a quarantine or a ticket may have ended.
+	replanInterval = 200 * time.Millisecond
 	// jobOrderRestFactor is how long a job order is reused, in multiples of the time that it
 	// took to compute: with a backlog of thousands, most changes are far from its head.
 	jobOrderRestFactor = 10
@@ -73,6 +76,9 @@
 	l.orderJobs(members)
 	due := slices.Collect(maps.Keys(l.planDue))
 	clear(l.planDue)
+	for _, s := range due {
+		delete(l.replanAt, s)
+	}
 	rare := l.rarity()
 	for _, s := range due {
 		if room <= 0 {
@@ -96,6 +102,27 @@
 		if len(starts) >= limit || order.madeAt < l.now {
 			// More tasks may be startable, or jobs have arrived since the order was computed.
 			l.planDue[s] = true
+			continue
+		}
+		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
+			l.replanAt[s] = l.now + replanInterval
+		}
+	}
+}
+
+// hasWaitingTasks reports whether tasks of a job wait for a start and depend on nothing else.
+func hasWaitingTasks(j *track.Job) bool {
+	return slices.ContainsFunc(j.Open, func(o *track.Occurrence) bool {
+		return slices.ContainsFunc(o.Steps, func(s *track.Step) bool { return s.IsReady() && hasWaiting(s) })
+	})
+}
+
+// replan makes a round of placement due for services with waiting tasks that had none for a while.
+func (l *Leader) replan() {
+	for s, at := range l.replanAt {
+		if l.now >= at {
+			l.planDue[s] = true
+			delete(l.replanAt, s)
 		}
 	}
 }
--- a/internal/serve/leader/sole_test.go
+++ b/internal/serve/leader/sole_test.go
@@ -38,22 +38,30 @@
 	assert.Equal(t, ask(), queryReply{model.Unknown, false})
 }
 
-// Guards against a task that two leaders start: the former one on an executor that has restarted, or because
-// both have read a leaderless job.
-func TestNothingStartsOnceAnotherEntryMayHaveClaimed(t *testing.T) {
+// newStartingLeader returns a leader that can start the task of its job, and the targets of the starts
+// that it sends.
+func newStartingLeader(t *testing.T) (*Leader, *member, *track.Task, *[]platform.Target) {
+	t.Helper()
 	w := fake.NewPlatform(nil)
-	defer w.Close()
+	t.Cleanup(w.Close)
 	l, m, task := newTestLeader(t)
 	l.Settings = w.Settings("self", 1, 2, 3)
 	l.Client = platform.NewClient(l.Settings)
-	defer l.Client.Close()
+	t.Cleanup(l.Client.Close)
 	l.Orders = orders.Start(t.Context(), l.Client, clock.NewSystem(), zerolog.Nop())
-	defer l.Orders.Close()
+	t.Cleanup(l.Orders.Close)
 	assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":1,"routes":[],"services":[{"name":"s"}],"limits":{}}`)))
 	l.Clock, l.jobOrders = clock.NewFake(time.Unix(0, 0)), map[string]*jobOrder{}
-	var sent []platform.Target
-	l.Execs, l.ctx, l.events = recordingExecs{targets: &sent}, context.Background(), make(chan event, 10)
+	sent := &[]platform.Target{}
+	l.Execs, l.ctx, l.events = recordingExecs{targets: sent}, context.Background(), make(chan event, 10)
 	m.Listed, m.visible, m.Capacity = true, true, model.Amount{Cores: 8000, Memory: 1000}
+	return l, m, task, sent
+}
+
+// Guards against a task that two leaders start: the former one on an executor that has restarted, or because
+// both have read a leaderless job.
+func TestNothingStartsOnceAnotherEntryMayHaveClaimed(t *testing.T) {
+	l, m, task, sent := newStartingLeader(t)
 	renewed := l.now - time.Second
 	l.LastRenewal = func() time.Duration { return renewed }
 	resigns := false
@@ -70,7 +78,23 @@
 	assert.Equal(t, starts(), 1)
 	assert.Assert(t, !task.IsWaiting())
 	assert.Assert(t, (<-l.events).(startedRun).err == nil)
-	assert.Equal(t, sent[0].Expires, elect.SoleUntil(renewed), "the order is not sent later")
+	assert.Equal(t, (*sent)[0].Expires, elect.SoleUntil(renewed), "the order is not sent later")
+}
+
+// Guards against a task of an otherwise idle service that is never started: its delay has ended, and
+// no event makes a round of placement due.
+func TestTasksStartAfterADelayWithoutAnEvent(t *testing.T) {
+	l, m, task, _ := newStartingLeader(t)
+	l.LastRenewal = func() time.Duration { return l.now }
+	task.NotBefore = l.now + time.Second
+	l.planDue["s"] = true
+	l.plan()
+	assert.Assert(t, task.IsWaiting() && !l.planDue["s"])
+	l.now = task.NotBefore
+	l.replan()
+	l.plan()
+	assert.Equal(t, len(l.tracker.RunsOn(m.Key)), 1)
+	assert.Equal(t, len(l.replanAt), 0, "no task waits")
 }
 
 // Guards against an end that a restarted executor forgets because a poll acknowledges the ends of its former
