assign: executors that the policy denies are no alternative for a failed task

The policy allows each submission one of 12 executors, and one of these fails all that it starts for 6 s. Submissions whose task failed there stay active for good (LOST).

Cause: a task avoids an executor where it failed while another one can run it. hasAlternative() did not look at the tickets, so that the task waited for executors that had been denied to it.

Tests before: TestFailedTaskRunsAgainOnItsOnlyExecutor "0 (int) != 1 (int): other executor: permission 0", TestTaskReservesNoExecutorThatItAvoids "b != a".

Why it works: only executors that are not denied count. Undecided ones count, since ToAsk asks about them once all waiting tasks avoid the approved ones. A waiting long-running task reserves no executor that it avoids: the same comparison was missing there.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -268,7 +268,7 @@
 		}
 		sl := p.bestSlot(s, t, placed)
 		if sl == nil && s.LongRunning {
-			p.reserve(s, placed)
+			p.reserve(s, t, placed)
 			continue
 		}
 		if sl == nil {
@@ -286,11 +286,11 @@
 // there later. Otherwise smaller tasks of less urgent jobs would take each core that becomes free.
 // It chooses the executor with the most free capacity among those where the task may run and fits
 // once other work has ended.
-func (p *plan) reserve(s *track.Step, placed map[string]int) {
+func (p *plan) reserve(s *track.Step, t *track.Task, placed map[string]int) {
 	best := -1
 	need := s.Reservation()
 	for i, sl := range p.slots {
-		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved {
+		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved || p.mustAvoid(s, t, sl.m, placed) {
 			continue
 		}
 		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
@@ -364,11 +364,16 @@
 	rareLabelWeight = 1.4
 )
 
+// mustAvoid reports whether a task is kept away from an executor because it has failed there.
+func (p *plan) mustAvoid(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
+	return slices.Contains(t.Avoided, m.Key) && (!isRetryDue(t, m, p.now) || p.hasAlternative(s, t, placed))
+}
+
 // hasAlternative reports whether a task can run on an executor on which it has not failed. The task
-// then waits for capacity there, since another failure may be its last.
+// then waits for capacity there, or for the policy's decision, since another failure may be its last.
 func (p *plan) hasAlternative(s *track.Step, t *track.Task, placed map[string]int) bool {
 	return slices.ContainsFunc(p.all, func(sl *slot) bool {
-		return !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed)
+		return !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
 	})
 }
 
@@ -402,7 +407,7 @@
 		if !canHost(s, sl.m, placed) {
 			continue
 		}
-		if p.policy(s, sl.m) != Startable || slices.Contains(t.Avoided, sl.m.Key) && p.hasAlternative(s, t, placed) {
+		if p.policy(s, sl.m) != Startable || p.mustAvoid(s, t, sl.m, placed) {
 			continue
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -45,11 +45,13 @@
 		switch fits := need.FitsIn(m.Free()); {
 		case p == Denied:
 		case p == Startable && fits:
-			return nil
+			if !isAvoided(s, m) {
+				return nil
+			}
 		case fits:
 			ask = append(ask, m)
 		case p >= Approved:
-			isApproved = true
+			isApproved = isApproved || !isAvoided(s, m)
 		default:
 			full = append(full, m)
 		}
@@ -63,3 +65,8 @@
 	})
 	return ask
 }
+
+// isAvoided reports whether each waiting task of a step has failed on an executor.
+func isAvoided(s *track.Step, m *execs.Member) bool {
+	return !slices.ContainsFunc(s.Tasks, func(t *track.Task) bool { return t.IsWaiting() && !slices.Contains(t.Avoided, m.Key) })
+}
--- a/internal/jobs/assign/policy_test.go
+++ b/internal/jobs/assign/policy_test.go
@@ -54,3 +54,87 @@
 		assert.Equal(t, keys(ToAsk(s, h.members, policyOf(c.ps), time.Second)), c.want, name)
 	}
 }
+
+// failOnce starts the only task of a job on the executor "a", where it fails.
+func (h *harness) failOnce(j *track.Job) {
+	h.t.Helper()
+	task := j.Open[0].Steps[0].Tasks[0]
+	starts := h.plan()
+	assert.Equal(h.t, len(starts), 1)
+	assert.Equal(h.t, starts[0].Member.Key, "a")
+	delete(h.ends, task.Runs[0])
+	h.byKey["a"].RemoveRun(task.Step)
+	h.now += time.Second
+	task.LastFailure = h.now
+	h.tracker.ApplyEnd("a", model.End{Task: task.ID, Attempt: task.Attempt, Ending: model.EndedFailed}, false, h.now)
+}
+
+// Guards against a task that is never started again: it failed on the only executor that the policy
+// allows, and those that the policy denies counted as alternatives.
+func TestFailedTaskRunsAgainOnItsOnlyExecutor(t *testing.T) {
+	for _, lasts := range []bool{false, true} {
+		for _, c := range []struct {
+			other  Permission
+			starts int
+		}{{Denied, 1}, {Undecided, 0}, {Approved, 0}} {
+			h := newHarness(t, 2, cores(8))
+			ps := map[string]Permission{"a": Startable, "b": c.other}
+			h.policy = policyOf(ps)
+			j := h.accept("job", model.Step{Need: cores(2), Estimate: time.Second, LongRunning: lasts})
+			h.failOnce(j)
+			// The decision is asked for, so that the task does not wait for long.
+			want := ""
+			if c.other != Denied {
+				want = "b"
+			}
+			assert.Equal(t, keys(ToAsk(j.Open[0].Steps[0], h.members, h.policy, h.now)), want)
+			h.now += lastAttemptDelay
+			assert.Equal(t, len(h.plan()), c.starts, "other executor: permission %d", c.other)
+		}
+	}
+}
+
+// Guards against a job that fails because its task uses all its attempts at once on an executor that
+// fails everything for some seconds, the only one that the policy allows.
+func TestLastAttemptWaitsForTheExecutor(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempts int
+		lasts    bool
+		later    func(*harness)
+		starts   int
+	}{
+		"last attempt":        {2, false, func(*harness) {}, 0},
+		"attempts are left":   {3, false, func(*harness) {}, 1},
+		"no limit":            {2, true, func(*harness) {}, 1},
+		"a run succeeded":     {2, false, func(h *harness) { h.byKey["a"].LastSuccess = h.now }, 1},
+		"the delay has ended": {2, false, func(h *harness) { h.now += lastAttemptDelay }, 1},
+	} {
+		h := newHarness(t, 2, cores(8))
+		h.queues["q"].Attempts = c.attempts
+		h.policy = policyOf(map[string]Permission{"a": Startable})
+		h.failOnce(h.accept("job", model.Step{Need: cores(2), Estimate: time.Second, LongRunning: c.lasts}))
+		h.now += time.Second
+		c.later(h)
+		assert.Equal(t, len(h.plan()), c.starts, name)
+	}
+}
+
+// Guards against a long-running task that never starts because it reserves the idle executor on
+// which it has failed, while smaller tasks take each core of the other one.
+func TestTaskReservesNoExecutorThatItAvoids(t *testing.T) {
+	h := newHarness(t, 2, cores(8))
+	h.policy = policyOf(map[string]Permission{"a": Startable, "b": Approved})
+	j := h.accept("job", model.Step{Need: cores(4), LongRunning: true})
+	h.failOnce(j)
+	h.byKey["b"].Used = cores(6)
+	h.policy = func(s *track.Step, m *execs.Member) Permission {
+		if s.LongRunning && m.Key == "b" {
+			return Approved
+		}
+		return Startable
+	}
+	h.accept("small", model.Step{Need: cores(2), Estimate: time.Second})
+	starts := h.plan()
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Member.Key, "a")
+}
--- a/internal/jobs/execs/member.go
+++ b/internal/jobs/execs/member.go
@@ -61,8 +61,10 @@
 	Slowness float64
 	// QuarantinedUntil is the time before which it gets no new tasks because of failures.
 	QuarantinedUntil time.Duration
-	quarantine       time.Duration
-	failedJobs       []string
+	// LastSuccess is when a run last succeeded there, 0 for never.
+	LastSuccess time.Duration
+	quarantine  time.Duration
+	failedJobs  []string
 }
 
 // CanAcceptTasks reports whether the executor accepts new tasks.
@@ -74,7 +76,8 @@
 func (m *Member) Free() model.Amount { return m.Capacity.Minus(m.Used) }
 
 // RecordSuccess records a run that succeeded.
-func (m *Member) RecordSuccess() {
+func (m *Member) RecordSuccess(now time.Duration) {
+	m.LastSuccess = now
 	m.failedJobs = nil
 	m.quarantine = 0
 }
--- a/internal/jobs/execs/member_test.go
+++ b/internal/jobs/execs/member_test.go
@@ -19,7 +19,7 @@
 		assert.Assert(t, !m.RecordFailure("hopeless", 0))
 	}
 	assert.Assert(t, m.CanAcceptTasks(0))
-	m.RecordSuccess()
+	m.RecordSuccess(0)
 	for i := range failuresToQuarantine {
 		assert.Equal(t, m.RecordFailure(fmt.Sprint("job", i), time.Second), i == failuresToQuarantine-1)
 	}
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -64,8 +64,10 @@
 	Runs       []*Run
 	// Unresolved tasks may run on an executor that a new leader has not contacted yet.
 	Unresolved bool
-	// Avoided are executors on which it failed.
-	Avoided []string
+	// Avoided are executors on which it failed, and LastFailure is when it last did, 0 if this leader
+	// has not seen that.
+	Avoided     []string
+	LastFailure time.Duration
 	// NotBefore is the earliest time of the next start, after a refusal.
 	NotBefore time.Duration
 }
@@ -95,6 +97,11 @@
 	return !t.Step.LongRunning && len(t.failureOwner().failures) >= t.Step.Occ.Job.maxFailures()
 }
 
+// HasLastAttempt reports whether one more failure ends the job.
+func (t *Task) HasLastAttempt() bool {
+	return !t.Step.LongRunning && len(t.failureOwner().failures)+1 >= t.Step.Occ.Job.maxFailures()
+}
+
 // confirmedFailures returns the number of failures that count permanently.
 func (t *Task) confirmedFailures() int {
 	n := 0
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -116,7 +116,7 @@
 	s := r.Task.Step
 	switch e.Ending {
 	case model.EndedDone:
-		m.RecordSuccess()
+		m.RecordSuccess(l.now)
 		ratio := l.runtimeRatios[m.Service]
 		if ratio == nil {
 			ratio = &runtimeRatio{mean: 1}
@@ -126,6 +126,7 @@
 		ratio.add(took, s.Estimate)
 		m.RecordRunTime(took, time.Duration(float64(s.Estimate)*max(ratio.mean, 0.1)))
 	case model.EndedFailed:
+		r.Task.LastFailure = l.now
 		if m.RecordFailure(e.Task.Job, l.now) {
 			l.Meters.quarantines.Inc(1)
 			l.Log.Warn().Str("executor", m.ID).Dur("until", m.QuarantinedUntil-l.now).Msg("executor quarantined because its runs fail")
