assign: a gang's members count against each other as alternatives, and it asks for all its places

What callers would see: a gang that never starts (LOST).

Cause: an executor counted as the alternative of a member that failed elsewhere although another member of the gang fills it: the members are placed together or not at all, and none of them ends before the other starts. Likewise one startable executor ended the questions to the advice service, however many members have no place.

Evidence, before: TestGangStartsWhereAMemberFailed "0 (int) != 2 (int)"; TestToAsk " != a: all places of a gang".

Why it works: canHost() counts the members that are placed, and ToAsk() counts the places.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -384,10 +384,14 @@
 	return slices.ContainsFunc(members, func(m *execs.Member) bool { return m.CanAcceptTasks(now) && canHost(t.Step, m, placed) })
 }
 
-// canHost reports whether an executor can run a task of a step once all work there that is not
-// long-running has ended.
+// canHost reports whether an executor can run another task of a step once all work there that is not
+// long-running has ended, except the placed members of the same gang.
 func canHost(s *track.Step, m *execs.Member, placed map[string]int) bool {
-	return m.HasLabel(s.Label) && (s.MaxPerExecutor == 0 || placed[m.Key] < s.MaxPerExecutor) && s.Reservation().FitsIn(m.Capacity.Minus(m.LongRunning))
+	need := s.Reservation()
+	if s.Gang {
+		need = need.Times(int64(placed[m.Key]) + 1)
+	}
+	return m.HasLabel(s.Label) && (s.MaxPerExecutor == 0 || placed[m.Key] < s.MaxPerExecutor) && need.FitsIn(m.Capacity.Minus(m.LongRunning))
 }
 
 // bestSlot returns the executor for a task, or nil if there is no capacity.
--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -31,10 +31,14 @@
 func Unrestricted(*track.Step, *execs.Member) Permission { return Startable }
 
 // ToAsk returns the executors that the policy of a step's queue is to be asked about, those with the
-// most free capacity first, or none while waiting tasks of the step can start.
+// most free capacity first, or none while a waiting task of the step, or all members of a gang, can start.
 func ToAsk(s *track.Step, members []*execs.Member, policy Policy, now time.Duration) []*execs.Member {
 	placed := runsByExecutor(s)
 	need := s.Reservation()
+	missing := 1 // tasks without a place among the startable executors
+	if s.Gang {
+		missing = len(s.Tasks)
+	}
 	var ask, full []*execs.Member
 	isApproved := false // on an executor that a waiting task can reserve
 	for _, m := range members {
@@ -45,7 +49,10 @@
 		switch fits := need.FitsIn(m.Free()); {
 		case p == Denied:
 		case p == Startable && fits:
-			if !isAvoided(s, m) {
+			if isAvoided(s, m) {
+				continue
+			}
+			if missing -= placesOn(m, s, placed, missing); missing == 0 {
 				return nil
 			}
 		case fits:
@@ -70,3 +77,15 @@
 func isAvoided(s *track.Step, m *execs.Member) bool {
 	return !slices.ContainsFunc(s.Tasks, func(t *track.Task) bool { return t.IsWaiting() && !slices.Contains(t.Avoided, m.Key) })
 }
+
+// placesOn returns how many tasks of a step an executor can start now, most at the most.
+func placesOn(m *execs.Member, s *track.Step, placed map[string]int, most int) int {
+	if s.MaxPerExecutor > 0 {
+		most = min(most, s.MaxPerExecutor-placed[m.Key])
+	}
+	n := 0
+	for n < most && s.Reservation().Times(int64(n)+1).FitsIn(m.Free()) {
+		n++
+	}
+	return n
+}
--- a/internal/jobs/assign/policy_test.go
+++ b/internal/jobs/assign/policy_test.go
@@ -40,6 +40,8 @@
 		"not without capacity":     {model.Step{}, map[string]Permission{"a": Undecided}, map[string]int64{"a": 7}, ""},
 		"full ones to reserve":     {model.Step{LongRunning: true}, map[string]Permission{"a": Undecided}, map[string]int64{"a": 7}, "a"},
 		"not if one is reserved":   {model.Step{LongRunning: true}, map[string]Permission{"a": Undecided, "c": Approved}, map[string]int64{"a": 7, "c": 7}, ""},
+		"all places of a gang":     {model.Step{Gang: true}, map[string]Permission{"a": Undecided, "b": Startable}, map[string]int64{"b": 5}, "a"},
+		"not if a gang can start":  {model.Step{Gang: true}, map[string]Permission{"a": Undecided, "b": Startable}, nil, ""},
 		"others at the step limit": {model.Step{MaxPerExecutor: 1}, map[string]Permission{"a": Undecided, "b": Startable}, nil, "a"},
 	} {
 		h := newHarness(t, 3, cores(8))
@@ -138,3 +140,13 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Member.Key, "a")
 }
+
+// Guards against a gang that never starts: a member that failed on one executor waits for the other
+// one, which another member of the gang fills.
+func TestGangStartsWhereAMemberFailed(t *testing.T) {
+	h := newHarness(t, 2, cores(8))
+	s := h.accept("gang", model.Step{Count: 2, Need: cores(5), Gang: true, Estimate: time.Second}).Open[0].Steps[0]
+	s.Tasks[1].Avoid("a")
+	h.members[0].Slowness = 3 // the first member goes to the other executor
+	assert.Equal(t, len(h.plan()), 2)
+}
