leader: a drain stops long-running tasks only if an approved executor has capacity for them

What callers would see: a long-running task of a queue with advice is stopped for the move of its instance, and nothing can run it any more (LOST).

Cause: CanPlace() looked at labels, room and the limit per executor, not at the answers of the advice service.

Evidence, before: TestCanPlaceLongRunningTask "true (bool) != false: room, permission 0".

Why it works: approved executors count only. The leader asks about the others while it drains, since a step without waiting tasks was asked about when it started, by a former leader perhaps.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -377,11 +377,13 @@
 	})
 }
 
-// CanPlace reports whether a long-running task can run on one of some executors, besides those that
-// have as many tasks of its step as allowed.
-func CanPlace(t *track.Task, members []*execs.Member, now time.Duration) bool {
+// CanPlace reports whether a long-running task can run on one of some executors that the policy has
+// approved, besides those that have as many tasks of its step as allowed.
+func CanPlace(t *track.Task, members []*execs.Member, policy Policy, now time.Duration) bool {
 	placed := runsByExecutor(t.Step)
-	return slices.ContainsFunc(members, func(m *execs.Member) bool { return m.CanAcceptTasks(now) && canHost(t.Step, m, placed) })
+	return slices.ContainsFunc(members, func(m *execs.Member) bool {
+		return m.CanAcceptTasks(now) && canHost(t.Step, m, placed) && policy(t.Step, m) >= Approved
+	})
 }
 
 // canHost reports whether an executor can run another task of a step once all work there that is not
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -300,7 +300,12 @@
 		assert.Equal(t, len(h.plan()), 1)
 		h.members[1].Leaving = false
 		c.other(h.members[1])
-		assert.Equal(t, CanPlace(j.Open[0].Steps[0].Tasks[0], h.members, h.now), c.has, name)
+		task := j.Open[0].Steps[0].Tasks[0]
+		assert.Equal(t, CanPlace(task, h.members, Unrestricted, h.now), c.has, name)
+		for _, p := range []Permission{Denied, Undecided, Approved, Startable} {
+			policy := policyOf(map[string]Permission{"a": Startable, "b": p})
+			assert.Equal(t, CanPlace(task, h.members, policy, h.now), c.has && p >= Approved, "%s, permission %d", name, p)
+		}
 	}
 }
 
--- a/internal/serve/leader/advice.go
+++ b/internal/serve/leader/advice.go
@@ -86,12 +86,12 @@
 // be passed in the order of placement, since the number of calls in flight is limited.
 func (l *Leader) requestAdvice(j *track.Job, members []*execs.Member) {
 	adv := l.queueOf(j).Advice
-	if adv == nil {
+	if adv == nil || l.adviceCalls >= maxAdviceCalls {
 		return
 	}
 	for _, o := range j.Open {
 		for _, s := range o.Steps {
-			if l.adviceCalls < maxAdviceCalls && s.IsReady() && hasWaiting(s) {
+			if s.IsReady() && hasWaiting(s) {
 				l.requestStepAdvice(s, adv, members)
 			}
 		}
@@ -113,7 +113,7 @@
 		a = &stepAdvice{tickets: map[string]ticket{}, denied: map[string]bool{}}
 		l.advice[s] = a
 	}
-	if a.inFlight || l.now < a.next {
+	if l.adviceCalls >= maxAdviceCalls || a.inFlight || l.now < a.next {
 		return
 	}
 	ms := assign.ToAsk(s, members, l.permission, l.now)
--- a/internal/serve/leader/operation.go
+++ b/internal/serve/leader/operation.go
@@ -228,9 +228,9 @@
 	return false
 }
 
-// canRunElsewhere reports whether a long-running task fits on another executor than m now. If
-// an instance has to be moved for it first, which takes about two seconds, the task keeps
-// running on m until then.
+// canRunElsewhere reports whether a long-running task may run and fits on another executor than m now.
+// It asks for advice where the policy has not approved one. If an instance has to be moved for the
+// task first, which takes about two seconds, it keeps running on m until then.
 func (l *Leader) canRunElsewhere(m *member, t *track.Task) bool {
 	var others []*execs.Member
 	for _, o := range l.executorsOf(m.Service) {
@@ -238,7 +238,13 @@
 			others = append(others, &o.Member)
 		}
 	}
-	return assign.CanPlace(t, others, l.now)
+	if assign.CanPlace(t, others, l.permission, l.now) {
+		return true
+	}
+	if adv := l.queueOf(t.Step.Occ.Job).Advice; adv != nil {
+		l.requestStepAdvice(t.Step, adv, others)
+	}
+	return false
 }
 
 // stoppableTogether returns the long-running steps on an executor, with true for those all of
