leader: the services that tasks of a job may be sent to are stored before they are used

A queue is moved from service A to B and to C; all entries are killed and start again while two executors of B are cut off and run on. 0.6 s later their tasks start again on C (TWICE).

Cause: a new leader waits for the executors of the service at acceptance, of the present one, and of those between that its process has read. A process that starts after the second move knows nothing of B, and the platform keeps the newest configuration only.

Before: TestExecutorsOfStoredServicesAreAwaited "task.IsWaiting() is true: the task may run on the executor of service t", TestTasksStartOnAnotherServiceOnceThatIsStored "1 (int) != 0 (int)".

Why it works: a task is sent to another service than that at acceptance only once this service is stored with the job's progress, and a new leader has read that before it starts anything. A former leader that is fenced can't store it.

The store's records stay readable both ways: Mark has two more fields, and one without services is from after a start.

--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -1,7 +1,9 @@
 package track
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -93,6 +95,13 @@
 type Batch struct {
 	Records []Record
 	ended   []*Job
+	moved   []move
+}
+
+// move is a service to which tasks of a job may be sent once that is stored.
+type move struct {
+	job     *Job
+	service string
 }
 
 // TakeChanges returns the changes that are not stored and starts a new batch.
@@ -103,6 +112,11 @@
 		if !o.Job.IsOver() {
 			o.Job.storedProgress[o.Number] = struct{}{}
 			out.Records = append(out.Records, Record{progressKey(o.Job.ID, o.Number), encode(o.progress())})
+			for s, stored := range o.Job.services {
+				if !stored {
+					out.moved = append(out.moved, move{o.Job, s})
+				}
+			}
 		}
 	}
 	for _, j := range tr.dirtyEnd {
@@ -122,13 +136,17 @@
 // HasChanges reports whether TakeChanges would return anything.
 func (tr *Tracker) HasChanges() bool { return len(tr.dirtyOcc)+len(tr.dirtyEnd) > 0 }
 
-// MarkStored makes the final states in a stored batch visible to callers. It returns the jobs that
-// ended in the batch.
-func (tr *Tracker) MarkStored(batch Batch) []*Job {
+// MarkStored makes the final states in a stored batch visible to callers, and its services usable. It
+// returns the jobs that ended in the batch and those that may use another service now.
+func (tr *Tracker) MarkStored(batch Batch) (ended, moved []*Job) {
 	for _, j := range batch.ended {
 		j.visible = j.state
 	}
-	return batch.ended
+	for _, m := range batch.moved {
+		m.job.services[m.service] = true
+		moved = append(moved, m.job)
+	}
+	return batch.ended, moved
 }
 
 // maxSavedBytes bounds the checkpoints in a record, which the store must accept, each with
@@ -144,7 +162,7 @@
 	for _, s := range o.Steps {
 		n += s.Count
 	}
-	m := &workpb.Mark{Done: make([]byte, (n+7)/8)}
+	m := &workpb.Mark{Done: make([]byte, (n+7)/8), Services: slices.Sorted(maps.Keys(o.Job.services)), Begun: o.Job.begun}
 	for _, s := range o.Steps {
 		for _, t := range s.Tasks {
 			i := t.index()
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -201,6 +201,9 @@
 	attemptBase int
 	// storedProgress are the occurrences with progress in the store.
 	storedProgress map[int]struct{}
+	// services are those that tasks may be sent to besides the one at acceptance, with true for those
+	// that are stored.
+	services map[string]bool
 }
 
 // State returns the state that callers may see.
@@ -224,6 +227,18 @@
 // contacted yet.
 func (j *Job) IsUnresolved() bool { return j.unresolved }
 
+// Services returns the services to which tasks of the job may have been sent: the one at acceptance and
+// those that are stored with its progress.
+func (j *Job) Services() []string {
+	out := []string{j.Settings.Service}
+	for s, stored := range j.services {
+		if stored {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // due returns the due time of occurrence k of a scheduled job, in Unix time.
 func (j *Job) due(k int) time.Duration { return j.Spec.Start + time.Duration(k)*j.Spec.Period }
 
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -137,12 +137,18 @@
 // stored progress and makes the remaining tasks unresolved.
 func (tr *Tracker) restoreJob(j *Job, progress map[int]*workpb.Mark, wall time.Duration) {
 	last := -1
-	for k := range progress {
+	for k, m := range progress {
 		if k < j.Spec.Repeats {
 			last = max(last, k)
 		}
+		j.begun = j.begun || m.GetBegun() || len(m.GetServices()) == 0
+		for _, s := range m.GetServices() {
+			if j.services == nil {
+				j.services = map[string]bool{}
+			}
+			j.services[s] = true
+		}
 	}
-	j.begun = len(progress) > 0
 	j.unresolved, j.attemptBase = true, tr.attemptBase
 	for _, o := range slices.Clone(j.Open) {
 		tr.restoreOccurrence(o, progress[o.Number], wall)
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// MayUseService reports whether tasks of a job with an open occurrence may be sent to executors of a
+// service. Later leaders have to know all such services, or they would start again what runs there.
+// Until the service is stored it returns false and includes it in the next batch.
+func (tr *Tracker) MayUseService(j *Job, service string) bool {
+	if service == j.Settings.Service {
+		return true
+	}
+	stored, known := j.services[service]
+	if !known {
+		if j.services == nil {
+			j.services = map[string]bool{}
+		}
+		j.services[service] = false
+		tr.markDirty(j.Open[0])
+	}
+	return stored
+}
+
 // BeginRun adds a run that is about to be ordered. Attempt 0 stands for the next attempt.
 func (tr *Tracker) BeginRun(t *Task, executor string, attempt int, now time.Duration) *Run {
 	if attempt == 0 {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -268,17 +269,12 @@
 }
 
 // areFormerRunsKnown reports whether isKnown holds for all services to which earlier leaders may have
-// sent the tasks of a job: that of its queue when it was accepted, the present one, and those between.
+// sent the tasks of a job: those stored with the job, the present one of its queue, and those between.
+// Leaders of earlier versions stored only the service at acceptance.
 func (l *Leader) areFormerRunsKnown(j *track.Job, isKnown func(service string) bool) bool {
-	if !isKnown(l.queueOf(j).Service) || !isKnown(j.Settings.Service) {
-		return false
-	}
-	for _, s := range l.Orders.FormerServices(j.Queue, j.Accepted-track.MaxClockLead) {
-		if !isKnown(s) {
-			return false
-		}
-	}
-	return true
+	services := append(j.Services(), l.queueOf(j).Service)
+	services = append(services, l.Orders.FormerServices(j.Queue, j.Accepted-track.MaxClockLead)...)
+	return !slices.ContainsFunc(services, func(s string) bool { return !isKnown(s) })
 }
 
 func (l *Leader) allContacted(service string) bool {
--- a/internal/serve/leader/moved_test.go
+++ b/internal/serve/leader/moved_test.go
@@ -32,19 +32,26 @@
 	return l.tracker.Job("job").Task(model.TaskID{Job: "job"})
 }
 
-// newMovedQueueLeader returns a leader that has contacted no executor, one of each service, whose
-// queue "q" belonged to the services "s" and "t" before and belongs to "u" now.
-func newMovedQueueLeader(t *testing.T) (*Leader, map[string]*member) {
+// newOrders returns operators' orders that are not read from a store.
+func newOrders(t *testing.T) *orders.Orders {
 	t.Helper()
-	l, _, _ := newTestLeader(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	client := platform.NewClient(platform.Settings{})
-	l.Orders = orders.Start(ctx, client, clock.NewSystem(), zerolog.Nop())
+	o := orders.Start(ctx, client, clock.NewSystem(), zerolog.Nop())
 	t.Cleanup(func() {
 		cancel()
-		l.Orders.Close()
+		o.Close()
 		client.Close()
 	})
+	return o
+}
+
+// newMovedQueueLeader returns a leader that has contacted no executor, one of each service, whose
+// queue "q" belonged to the services "s" and "t" before and belongs to "u" now.
+func newMovedQueueLeader(t *testing.T) (*Leader, map[string]*member) {
+	t.Helper()
+	l, _, _ := newTestLeader(t)
+	l.Orders = newOrders(t)
 	ms := map[string]*member{}
 	clear(l.members)
 	for version, s := range []string{"s", "t", "u"} {
@@ -96,3 +103,66 @@
 	l.resolveFormerRuns()
 	assert.Assert(t, task.IsWaiting())
 }
+
+// storedTwiceMoved returns what the store has of a job that was accepted for service "s" and whose queue
+// was moved to "t" by a former leader, which had started nothing but wanted to.
+func storedTwiceMoved(t *testing.T, accepted time.Duration) []track.Record {
+	t.Helper()
+	body := []byte(`{"phases":[{"count":1}]}`)
+	q := model.Queue{Name: "q", Service: "s"}
+	spec, err := platform.DecodeJob(body)
+	assert.NilError(t, err)
+	tr := track.New(0)
+	j := tr.Accept("job", q, spec, accepted, 0)
+	assert.Assert(t, tr.MayUseService(j, "s"))
+	assert.Assert(t, !tr.MayUseService(j, "t"), "not stored yet")
+	batch := tr.TakeChanges()
+	assert.Assert(t, !tr.MayUseService(j, "t") && !tr.HasChanges(), "stored once")
+	tr.MarkStored(batch)
+	assert.Assert(t, tr.MayUseService(j, "t"))
+	return append(batch.Records, track.JobRecord("job", q, body, accepted))
+}
+
+// Guards against a second run of a task after a restart: its queue was moved to "t", where the task runs,
+// and then to "u", and the process has not seen "t".
+func TestExecutorsOfStoredServicesAreAwaited(t *testing.T) {
+	l, ms := newMovedQueueLeader(t)
+	l.Orders = newOrders(t)
+	moveQueue(t, l, 3, "u")
+	loader := track.NewLoader(platform.DecodeJob)
+	accepted := time.Duration(time.Now().UnixNano())
+	for _, r := range storedTwiceMoved(t, accepted) {
+		assert.NilError(t, loader.Add(r.Key, r.Value))
+	}
+	l.tracker, _ = loader.Load(0, l.now, accepted)
+	l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
+	l.LastRenewal = func() time.Duration { return l.now }
+	j := l.tracker.Job("job")
+	assert.Equal(t, j.State(), model.Queued)
+	for _, s := range []string{"s", "u"} {
+		answerPoll(l, ms[s], 1, platform.PollResult{})
+	}
+	l.resolveFormerRuns()
+	task := j.Task(model.TaskID{Job: "job"})
+	assert.Assert(t, !task.IsWaiting(), "the task may run on the executor of service t")
+	answerPoll(l, ms["t"], 1, platform.PollResult{})
+	l.resolveFormerRuns()
+	assert.Assert(t, task.IsWaiting())
+}
+
+// Guards against a task that starts on a service of which a later leader does not know.
+func TestTasksStartOnAnotherServiceOnceThatIsStored(t *testing.T) {
+	l, m, task, _ := newStartingLeader(t)
+	l.LastRenewal = func() time.Duration { return l.now }
+	assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":2,"routes":[{"name":"q","service":"t"}],"services":[{"name":"s"},{"name":"t"}],"limits":{}}`)))
+	task.Step.Occ.Job.Queue, m.Service, l.byService = "q", "t", nil
+	plan := func() int {
+		l.planDue["t"] = true
+		l.plan()
+		return len(l.tracker.RunsOn(m.Key))
+	}
+	assert.Equal(t, plan(), 0)
+	l.onAppended(appended{batch: l.tracker.TakeChanges()})
+	assert.Assert(t, l.planDue["t"])
+	assert.Equal(t, plan(), 1)
+}
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -94,7 +94,7 @@
 			}
 		}
 		limit := min(max(minStartLimit, len(members[s])), room)
-		starts := assign.Plan(order.jobs, members[s], policy, rare, l.now, limit)
+		starts := assign.Plan(l.startable(order.jobs, s), members[s], policy, rare, l.now, limit)
 		for _, st := range starts {
 			l.startRun(st)
 		}
@@ -110,6 +110,18 @@
 	}
 }
 
+// startable returns the jobs whose tasks may be sent to a service, without those whose queue has been
+// moved there and for which that is not stored yet.
+func (l *Leader) startable(jobs []*track.Job, service string) []*track.Job {
+	isHeld := func(j *track.Job) bool {
+		return j.Settings.Service != service && hasWaitingTasks(j) && !l.tracker.MayUseService(j, service)
+	}
+	if !slices.ContainsFunc(jobs, isHeld) {
+		return jobs
+	}
+	return slices.DeleteFunc(slices.Clone(jobs), isHeld)
+}
+
 // hasWaitingTasks reports whether tasks of a job wait for a start and depend on nothing else.
 func hasWaitingTasks(j *track.Job) bool {
 	return slices.ContainsFunc(j.Open, func(o *track.Occurrence) bool {
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -214,7 +214,14 @@
 	for _, c := range ev.cancels {
 		l.onCancelStored(c)
 	}
-	for _, j := range l.tracker.MarkStored(ev.batch) {
+	ended, moved := l.tracker.MarkStored(ev.batch)
+	for _, j := range moved {
+		l.planDue[l.queueOf(j).Service] = true
+	}
+	if len(moved) > 0 {
+		l.Log.Info().Int("jobs", len(moved)).Str("first", moved[0].ID).Msg("jobs may start on the service that their queue was moved to")
+	}
+	for _, j := range ended {
 		l.Meters.jobTime.RecordDuration(l.wall - j.Accepted)
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Stringer("state", j.State()).
 			Dur("age", l.wall-j.Accepted).Msg("job is over")
