track: the members of a gang are started with one checkpoint

One executor of a gang that saves checkpoints crashes. Each later run of the gang ends alone, is started again, and the submission never completes (GANG).

Cause: a checkpoint was kept for each task. The members that ended as broken had listed the newest one, that of the crashed member was from the last poll. Each start carried these two values, and members with different ones do not come together.

TestGangStartsWithOneCheckpoint on the code before: "old (r.Checkpoint string) != newer (want string)".

Why it works: a gang keeps one checkpoint with its first task, as it keeps its failures, and all its members are started in one round. The value of a later attempt, then the one seen last, stays; any member's is valid for all. A value is stored once for a gang, and records with one for each member are read as one of them.

--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -204,7 +204,8 @@
 	}
 	for _, s := range m.GetSaved() {
 		if int(s.GetTask()) < len(all) {
-			all[s.GetTask()].Checkpoint = s.GetValue()
+			// Earlier versions stored one for each member of a gang; any of them is valid for all.
+			all[s.GetTask()].owner().Checkpoint = s.GetValue()
 		}
 	}
 	o.Job.storedProgress[o.Number] = struct{}{}
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -38,6 +38,8 @@
 	OrderedAt, PhaseSince time.Duration
 	Percent               float64
 	Checkpoint            string
+	// savedSeen is the number of the observation of Checkpoint.
+	savedSeen int64
 	// Metric is the tail latency in milliseconds of a serving task, and the cores in use, in
 	// thousandths, of any other task.
 	Metric int64
@@ -55,12 +57,16 @@
 	ID   model.TaskID
 	Step *Step
 	Done bool
-	// failures are the runs that failed. Those of a gang are kept with its first task.
+	// failures are the runs that failed. The failures and the checkpoint of a gang are kept with its
+	// first task.
 	failures []failure
 	// Attempt is the highest attempt so far.
 	Attempt int
-	// Checkpoint is the checkpoint to resume from, empty for none.
+	// Checkpoint is the checkpoint to resume from, empty for none. It is from a run of the attempt
+	// savedBy, 0 if it was loaded, and the observation savedSeen.
 	Checkpoint string
+	savedBy    int
+	savedSeen  int64
 	Runs       []*Run
 	// Unresolved tasks may run on an executor that a new leader has not contacted yet.
 	Unresolved bool
@@ -84,8 +90,9 @@
 	return !t.Done && len(t.Runs) == 0 && !t.Unresolved && !t.isExhausted()
 }
 
-// failureOwner returns the task that keeps the failures of t.
-func (t *Task) failureOwner() *Task {
+// owner returns the task that keeps the failures and the checkpoint of t. The members of a gang have
+// to be started with the same checkpoint.
+func (t *Task) owner() *Task {
 	if t.Step.Gang {
 		return t.Step.Tasks[0]
 	}
@@ -94,18 +101,18 @@
 
 // isExhausted reports whether the task has no attempts left, counting unconfirmed failures.
 func (t *Task) isExhausted() bool {
-	return !t.Step.LongRunning && len(t.failureOwner().failures) >= t.Step.Occ.Job.maxFailures()
+	return !t.Step.LongRunning && len(t.owner().failures) >= t.Step.Occ.Job.maxFailures()
 }
 
 // HasLastAttempt reports whether one more failure ends the job.
 func (t *Task) HasLastAttempt() bool {
-	return !t.Step.LongRunning && len(t.failureOwner().failures)+1 >= t.Step.Occ.Job.maxFailures()
+	return !t.Step.LongRunning && len(t.owner().failures)+1 >= t.Step.Occ.Job.maxFailures()
 }
 
 // confirmedFailures returns the number of failures that count permanently.
 func (t *Task) confirmedFailures() int {
 	n := 0
-	for _, f := range t.failureOwner().failures {
+	for _, f := range t.owner().failures {
 		if f.confirmed {
 			n++
 		}
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -206,7 +206,8 @@
 	t.Unresolved = false
 	run := tr.BeginRun(t, executor, r.Attempt, now)
 	tr.ConfirmRun(run, now)
-	run.Percent, run.Checkpoint, run.Metric = r.Percent, r.Checkpoint, r.Metric
+	run.Percent, run.Metric = r.Percent, r.Metric
+	tr.ObserveCheckpoint(run, r.Checkpoint)
 	if t.Step.Gang {
 		t.Step.GangAttempt = max(t.Step.GangAttempt, r.Attempt)
 	}
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -22,6 +22,8 @@
 	attemptBase int
 	// earlyCancels are the times of cancels whose jobs are not known yet.
 	earlyCancels map[string]time.Duration
+	// checkpointsSeen counts the checkpoints observed so far.
+	checkpointsSeen int64
 }
 
 // New returns an empty tracker. Attempts of tasks that an earlier leader may have started are
@@ -200,7 +202,10 @@
 		attempt = t.Attempt + 1
 	}
 	t.Attempt = max(t.Attempt, attempt)
-	r := &Run{Attempt: attempt, Executor: executor, OrderedAt: now, PhaseSince: now, LastProgress: now, Checkpoint: t.Checkpoint, Pace: 100, Task: t}
+	r := &Run{
+		Attempt: attempt, Executor: executor, OrderedAt: now, PhaseSince: now, LastProgress: now,
+		Checkpoint: t.owner().Checkpoint, savedSeen: t.owner().savedSeen, Pace: 100, Task: t,
+	}
 	t.Runs = append(t.Runs, r)
 	tr.runSet(executor)[r] = struct{}{}
 	return r
@@ -247,13 +252,29 @@
 	if len(tr.runs[r.Executor]) == 0 {
 		delete(tr.runs, r.Executor)
 	}
-	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint && !t.Done {
-		t.Checkpoint = r.Checkpoint
-		tr.markDirty(t.Step.Occ)
-	}
+	tr.keepCheckpoint(t, r.Checkpoint, r.Attempt, r.savedSeen)
 	tr.trim(t.Step.Occ.Job)
 }
 
+// ObserveCheckpoint records the checkpoint that an executor lists for a run, if it lists one.
+func (tr *Tracker) ObserveCheckpoint(r *Run, value string) {
+	if value != "" && value != r.Checkpoint {
+		tr.checkpointsSeen++
+		r.Checkpoint, r.savedSeen = value, tr.checkpointsSeen
+	}
+}
+
+// keepCheckpoint keeps the checkpoint of an ended run for the next one, unless a later attempt, or another
+// member of the gang after it, has written one.
+func (tr *Tracker) keepCheckpoint(t *Task, value string, attempt int, seen int64) {
+	o := t.owner()
+	if value == "" || value == o.Checkpoint || t.Done || attempt < o.savedBy || attempt == o.savedBy && seen < o.savedSeen {
+		return
+	}
+	o.Checkpoint, o.savedBy, o.savedSeen = value, attempt, seen
+	tr.markDirty(t.Step.Occ)
+}
+
 func (tr *Tracker) markDirty(o *Occurrence) {
 	if !o.dirty && !o.Job.IsOver() {
 		o.dirty = true
@@ -307,15 +328,12 @@
 	if r == nil && (t.Done || !adopt && (e.Ending != model.EndedDone || t.Step.LongRunning)) {
 		return Effect{}
 	}
-	if e.Checkpoint != "" {
-		if r != nil {
-			r.Checkpoint = e.Checkpoint
-		} else {
-			t.Checkpoint = e.Checkpoint
-		}
-	}
 	if r != nil {
+		tr.ObserveCheckpoint(r, e.Checkpoint)
 		tr.RemoveRun(r)
+	} else {
+		tr.checkpointsSeen++
+		tr.keepCheckpoint(t, e.Checkpoint, e.Attempt, tr.checkpointsSeen)
 	}
 	eff := Effect{Known: true}
 	if j.IsOver() || t.Done {
@@ -386,7 +404,7 @@
 // store, and from the executor if that was not told that the end is stored.
 func (tr *Tracker) recordFailure(t *Task, executor string, attempt int) {
 	t.Avoid(executor)
-	owner := t.failureOwner()
+	owner := t.owner()
 	for i := range owner.failures {
 		if owner.failures[i].attempt == attempt {
 			owner.failures[i].confirmed = false
@@ -408,7 +426,7 @@
 	if t == nil {
 		return false
 	}
-	owner := t.failureOwner()
+	owner := t.owner()
 	for i := range owner.failures {
 		if owner.failures[i].attempt == attempt {
 			owner.failures[i].confirmed = true
@@ -434,7 +452,7 @@
 		return
 	}
 	if t := j.Task(id); t != nil {
-		owner := t.failureOwner()
+		owner := t.owner()
 		owner.failures = slices.DeleteFunc(owner.failures, func(f failure) bool { return f.attempt == attempt && !f.confirmed })
 		tr.markDirty(t.Step.Occ)
 	}
--- a/internal/jobs/track/tracker_test.go
+++ b/internal/jobs/track/tracker_test.go
@@ -277,3 +277,46 @@
 	tr.MarkStored(tr.TakeChanges())
 	assert.Equal(t, j.State(), model.Failed)
 }
+
+// Guards against a gang that ends alone again and again after a crash: its members are started with the
+// different checkpoints that each of them saved last.
+func TestGangStartsWithOneCheckpoint(t *testing.T) {
+	spec := model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: 3, Gang: true, WritesCheckpoints: true}}}
+	tr := New(0)
+	s := tr.Accept("job", queue, spec, 0, 0).Open[0].Steps[0]
+	d := disk{}
+	d.write([]Record{JobRecord("job", queue, body(spec), 0)})
+	begin := func(attempt int) []*Run {
+		var rs []*Run
+		for i, task := range s.Tasks {
+			rs = append(rs, tr.BeginRun(task, fmt.Sprint("x", i), attempt, 0))
+		}
+		return rs
+	}
+	assertAll := func(rs []*Run, want string) {
+		t.Helper()
+		for _, r := range rs {
+			assert.Equal(t, r.Checkpoint, want)
+		}
+	}
+	rs := begin(1)
+	tr.ObserveCheckpoint(rs[0], "old")
+	tr.ObserveCheckpoint(rs[1], "old")
+	tr.ObserveCheckpoint(rs[2], "new")
+	for i, saved := range []string{"", "newer", "newer"} {
+		if i > 0 {
+			tr.ApplyEnd(rs[i].Executor, model.End{Task: rs[i].Task.ID, Attempt: 1, Ending: model.EndedBroken, Checkpoint: saved}, false, 0)
+		}
+	}
+	tr.RemoveRun(rs[0]) // of the executor that crashed
+	rs = begin(2)
+	assertAll(rs, "newer")
+	for _, r := range rs {
+		tr.RemoveRun(r)
+	}
+	d.write(tr.TakeChanges().Records)
+	tr = d.load(t)
+	tr.ReleaseUnresolved(func(*Job) bool { return true }, 0)
+	s = tr.Job("job").Open[0].Steps[0]
+	assertAll(begin(70), "newer")
+}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -231,9 +231,7 @@
 			r.LastProgress = l.now
 		}
 		r.Percent, r.Metric, r.MissedLists = row.Percent, row.Metric, 0
-		if row.Checkpoint != "" {
-			r.Checkpoint = row.Checkpoint
-		}
+		l.tracker.ObserveCheckpoint(r, row.Checkpoint)
 		switch {
 		case r.Phase != track.Running:
 		case r.Task.Step.Occ.Job.IsOver():
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -214,7 +214,7 @@
 	deadline := m.deadline(l.now)
 	m.extend(deadline)
 	order := platform.Start{
-		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Spec.Payload, Deadline: deadline, Checkpoint: st.Task.Checkpoint,
+		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Spec.Payload, Deadline: deadline, Checkpoint: r.Checkpoint,
 	}
 	// If a ticket is needed, the plan has used only executors for which there is one.
 	if a := l.advice[st.Task.Step]; a != nil {
