track: the record of a job has the advice settings of its queue

Cause: a leader falls back on the settings that are stored with the job, and these had no advice.

Evidence, before: TestJobKeepsTheSettingsOfItsQueue fails, Advice is nil after the load.

Why it works: the settings that placement reads are the same before and after a change of the leader. Records of earlier versions have no advice, as before. The overhead assumed for a record grows with the fields.

--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -80,10 +80,16 @@
 }
 
 func encodeJob(q model.Queue, body []byte, accepted time.Duration) []byte {
-	return encode(&workpb.Work{
+	w := &workpb.Work{
 		Queue: q.Name, Accepted: accepted.Milliseconds(), Body: body, Service: q.Service,
 		Attempts: uint32(q.Attempts), Priority: int32(q.Priority), Slack: q.Slack, Objective: q.Objective.Milliseconds(),
-	})
+	}
+	if a := q.Advice; a != nil {
+		w.Advice = &workpb.Advice{
+			Decision: a.DecisionTime.Milliseconds(), Each: a.PerExecutor.Milliseconds(), Valid: a.TicketTTL.Milliseconds(),
+		}
+	}
+	return encode(w)
 }
 
 // CancelRecord returns the record of a cancel at a Unix time.
@@ -255,10 +261,14 @@
 }
 
 func settingsOf(w *workpb.Work) model.Queue {
-	return model.Queue{
+	q := model.Queue{
 		Name: w.GetQueue(), Service: w.GetService(), Attempts: int(w.GetAttempts()), Priority: int(w.GetPriority()),
 		Slack: w.GetSlack(), Objective: millis(w.GetObjective()),
 	}
+	if a := w.GetAdvice(); a != nil {
+		q.Advice = &model.Advice{DecisionTime: millis(a.GetDecision()), PerExecutor: millis(a.GetEach()), TicketTTL: millis(a.GetValid())}
+	}
+	return q
 }
 
 // maxMillis bounds the times in records, so that sums of them don't overflow.
--- a/internal/jobs/track/tracker_test.go
+++ b/internal/jobs/track/tracker_test.go
@@ -320,3 +320,18 @@
 	s = tr.Job("job").Open[0].Steps[0]
 	assertAll(begin(70), "newer")
 }
+
+// Guards against tasks that are started without the tickets that they need: their queue was removed, and a
+// later leader knows it from the record of the job only.
+func TestJobKeepsTheSettingsOfItsQueue(t *testing.T) {
+	q := model.Queue{
+		Name: "q", Service: "s", Attempts: 3, Priority: 1, Slack: 1.6, Objective: 600 * time.Millisecond,
+		Advice: &model.Advice{DecisionTime: 50 * time.Millisecond, PerExecutor: 2 * time.Millisecond, TicketTTL: 3 * time.Second},
+	}
+	d := disk{}
+	d.write([]Record{JobRecord("job", q, body(steps(1)), 0)})
+	assert.DeepEqual(t, d.load(t).Job("job").Settings, q)
+	q.Advice = nil
+	d.write([]Record{JobRecord("job", q, body(steps(1)), 0)})
+	assert.DeepEqual(t, d.load(t).Job("job").Settings, q)
+}
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -189,7 +189,7 @@
 }
 
 // recordOverhead bounds the bytes of a job's record besides its body and names.
-const recordOverhead = 128
+const recordOverhead = 192
 
 // onJobStored adds a job that was stored to the tracker.
 func (l *Leader) onJobStored(ev *submitRequest) {
