assign, leader: findings of a read of the whole change

A success counts as a sign that an executor is sound only if its run was ordered after the failure: runs that began before a fault can still succeed on an executor that fails all new ones (TestLastAttemptWaitsForTheExecutor has the case; it failed before, since any success released the task). The services of a job are iterated without a copy, since a new leader asks for them after each event until former runs are known. A ticket is sent only while the queue has advice.

--- a/internal/jobs/assign/policy_test.go
+++ b/internal/jobs/assign/policy_test.go
@@ -105,11 +105,12 @@
 		later    func(*harness)
 		starts   int
 	}{
-		"last attempt":        {2, false, func(*harness) {}, 0},
-		"attempts are left":   {3, false, func(*harness) {}, 1},
-		"no limit":            {2, true, func(*harness) {}, 1},
-		"a run succeeded":     {2, false, func(h *harness) { h.byKey["a"].LastSuccess = h.now }, 1},
-		"the delay has ended": {2, false, func(h *harness) { h.now += lastAttemptDelay }, 1},
+		"last attempt":             {2, false, func(*harness) {}, 0},
+		"attempts are left":        {3, false, func(*harness) {}, 1},
+		"no limit":                 {2, true, func(*harness) {}, 1},
+		"a later run succeeded":    {2, false, func(h *harness) { h.byKey["a"].RecordSuccess(h.now) }, 1},
+		"an earlier run succeeded": {2, false, func(h *harness) { h.byKey["a"].RecordSuccess(h.now - 2*time.Second) }, 0},
+		"the delay has ended":      {2, false, func(h *harness) { h.now += lastAttemptDelay }, 1},
 	} {
 		h := newHarness(t, 2, cores(8))
 		h.queues["q"].Attempts = c.attempts
--- a/internal/jobs/assign/retry.go
+++ b/internal/jobs/assign/retry.go
@@ -12,11 +12,11 @@
 const lastAttemptDelay = 10 * time.Second
 
 // isRetryDue reports whether a task may start again on an executor where it has failed. With its last
-// attempt it waits until another run has succeeded there or the delay has passed: an executor that
-// still fails all runs would make its job fail.
+// attempt it waits until a run that was ordered after the failure has succeeded there, or the delay
+// has passed: an executor that still fails what it starts would make its job fail.
 func isRetryDue(t *track.Task, m *execs.Member, now time.Duration) bool {
 	if t.LastFailure == 0 || !t.HasLastAttempt() {
 		return true
 	}
-	return m.LastSuccess > t.LastFailure || now >= t.LastFailure+lastAttemptDelay
+	return m.LastGoodStart > t.LastFailure || now >= t.LastFailure+lastAttemptDelay
 }
--- a/internal/jobs/execs/member.go
+++ b/internal/jobs/execs/member.go
@@ -61,10 +61,10 @@
 	Slowness float64
 	// QuarantinedUntil is the time before which it gets no new tasks because of failures.
 	QuarantinedUntil time.Duration
-	// LastSuccess is when a run last succeeded there, 0 for never.
-	LastSuccess time.Duration
-	quarantine  time.Duration
-	failedJobs  []string
+	// LastGoodStart is when the last started run that succeeded there was ordered, 0 for none.
+	LastGoodStart time.Duration
+	quarantine    time.Duration
+	failedJobs    []string
 }
 
 // CanAcceptTasks reports whether the executor accepts new tasks.
@@ -75,9 +75,9 @@
 // Free returns the capacity that is not reserved.
 func (m *Member) Free() model.Amount { return m.Capacity.Minus(m.Used) }
 
-// RecordSuccess records a run that succeeded.
-func (m *Member) RecordSuccess(now time.Duration) {
-	m.LastSuccess = now
+// RecordSuccess records a run that succeeded, and when it was ordered.
+func (m *Member) RecordSuccess(orderedAt time.Duration) {
+	m.LastGoodStart = max(m.LastGoodStart, orderedAt)
 	m.failedJobs = nil
 	m.quarantine = 0
 }
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -4,6 +4,7 @@
 package track
 
 import (
+	"iter"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -234,16 +235,19 @@
 // contacted yet.
 func (j *Job) IsUnresolved() bool { return j.unresolved }
 
-// Services returns the services to which tasks of the job may have been sent: the one at acceptance and
+// Services yields the services to which tasks of the job may have been sent: the one at acceptance and
 // those that are stored with its progress.
-func (j *Job) Services() []string {
-	out := []string{j.Settings.Service}
-	for s, stored := range j.services {
-		if stored {
-			out = append(out, s)
+func (j *Job) Services() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if !yield(j.Settings.Service) {
+			return
+		}
+		for s, stored := range j.services {
+			if stored && !yield(s) {
+				return
+			}
 		}
 	}
-	return out
 }
 
 // due returns the due time of occurrence k of a scheduled job, in Unix time.
--- a/internal/serve/leader/advice.go
+++ b/internal/serve/leader/advice.go
@@ -82,6 +82,16 @@
 	return assign.Startable
 }
 
+// ticketFor returns the last ticket for a step on an executor, empty if none is needed. Placement uses
+// only executors whose ticket is valid.
+func (l *Leader) ticketFor(s *track.Step, key string) string {
+	a := l.advice[s]
+	if a == nil || l.queueOf(s.Occ.Job).Advice == nil {
+		return ""
+	}
+	return a.tickets[key].value
+}
+
 // requestAdvice requests tickets for the ready steps of a job that have no usable ones. Jobs must
 // be passed in the order of placement, since the number of calls in flight is limited.
 func (l *Leader) requestAdvice(j *track.Job, members []*execs.Member) {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -272,9 +271,20 @@
 // sent the tasks of a job: those stored with the job, the present one of its queue, and those between.
 // Leaders of earlier versions stored only the service at acceptance.
 func (l *Leader) areFormerRunsKnown(j *track.Job, isKnown func(service string) bool) bool {
-	services := append(j.Services(), l.queueOf(j).Service)
-	services = append(services, l.Orders.FormerServices(j.Queue, j.Accepted-track.MaxClockLead)...)
-	return !slices.ContainsFunc(services, func(s string) bool { return !isKnown(s) })
+	if !isKnown(l.queueOf(j).Service) {
+		return false
+	}
+	for s := range j.Services() {
+		if !isKnown(s) {
+			return false
+		}
+	}
+	for _, s := range l.Orders.FormerServices(j.Queue, j.Accepted-track.MaxClockLead) {
+		if !isKnown(s) {
+			return false
+		}
+	}
+	return true
 }
 
 func (l *Leader) allContacted(service string) bool {
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -116,7 +116,7 @@
 	s := r.Task.Step
 	switch e.Ending {
 	case model.EndedDone:
-		m.RecordSuccess(l.now)
+		m.RecordSuccess(r.OrderedAt)
 		ratio := l.runtimeRatios[m.Service]
 		if ratio == nil {
 			ratio = &runtimeRatio{mean: 1}
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -216,10 +216,7 @@
 	order := platform.Start{
 		Task: st.Task.ID, Attempt: r.Attempt, Spec: st.Task.Step.Occ.Job.Spec.Payload, Deadline: deadline, Checkpoint: r.Checkpoint,
 	}
-	// If a ticket is needed, the plan has used only executors for which there is one.
-	if a := l.advice[st.Task.Step]; a != nil {
-		order.Ticket = a.tickets[m.Key].value
-	}
+	order.Ticket = l.ticketFor(st.Task.Step, m.Key)
 	to := l.target(m, startTimeout)
 	to.Expires = min(to.Expires, elect.SoleUntil(l.LastRenewal()))
 	r.Fence = to.Fence
