--- a/internal/serve/leader/ends_test.go
+++ b/internal/serve/leader/ends_test.go
@@ -11,6 +11,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
@@ -137,3 +138,24 @@
 	l.onPolled(polled{m: m, sent: l.now, list: list})
 	assert.Equal(t, m.ackSeq(), int64(3))
 }
+
+// Guards against a task that uses its last attempt on an executor that fails all it starts, because a run
+// that was ordered before the fault has succeeded there since.
+func TestOnlyLaterRunsShowThatAnExecutorIsSound(t *testing.T) {
+	l, m, _ := newStoringLeader(t)
+	spec := model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: 3}}}
+	tasks := l.tracker.Accept("fails", model.Queue{Service: "s", Attempts: 2}, spec, 0, 0).Open[0].Steps[0].Tasks
+	seq := int64(0)
+	end := func(r *track.Run, how model.Ending) {
+		l.now += 100 * time.Millisecond
+		seq++
+		l.applyEnds(m, []model.End{{Seq: seq, Task: r.Task.ID, Attempt: r.Attempt, Ending: how}}, false)
+	}
+	earlier, fails := l.tracker.BeginRun(tasks[0], m.Key, 0, l.now), l.tracker.BeginRun(tasks[1], m.Key, 0, l.now)
+	end(fails, model.EndedFailed)
+	later := l.tracker.BeginRun(tasks[2], m.Key, 0, l.now+time.Millisecond)
+	end(earlier, model.EndedDone)
+	assert.Assert(t, m.LastGoodStart < tasks[1].LastFailure)
+	end(later, model.EndedDone)
+	assert.Assert(t, m.LastGoodStart > tasks[1].LastFailure)
+}
