--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -127,6 +127,9 @@
 		m.RecordRunTime(took, time.Duration(float64(s.Estimate)*max(ratio.mean, 0.1)))
 	case model.EndedFailed:
 		r.Task.LastFailure = l.now
+		if r.Task.IsWaiting() && r.Task.HasLastAttempt() {
+			l.Log.Info().Stringer("task", r.Task.ID).Str("executor", m.ID).Msg("task has one attempt left")
+		}
 		if m.RecordFailure(e.Task.Job, l.now) {
 			l.Meters.quarantines.Inc(1)
 			l.Log.Warn().Str("executor", m.ID).Dur("until", m.QuarantinedUntil-l.now).Msg("executor quarantined because its runs fail")
