--- a/internal/serve/leader/moved_test.go
+++ b/internal/serve/leader/moved_test.go
@@ -104,9 +104,9 @@
 	assert.Assert(t, task.IsWaiting())
 }
 
-// storedTwiceMoved returns what the store has of a job that was accepted for service "s" and whose queue
-// was moved to "t" by a former leader, which had started nothing but wanted to.
-func storedTwiceMoved(t *testing.T, accepted time.Duration) []track.Record {
+// storedMovedJob returns what a former leader has stored of a job that was accepted for service "s" and
+// whose queue was moved to "t", before it starts a task there.
+func storedMovedJob(t *testing.T, accepted time.Duration) []track.Record {
 	t.Helper()
 	body := []byte(`{"phases":[{"count":1}]}`)
 	q := model.Queue{Name: "q", Service: "s"}
@@ -124,30 +124,35 @@
 }
 
 // Guards against a second run of a task after a restart: its queue was moved to "t", where the task runs,
-// and then to "u", and the process has not seen "t".
+// and then to "u" or removed, and the process has not seen "t".
 func TestExecutorsOfStoredServicesAreAwaited(t *testing.T) {
-	l, ms := newMovedQueueLeader(t)
-	l.Orders = newOrders(t)
-	moveQueue(t, l, 3, "u")
-	loader := track.NewLoader(platform.DecodeJob)
-	accepted := time.Duration(time.Now().UnixNano())
-	for _, r := range storedTwiceMoved(t, accepted) {
-		assert.NilError(t, loader.Add(r.Key, r.Value))
-	}
-	l.tracker, _ = loader.Load(0, l.now, accepted)
-	l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
-	l.LastRenewal = func() time.Duration { return l.now }
-	j := l.tracker.Job("job")
-	assert.Equal(t, j.State(), model.Queued)
-	for _, s := range []string{"s", "u"} {
-		answerPoll(l, ms[s], 1, platform.PollResult{})
+	for _, config := range []string{
+		`{"version":3,"routes":[{"name":"q","service":"u"}]}`,
+		`{"version":3,"routes":[]}`,
+	} {
+		l, ms := newMovedQueueLeader(t)
+		l.Orders = newOrders(t)
+		assert.NilError(t, l.Orders.SetConfig([]byte(config)))
+		loader := track.NewLoader(platform.DecodeJob)
+		accepted := time.Duration(time.Now().UnixNano())
+		for _, r := range storedMovedJob(t, accepted) {
+			assert.NilError(t, loader.Add(r.Key, r.Value))
+		}
+		l.tracker, _ = loader.Load(0, l.now, accepted)
+		l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
+		l.LastRenewal = func() time.Duration { return l.now }
+		j := l.tracker.Job("job")
+		assert.Equal(t, j.State(), model.Queued)
+		for _, s := range []string{"s", "u"} {
+			answerPoll(l, ms[s], 1, platform.PollResult{})
+		}
+		l.resolveFormerRuns()
+		task := j.Task(model.TaskID{Job: "job"})
+		assert.Assert(t, !task.IsWaiting(), "the task may run on the executor of service t")
+		answerPoll(l, ms["t"], 1, platform.PollResult{})
+		l.resolveFormerRuns()
+		assert.Assert(t, task.IsWaiting())
 	}
-	l.resolveFormerRuns()
-	task := j.Task(model.TaskID{Job: "job"})
-	assert.Assert(t, !task.IsWaiting(), "the task may run on the executor of service t")
-	answerPoll(l, ms["t"], 1, platform.PollResult{})
-	l.resolveFormerRuns()
-	assert.Assert(t, task.IsWaiting())
 }
 
 // Guards against a task that starts on a service of which a later leader does not know.
