--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -104,12 +104,6 @@
 	moved   []move
 }
 
-// move is a service to which tasks of a job may be sent once that is stored.
-type move struct {
-	job     *Job
-	service string
-}
-
 // TakeChanges returns the changes that are not stored and starts a new batch.
 func (tr *Tracker) TakeChanges() Batch {
 	var out Batch
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -4,7 +4,6 @@
 package track
 
 import (
-	"iter"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -235,21 +234,6 @@
 // contacted yet.
 func (j *Job) IsUnresolved() bool { return j.unresolved }
 
-// Services yields the services to which tasks of the job may have been sent: the one at acceptance and
-// those that are stored with its progress.
-func (j *Job) Services() iter.Seq[string] {
-	return func(yield func(string) bool) {
-		if !yield(j.Settings.Service) {
-			return
-		}
-		for s, stored := range j.services {
-			if stored && !yield(s) {
-				return
-			}
-		}
-	}
-}
-
 // due returns the due time of occurrence k of a scheduled job, in Unix time.
 func (j *Job) due(k int) time.Duration { return j.Spec.Start + time.Duration(k)*j.Spec.Period }
 
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -178,24 +178,6 @@
 	}
 }
 
-// MayUseService reports whether tasks of a job with an open occurrence may be sent to executors of a
-// service. Later leaders have to know all such services, or they would start again what runs there.
-// Until the service is stored it returns false and includes it in the next batch.
-func (tr *Tracker) MayUseService(j *Job, service string) bool {
-	if service == j.Settings.Service {
-		return true
-	}
-	stored, known := j.services[service]
-	if !known {
-		if j.services == nil {
-			j.services = map[string]bool{}
-		}
-		j.services[service] = false
-		tr.markDirty(j.Open[0])
-	}
-	return stored
-}
-
 // BeginRun adds a run that is about to be ordered. Attempt 0 stands for the next attempt.
 func (tr *Tracker) BeginRun(t *Task, executor string, attempt int, now time.Duration) *Run {
 	if attempt == 0 {
@@ -256,25 +238,6 @@
 	tr.trim(t.Step.Occ.Job)
 }
 
-// ObserveCheckpoint records the checkpoint that an executor lists for a run, if it lists one.
-func (tr *Tracker) ObserveCheckpoint(r *Run, value string) {
-	if value != "" && value != r.Checkpoint {
-		tr.checkpointsSeen++
-		r.Checkpoint, r.savedSeen = value, tr.checkpointsSeen
-	}
-}
-
-// keepCheckpoint keeps the checkpoint of an ended run for the next one, unless a later attempt, or another
-// member of the gang after it, has written one.
-func (tr *Tracker) keepCheckpoint(t *Task, value string, attempt int, seen int64) {
-	o := t.owner()
-	if value == "" || value == o.Checkpoint || t.Done || attempt < o.savedBy || attempt == o.savedBy && seen < o.savedSeen {
-		return
-	}
-	o.Checkpoint, o.savedBy, o.savedSeen = value, attempt, seen
-	tr.markDirty(t.Step.Occ)
-}
-
 func (tr *Tracker) markDirty(o *Occurrence) {
 	if !o.dirty && !o.Job.IsOver() {
 		o.dirty = true
