--- a/internal/jobs/assign/policy_test.go
+++ b/internal/jobs/assign/policy_test.go
@@ -80,8 +80,7 @@
 			starts int
 		}{{Denied, 1}, {Undecided, 0}, {Approved, 0}} {
 			h := newHarness(t, 2, cores(8))
-			ps := map[string]Permission{"a": Startable, "b": c.other}
-			h.policy = policyOf(ps)
+			h.policy = policyOf(map[string]Permission{"a": Startable, "b": c.other})
 			j := h.accept("job", model.Step{Need: cores(2), Estimate: time.Second, LongRunning: lasts})
 			h.failOnce(j)
 			// The decision is asked for, so that the task does not wait for long.
--- a/internal/serve/leader/moved_test.go
+++ b/internal/serve/leader/moved_test.go
@@ -18,16 +18,24 @@
 	"chervilgauge.example/chervilgauge/platform"
 )
 
+// loadFormer replaces the jobs of a leader by those that it has loaded from records, at a Unix time.
+func loadFormer(t *testing.T, l *Leader, wall time.Duration, records ...track.Record) {
+	t.Helper()
+	loader := track.NewLoader(platform.DecodeJob)
+	for _, r := range records {
+		assert.NilError(t, loader.Add(r.Key, r.Value))
+	}
+	l.tracker, _ = loader.Load(0, l.now, wall)
+	l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
+	l.LastRenewal = func() time.Duration { return l.now }
+}
+
 // newFormerTask replaces the jobs of a leader by one of a single task that it has loaded, of the queue
 // "q", which belonged to a service when the job was accepted.
 func newFormerTask(t *testing.T, l *Leader, service string) *track.Task {
 	t.Helper()
-	loader := track.NewLoader(platform.DecodeJob)
 	accepted := time.Duration(time.Now().UnixNano())
-	assert.NilError(t, loader.Add("job", track.JobRecord("job", model.Queue{Name: "q", Service: service}, []byte(`{"phases":[{"count":1}]}`), accepted).Value))
-	l.tracker, _ = loader.Load(0, l.now, accepted)
-	l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
-	l.LastRenewal = func() time.Duration { return l.now }
+	loadFormer(t, l, accepted, track.JobRecord("job", model.Queue{Name: "q", Service: service}, []byte(`{"phases":[{"count":1}]}`), accepted))
 	l.Meters = NewMeters(tally.NoopScope)
 	return l.tracker.Job("job").Task(model.TaskID{Job: "job"})
 }
@@ -133,14 +141,8 @@
 		l, ms := newMovedQueueLeader(t)
 		l.Orders = newOrders(t)
 		assert.NilError(t, l.Orders.SetConfig([]byte(config)))
-		loader := track.NewLoader(platform.DecodeJob)
 		accepted := time.Duration(time.Now().UnixNano())
-		for _, r := range storedMovedJob(t, accepted) {
-			assert.NilError(t, loader.Add(r.Key, r.Value))
-		}
-		l.tracker, _ = loader.Load(0, l.now, accepted)
-		l.start, l.readyAt, l.lastContact = l.now, l.now, l.now
-		l.LastRenewal = func() time.Duration { return l.now }
+		loadFormer(t, l, accepted, storedMovedJob(t, accepted)...)
 		j := l.tracker.Job("job")
 		assert.Equal(t, j.State(), model.Queued)
 		for _, s := range []string{"s", "u"} {
