--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -31,7 +31,6 @@
 // array: one submission of many subtasks, all of which fail, and others beside it.
 func array(w *world, dir string, trouble bool) bool {
 	const count, took = 24000, 12 * time.Second
-	w.quiet = true
 	for i := range 12 {
 		w.addMachine(fmt.Sprintf("m-%02d", i), "svc", 32000, 65536, "a", fmt.Sprint("r1-", i/4))
 	}
@@ -311,7 +310,6 @@
 // a short delay, as DEPLOY.md says.
 func memory(w *world, dir string, trouble bool) bool {
 	const limit, submissions = 284, 18 // MB
-	w.quiet = true
 	for i := range 12 {
 		w.addMachine(fmt.Sprintf("m-%02d", i), "svc", 32000, 65536, "a", fmt.Sprint("r1-", i/4))
 	}
@@ -576,7 +574,6 @@
 func cancel(w *world, dir string, trouble bool) bool {
 	const count, mayBeAway = 60000, 1
 	const bound = cancelBound + 900*time.Millisecond // cancel_ms and stop_timeout_ms
-	w.quiet = true
 	for i := range 12 {
 		w.addMachine(fmt.Sprintf("m-%02d", i), "svc", 32000, 65536, "a", fmt.Sprint("r1-", i/4))
 	}
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -231,7 +231,7 @@
 	for i := range 5 {
 		e := entries[(int(j.id[15])+i)%len(entries)]
 		status, text := call(e, "POST", "/"+j.queue+"/"+j.id, body)
-		w.noteRun("POST %s at %s: %d %s", j.id, e.name, status, text)
+		w.note("POST %s at %s: %d %s", j.id, e.name, status, text)
 		if status/100 == 2 {
 			w.mu.Lock()
 			j.accepted = true
@@ -247,6 +247,7 @@
 	for i := range 4 {
 		e := entries[(int(j.id[14])+i)%len(entries)]
 		status, text := call(e, "GET", "/"+j.queue+"/"+j.id, nil)
+		w.note("GET %s at %s: %d %s", j.id, e.name, status, text)
 		if status == 200 {
 			var s struct{ State string }
 			_ = json.Unmarshal([]byte(text), &s)
@@ -267,7 +268,7 @@
 	for i := range 4 {
 		e := entries[(int(j.id[13])+i)%len(entries)]
 		status, _ := call(e, "DELETE", "/"+j.queue+"/"+j.id, nil)
-		w.noteRun("DELETE %s at %s: %d", j.id, e.name, status)
+		w.note("DELETE %s at %s: %d", j.id, e.name, status)
 		if status/100 == 2 || status == 410 {
 			w.mu.Lock()
 			j.cancelled = time.Now()
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -158,7 +158,6 @@
 	storeAt  string
 	cloudAt  string
 	moves    bool // the list of machines is given
-	quiet    bool // single runs are not recorded
 	counts   map[string]int
 }
 
@@ -189,8 +188,13 @@
 	fmt.Fprintf(w.rec, "%9.3f  %s\n", time.Since(w.begin).Seconds(), fmt.Sprintf(format, args...))
 }
 
-func (w *world) noteRun(format string, args ...any) {
-	if !w.quiet {
+// noteRun writes a line about a run, but not for submissions of thousands of subtasks, whose runs are counted only.
+func (w *world) noteRun(j *job, format string, args ...any) {
+	n := 0
+	for _, p := range j.phases {
+		n += p.Count
+	}
+	if n < 1000 {
 		w.note(format, args...)
 	}
 }
@@ -409,7 +413,7 @@
 	t := j.task(o.Task)
 	t.starts++
 	w.counts["starts"]++
-	w.noteRun("start %s attempt %d on %s (fence %d)", o.Task, o.Attempt, e.id, e.fence)
+	w.noteRun(j, "start %s attempt %d on %s (fence %d)", o.Task, o.Attempt, e.id, e.fence)
 	if t.running != nil {
 		w.violate("TWICE %s attempt %d starts on %s while attempt %d runs on %s", o.Task, o.Attempt, e.id, t.running.attempt, t.running.e.id)
 	}
@@ -573,7 +577,7 @@
 	}
 	t.lastEnd = time.Now()
 	w.counts["ends "+how]++
-	w.noteRun("end %s attempt %d on %s: %s", r.task, r.attempt, e.id, how)
+	w.noteRun(r.job, "end %s attempt %d on %s: %s", r.task, r.attempt, e.id, how)
 	switch how {
 	case "done":
 		t.done = true
