leader: an ended job is known until its leaderless records are deleted

Cause: purge removed an ended job from memory and then deleted its leaderless record. A failed delete was not repeated, since the list of what to delete came from the removal. Once the store dropped history that the leader had not read, the newest record of each key brought the leaderless record back, and the job was taken for a new one.

Change: a job with leaderless records is forgotten only after their deletion is confirmed and a read that was sent later has returned; a failed deletion is repeated with the next purge, one call for up to 500 jobs. That also closes three related paths: a read that was sent before the deletion and answered after it, a repeated submission between both steps whose record was deleted as that of the former job, and a record that the leader could not read yet when it forgot the job.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -103,8 +103,9 @@
 	store          appendState
 	executorTail   tailState
 	leaderlessTail tailState
-	leaderless     map[string]struct{} // jobs with leaderless records
-	unread         []*cancelRequest    // cancels that wait for the next read of leaderless records
+	leaderless     map[string]leaderlessRecords // by the ID of their job
+	purging        bool                         // a deletion of leaderless records is in flight
+	unread         []*cancelRequest             // cancels that wait for the next read of leaderless records
 
 	deferred  []event // requests that arrived before the state was loaded
 	planDue   map[string]bool
@@ -141,7 +142,7 @@
 		Deps: d, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
 		members: map[string]*member{}, byID: map[string]*member{}, resolved: map[string]bool{}, runtimeRatios: map[string]*runtimeRatio{},
 		pollCandidates: map[*member]struct{}{}, unstoredEnds: map[*member]struct{}{}, jobOrders: map[string]*jobOrder{}, ended: map[string]time.Duration{},
-		planDue: map[string]bool{}, replanAt: map[string]time.Duration{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]struct{}{},
+		planDue: map[string]bool{}, replanAt: map[string]time.Duration{}, advice: map[*track.Step]*stepAdvice{}, leaderless: map[string]leaderlessRecords{},
 	}
 	l.start = d.Clock.Now()
 	l.Log = d.Log.With().Uint64("token", token).Logger()
@@ -328,9 +329,6 @@
 // its end, and stays in the store until it has missed three more reports.
 const endedRetention = 60 * time.Second
 
-// statusRetentionSlack is how much longer ended jobs are kept than their status must be shown.
-const statusRetentionSlack = 30 * time.Second
-
 func (l *Leader) purge() {
 	if l.now < l.nextPurge {
 		return
@@ -344,13 +342,7 @@
 	l.Meters.activeJobs.Update(float64(len(l.tracker.Active())))
 	l.Meters.pendingJobs.Update(float64(pending))
 	l.Meters.startLimit.Update(float64(l.window.Size()))
-	for _, id := range l.tracker.ForgetEnded(l.wall - l.Settings.Bounds.Status - statusRetentionSlack) {
-		if _, ok := l.leaderless[id]; ok {
-			l.purgeLeaderless(id)
-			continue
-		}
-		l.store.pending = append(l.store.pending, track.ForgetRecords(id)...)
-	}
+	l.forgetEnded()
 	l.purgeAdvice()
 	for key, m := range l.members {
 		if m.Contact == execs.Dead && len(l.tracker.RunsOn(key)) == 0 && !m.polling {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -187,7 +187,7 @@
 	l.tracker = tr
 	l.leaderlessTail.from, l.executorTail.from = ev.leaderlessFrom, ev.executorsFrom
 	for _, id := range ev.leaderless {
-		l.leaderless[id] = struct{}{}
+		l.leaderless[id] = leaderlessRecords{}
 	}
 	l.store.seq = 1
 	l.leaderlessTail.lastRead = ev.leaderlessReadAt
--- a/internal/serve/leader/stored_test.go
+++ b/internal/serve/leader/stored_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	l, m, task := newTestLeader(t)
 	l.Meters, l.ready, l.Settings.Store.RecordBytes = NewMeters(tally.NoopScope), true, 1<<18
-	l.byID, l.runtimeRatios, l.leaderless = map[string]*member{"x": m}, map[string]*runtimeRatio{}, map[string]struct{}{}
+	l.byID, l.runtimeRatios, l.leaderless = map[string]*member{"x": m}, map[string]*runtimeRatio{}, map[string]leaderlessRecords{}
 	l.LastRenewal = func() time.Duration { return l.now }
 	assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":1,"routes":[{"name":"q","service":"s"}]}`)))
 	r := l.tracker.BeginRun(task, m.Key, 0, l.now)
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -138,6 +138,7 @@
 		return
 	}
 	l.leaderlessTail.lastRead = l.leaderlessTail.sent
+	l.forgetDeleted()
 	unread := l.unread
 	l.unread = nil
 	for _, c := range unread {
@@ -162,7 +163,7 @@
 		return
 	}
 	if rec.ID != "" {
-		l.leaderless[rec.ID] = struct{}{}
+		l.leaderless[rec.ID] = leaderlessRecords{}
 	}
 	switch {
 	case rec.Spec != nil && l.tracker.Job(rec.ID) == nil:
@@ -174,35 +175,3 @@
 		l.cancelJob(rec.ID)
 	}
 }
-
-// leaderlessPurged is the outcome of deleting the leaderless records of a job.
-type leaderlessPurged struct {
-	report
-	id  string
-	err error
-}
-
-// purgeLeaderless deletes the leaderless records of a job. The record of its end is deleted after
-// them, or the next leader would treat the job as a new one.
-func (l *Leader) purgeLeaderless(id string) {
-	l.call(func(ctx context.Context) event {
-		call, cancel := context.WithTimeout(ctx, appendTimeout)
-		defer cancel()
-		var records [][]byte
-		for _, e := range track.ForgetLeaderlessRecords(id) {
-			records = append(records, platform.KeyedRecord(e.Key, e.Value))
-		}
-		_, _, err := l.Client.Append(call, platform.Append{Topic: Topic, Part: LeaderlessPart(l.Settings.Store.Parts), Records: records, At: -1})
-		return leaderlessPurged{id: id, err: err}
-	})
-}
-
-func (l *Leader) onLeaderlessPurged(ev leaderlessPurged) {
-	if ev.err != nil {
-		// The record of its end stays, and a later purge tries again.
-		l.Log.Warn().Err(ev.err).Str("job", ev.id).Msg("leaderless records of an ended job were not deleted")
-		return
-	}
-	delete(l.leaderless, ev.id)
-	l.store.pending = append(l.store.pending, track.ForgetRecords(ev.id)...)
-}
