agent: a submission larger than a record is refused without a time to come back also without a leader

While there is no leader an entry sent such a submission to the store, which refuses it for its size, and answered 503 with Retry-After, so that the caller sent it again for nothing. The leader refuses it at once without one.

TestSubmissionLargerThanARecordIsRefusedWithoutALeader failed before. Where an earlier attempt may have been stored the answer stays that the outcome is not known. The comment of ownerAt says what it does beside its name.

--- a/internal/jobs/track/progress.go
+++ b/internal/jobs/track/progress.go
@@ -207,8 +207,9 @@
 			}
 		}
 	}
-	// owned returns the owner of a task in the record, nil if there is no such task.
-	owned := func(i uint32) *Task {
+	// ownerAt returns the owner of a task in the record, nil if there is no such task. A task of another part is
+	// included in the next batch there, and left out here.
+	ownerAt := func(i uint32) *Task {
 		t := o.taskAt(int(i))
 		if t == nil {
 			return nil
@@ -220,13 +221,13 @@
 		return t.owner()
 	}
 	for _, f := range m.GetFailed() {
-		if t := owned(f.GetTask()); t != nil && !t.hasFailed(int(f.GetAttempt())) {
+		if t := ownerAt(f.GetTask()); t != nil && !t.hasFailed(int(f.GetAttempt())) {
 			t.failures = append(t.failures, failure{int(f.GetAttempt()), true})
 		}
 	}
 	for _, s := range m.GetSaved() {
 		// Earlier versions stored one for each member of a gang; any of them is valid for all.
-		if t := owned(s.GetTask()); t != nil && (t.Checkpoint == "" || t.part() == part) {
+		if t := ownerAt(s.GetTask()); t != nil && (t.Checkpoint == "" || t.part() == part) {
 			t.Checkpoint = s.GetValue()
 		}
 	}
--- a/internal/serve/agent/lost_test.go
+++ b/internal/serve/agent/lost_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
@@ -34,6 +35,19 @@
 	r.until("the jobs are cancelled", func() bool { return r.jobState(lead, jobPath("a", 15)) == "cancelled" })
 }
 
+// Guards against a submission that its caller sends again and again while there is no leader: the store refuses it
+// for its size, and the answer said when to come back.
+func TestSubmissionLargerThanARecordIsRefusedWithoutALeader(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.leader()
+	e := r.entries[0]
+	for size, want := range map[int]relay.Verdict{1000: relay.Stored, e.settings.Store.RecordBytes: relay.Refused} {
+		a := e.storeLeaderless(context.Background(), track.LeaderlessJobRecord("0123456789abcdef", model.Queue{}, make([]byte, size), 0), true)
+		assert.Equal(t, a.Verdict, want)
+		assert.Equal(t, a.RetryAfter, time.Duration(0))
+	}
+}
+
 // Guards against a wave that counts an order as carried out, or never repeats it, because it was not
 // answered: at first the orders are not carried out, then they are.
 func TestOrdersForInstancesWithoutAnswer(t *testing.T) {
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -126,10 +126,15 @@
 		}
 		return relay.Answer{Verdict: relay.Unknown, RetryAfter: retryAfter, Cause: "store does not answer"}
 	}
+	record := platform.KeyedRecord(e.Key, e.Value)
+	if notRun && len(record) > a.settings.Store.RecordBytes {
+		// The leader answers the same; a time to come back would only bring the submission again.
+		return relay.Answer{Verdict: relay.Refused, Cause: "submission is larger than a record of the store"}
+	}
 	call, cancel := context.WithTimeout(ctx, leaderlessTimeout)
 	defer cancel()
 	_, _, err := a.client.Append(call, platform.Append{
-		Topic: leader.Topic, Part: leader.LeaderlessPart(a.settings.Store.Parts), Records: [][]byte{platform.KeyedRecord(e.Key, e.Value)}, At: -1,
+		Topic: leader.Topic, Part: leader.LeaderlessPart(a.settings.Store.Parts), Records: [][]byte{record}, At: -1,
 	})
 	refused := (*platform.RefusedError)(nil)
 	switch {
