track: keys of progress with numbers that are out of range are malformed

Found by a seed of FuzzRecords for the new keys ("slice bounds out of range [3:0]"): a part with a number of tasks near 2^63 made a leader panic, since products of both numbers overflowed. Numbers are bounded to 2^31 - 1. Occurrences that are complete keep no changes from the load, or they would have stayed open. A record is deleted under the key that it was read from.

No caller saw this: only leaders write these keys.

--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -103,7 +103,7 @@
 func (tr *Tracker) TakeChanges() Batch {
 	var out Batch
 	for _, o := range tr.dirtyOcc {
-		if o.Job.IsOver() {
+		if o.Job.IsOver() || len(o.dirtyParts) == 0 {
 			o.dirtyParts = nil
 			continue
 		}
--- a/internal/jobs/track/fuzz_test.go
+++ b/internal/jobs/track/fuzz_test.go
@@ -19,6 +19,9 @@
 		JobRecord("j", queue, spec, time.Minute), LeaderlessJobRecord("j", queue, spec, time.Minute), CancelRecord("j", time.Minute),
 		{"j", encode(&workpb.Ended{State: uint32(model.Failed), At: -1})}, {"j", encode(&workpb.Work{Accepted: 1 << 62, Body: spec})},
 		{"j/2", encode(&workpb.Mark{Done: []byte{0xff}, Failed: []*workpb.Failure{{Task: 1 << 31, Attempt: 9}}, Saved: []*workpb.Saved{{Task: 7, Value: "c"}}})},
+		{"good/1/2/2", encode(&workpb.Mark{Done: []byte{3}, Failed: []*workpb.Failure{{Task: 0, Attempt: 9}, {Task: 4, Attempt: 9}}})},
+		{"good/0/1/9223372036854775807", encode(&workpb.Mark{Failed: []*workpb.Failure{{Task: 1, Attempt: 2}}})},
+		{"good/3/2147483647/2147483647", encode(&workpb.Mark{Done: []byte{0xff}, Failed: []*workpb.Failure{{Task: 2, Attempt: 1}}})},
 	} {
 		f.Add(r.Key, r.Value)
 	}
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -183,7 +183,10 @@
 func (tr *Tracker) restoreOccurrence(o *Occurrence, stored progressParts, wall time.Duration) {
 	j := o.Job
 	for id, m := range stored {
-		tr.applyProgress(o, id.part, m)
+		tr.applyProgress(o, id, m)
+	}
+	if o.Left == 0 {
+		o.dirtyParts = nil // the failures of a complete occurrence are not needed
 	}
 	for _, s := range o.Steps {
 		for _, t := range s.Tasks {
--- a/internal/jobs/track/progress.go
+++ b/internal/jobs/track/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,6 +30,9 @@
 	return key
 }
 
+// maxPartNumber bounds the numbers of parts and their tasks, so that products of them don't overflow.
+const maxPartNumber = math.MaxInt32
+
 // parseProgressID parses the end of a key after the job's ID. It returns an ErrRecord.
 func parseProgressID(s string) (progressID, error) {
 	var numbers []int
@@ -42,7 +46,7 @@
 	switch {
 	case len(numbers) == 1 && numbers[0] >= 0:
 		return progressID{occurrence: numbers[0]}, nil
-	case len(numbers) == 3 && numbers[0] >= 0 && numbers[1] > 0 && numbers[2] > 0:
+	case len(numbers) == 3 && numbers[0] >= 0 && min(numbers[1], numbers[2]) > 0 && max(numbers[1], numbers[2]) <= maxPartNumber:
 		return progressID{numbers[0], numbers[1], numbers[2]}, nil
 	}
 	return progressID{}, errKind(s)
@@ -193,8 +197,8 @@
 
 // applyProgress applies a stored part. Part 0 of an earlier version, or of a store with another limit, holds tasks
 // of other parts, which are stored again where they belong.
-func (tr *Tracker) applyProgress(o *Occurrence, part int, m *workpb.Mark) {
-	o.Job.storedProgress[o.progressID(part)] = struct{}{}
+func (tr *Tracker) applyProgress(o *Occurrence, id progressID, m *workpb.Mark) {
+	o.Job.storedProgress[id] = struct{}{}
 	for i, bits := range m.GetDone() {
 		for b := range 8 {
 			if bits&(1<<b) == 0 {
@@ -214,9 +218,9 @@
 		if t == nil {
 			return nil
 		}
-		if p := t.part(); p != part {
+		if p := t.part(); p != id.part {
 			tr.markDirty(o, p)
-			tr.markDirty(o, part)
+			tr.markDirty(o, id.part)
 		}
 		return t.owner()
 	}
@@ -227,7 +231,7 @@
 	}
 	for _, s := range m.GetSaved() {
 		// Earlier versions stored one for each member of a gang; any of them is valid for all.
-		if t := ownerAt(s.GetTask()); t != nil && (t.Checkpoint == "" || t.part() == part) {
+		if t := ownerAt(s.GetTask()); t != nil && (t.Checkpoint == "" || t.part() == id.part) {
 			t.Checkpoint = s.GetValue()
 		}
 	}
