--- a/internal/jobs/track/progress.go
+++ b/internal/jobs/track/progress.go
@@ -169,11 +169,7 @@
 
 // doneBits returns a bit for each task, in the order of the steps.
 func (o *Occurrence) doneBits() []byte {
-	n := 0
-	for _, s := range o.Steps {
-		n += s.Count
-	}
-	out := make([]byte, (n+7)/8)
+	out := make([]byte, (o.Job.Spec.TaskCount()+7)/8)
 	for _, s := range o.Steps {
 		for _, t := range s.Tasks {
 			if t.Done {
