Client accounts in the configuration, the records of jobs and the calls between entries

Cause: the configuration of three deployments has client accounts with keys, weights and limits, which were ignored. Change: they are decoded and checked, keys only as digests; a job's record and its submission to the leader carry its account, empty for none.

--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -122,6 +122,8 @@
 	Start time.Duration
 	// Period is the time between occurrences.
 	Period time.Duration
+	// Account is the client account that submitted the job, empty for none.
+	Account string
 }
 
 // TaskCount returns the number of tasks of one occurrence.
@@ -249,6 +251,8 @@
 	Timeout   time.Duration
 	// Advice is nil if any executor may run the tasks.
 	Advice *Advice
+	// Anonymous is set if its callers need no key.
+	Anonymous bool
 }
 
 // Service is a pool of instances with one executor each.
@@ -272,17 +276,24 @@
 	// HeaderTimeout and IdleTimeout are the timeouts of the callers' connections.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	// ChecksKeys is set if the configuration has client accounts: calls to queues that are not
+	// anonymous need a key then.
+	ChecksKeys bool
+	Accounts   []Account
 
-	byName map[string]*Queue
+	byName   map[string]*Queue
+	accounts map[string]*Account
+	keys     map[KeyDigest]accountKey
 }
 
-// Indexed returns the configuration with an index of its queues by name. A large configuration has
+// Indexed returns the configuration with indexes of its queues and accounts. A large configuration has
 // hundreds of queues, and each decision about a job looks one up.
 func (c Config) Indexed() *Config {
 	c.byName = make(map[string]*Queue, len(c.Queues))
 	for i := range c.Queues {
 		c.byName[c.Queues[i].Name] = &c.Queues[i]
 	}
+	c.indexAccounts()
 	return &c
 }
 
--- a/internal/jobs/track/bounds_test.go
+++ b/internal/jobs/track/bounds_test.go
@@ -33,7 +33,7 @@
 func TestCompleteOccurrencesStayClosedAtTakeover(t *testing.T) {
 	spec := model.JobSpec{Repeats: 1000, Scheduled: true, Steps: []model.Step{{Count: maxOpenTasks}}}
 	d := disk{}
-	d.write([]Record{JobRecord("j", queue, body(spec), 0)})
+	d.write([]Record{JobRecord("j", queue, "", body(spec), 0)})
 	done := make([]byte, (maxOpenTasks+7)/8)
 	for i := range done {
 		done[i] = 0xff
@@ -74,7 +74,7 @@
 		{"j", encode(&workpb.Cancel{})}, {"j~", encode(&workpb.Cancel{})}, {"j/0", final}, {"j/-1", encode(&workpb.Mark{})},
 	} {
 		l := NewLoader(decodeTest)
-		job := JobRecord("j", queue, body(steps(1)), 0)
+		job := JobRecord("j", queue, "", body(steps(1)), 0)
 		assert.NilError(t, l.Add(job.Key, job.Value))
 		assert.ErrorContains(t, l.Add(r.Key, r.Value), "another kind", r.Key)
 		tr, bad := l.Load(0, 0, 0)
@@ -104,7 +104,7 @@
 // Guards against a log line for each record of the leader where leaderless records share its partition,
 // and against a cancel under the key of a job.
 func TestLeaderlessRecordsFitTheirKeys(t *testing.T) {
-	job := JobRecord("j", queue, body(steps(1)), 0).Value
+	job := JobRecord("j", queue, "", body(steps(1)), 0).Value
 	cancel := CancelRecord("j", 0).Value
 	for key, want := range map[string]struct {
 		value []byte
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -47,14 +47,14 @@
 	return out
 }
 
-// JobRecord returns the record of a job that the leader accepts.
-func JobRecord(id string, q model.Queue, body []byte, accepted time.Duration) Record {
-	return Record{id, encodeJob(q, body, accepted)}
+// JobRecord returns the record of a job that the leader accepts from a client account, empty for none.
+func JobRecord(id string, q model.Queue, account string, body []byte, accepted time.Duration) Record {
+	return Record{id, encodeJob(q, account, body, accepted)}
 }
 
 // LeaderlessJobRecord returns the record of a job that an entry accepts while it has no leader.
-func LeaderlessJobRecord(id string, q model.Queue, body []byte, accepted time.Duration) Record {
-	return Record{id + leaderlessSuffix, encodeJob(q, body, accepted)}
+func LeaderlessJobRecord(id string, q model.Queue, account string, body []byte, accepted time.Duration) Record {
+	return Record{id + leaderlessSuffix, encodeJob(q, account, body, accepted)}
 }
 
 // ForgetRecords returns the records that delete what the leader stored of an ended job.
@@ -74,10 +74,10 @@
 	return strings.TrimRight(id, cancelSuffix+leaderlessSuffix)
 }
 
-func encodeJob(q model.Queue, body []byte, accepted time.Duration) []byte {
+func encodeJob(q model.Queue, account string, body []byte, accepted time.Duration) []byte {
 	w := &workpb.Work{
 		Queue: q.Name, Accepted: accepted.Milliseconds(), Body: body, Service: q.Service,
-		Attempts: uint32(q.Attempts), Priority: int32(q.Priority), Slack: q.Slack, Objective: q.Objective.Milliseconds(),
+		Attempts: uint32(q.Attempts), Priority: int32(q.Priority), Slack: q.Slack, Objective: q.Objective.Milliseconds(), Tenant: account,
 	}
 	if a := q.Advice; a != nil {
 		w.Advice = &workpb.Advice{
@@ -179,6 +179,7 @@
 		if err != nil {
 			return LeaderlessRecord{}, ErrRecord.Wrap(err)
 		}
+		spec.Account = x.Work.GetTenant()
 		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted())}, nil
 	case *workpb.Record_Cancel:
 		if !isCancel {
--- a/internal/jobs/track/fuzz_test.go
+++ b/internal/jobs/track/fuzz_test.go
@@ -16,7 +16,7 @@
 func FuzzRecords(f *testing.F) {
 	spec := []byte(`{"phases":[{"count":3},{"count":2,"after":[0],"gang":true}],"repeats":4,"start_at_ms":5,"period_ms":7}`)
 	for _, r := range []Record{
-		JobRecord("j", queue, spec, time.Minute), LeaderlessJobRecord("j", queue, spec, time.Minute), CancelRecord("j", time.Minute),
+		JobRecord("j", queue, "", spec, time.Minute), LeaderlessJobRecord("j", queue, "", spec, time.Minute), CancelRecord("j", time.Minute),
 		{"j", encode(&workpb.Ended{State: uint32(model.Failed), At: -1})}, {"j", encode(&workpb.Work{Accepted: 1 << 62, Body: spec})},
 		{"j/2", encode(&workpb.Mark{Done: []byte{0xff}, Failed: []*workpb.Failure{{Task: 1 << 31, Attempt: 9}}, Saved: []*workpb.Saved{{Task: 7, Value: "c"}}})},
 		{"good/1/2/2", encode(&workpb.Mark{Done: []byte{3}, Failed: []*workpb.Failure{{Task: 0, Attempt: 9}, {Task: 4, Attempt: 9}}})},
@@ -27,7 +27,7 @@
 	}
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		const now, wall = time.Hour, 365 * 24 * time.Hour
-		good := JobRecord("good", queue, spec, 0)
+		good := JobRecord("good", queue, "", spec, 0)
 		l := NewLoader(platform.DecodeJob)
 		assert.NilError(t, l.Add(good.Key, good.Value))
 		if err := l.Add(key, value); err != nil {
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -183,7 +183,9 @@
 type Job struct {
 	ID    string
 	Queue string
-	Spec  model.JobSpec
+	// Account is the client account that submitted it, empty for none.
+	Account string
+	Spec    model.JobSpec
 	// Accepted is when it was accepted, in Unix time.
 	Accepted time.Duration
 	// SeenAt is when this process first received it.
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -122,6 +122,7 @@
 			bad = append(bad, id)
 			continue
 		}
+		spec.Account = w.GetTenant()
 		j := tr.Accept(id, settingsOf(w), spec, millis(w.GetAccepted()), now)
 		tr.restoreJob(j, l.progress[id], wall)
 	}
--- a/internal/jobs/track/occurrence_test.go
+++ b/internal/jobs/track/occurrence_test.go
@@ -15,7 +15,7 @@
 	spec := steps(2)
 	spec.Scheduled, spec.Repeats, spec.Start, spec.Period = true, 10, 10*time.Second, time.Second
 	d := disk{}
-	d.write([]Record{JobRecord("j", queue, body(spec), 0)})
+	d.write([]Record{JobRecord("j", queue, "", body(spec), 0)})
 	tr := d.load(t)
 	j := tr.Job("j")
 	assert.Assert(t, !tr.OpenDue(j, 8*time.Second))
--- a/internal/jobs/track/progress_test.go
+++ b/internal/jobs/track/progress_test.go
@@ -44,7 +44,7 @@
 	d := disk{}
 	q := queue
 	q.Attempts = attempts
-	d.write([]Record{JobRecord("j", q, body(steps(tasks)), 0)})
+	d.write([]Record{JobRecord("j", q, "", body(steps(tasks)), 0)})
 	tr := d.load(t)
 	store := func() {
 		records := tr.TakeChanges().Records
@@ -106,7 +106,7 @@
 		spec := steps(rapid.IntRange(1, 300).Draw(t, "first"), rapid.IntRange(1, 300).Draw(t, "second"))
 		spec.Steps[1].Gang = rapid.Bool().Draw(t, "gang")
 		d := disk{}
-		d.write([]Record{JobRecord("j", q, body(spec), 0)})
+		d.write([]Record{JobRecord("j", q, "", body(spec), 0)})
 		most := 0 // the largest limit so far: the size of parts stays as it is once they are stored
 		before := make([]taskProgress, spec.TaskCount())
 		for leader := range 6 {
@@ -161,7 +161,7 @@
 		m.Failed = append(m.Failed, &workpb.Failure{Task: uint32(i), Attempt: 7})
 	}
 	d := disk{}
-	d.write([]Record{JobRecord("j", queue, body(steps(tasks)), 0), {"j/0", encode(m)}})
+	d.write([]Record{JobRecord("j", queue, "", body(steps(tasks)), 0), {"j/0", encode(m)}})
 	records := d.load(t).TakeChanges().Records
 	assert.Assert(t, len(records) > 1)
 	for _, r := range append(records, Record{"other", nil}) {
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -61,7 +61,7 @@
 	if j := tr.jobs[id]; j != nil {
 		return j
 	}
-	j := &Job{ID: id, Queue: settings.Name, Spec: spec, Accepted: accepted, SeenAt: now, Settings: settings, storedProgress: map[progressID]struct{}{}}
+	j := &Job{ID: id, Queue: settings.Name, Account: spec.Account, Spec: spec, Accepted: accepted, SeenAt: now, Settings: settings, storedProgress: map[progressID]struct{}{}}
 	j.layout = newProgressLayout(tr.recordBytes, spec.TaskCount(), j.maxFailures(), 0)
 	tr.jobs[id] = j
 	tr.active[id] = j
--- a/internal/jobs/track/tracker_test.go
+++ b/internal/jobs/track/tracker_test.go
@@ -76,7 +76,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		d := disk{}
 		spec := steps(rapid.IntRange(1, 4).Draw(t, "first"), rapid.IntRange(1, 3).Draw(t, "second"))
-		d.write([]Record{JobRecord("j", queue, body(spec), 0)})
+		d.write([]Record{JobRecord("j", queue, "", body(spec), 0)})
 		tr := d.load(t)
 		done, failed := map[model.TaskID]bool{}, map[model.TaskID]int{}
 		for range 60 {
@@ -173,13 +173,13 @@
 func TestLeaderlessCopyOfEndedJob(t *testing.T) {
 	d := disk{}
 	spec := steps(1)
-	d.write([]Record{JobRecord("j", queue, body(spec), 0)})
+	d.write([]Record{JobRecord("j", queue, "", body(spec), 0)})
 	tr := d.load(t)
 	tr.ReleaseUnresolved(func(*Job) bool { return true }, 0)
 	r := tr.BeginRun(tr.Job("j").Open[0].Steps[0].Tasks[0], "x", 0, 0)
 	tr.ApplyEnd("x", model.End{Task: r.Task.ID, Attempt: r.Attempt, Ending: model.EndedDone}, false, 0)
 	d.write(tr.TakeChanges().Records)
-	d.write([]Record{LeaderlessJobRecord("j", queue, body(spec), 0)})
+	d.write([]Record{LeaderlessJobRecord("j", queue, "", body(spec), 0)})
 	assert.Equal(t, d.load(t).Job("j").State(), model.Complete)
 }
 
@@ -187,7 +187,7 @@
 func TestCancelBeforeItsJob(t *testing.T) {
 	d := disk{}
 	d.write([]Record{CancelRecord("j", 0)})
-	d.write([]Record{LeaderlessJobRecord("j", queue, body(steps(1)), 0)})
+	d.write([]Record{LeaderlessJobRecord("j", queue, "", body(steps(1)), 0)})
 	tr := d.load(t)
 	tr.MarkStored(tr.TakeChanges())
 	assert.Equal(t, tr.Job("j").State(), model.Cancelled)
@@ -250,7 +250,7 @@
 // that the end is stored.
 func TestFailuresCountOnce(t *testing.T) {
 	d := disk{}
-	d.write([]Record{JobRecord("j", queue, body(steps(1)), 0)})
+	d.write([]Record{JobRecord("j", queue, "", body(steps(1)), 0)})
 	tr := d.load(t)
 	tr.ReleaseUnresolved(func(*Job) bool { return true }, 0)
 	id := model.TaskID{Job: "j"}
@@ -285,7 +285,7 @@
 	tr := New(0)
 	s := tr.Accept("job", queue, spec, 0, 0).Open[0].Steps[0]
 	d := disk{}
-	d.write([]Record{JobRecord("job", queue, body(spec), 0)})
+	d.write([]Record{JobRecord("job", queue, "", body(spec), 0)})
 	begin := func(attempt int) []*Run {
 		var rs []*Run
 		for i, task := range s.Tasks {
@@ -329,9 +329,9 @@
 		Advice: &model.Advice{DecisionTime: 50 * time.Millisecond, PerExecutor: 2 * time.Millisecond, TicketTTL: 3 * time.Second},
 	}
 	d := disk{}
-	d.write([]Record{JobRecord("job", q, body(steps(1)), 0)})
+	d.write([]Record{JobRecord("job", q, "", body(steps(1)), 0)})
 	assert.DeepEqual(t, d.load(t).Job("job").Settings, q)
 	q.Advice = nil
-	d.write([]Record{JobRecord("job", q, body(steps(1)), 0)})
+	d.write([]Record{JobRecord("job", q, "", body(steps(1)), 0)})
 	assert.DeepEqual(t, d.load(t).Job("job").Settings, q)
 }
--- a/internal/serve/agent/lost_test.go
+++ b/internal/serve/agent/lost_test.go
@@ -27,7 +27,7 @@
 	other := r.entries[1-lead]
 	for i := 10; i < 16; i++ {
 		id := fmt.Sprintf("%016x", i)
-		a := other.storeLeaderless(context.Background(), track.LeaderlessJobRecord(id, *other.Config().Queue("qa"), []byte(oneStepJob), time.Duration(time.Now().UnixNano())), true)
+		a := other.storeLeaderless(context.Background(), track.LeaderlessJobRecord(id, *other.Config().Queue("qa"), "", []byte(oneStepJob), time.Duration(time.Now().UnixNano())), true)
 		assert.Equal(t, a.Verdict, relay.Stored)
 		status, _, _ := r.request(lead, http.MethodDelete, jobPath("a", i), "")
 		assert.Equal(t, status, http.StatusOK)
@@ -42,7 +42,7 @@
 	r.leader()
 	e := r.entries[0]
 	for size, want := range map[int]relay.Verdict{1000: relay.Stored, e.settings.Store.RecordBytes: relay.Refused} {
-		a := e.storeLeaderless(context.Background(), track.LeaderlessJobRecord("0123456789abcdef", model.Queue{}, make([]byte, size), 0), true)
+		a := e.storeLeaderless(context.Background(), track.LeaderlessJobRecord("0123456789abcdef", model.Queue{}, "", make([]byte, size), 0), true)
 		assert.Equal(t, a.Verdict, want)
 		assert.Equal(t, a.RetryAfter, time.Duration(0))
 	}
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -71,7 +71,7 @@
 	}
 	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
-	return a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Body, wall), notRun)
+	return a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Account, s.Body, wall), notRun)
 }
 
 func (a *Agent) submitToLeader(ctx context.Context, elected lead.Leader, s relay.Submission) (relay.Answer, error) {
--- a/internal/serve/leader/limits_test.go
+++ b/internal/serve/leader/limits_test.go
@@ -24,7 +24,7 @@
 		l.store.accepts = nil
 		l.onSubmit(s)
 		assert.Equal(t, len(l.store.accepts) == 1, stored, size)
-		if r := track.JobRecord(s.ID, s.settings, s.Body, l.wall); stored {
+		if r := track.JobRecord(s.ID, s.settings, s.Account, s.Body, l.wall); stored {
 			assert.Assert(t, len(platform.KeyedRecord(r.Key, r.Value)) <= 1000)
 		} else {
 			assert.Equal(t, (<-s.reply).Verdict, relay.Refused)
--- a/internal/serve/leader/load_test.go
+++ b/internal/serve/leader/load_test.go
@@ -33,9 +33,9 @@
 	body := fmt.Appendf(nil, jobBody, strings.Repeat("x", specBytes))
 	for i := range n {
 		id := fmt.Sprintf("%015x%d", i, part)
-		r := track.JobRecord(id, model.Queue{Name: "q"}, body, 0)
+		r := track.JobRecord(id, model.Queue{Name: "q"}, "", body, 0)
 		if part != leaderPart {
-			r = track.LeaderlessJobRecord(id, model.Queue{Name: "q"}, body, 0)
+			r = track.LeaderlessJobRecord(id, model.Queue{Name: "q"}, "", body, 0)
 		}
 		s.PutPartition(Topic, part, r.Key, r.Value)
 	}
--- a/internal/serve/leader/moved_test.go
+++ b/internal/serve/leader/moved_test.go
@@ -35,7 +35,7 @@
 func newFormerTask(t *testing.T, l *Leader, service string) *track.Task {
 	t.Helper()
 	accepted := time.Duration(time.Now().UnixNano())
-	loadFormer(t, l, accepted, track.JobRecord("job", model.Queue{Name: "q", Service: service}, []byte(`{"phases":[{"count":1}]}`), accepted))
+	loadFormer(t, l, accepted, track.JobRecord("job", model.Queue{Name: "q", Service: service}, "", []byte(`{"phases":[{"count":1}]}`), accepted))
 	l.Meters = NewMeters(tally.NoopScope)
 	return l.tracker.Job("job").Task(model.TaskID{Job: "job"})
 }
@@ -128,7 +128,7 @@
 	assert.Assert(t, !tr.MayUseService(j, "t") && !tr.HasChanges(), "stored once")
 	tr.MarkStored(batch)
 	assert.Assert(t, tr.MayUseService(j, "t"))
-	return append(batch.Records, track.JobRecord("job", q, body, accepted))
+	return append(batch.Records, track.JobRecord("job", q, "", body, accepted))
 }
 
 // Guards against a second run of a task after a restart: its queue was moved to "t", where the task runs,
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -200,6 +200,7 @@
 		ev.answer(unknownAnswer)
 		return
 	}
+	spec.Account = ev.Account
 	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
 	l.Meters.accepted.Inc(1)
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", spec.TaskCount()).Bool("lasts", spec.IsLongRunning()).Msg("job is accepted")
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -88,7 +88,7 @@
 		l.fleet.unstored = nil
 	}
 	for _, a := range s.accepts {
-		entries = append(entries, track.JobRecord(a.ID, a.settings, a.Body, l.wall))
+		entries = append(entries, track.JobRecord(a.ID, a.settings, a.Account, a.Body, l.wall))
 		a.accepted = l.wall
 	}
 	for _, c := range s.cancels {
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -53,6 +53,8 @@
 	Body  []byte
 	// Timeout is the caller's timeout.
 	Timeout time.Duration
+	// Account is the caller's client account, empty for none.
+	Account string
 }
 
 // Digest is an entry's answer to a poll.
@@ -113,7 +115,7 @@
 
 func (s *server) Submit(ctx context.Context, a *workpb.SubmitAsk) (*workpb.SubmitReply, error) {
 	r := s.handler.Submit(ctx, Submission{
-		ID: a.GetId(), Queue: a.GetQueue(), Body: a.GetBody(), Timeout: time.Duration(a.GetWait()) * time.Millisecond,
+		ID: a.GetId(), Queue: a.GetQueue(), Body: a.GetBody(), Timeout: time.Duration(a.GetWait()) * time.Millisecond, Account: a.GetTenant(),
 	})
 	return &workpb.SubmitReply{
 		Leads: r.Verdict != NotLeader, Verdict: uint32(r.Verdict), After: uint32(r.RetryAfter.Milliseconds()), Cause: r.Cause,
@@ -169,7 +171,7 @@
 // Submit submits a job to the leader. It returns an Err.
 func (c *Client) Submit(ctx context.Context, addr string, s Submission) (Answer, error) {
 	r, err := c.rpc(ctx, addr).Submit(ctx, &workpb.SubmitAsk{
-		Id: s.ID, Queue: s.Queue, Body: s.Body, Wait: uint32(s.Timeout.Milliseconds()),
+		Id: s.ID, Queue: s.Queue, Body: s.Body, Wait: uint32(s.Timeout.Milliseconds()), Tenant: s.Account,
 	})
 	if err != nil {
 		return Answer{}, Err.Wrap(err)
