relay: a verdict for jobs that are refused because of their account's limit or share

Change: Limited is answered with 429, which says that the job never runs. Nothing returns it yet. The test of unknown verdicts takes the new last one as its bound.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -198,6 +198,8 @@
 		h.write(c, http.StatusOK, []byte("{}"))
 	case relay.Refused:
 		h.writeError(c, http.StatusServiceUnavailable, id, a.Cause, a.RetryAfter)
+	case relay.Limited:
+		h.writeError(c, http.StatusTooManyRequests, id, a.Cause, a.RetryAfter)
 	case relay.NotLeader, relay.Unknown, relay.NotFound:
 		h.writeError(c, http.StatusGatewayTimeout, id, a.Cause, a.RetryAfter)
 	}
@@ -223,7 +225,7 @@
 		h.writeError(c, http.StatusGone, id, "no such job", 0)
 	case relay.Refused:
 		h.writeError(c, http.StatusServiceUnavailable, id, "the cancel can't be stored", unavailableRetry)
-	case relay.NotLeader, relay.Unknown:
+	case relay.NotLeader, relay.Unknown, relay.Limited:
 		h.writeError(c, http.StatusGatewayTimeout, id, "outcome of the cancel is not known", 0)
 	}
 }
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -35,6 +35,9 @@
 	Unknown
 	// NotFound means that there is no such job.
 	NotFound
+	// Limited means that a job is not stored and will not be, because of the limit or share of its
+	// client account.
+	Limited
 )
 
 // Answer is the answer to a submission.
@@ -209,7 +212,7 @@
 
 // decodeVerdict decodes a verdict. One that this version does not know is Unknown.
 func decodeVerdict(n uint32) Verdict {
-	if n > uint32(NotFound) {
+	if n > uint32(Limited) {
 		return Unknown
 	}
 	return Verdict(n)
