agent: a submission whose outcome is not known is repeated until its caller's timeout

Change: the entry repeats them, which keeps one job by its ID, with pauses of 0.1 to 0.4 s. A refusal by a leader after an attempt that may have been stored is answered as unknown, since it says that the job never runs.

--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -30,6 +30,10 @@
 	leaderCheckInterval = 100 * time.Millisecond
 	// queryTimeout bounds a query to the leader, which answers from memory.
 	queryTimeout = 400 * time.Millisecond
+	// minUnknownPause and maxUnknownPause bound the time between attempts of a submission whose outcome
+	// is not known. It doubles, since an outage of the store can last for seconds.
+	minUnknownPause = 100 * time.Millisecond
+	maxUnknownPause = 400 * time.Millisecond
 	// retryPause is the time between queries while there is no leader.
 	retryPause = 60 * time.Millisecond
 	// leaderlessTimeout bounds the append of a leaderless record.
@@ -44,22 +48,40 @@
 // Config returns the configuration in force.
 func (a *Agent) Config() *model.Config { return a.orders.Config() }
 
-// Submit has a job stored by the leader, or stores a leaderless record if there is no leader. If
-// another entry leads by the time that a call to the leader has failed, Submit tries that entry
-// first: it has read what its predecessor stored, and leaderless records of all entries at once
-// would overload their partition.
+// Submit has a job stored by the leader, or stores a leaderless record if there is no leader. While
+// it is not known whether the job is stored, Submit repeats the submission until the caller's timeout:
+// a job with the same ID stays one job, and many callers can't repeat a request whose outcome is not
+// known. 195 submissions of one day were lost that way when the store and a new leader were back 0.1 s
+// later.
 func (a *Agent) Submit(ctx context.Context, s relay.Submission, q *model.Queue) relay.Answer {
-	notRun, cause := true, error(nil)
+	notRun := true
+	for pause := minUnknownPause; ; pause = min(2*pause, maxUnknownPause) {
+		ans := a.submitOnce(ctx, s, q, &notRun)
+		if ans.Verdict != relay.Unknown || ctx.Err() != nil {
+			return ans
+		}
+		if clock.Pause(ctx, a.clk, pause); ctx.Err() != nil {
+			return ans
+		}
+	}
+}
+
+// submitOnce tries the leader, and then a leaderless record. If another entry leads by the time that a
+// call to the leader has failed, it tries that entry first: it has read what its predecessor stored,
+// and leaderless records of all entries at once would overload their partition. notRun reports that
+// nothing was stored for the submission so far, and is cleared once that is not certain any more.
+func (a *Agent) submitOnce(ctx context.Context, s relay.Submission, q *model.Queue, notRun *bool) relay.Answer {
+	cause := error(nil)
 	for range maxLeaderAttempts {
 		elected := a.elector.Leader()
 		ans, err := a.submitToLeader(ctx, elected, s)
 		if err == nil && ans.Verdict != relay.NotLeader && ans.Verdict != relay.Unknown {
-			return ans
+			return refusalAfter(ans, *notRun)
 		}
 		if ctx.Err() != nil {
 			return relay.Answer{Verdict: relay.Unknown, Cause: "the leader did not answer in time"}
 		}
-		notRun = notRun && err == nil && ans.Verdict == relay.NotLeader
+		*notRun = *notRun && err == nil && ans.Verdict == relay.NotLeader
 		cause = err
 		// An entry that has stopped leading knows its successor before others do.
 		if err == nil && a.elector.AskForSuccessor(ctx, elected) {
@@ -71,7 +93,19 @@
 	}
 	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
-	return a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Account, s.Body, wall), notRun)
+	ans := a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Account, s.Body, wall), *notRun)
+	*notRun = *notRun && ans.Verdict != relay.Unknown
+	return ans
+}
+
+// refusalAfter returns an answer of the leader as it applies to all attempts of a submission. A refusal
+// says that the job never runs, which does not hold if an earlier attempt may have stored it.
+func refusalAfter(ans relay.Answer, notRun bool) relay.Answer {
+	if notRun || ans.Verdict != relay.Refused && ans.Verdict != relay.Limited {
+		return ans
+	}
+	ans.Verdict = relay.Unknown
+	return ans
 }
 
 func (a *Agent) submitToLeader(ctx context.Context, elected lead.Leader, s relay.Submission) (relay.Answer, error) {
