orders: the age of the entry's view of the configuration

Cause: keys that were removed must not be accepted after a bounded time, also by an entry that was suspended or can't read the store. No entry knew how old its configuration may be. Change: a read of the store up to its end makes the view good as of when the read was sent; ViewAge and ExtendView. RawConfig holds the digests of keys, and the configuration in force is decoded from it. Run: go test -race ./platform ./internal/serve/orders.

--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -44,6 +44,7 @@
 	conf     atomic.Pointer[model.Config]
 	raw      atomic.Pointer[[]byte]
 	lastRead atomic.Int64 // when the store last answered, on the entry's clock
+	view     viewTime
 
 	mu    sync.Mutex
 	waves map[int64]Wave
@@ -72,7 +73,7 @@
 func (o *Orders) Config() *model.Config { return o.conf.Load() }
 
 // RawConfig returns the encoded configuration for entries with an older one, or nil if none was
-// read.
+// read. It holds the digests of keys in place of the keys.
 func (o *Orders) RawConfig() []byte {
 	if p := o.raw.Load(); p != nil {
 		return *p
@@ -122,8 +123,9 @@
 	}
 }
 
+// readAll reads the newest record of each key. It returns the offset from which reading continues.
 func (o *Orders) readAll(ctx context.Context) (int64, error) {
-	from, after := int64(-1), ""
+	from, after, sent := int64(-1), "", o.clk.Now()
 	for {
 		rs, more, end, err := o.client.Newest(ctx, platform.OperatorTopic, 0, after, readWait+readStall)
 		if err != nil {
@@ -137,20 +139,28 @@
 			after = r.Key
 		}
 		if !more || len(rs) == 0 {
+			o.ExtendView(sent)
 			return from, nil
 		}
 	}
 }
 
+// readNext reads the records from an offset on, and returns the offset from which reading continues.
+// The store may answer with a part of the records; the view is extended only by a read up to the end.
 func (o *Orders) readNext(ctx context.Context, from int64) (int64, error) {
-	rs, _, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, readWait, readStall)
+	sent := o.clk.Now()
+	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, readWait, readStall)
 	if err != nil {
 		return from, err
 	}
 	for _, r := range rs {
 		o.apply(r)
 	}
-	return from + int64(len(rs)), nil
+	from += int64(len(rs))
+	if from == end {
+		o.ExtendView(sent)
+	}
+	return from, nil
 }
 
 func (o *Orders) apply(r platform.Record) {
@@ -185,6 +195,11 @@
 // SetConfig decodes a configuration and puts it into force unless one of the same or a newer
 // version is in force. It returns an ErrFormat.
 func (o *Orders) SetConfig(value []byte) error {
+	value, err := platform.RedactConfig(value)
+	if err != nil {
+		return err
+	}
+	// What is in force is decoded from what other entries get.
 	c, err := platform.DecodeConfig(value)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/serve/orders/view.go
@@ -0,0 +1,40 @@
+package orders
+
+import (
+	"sync"
+	"time"
+)
+
+// viewTime is the moment as of which the configuration in force is known to be the newest one. The
+// zero value has no such moment. It is safe for concurrent use.
+type viewTime struct {
+	mu    sync.Mutex
+	asOf  time.Duration
+	known bool
+}
+
+// extend moves the moment forward, and never back: answers can arrive in another order than they were
+// requested.
+func (v *viewTime) extend(asOf time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.known || asOf > v.asOf {
+		v.asOf, v.known = asOf, true
+	}
+}
+
+// age returns the time from the moment to now, or false if there is none.
+func (v *viewTime) age(now time.Duration) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(now-v.asOf, 0), v.known
+}
+
+// ViewAge returns the time for which the configuration in force has not been known to be the newest
+// one, or false if it never was. The time includes suspensions. A caller that also needs the
+// configuration gets it after the age: it is then at least as new as the age says.
+func (o *Orders) ViewAge() (time.Duration, bool) { return o.view.age(o.clk.Now()) }
+
+// ExtendView records that the configuration in force was the newest one at a time on the entry's clock.
+// It has no effect if this is known of a later time.
+func (o *Orders) ExtendView(asOf time.Duration) { o.view.extend(asOf) }
