front: calls need the key of a client account

Cause: configurations with client accounts require keys, and strict revocation requires that no key is accepted by an old view. Change: front checks the key after the queue was found and again after the body; a missing or unknown key gets 401, a stale view 503 with Retry-After. Where calls have keys, the log has paths only of requests with a well-formed id. Run: go test -race ./internal/serve/relay ./internal/serve/front ./internal/proof/rules; the entries' tests follow.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -157,7 +157,7 @@
 		return nil, Err.Wrap(err)
 	}
 	a.register(ctx, addr, rank)
-	a.front = front.Serve(a.traffic.Listener(links.Callers, listeners[0]), a, log)
+	a.front = front.Serve(a.traffic.Listener(links.Callers, listeners[0]), a, log, front.WithMetrics(a.meter.Scope()))
 	a.readyServer = &http.Server{Handler: http.HandlerFunc(a.readyz), ReadHeaderTimeout: time.Second}
 	go func() { a.readyDone <- a.readyServer.Serve(listeners[1]) }()
 	if err := a.serveMetrics(); err != nil {
--- a/internal/serve/agent/config.go
+++ b/internal/serve/agent/config.go
@@ -53,22 +53,45 @@
 	}
 }
 
-// fetchConfig gets the leader's configuration if its version is above one.
+// fetchConfig gets the leader's configuration if its version is above one, and the age of the leader's
+// view of it, which counts from when the request is sent.
 func (a *Agent) fetchConfig(ctx context.Context, version int64) {
 	elected := a.elector.Leader()
 	if elected.Addr == "" || elected.IsSelf {
 		return
 	}
+	sent := a.clk.Now()
 	// Without a name, the request does not count as a poll of a follower.
 	d, err := a.configClient.Digest(ctx, elected.Addr, relay.Follower{Version: version, Rank: elect.Rank(a.settings.Cores)})
 	if err != nil {
 		a.log.Debug().Err(err).Msg("requesting the configuration from the leader failed")
 		return
 	}
-	if len(d.Config) == 0 {
-		return
+	a.applyConfig(d, sent)
+}
+
+// applyConfig puts the configuration in an answer into force. It then extends the view of the
+// configuration by the answer's, whose age counts from when the request was sent: the answer may be late.
+func (a *Agent) applyConfig(d relay.Digest, sent time.Duration) {
+	if len(d.Config) > 0 {
+		if err := a.orders.SetConfig(d.Config); err != nil {
+			a.log.Error().Err(err).Msg("configuration from the leader can't be decoded")
+			return
+		}
 	}
-	if err := a.orders.SetConfig(d.Config); err != nil {
-		a.log.Error().Err(err).Msg("configuration from the leader can't be decoded")
+	if d.HasView {
+		a.orders.ExtendView(sent - d.ViewAge)
+	}
+}
+
+// configDigest returns a digest with the age of this entry's view, and with its configuration if that is
+// above a version.
+func (a *Agent) configDigest(version int64) relay.Digest {
+	var out relay.Digest
+	// The age comes first, so that the configuration is at least as new as the age says.
+	out.ViewAge, out.HasView = a.orders.ViewAge()
+	if a.configVersion() > version {
+		out.Config = a.orders.RawConfig()
 	}
+	return out
 }
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -11,6 +11,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/retry"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/front"
 	"chervilgauge.example/chervilgauge/internal/serve/lead"
 	"chervilgauge.example/chervilgauge/internal/serve/leader"
 	"chervilgauge.example/chervilgauge/internal/serve/proxy"
@@ -44,6 +45,13 @@
 // Config returns the configuration in force.
 func (a *Agent) Config() *model.Config { return a.orders.Config() }
 
+// View returns the configuration in force and the age of the view of it.
+func (a *Agent) View() front.View {
+	// The age comes first, so that the configuration is at least as new as the age says.
+	age, ok := a.orders.ViewAge()
+	return front.View{Config: a.orders.Config(), Age: age, HasAge: ok, Strict: a.settings.Bounds.StrictRevoke, Revoke: a.settings.Bounds.Revoke}
+}
+
 // Submit has a job stored by the leader, or stores a leaderless record if there is no leader. If
 // another entry leads by the time that a call to the leader has failed, Submit tries that entry
 // first: it has read what its predecessor stored, and leaderless records of all entries at once
@@ -260,10 +268,8 @@
 		a.execs.RecordPeer(f.Name, f.Addr, f.Centre, f.Rank)
 	}
 	elected := a.elector.Leader()
-	out := relay.Digest{Token: elected.Token, Addr: elected.Addr}
-	if a.configVersion() > f.Version {
-		out.Config = a.orders.RawConfig()
-	}
+	out := a.configDigest(f.Version)
+	out.Token, out.Addr = elected.Token, elected.Addr
 	l := a.localLeader()
 	if l == nil {
 		return out
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -15,6 +15,7 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -54,7 +55,8 @@
 
 // Jobs carries out callers' requests.
 type Jobs interface {
-	Config() *model.Config
+	// View returns the configuration in force. Its age must not be newer than the configuration.
+	View() View
 	Submit(ctx context.Context, s relay.Submission, q *model.Queue) relay.Answer
 	// Query returns false if the state is unknown at present.
 	Query(ctx context.Context, id string) (model.State, bool)
@@ -75,11 +77,14 @@
 	log  zerolog.Logger
 	// draining reports whether each connection is closed after its next response.
 	draining atomic.Bool
+	// stale reports whether the view was too old for the last call that was checked.
+	stale    atomic.Bool
+	refusals map[Refusal]tally.Counter
 }
 
 // Serve starts to serve callers on a listener, until Close or CloseNow.
-func Serve(lis net.Listener, j Jobs, log zerolog.Logger) *Server {
-	h := &handler{jobs: j, log: log}
+func Serve(lis net.Listener, j Jobs, log zerolog.Logger, opts ...Option) *Server {
+	h := newHandler(j, log, opts...)
 	s := &Server{h: h, done: make(chan error, 1), srv: &http.Server{
 		Handler: h.router(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
@@ -123,7 +128,7 @@
 
 func (h *handler) handle(c echo.Context) error {
 	r := c.Request()
-	conf := h.jobs.Config()
+	conf := h.jobs.View().Config
 	if conf == nil {
 		h.writeError(c, http.StatusServiceUnavailable, "", "no configuration yet", unavailableRetry)
 		return nil
@@ -137,6 +142,10 @@
 		h.writeError(c, http.StatusNotFound, "", "no such queue", 0)
 		return nil
 	}
+	if _, why := h.checkKey(r, q); why != Accepted {
+		h.refuseKey(c, why)
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), callerTimeout(r))
 	defer cancel()
 	switch {
@@ -192,7 +201,13 @@
 		h.writeError(c, http.StatusBadRequest, id, err.Error(), 0)
 		return
 	}
-	a := h.jobs.Submit(ctx, relay.Submission{ID: id, Queue: q.Name, Body: body}, q)
+	// The key may have been removed while the body arrived.
+	account, why := h.checkKey(c.Request(), q)
+	if why != Accepted {
+		h.refuseKey(c, why)
+		return
+	}
+	a := h.jobs.Submit(ctx, relay.Submission{ID: id, Queue: q.Name, Body: body, Account: account}, q)
 	switch a.Verdict {
 	case relay.Stored:
 		h.write(c, http.StatusOK, []byte("{}"))
@@ -205,6 +220,15 @@
 	}
 }
 
+// refuseKey answers a call that is refused because of its key.
+func (h *handler) refuseKey(c echo.Context, why Refusal) {
+	if why == StaleView {
+		h.writeError(c, http.StatusServiceUnavailable, "", "keys can't be checked at present", unavailableRetry)
+		return
+	}
+	h.writeError(c, http.StatusUnauthorized, "", "no valid key", 0)
+}
+
 func (h *handler) query(ctx context.Context, c echo.Context, id string) {
 	s, ok := h.jobs.Query(ctx, id)
 	switch {
@@ -262,7 +286,7 @@
 		s := int((retryAfter + time.Second - 1) / time.Second) // the header holds whole seconds
 		c.Response().Header()["Retry-After"] = []string{strconv.Itoa(s)}
 	}
-	h.log.Info().Str("job", id).Str("method", c.Request().Method).Str("path", c.Request().URL.Path).Int("status", status).
+	h.log.Info().Str("job", h.loggable(id, id)).Str("method", c.Request().Method).Str("path", h.loggable(id, c.Request().URL.Path)).Int("status", status).
 		Str("cause", cause).Msg("request is refused")
 	body, err := json.Marshal(struct {
 		Error string `json:"error"`
@@ -272,3 +296,12 @@
 	}
 	h.write(c, status, body)
 }
+
+// loggable returns a part of a request's path for the log. Where calls have keys, it is empty unless the
+// request has a well-formed id: other paths may hold a key that is in the wrong place.
+func (h *handler) loggable(id, part string) string {
+	if conf := h.jobs.View().Config; (conf == nil || conf.ChecksKeys) && !isID(id) {
+		return ""
+	}
+	return part
+}
--- a/internal/serve/front/front_test.go
+++ b/internal/serve/front/front_test.go
@@ -20,8 +20,8 @@
 // stubJobs answers every request at once.
 type stubJobs struct{}
 
-func (stubJobs) Config() *model.Config {
-	return model.Config{Queues: []model.Queue{{Name: "q", Host: "jobs.example", Prefix: "/q/"}}}.Indexed()
+func (stubJobs) View() View {
+	return View{Config: model.Config{Queues: []model.Queue{{Name: "q", Host: "jobs.example", Prefix: "/q/"}}}.Indexed()}
 }
 
 func (stubJobs) Submit(context.Context, relay.Submission, *model.Queue) relay.Answer {
--- a/internal/serve/front/fuzz_test.go
+++ b/internal/serve/front/fuzz_test.go
@@ -42,7 +42,7 @@
 		assert.Assert(t, d >= 0 && d <= maxTimeout, d)
 		var log bytes.Buffer
 		w := httptest.NewRecorder()
-		(&handler{jobs: stubJobs{}, log: zerolog.New(&log)}).router().ServeHTTP(w, r)
+		newHandler(stubJobs{}, zerolog.New(&log)).router().ServeHTTP(w, r)
 		assert.Assert(t, w.Code >= 200 && w.Code < 600)
 		assert.Assert(t, strings.Count(log.String(), "\n") <= 1)
 		if _, err := platform.DecodeJob(body); method == http.MethodPost && w.Code == http.StatusOK {
--- a/internal/serve/front/limits_test.go
+++ b/internal/serve/front/limits_test.go
@@ -8,17 +8,15 @@
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
-
-	"chervilgauge.example/chervilgauge/internal/jobs/model"
 )
 
 // unlimited has a configuration whose limit for bodies is far above the memory of an entry.
 type unlimited struct{ stubJobs }
 
-func (u unlimited) Config() *model.Config {
-	c := *u.stubJobs.Config()
+func (u unlimited) View() View {
+	c := *u.stubJobs.View().Config
 	c.BodyLimit = 1 << 62
-	return c.Indexed()
+	return View{Config: c.Indexed()}
 }
 
 // endless is a body without an end, which counts the bytes that are read of it.
@@ -36,7 +34,7 @@
 	body := &endless{}
 	w := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodPost, "http://jobs.example/q/0123456789abcdef", body)
-	(&handler{jobs: unlimited{}, log: zerolog.Nop()}).router().ServeHTTP(w, r)
+	newHandler(unlimited{}, zerolog.Nop()).router().ServeHTTP(w, r)
 	assert.Equal(t, w.Code, http.StatusBadRequest)
 	assert.Assert(t, body.n < 16<<20, "%d bytes were read", body.n)
 }
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -74,6 +75,10 @@
 	Addr string
 	// PollInterval is the time that the follower must wait before its next poll.
 	PollInterval time.Duration
+	// ViewAge is the age of the answering entry's view of the configuration when it answered. It is only
+	// set if HasView is: the entry may have no view, or be of a version that does not send it.
+	ViewAge time.Duration
+	HasView bool
 }
 
 // Follower describes an entry that polls the leader.
@@ -141,7 +146,7 @@
 	})
 	out := &workpb.DigestReply{
 		Leads: d.Leads, Token: d.Token, Age: uint32(d.LeaseAge.Milliseconds()), Config: d.Config, Addr: d.Addr,
-		Counted: d.Pending != nil, Pause: uint32(d.PollInterval.Milliseconds()),
+		Counted: d.Pending != nil, Pause: uint32(d.PollInterval.Milliseconds()), View: encodeView(d.ViewAge, d.HasView),
 	}
 	for q, n := range d.Pending {
 		out.Backlog = append(out.Backlog, &workpb.Backlog{Queue: q, N: uint32(n)})
@@ -149,6 +154,20 @@
 	return out, nil
 }
 
+// encodeView encodes the age of a view as milliseconds, rounded up, plus 1. No view, and one that is too
+// old for the field, is 0.
+func encodeView(age time.Duration, ok bool) uint32 {
+	age = max(age, 0)
+	ms := age.Milliseconds()
+	if age%time.Millisecond > 0 {
+		ms++
+	}
+	if !ok || ms >= math.MaxUint32 {
+		return 0
+	}
+	return uint32(ms) + 1
+}
+
 func (s *server) Announce(_ context.Context, a *workpb.AnnounceAsk) (*workpb.AnnounceReply, error) {
 	s.handler.Announce(a.GetToken(), a.GetName(), a.GetAddr())
 	return &workpb.AnnounceReply{Token: a.GetToken()}, nil
@@ -238,6 +257,9 @@
 		Leads: r.GetLeads(), Token: r.GetToken(), LeaseAge: time.Duration(r.GetAge()) * time.Millisecond,
 		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: min(time.Duration(r.GetPause())*time.Millisecond, maxPollInterval),
 	}
+	if v := r.GetView(); v > 0 {
+		d.ViewAge, d.HasView = time.Duration(v-1)*time.Millisecond, true
+	}
 	if !r.GetCounted() {
 		return d
 	}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -39,3 +41,15 @@
 		assert.Assert(t, v <= Limited)
 	}
 }
+
+// Guards against a view that seems newer after its way through a digest, and against an age from an entry
+// that sends none: one of an earlier version, or without a view.
+func TestViewAgesAreRoundedUp(t *testing.T) {
+	for _, age := range []time.Duration{0, 1, time.Millisecond, time.Millisecond + 1, 5 * time.Second} {
+		d := decodeDigest(&workpb.DigestReply{View: encodeView(age, true)})
+		assert.Assert(t, d.HasView && d.ViewAge >= age && d.ViewAge < age+time.Millisecond, "%v %v", age, d.ViewAge)
+	}
+	for _, view := range []uint32{encodeView(time.Second, false), encodeView(math.MaxInt64, true), 0} {
+		assert.Assert(t, !decodeDigest(&workpb.DigestReply{View: view}).HasView)
+	}
+}
