--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -35,6 +35,9 @@
 	version      int
 	// adviceField is the advice setting of each queue in the configuration, with a leading comma.
 	adviceField string
+	// accounts is a field of the configuration with the client accounts, with a leading comma, and key
+	// the key that requests carry, empty for none.
+	accounts, key string
 }
 
 // logBuffer keeps the entries' logs, which are printed if a test fails.
@@ -69,7 +72,7 @@
 	return out
 }
 
-func newRig(t *testing.T, entries int, pools map[string]int) *rig {
+func newRig(t *testing.T, entries int, pools map[string]int, change ...func(*platform.Settings)) *rig {
 	t.Helper()
 	r := &rig{t: t, platform: fake.NewPlatform(pools), log: &logBuffer{}}
 	t.Cleanup(func() {
@@ -87,6 +90,9 @@
 	ps := freePorts(t, 3*entries)
 	for i := range entries {
 		r.settings = append(r.settings, r.platform.Settings(fmt.Sprintf("entry-%d", i), ps[3*i], ps[3*i+1], ps[3*i+2]))
+		for _, f := range change {
+			f(&r.settings[i])
+		}
 		storeProxy := r.platform.NewStoreProxy()
 		r.settings[i].Store.Addr = storeProxy.Addr()
 		r.storeProxies = append(r.storeProxies, storeProxy)
@@ -115,9 +121,12 @@
 	if extraPrefix != "" {
 		routes = append(routes, route("more", extraPrefix, "pool-a"))
 	}
+	if r.accounts != "" {
+		routes = append(routes, strings.Replace(route("open", "/open/", "pool-a"), "{", `{"anonymous":true,`, 1))
+	}
 	r.platform.Store.Put(platform.OperatorTopic, platform.ConfigKey, fmt.Appendf(nil,
 		`{"version":%d,"routes":[%s],"services":[{"name":"pool-a","admission_control":true},{"name":"pool-b","admission_control":true},`+
-			`{"name":"rest","standby":true}],"limits":{"max_body_bytes":65536}}`, r.version, strings.Join(routes, ",")))
+			`{"name":"rest","standby":true}],"limits":{"max_body_bytes":65536}%s}`, r.version, strings.Join(routes, ","), r.accounts))
 }
 
 func (r *rig) start(i int) {
@@ -185,6 +194,9 @@
 	assert.NilError(r.t, err)
 	req.Host = "jobs.example"
 	req.Close = true
+	if r.key != "" {
+		req.Header.Set(platform.KeyHeader, r.key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", nil
