soak: callers send keys, and the operator removes and adds some

Cause: nothing checked revocation under faults. Change: each caller sends the key of one of three accounts. A probe of each entry sends keys that the operator removes and adds with each version. Findings: REVOKED, a success more than 5 s after the removal; KEY, a 401 for a key that was valid in all versions of the last 5 s. Run: go test ./internal/bench/soak -run 'WrongAnswers|SeedDetermines|ChecksFind|TestShortSoak' (56.9 s).

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -41,10 +41,11 @@
 	r    *run
 	rng  *rand.Rand
 	http *http.Client
+	key  string
 }
 
 func (r *run) newCaller(n int) *caller {
-	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}}
+	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}, keptKey(n % accounts)}
 }
 
 // callerStream is the first random stream of callers. Those below are the series of faults.
@@ -234,6 +235,7 @@
 	}
 	req.Host = host
 	req.Header.Set(platform.TimeoutHeader, strconv.FormatInt(timeout.Milliseconds(), 10))
+	req.Header.Set(platform.KeyHeader, c.key)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return 0, nil, err
--- a/internal/bench/soak/entry.go
+++ b/internal/bench/soak/entry.go
@@ -173,6 +173,6 @@
 	if i >= r.cfg.Entries-r.cfg.Small {
 		settings.Cores = smallCores
 	}
-	text := r.platform.SettingsText(settings, link.Addr(), fake.BoundsLine(grace, stopTimeout))
+	text := r.platform.SettingsText(settings, link.Addr(), fake.BoundsLine(grace, stopTimeout, revoke))
 	return e, Err.Wrap(os.WriteFile(e.file, []byte(text), 0o600))
 }
--- /dev/null
+++ b/internal/bench/soak/keys.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	// accounts is the number of client accounts.
+	accounts = 3
+	// revoke is the time from which on no call with a removed key may succeed.
+	revoke = 5 * time.Second
+)
+
+// keptKey returns the key that an account has in all configurations, and changingKey the one that the
+// operator removes and adds.
+func keptKey(account int) string     { return fmt.Sprint("kept-key-of-account-", account) }
+func changingKey(account int) string { return fmt.Sprint("changing-key-of-account-", account) }
+
+// probeKey makes a call with the changing key of an account, and checks the answer.
+func (r *run) probeKey(c *caller, e *entry) {
+	account := c.rng.IntN(accounts)
+	with := *c
+	with.key = changingKey(account)
+	begin := r.clk.Now()
+	status, _ := with.call(e.index, http.MethodGet, queues[0].Prefix, nil, callTimeout)
+	r.checkKey(e.name, account, status, begin)
+}
+
+// checkKey checks the answer to a call that was sent with an account's changing key at a time or later.
+func (r *run) checkKey(entry string, account, status int, sent time.Duration) {
+	some, all := r.operator.keyHistory(account, sent-revoke)
+	switch {
+	case status/100 == 2 && !some:
+		r.found("REVOKED", "", "%s answered with %d at %s to a key of account-%d that was removed more than %s before the call at %s", entry, status, r.clk.Now(), account, revoke, sent)
+	case status == http.StatusUnauthorized && all:
+		r.found("KEY", "", "%s refused the key of account-%d at %s, which has been valid since before %s", entry, account, r.clk.Now(), sent-revoke)
+	}
+}
+
+// keyHistory reports whether some and whether all versions that were in force at a time or later have an
+// account's changing key.
+func (o *operator) keyHistory(account int, since time.Duration) (some, all bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	all = true
+	for i := len(o.all) - 1; i >= 0; i-- {
+		has := o.all[i].keys[account]
+		some, all = some || has, all && has
+		if o.all[i].at < since {
+			break
+		}
+	}
+	return some, all
+}
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -50,6 +50,8 @@
 type written struct {
 	version int64
 	at      time.Duration
+	// keys reports for each account whether it has its changing key.
+	keys [accounts]bool
 }
 
 // operator changes the configuration.
@@ -70,8 +72,17 @@
 	}
 	c := model.Config{Version: version, Services: services, BodyLimit: 1 << 16}
 	c.Queues = append(append(c.Queues, queues...), queue("marker", markerPath(version), "pool-a", 1))
-	o.store.Put(platform.OperatorTopic, platform.ConfigKey, fake.EncodeConfig(c))
-	o.all = append(o.all, written{version, now})
+	w := written{version: version, at: now}
+	var all []fake.AccountKeys
+	for i := range w.keys {
+		a := fake.AccountKeys{Name: fmt.Sprint("account-", i), Keys: []string{keptKey(i)}}
+		if w.keys[i] = o.rng.IntN(2) == 0; w.keys[i] {
+			a.Keys = append(a.Keys, changingKey(i))
+		}
+		all = append(all, a)
+	}
+	o.store.Put(platform.OperatorTopic, platform.ConfigKey, fake.EncodeConfig(c, all...))
+	o.all = append(o.all, w)
 }
 
 // newest returns up to n of the newest versions, the newest one first.
@@ -110,11 +121,12 @@
 			case status == http.StatusOK && v.version < seen.version && begin > seen.at+slack:
 				r.found("CONFIG", "", "%s went back from version %d, seen at %s, to %d at %s", e.name, seen.version, seen.at, v.version, begin)
 			case status == http.StatusOK && v.version > seen.version:
-				seen = written{v.version, r.clk.Now()}
+				seen = written{version: v.version, at: r.clk.Now()}
 			case status == http.StatusNotFound && calm && begin > v.at+configApply && r.operator.newest(1)[0] == v:
 				r.found("CONFIG", "", "%s does not have version %d, written at %s, at %s", e.name, v.version, v.at, begin)
 			}
 		}
+		r.probeKey(c, e)
 		clock.Pause(ctx, r.clk, probeInterval)
 	}
 }
