--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -11,6 +11,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/retry"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/front"
 	"chervilgauge.example/chervilgauge/internal/serve/lead"
 	"chervilgauge.example/chervilgauge/internal/serve/leader"
 	"chervilgauge.example/chervilgauge/internal/serve/proxy"
@@ -48,6 +49,13 @@
 // Config returns the configuration in force.
 func (a *Agent) Config() *model.Config { return a.orders.Config() }
 
+// View returns the configuration in force and the age of the view of it.
+func (a *Agent) View() front.View {
+	// The age comes first, so that the configuration is at least as new as the age says.
+	age, ok := a.orders.ViewAge()
+	return front.View{Config: a.orders.Config(), Age: age, HasAge: ok, Strict: a.settings.Bounds.StrictRevoke, Revoke: a.settings.Bounds.Revoke}
+}
+
 // Submit has a job stored by the leader, or stores a leaderless record if there is no leader. While
 // it is not known whether the job is stored, Submit repeats the submission until the caller's timeout:
 // a job with the same ID stays one job, and many callers can't repeat a request whose outcome is not
@@ -294,10 +302,8 @@
 		a.execs.RecordPeer(f.Name, f.Addr, f.Centre, f.Rank)
 	}
 	elected := a.elector.Leader()
-	out := relay.Digest{Token: elected.Token, Addr: elected.Addr}
-	if a.configVersion() > f.Version {
-		out.Config = a.orders.RawConfig()
-	}
+	out := a.configDigest(f.Version)
+	out.Token, out.Addr = elected.Token, elected.Addr
 	l := a.localLeader()
 	if l == nil {
 		return out
