--- a/internal/serve/relay/fuzz_test.go
+++ b/internal/serve/relay/fuzz_test.go
@@ -25,6 +25,7 @@
 		if r := (&workpb.DigestReply{}); proto.Unmarshal(data, r) == nil {
 			d := decodeDigest(r)
 			assert.Equal(t, d.Pending != nil, r.GetCounted())
+			assert.Assert(t, d.ViewAge >= 0 && d.HasView == (r.GetView() > 0))
 			assert.Assert(t, d.LeaseAge >= 0 && d.PollInterval >= 0 && d.PollInterval <= maxPollInterval)
 			for _, n := range d.Pending {
 				assert.Assert(t, n >= 0)
