track: a follower of runs, and the account and remaining needs of ended jobs

Cause: the limit of a client account bounds all that may run, also what an earlier leader started for a job that has ended since. Its runs are listed as orphans, and neither their account nor their need was stored. Change: WithUsage has a Usage follow the places where runs are added and removed. The end of a job is stored with its account and what its runs may need (four fields of Ended); Unlisted sums that up with the needs of unresolved tasks until executors have listed their runs.

--- a/internal/jobs/model/model.go
+++ b/internal/jobs/model/model.go
@@ -34,6 +34,11 @@
 	return Amount{max(a.Cores, b.Cores), max(a.Memory, b.Memory), max(a.Accelerators, b.Accelerators)}
 }
 
+// Min returns the smaller amount of each resource.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{min(a.Cores, b.Cores), min(a.Memory, b.Memory), min(a.Accelerators, b.Accelerators)}
+}
+
 // FitsIn reports whether a is not larger than b in any resource.
 func (a Amount) FitsIn(b Amount) bool {
 	return a.Cores <= b.Cores && a.Memory <= b.Memory && a.Accelerators <= b.Accelerators
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -120,7 +120,8 @@
 	}
 	for _, j := range tr.dirtyEnd {
 		out.Records = append(out.Records, Record{j.ID, encode(&workpb.Ended{
-			State: uint32(j.state), At: j.endedAt.Milliseconds(), Queue: j.Queue,
+			State: uint32(j.state), At: j.endedAt.Milliseconds(), Queue: j.Queue, Tenant: j.Account,
+			Cores: j.left.Reserved.Cores, Memory: j.left.Reserved.Memory, Accelerators: j.left.Reserved.Accelerators, Spare: j.left.Spare,
 		})})
 		for id := range j.storedProgress {
 			out.Records = append(out.Records, Record{id.key(j.ID), nil})
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -215,6 +215,9 @@
 	// services are those that tasks may be sent to besides the one at acceptance, with true for those
 	// that are stored.
 	services map[string]bool
+	// left is what its runs may have needed when it ended, and unlisted the part of it for runs that no
+	// executor has listed to this leader.
+	left, unlisted Left
 }
 
 // State returns the state that callers may see.
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -114,7 +114,9 @@
 	var bad []string
 	for id, e := range l.ended {
 		s := model.State(e.GetState())
-		tr.jobs[id] = &Job{ID: id, Queue: e.GetQueue(), state: s, visible: s, endedAt: millis(e.GetAt())}
+		j := &Job{ID: id, Queue: e.GetQueue(), Account: e.GetTenant(), state: s, visible: s, endedAt: millis(e.GetAt())}
+		tr.jobs[id] = j
+		tr.loadLeft(j, e, wall)
 	}
 	for id, w := range l.jobs {
 		spec, err := l.decode(w.GetBody())
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -25,6 +25,10 @@
 	recordBytes int
 	// checkpointsSeen counts the checkpoints observed so far.
 	checkpointsSeen int64
+	// usage follows the runs.
+	usage Usage
+	// leftBehind are the ended jobs with runs that no executor may have listed yet.
+	leftBehind []*Job
 }
 
 // Option changes a new tracker.
@@ -38,7 +42,7 @@
 func New(base int, options ...Option) *Tracker {
 	tr := &Tracker{
 		jobs: map[string]*Job{}, active: map[string]*Job{}, runs: map[string]map[*Run]struct{}{},
-		attemptBase: base, earlyCancels: map[string]time.Duration{}, recordBytes: defaultRecordBytes,
+		attemptBase: base, earlyCancels: map[string]time.Duration{}, recordBytes: defaultRecordBytes, usage: noUsage{},
 	}
 	for _, o := range options {
 		o(tr)
@@ -163,6 +167,7 @@
 	j.endedAt = wall
 	tr.dirtyEnd = append(tr.dirtyEnd, j)
 	delete(tr.active, j.ID)
+	tr.recordLeft(j)
 	tr.trim(j)
 }
 
@@ -202,6 +207,7 @@
 	}
 	t.Runs = append(t.Runs, r)
 	tr.runSet(executor)[r] = struct{}{}
+	tr.usage.RunBegins(t.Step)
 	return r
 }
 
@@ -241,6 +247,7 @@
 	t := r.Task
 	if i := slices.Index(t.Runs, r); i >= 0 {
 		t.Runs = slices.Delete(t.Runs, i, i+1)
+		tr.usage.RunEnded(t.Step)
 	}
 	delete(tr.runs[r.Executor], r)
 	if len(tr.runs[r.Executor]) == 0 {
