quota: no start brings a client account above its limit

Cause: max_count of accounts was decoded and ignored. Change: jobs/quota has a ledger of what each account may have running, which follows the tracker's runs. Plan asks an Allowance before each start; a round of the ledger implements it, so that all services see each other's starts. A gang that waits for the limit has its account's room reserved. After a takeover the smaller of what unresolved tasks and ended jobs may have running and the capacity of executors that have not listed counts. Orphaned runs count for their job's account. A gang or task above the limit is refused at submission, also by an entry that stores jobs without the leader. Work that waits for its account's limit attracts no instances.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -185,9 +185,10 @@
 }
 
 // Plan returns the tasks to start now, best first, for jobs of one service in the given order. It
-// returns limit tasks at most, or a single gang that has more members.
-func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, policy: policy}
+// returns limit tasks at most, or a single gang that has more members. A nil Allowance limits no
+// account.
+func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, allow Allowance, now time.Duration, limit int) []Start {
+	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow)}
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
 			p.slots = append(p.slots, &slot{m: m, free: m.Free(), rarity: rarity.Of(m.Labels)})
@@ -223,6 +224,7 @@
 	now    time.Duration
 	limit  int
 	policy Policy
+	allow  Allowance
 	slots  []*slot
 	// all are the slots, including reserved ones.
 	all []*slot
@@ -263,8 +265,8 @@
 		if !t.IsWaiting() || p.now < t.NotBefore {
 			continue
 		}
-		if len(p.out) >= p.limit {
-			return
+		if len(p.out) >= p.limit || !p.allow.Fits(s) {
+			return // the other tasks of the step need as much
 		}
 		sl := p.bestSlot(s, t, placed)
 		if sl == nil && s.LongRunning {
@@ -279,6 +281,7 @@
 			continue
 		}
 		p.placeTask(sl, s, t, placed, 0)
+		p.allow.Take(s)
 	}
 }
 
@@ -319,7 +322,7 @@
 		}
 		attempt = max(attempt, t.Attempt)
 	}
-	if len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
+	if !p.allow.Fits(s) || len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
 		return
 	}
 	savedFree := make([]model.Amount, len(p.slots))
@@ -335,10 +338,12 @@
 			for i, sl := range p.slots {
 				sl.free = savedFree[i]
 			}
+			p.allow.Yield(s)
 			return
 		}
 		p.placeTask(sl, s, t, placed, attempt+1)
 	}
+	p.allow.Take(s)
 }
 
 // runsByExecutor counts the runs of a step on each executor.
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -334,7 +334,7 @@
 			free[m.Key] = m.Capacity
 		}
 		placed := map[*track.Task]bool{}
-		for _, st := range Plan(jobs, members, Unrestricted, nil, time.Second, 1000) {
+		for _, st := range Plan(jobs, members, Unrestricted, nil, nil, time.Second, 1000) {
 			free[st.Member.Key] = free[st.Member.Key].Minus(st.Task.Step.Reservation())
 			placed[st.Task] = true
 		}
--- a/internal/jobs/assign/bench_test.go
+++ b/internal/jobs/assign/bench_test.go
@@ -35,7 +35,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				Plan(OrderJobs(jobs, func(*track.Job) *model.Queue { return q }, 0, time.Second), members, Unrestricted, nil, time.Second, 64)
+				Plan(OrderJobs(jobs, func(*track.Job) *model.Queue { return q }, 0, time.Second), members, Unrestricted, nil, nil, time.Second, 64)
 			}
 		})
 	}
--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -21,6 +21,7 @@
 	ended   map[string]time.Duration // when each job ended, by ID
 	rarity  Rarity
 	policy  Policy
+	allow   Allowance
 	// order replaces OrderJobs if it is set.
 	order func([]*track.Job) []*track.Job
 }
@@ -68,7 +69,7 @@
 	if h.order != nil {
 		order = h.order(jobs)
 	}
-	starts := Plan(order, h.members, h.policy, h.rarity, h.now, 64)
+	starts := Plan(order, h.members, h.policy, h.rarity, h.allow, h.now, 64)
 	for _, s := range starts {
 		run := h.tracker.BeginRun(s.Task, s.Member.Key, s.Attempt, h.now)
 		h.tracker.ConfirmRun(run, h.now)
--- a/internal/proof/rules/rules_test.go
+++ b/internal/proof/rules/rules_test.go
@@ -21,7 +21,7 @@
 var decisionPackages = []string{
 	"fleet/state", "fleet/budget", "fleet/waves", "fleet/spare", "fleet/place", "fleet/member",
 	"flow/admit", "flow/route", "flow/alloc", "flow/claim",
-	"jobs/model", "jobs/track", "jobs/execs", "jobs/assign", "jobs/scale", "jobs/maint", "jobs/elect",
+	"jobs/model", "jobs/track", "jobs/execs", "jobs/assign", "jobs/scale", "jobs/maint", "jobs/elect", "jobs/quota",
 }
 
 // forbidden are the import paths that decision packages must not use, nor packages below them.
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -69,6 +69,12 @@
 			break
 		}
 	}
+	if tooLarge := leader.LimitRefusal(a.Config(), s.Account, s.Body); tooLarge != "" {
+		if notRun {
+			return relay.Answer{Verdict: relay.Limited, Cause: tooLarge}
+		}
+		return relay.Answer{Verdict: relay.Unknown, Cause: tooLarge} // the leader may have stored it under another limit
+	}
 	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
 	return a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Account, s.Body, wall), notRun)
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -121,6 +121,7 @@
 	fleet       fleetState
 	advice      map[*track.Step]*stepAdvice
 	adviceCalls int // calls to the advice service in flight
+	quota       quotaState
 	// pendingJobs is the last count of pending jobs by queue, and countedAt its time. The map is
 	// shared with readers and never modified.
 	pendingJobs        map[string]int
--- a/internal/serve/leader/leader_test.go
+++ b/internal/serve/leader/leader_test.go
@@ -248,7 +248,7 @@
 		l.onPolled(polled{m: m, sent: l.now, fence: elect.FencingToken(l.token, m.fenceRaises), list: platform.PollResult{Clock: l.now, Running: rows}})
 	}
 	starts := func() int {
-		return len(assign.Plan([]*track.Job{task.Step.Occ.Job}, []*execs.Member{&m.Member}, l.permission, nil, l.now, 10))
+		return len(assign.Plan([]*track.Job{task.Step.Occ.Job}, []*execs.Member{&m.Member}, l.permission, nil, nil, l.now, 10))
 	}
 	list(row)
 	assert.Equal(t, starts(), 0)
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -180,7 +180,7 @@
 		return
 	}
 	base := int(l.token%attemptTokens) * attemptsPerToken
-	tr, bad := ev.loader.Load(base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes))
+	tr, bad := ev.loader.Load(base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes), track.WithUsage(&l.quota.ledger))
 	for _, id := range bad {
 		l.Log.Error().Str("job", id).Msg("job can't be decoded")
 	}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -7,6 +7,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -209,7 +210,7 @@
 // earlier leaders if adopts is set, stops orphaned runs and drops missing ones.
 func (l *Leader) reconcileRuns(m *member, ev polled, adopts bool) {
 	listed := map[*track.Run]bool{}
-	orphans := 0
+	var orphans []model.Run
 	for _, row := range ev.list.Running {
 		r := l.tracker.FindRun(m.Key, row.Task, row.Attempt)
 		if r == nil && adopts {
@@ -219,7 +220,7 @@
 			}
 		}
 		if r == nil {
-			orphans++
+			orphans = append(orphans, row)
 			l.stopOrphan(m, row)
 			continue
 		}
@@ -240,10 +241,11 @@
 			l.stop(r, "another run of the task is done")
 		}
 	}
-	if m.Orphans > 0 && orphans == 0 {
+	if m.Orphans > 0 && len(orphans) == 0 {
 		l.planDue[m.Service] = true
 	}
-	m.Orphans = orphans
+	m.Orphans = len(orphans)
+	l.chargeOrphans(m, orphans)
 	if n := ev.list.Unreadable; n > 0 {
 		l.Log.Warn().Str("executor", m.ID).Int("rows", n).Msg("rows of an executor's lists can't be read")
 	}
@@ -276,6 +278,7 @@
 
 // expireLeases gives up the runs on executors that did not answer until their leases expired.
 func (l *Leader) expireLeases() {
+	l.expireOrphans()
 	for _, m := range l.members {
 		// A later leader may have extended the leases, if another entry has claimed since.
 		if m.Contact == execs.Live && m.leaseEnd == 0 || m.Contact == execs.Dead || l.LastRenewal() < m.leaseEnd || len(l.tracker.RunsOn(m.Key))+len(m.unconfirmed) == 0 {
--- /dev/null
+++ b/internal/serve/leader/quota.go
@@ -0,0 +1,164 @@
+package leader
+
+import (
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/quota"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+// quotaState is what client accounts use.
+type quotaState struct {
+	// ledger follows the runs of the tracker.
+	ledger quota.Ledger
+	// orphans are, by executor, the charges of each account for the orphaned runs in its last list.
+	orphans map[*member]map[string]model.Amount
+	// allKnown is set once no run of an earlier leader is unknown.
+	allKnown bool
+}
+
+// planWithin plans starts of a service within the limits of the configuration in force, which count the
+// starts of the services that were planned before.
+func (l *Leader) planWithin(service string, plan func(assign.Allowance) []assign.Start) []assign.Start {
+	c := l.Orders.Config()
+	if len(c.Accounts) == 0 {
+		return plan(nil)
+	}
+	round := l.quota.ledger.Begin(c, service, l.now)
+	defer round.End()
+	return plan(round)
+}
+
+// countFormerRuns counts the runs of earlier leaders that are not known: for each account the smaller of
+// what its unresolved tasks and its ended jobs may have running and the capacity of the executors that
+// have not listed their runs.
+func (l *Leader) countFormerRuns() {
+	if l.quota.allKnown {
+		return
+	}
+	capacity, executors, known := l.unlistedCapacity()
+	if known && executors == 0 || l.now >= l.formerRunsEnd() {
+		l.tracker.ForgetLeft()
+	}
+	amounts := map[string]model.Amount{}
+	for account, left := range l.tracker.Unlisted() {
+		amounts[account] = left.Total()
+		if known {
+			amounts[account] = left.Bound(capacity)
+		}
+	}
+	l.quota.ledger.SetUnknown(amounts)
+	l.quota.allKnown = l.allResolved && !l.tracker.HasLeft()
+}
+
+// unlistedCapacity returns the capacity and number of the executors that may run tasks of earlier leaders
+// and have not listed all of them, or false if that is not known.
+func (l *Leader) unlistedCapacity() (model.Amount, int, bool) {
+	var sum model.Amount
+	n := 0
+	if l.fleet.listedAt == 0 && l.Settings.Cloud.Addr != "" {
+		return sum, n, false // executors without a report in the store are not known yet
+	}
+	for _, m := range l.members {
+		if m.Contact == execs.Uncontacted || m.Contact != execs.Dead && m.formerUnlisted {
+			sum, n = sum.Plus(m.Capacity), n+1
+		}
+	}
+	for _, us := range l.fleet.unregistered {
+		for _, u := range us {
+			if l.byID[u.executor] != nil || u.ended {
+				continue
+			}
+			in, ok := l.fleet.instances[u.instance]
+			if !ok {
+				return sum, n, false
+			}
+			sum, n = sum.Plus(in.Capacity), n+1
+		}
+	}
+	return sum, n, true
+}
+
+// chargeOrphans replaces the charges for orphaned runs on an executor. A run of a job that is not known,
+// or of no account, is not charged: an ended job is known for longer than leases last.
+func (l *Leader) chargeOrphans(m *member, rows []model.Run) {
+	for account, a := range l.quota.orphans[m] {
+		l.quota.ledger.Release(account, a)
+	}
+	delete(l.quota.orphans, m)
+	if len(rows) == 0 {
+		return
+	}
+	charges, ended := map[string]model.Amount{}, map[*track.Job]bool{}
+	for _, row := range rows {
+		j := l.tracker.Job(row.Task.Job)
+		if j == nil || j.Account == "" || ended[j] {
+			continue
+		}
+		need := model.Amount{}
+		if n := row.Task.Step; n < len(j.Spec.Steps) {
+			need = j.Spec.Steps[n].Need
+		} else {
+			// The steps of an ended job are not known any more, but what its runs needed together is.
+			ended[j] = true
+			need = m.Free().Max(need)
+			if left := j.Left(); left != (model.Amount{}) {
+				need = need.Min(left)
+			}
+		}
+		charges[j.Account] = charges[j.Account].Plus(need)
+		l.quota.ledger.Charge(j.Account, need)
+	}
+	if len(charges) > 0 {
+		if l.quota.orphans == nil {
+			l.quota.orphans = map[*member]map[string]model.Amount{}
+		}
+		l.quota.orphans[m] = charges
+	}
+}
+
+// expireOrphans ends the charges for orphaned runs whose leases have expired.
+func (l *Leader) expireOrphans() {
+	for m := range l.quota.orphans {
+		if m.Contact != execs.Live && l.LastRenewal() >= m.leaseEnd {
+			l.chargeOrphans(m, nil)
+		}
+	}
+}
+
+// LimitRefusal returns why a job is refused because of its account's limit, or an empty string: a task or
+// a gang needs more than the limit, and could never start.
+func LimitRefusal(c *model.Config, account string, body []byte) string {
+	if c == nil {
+		return ""
+	}
+	a := c.AccountByName(account)
+	if a == nil || !a.IsLimited() {
+		return ""
+	}
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return "" // the entry that received the job has checked it
+	}
+	return quota.Refusal(a, spec.Steps)
+}
+
+// isAtLimit reports whether a step could start but for its account's limit.
+func (l *Leader) isAtLimit(s *track.Step) bool {
+	j, c := s.Occ.Job, l.Orders.Config()
+	return j.Account != "" && c != nil && s.IsReady() && l.quota.ledger.Blocks(c.AccountByName(j.Account), s)
+}
+
+// waitsForLimit reports whether tasks of a job wait because of its account's limit.
+func (l *Leader) waitsForLimit(j *track.Job) bool {
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			if l.isAtLimit(s) && hasWaiting(s) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/serve/leader/rebalance.go
+++ b/internal/serve/leader/rebalance.go
@@ -57,6 +57,9 @@
 				if st.Label != "" {
 					l.fleet.neededLabels[st.Label] = true
 				}
+				if !st.LongRunning && l.isAtLimit(st) {
+					continue // its account's limit keeps it waiting, not the pool
+				}
 				addDemand(d, st)
 				if st.IsReady() && hasWaiting(st) {
 					kind := workKind{s, st.Label, st.LongRunning}
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -167,8 +167,8 @@
 		ev.answer(notLeaderAnswer)
 		return
 	}
-	q := (*model.Queue)(nil)
-	if c := l.Orders.Config(); c != nil {
+	c, q := l.Orders.Config(), (*model.Queue)(nil)
+	if c != nil {
 		q = c.Queue(ev.Queue)
 	}
 	if q == nil {
@@ -185,6 +185,11 @@
 		ev.answer(relay.Answer{Verdict: relay.Refused, Cause: "submission is larger than a record of the store"})
 		return
 	}
+	if cause := LimitRefusal(c, ev.Account, ev.Body); cause != "" {
+		l.Meters.refuse("limit")
+		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: cause})
+		return
+	}
 	l.store.accepts = append(l.store.accepts, ev)
 }
 
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -52,6 +52,9 @@
 // entry may have claimed. That entry may not have loaded a leaderless job that this one has read, and an
 // executor that has restarted since has not seen its fencing token: either could run a task twice.
 func (l *Leader) plan() {
+	for _, s := range l.quota.ledger.Freed() {
+		l.planDue[s] = true
+	}
 	room := l.window.Room()
 	if len(l.planDue) == 0 || l.now < l.nextPlan || l.Orders.Config() == nil || room == 0 {
 		return
@@ -80,6 +83,7 @@
 		delete(l.replanAt, s)
 	}
 	rare := l.rarity()
+	l.countFormerRuns()
 	for _, s := range due {
 		if room <= 0 {
 			l.planDue[s] = true
@@ -94,7 +98,9 @@
 			}
 		}
 		limit := min(max(minStartLimit, len(members[s])), room)
-		starts := assign.Plan(l.startable(order.jobs, s), members[s], policy, rare, l.now, limit)
+		starts := l.planWithin(s, func(allow assign.Allowance) []assign.Start {
+			return assign.Plan(l.startable(order.jobs, s), members[s], policy, rare, allow, l.now, limit)
+		})
 		for _, st := range starts {
 			l.startRun(st)
 		}
