--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -6,6 +6,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/quota"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
@@ -21,7 +22,10 @@
 	ended   map[string]time.Duration // when each job ended, by ID
 	rarity  Rarity
 	policy  Policy
-	allow   Allowance
+	// ledger and config limit the accounts, nil for no limit. account is that of the jobs to accept.
+	ledger  *quota.Ledger
+	config  *model.Config
+	account string
 	// order replaces OrderJobs if it is set.
 	order func([]*track.Job) []*track.Job
 }
@@ -56,7 +60,7 @@
 	for i := range steps {
 		steps[i].Count = max(steps[i].Count, 1)
 	}
-	return h.tracker.Accept(id, *h.queues["q"], model.JobSpec{Steps: steps, Repeats: 1}, h.now, h.now)
+	return h.tracker.Accept(id, *h.queues["q"], model.JobSpec{Steps: steps, Repeats: 1, Account: h.account}, h.now, h.now)
 }
 
 // plan starts the planned tasks and returns them.
@@ -69,7 +73,14 @@
 	if h.order != nil {
 		order = h.order(jobs)
 	}
-	starts := Plan(order, h.members, h.policy, h.rarity, h.allow, h.now, 64)
+	var starts []Start
+	if h.ledger == nil {
+		starts = Plan(order, h.members, h.policy, h.rarity, nil, h.now, 64)
+	} else {
+		round := h.ledger.Begin(h.config, "s", h.now)
+		starts = Plan(order, h.members, h.policy, h.rarity, round, h.now, 64)
+		round.End()
+	}
 	for _, s := range starts {
 		run := h.tracker.BeginRun(s.Task, s.Member.Key, s.Attempt, h.now)
 		h.tracker.ConfirmRun(run, h.now)
