--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -35,6 +35,8 @@
 	version      int
 	// adviceField is the advice setting of each queue in the configuration, with a leading comma.
 	adviceField string
+	// accounts is the client accounts setting of the configuration, with a leading comma.
+	accounts string
 }
 
 // logBuffer keeps the entries' logs, which are printed if a test fails.
@@ -117,7 +119,7 @@
 	}
 	r.platform.Store.Put(platform.OperatorTopic, platform.ConfigKey, fmt.Appendf(nil,
 		`{"version":%d,"routes":[%s],"services":[{"name":"pool-a","admission_control":true},{"name":"pool-b","admission_control":true},`+
-			`{"name":"rest","standby":true}],"limits":{"max_body_bytes":65536}}`, r.version, strings.Join(routes, ",")))
+			`{"name":"rest","standby":true}],"limits":{"max_body_bytes":65536}%s}`, r.version, strings.Join(routes, ","), r.accounts))
 }
 
 func (r *rig) start(i int) {
