check: the limit of a client account in the model of the leadership

Cause: that no order of late, lost and repeated calls, takeovers and restarts exceeds a limit was only tested by generated histories. Change: the model's job can have an account with a limit; a start asks the ledger, and the true sum of running tasks is checked at each start.

--- a/internal/proof/check/book.go
+++ b/internal/proof/check/book.go
@@ -77,8 +77,8 @@
 
 // encodeRecords encodes the records that the store can hold.
 func (m *Model) encodeRecords() {
-	m.job = track.JobRecord(jobID, m.queue, "", []byte("body"), 0)
-	m.ownJob = track.LeaderlessJobRecord(jobID, m.queue, "", []byte("body"), 0)
+	m.job = track.JobRecord(jobID, m.queue, m.account, []byte("body"), 0)
+	m.ownJob = track.LeaderlessJobRecord(jobID, m.queue, m.account, []byte("body"), 0)
 	for done := 1; done < 1<<m.tasks; done++ {
 		tr := track.New(0)
 		tr.Accept(jobID, m.queue, m.spec, 0, 0)
--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -63,6 +63,8 @@
 	relayed               bool
 	page                  int
 	services              []int
+	account               string
+	config                *model.Config
 
 	spec     model.JobSpec
 	queue    model.Queue
@@ -89,6 +91,7 @@
 	startAfterClaims
 	ackUnseen
 	ackUnconfirmed
+	countConfirmed
 )
 
 // Option changes a model.
@@ -165,7 +168,7 @@
 	for _, o := range opts {
 		o(m)
 	}
-	m.spec = model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: m.tasks}}}
+	m.spec = model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: m.tasks, Need: taskNeed}}, Account: m.account}
 	m.queue = model.Queue{Name: "q", Service: "s", Attempts: 1}
 	m.encodeRecords()
 	return m
@@ -188,12 +191,14 @@
 	Early
 	// Denied is an answer that an accepted job does not exist.
 	Denied
+	// Quota is more running tasks of an account than its limit.
+	Quota
 )
 
 // String returns the names of the promises.
 func (b Breach) String() string {
 	var out []string
-	for i, s := range [...]string{"twice", "fence", "lost", "refused", "early", "denied"} {
+	for i, s := range [...]string{"twice", "fence", "lost", "refused", "early", "denied", "quota"} {
 		if b&(1<<i) != 0 {
 			out = append(out, s)
 		}
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -115,7 +115,7 @@
 	}
 	tr := m.open(&e.book, s.now)
 	task := tr.Job(jobID).Task(taskID(t))
-	if !task.IsWaiting() {
+	if !task.IsWaiting() || !m.isWithinLimit(e, tr, task, s.now) {
 		return call{}, false
 	}
 	deadline := m.deadline(b, s.now)
--- a/internal/proof/check/world.go
+++ b/internal/proof/check/world.go
@@ -286,6 +286,7 @@
 		s.broken |= Refused
 	}
 	x.running[t] = c.attempt
+	m.checkLimit(s)
 	return resultOK
 }
 
