leader: submissions are checked against limits outside of the control goroutine

Cause: decoding a large body for the check took the control goroutine's time; the tests of limits shared a recorder of starts between calls, which the race detector reported in the first run with it. Change: Submit checks before it sends the request. The tests use executors that don't answer. A test covers a gang whose account has tasks of another service.

--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	l, s, _, _ = newStartingLeader(t)
 	l.LastRenewal = func() time.Duration { return l.now }
-	l.events, l.runtimeRatios = make(chan event, 100), map[string]*runtimeRatio{}
+	l.Execs, l.events, l.runtimeRatios = unresponsiveExecs{}, make(chan event, 100), map[string]*runtimeRatio{}
 	l.Settings.Cloud.Addr = ""
 	l.initFleet(nil, l.now)
 	other = &member{Member: execs.Member{Executor: model.Executor{ID: "y", Service: "t", Capacity: s.Capacity}, Key: "y@1", Contact: execs.Live, Listed: true}, adopted: true, visible: true}
@@ -187,6 +187,7 @@
 	} {
 		for account, limited := range map[string]bool{"a": refused, "": false, "unknown": false} {
 			s := &submitRequest{Submission: relay.Submission{ID: "0123456789abcdef", Queue: "q", Account: account, Body: []byte(body)}, reply: make(chan relay.Answer, 1)}
+			s.refusal = LimitRefusal(l.Orders.Config(), s.Account, s.Body)
 			l.store.accepts = nil
 			l.onSubmit(s)
 			assert.Equal(t, len(l.store.accepts) == 0, limited, body)
@@ -209,3 +210,26 @@
 	assert.Equal(t, planAll(l, j), 2)
 	assert.Equal(t, l.demand()["s"][""].Backlog, model.Amount{})
 }
+
+// Guards against a gang that is starved by its account's tasks of another service, also in rounds that
+// don't plan its own.
+func TestRoomOfAGangIsKeptInAllServices(t *testing.T) {
+	l, m, _ := newLimitedLeader(t, 4000)
+	first := acceptFor(l, "first", "q", "a", model.Step{Count: 1, Need: need(2)})
+	assert.Equal(t, planAll(l, first), 1)
+	gang := acceptFor(l, "gang", "q", "a", model.Step{Count: 2, Need: need(2), Gang: true})
+	assert.Equal(t, planAll(l, gang), 0)
+	small := acceptFor(l, "small", "r", "a", model.Step{Count: 2, Need: need(1)})
+	for range 5 {
+		clear(l.planDue)
+		l.planDue["t"], l.now = true, l.now+10*time.Millisecond
+		l.plan()
+		assert.Equal(t, runsOf(small), 0)
+	}
+	l.markDead(m, "test")
+	next := &member{Member: execs.Member{Executor: model.Executor{ID: "z", Service: "s", Capacity: m.Capacity}, Key: "z@1", Contact: execs.Live, Listed: true}, adopted: true, visible: true}
+	l.members[next.Key], l.byID["z"], l.byService = next, next, nil
+	first.Task(model.TaskID{Job: "first"}).NotBefore = l.now + time.Hour
+	assert.Equal(t, planAll(l, gang), 2)
+	assert.Equal(t, runsOf(small), 0)
+}
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -22,6 +22,8 @@
 	settings model.Queue
 	accepted time.Duration
 	reply    chan relay.Answer
+	// refusal is why its account's limit refuses it, empty if it does not.
+	refusal string
 	// repeats are repeated submissions of the same job.
 	repeats []*submitRequest
 }
@@ -85,6 +87,8 @@
 // not handled it, and Unknown if the outcome is not known.
 func (l *Leader) Submit(ctx context.Context, s relay.Submission) relay.Answer {
 	ev := &submitRequest{Submission: s, ctx: ctx, reply: make(chan relay.Answer, 1)}
+	// A large body takes milliseconds to decode, which the control goroutine must not spend.
+	ev.refusal = LimitRefusal(l.Orders.Config(), s.Account, s.Body)
 	if !l.send(ctx, ev) {
 		return notLeaderAnswer
 	}
@@ -167,8 +171,8 @@
 		ev.answer(notLeaderAnswer)
 		return
 	}
-	c, q := l.Orders.Config(), (*model.Queue)(nil)
-	if c != nil {
+	q := (*model.Queue)(nil)
+	if c := l.Orders.Config(); c != nil {
 		q = c.Queue(ev.Queue)
 	}
 	if q == nil {
@@ -185,9 +189,9 @@
 		ev.answer(relay.Answer{Verdict: relay.Refused, Cause: "submission is larger than a record of the store"})
 		return
 	}
-	if cause := LimitRefusal(c, ev.Account, ev.Body); cause != "" {
+	if ev.refusal != "" {
 		l.Meters.refuse("limit")
-		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: cause})
+		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: ev.refusal})
 		return
 	}
 	l.store.accepts = append(l.store.accepts, ev)
