assign: a gang without a place in the round gives up its account's room

Cause: the room that is reserved for a gang is given up after 1 s without capacity, but not if the gang is put off because the starts before it leave it too few of the round. With a start ahead of it in each round, a gang of as many members as the limit of the round kept all other tasks of its account from starting. Change: Plan calls Yield in that case too. Run: the test failed before; go test -race ./internal/jobs/assign ./internal/jobs/quota: passed. staticcheck ./internal/jobs/... ./internal/serve/leader: clean.

--- a/internal/jobs/assign/allowance.go
+++ b/internal/jobs/assign/allowance.go
@@ -8,7 +8,7 @@
 	Fits(*track.Step) bool
 	// Take counts the start of a task of a step, or of a whole gang.
 	Take(*track.Step)
-	// Yield is called for a gang that may start and for which there is no capacity.
+	// Yield is called for a gang that may start and for which there is no capacity, or no place in the round.
 	Yield(*track.Step)
 }
 
--- a/internal/jobs/assign/allowance_test.go
+++ b/internal/jobs/assign/allowance_test.go
@@ -1,7 +1,9 @@
 package assign
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -180,3 +182,26 @@
 	h.plan()
 	assert.Assert(t, small.HasBegun())
 }
+
+// Guards against a gang within the limit that is put off in each round because more urgent starts leave it too
+// few of the round, and keeps its account's other tasks from starting.
+func TestGangBeyondTheRoundLetsItsAccountRun(t *testing.T) {
+	h := newLimitedHarness(t, 40, 64, 0)
+	first := h.accept("first", model.Step{Need: cores(1), Estimate: time.Second})
+	h.plan()
+	gang := h.accept("gang", model.Step{Count: 64, Need: cores(1), Gang: true, Estimate: time.Second})
+	small := h.accept("small", model.Step{Need: cores(1), Estimate: time.Second})
+	h.order = func(jobs []*track.Job) []*track.Job {
+		return slices.SortedFunc(slices.Values(jobs), func(a, b *track.Job) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	h.plan()
+	h.finish(first.Task(model.TaskID{Job: "first"}).Runs[0])
+	h.account = ""
+	for i := range 40 {
+		h.accept(fmt.Sprintf("before%02d", i), model.Step{Need: cores(1), Estimate: time.Minute})
+		h.plan()
+		h.now += 50 * time.Millisecond
+	}
+	assert.Assert(t, !gang.HasBegun())
+	assert.Assert(t, small.HasBegun())
+}
--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -322,7 +322,11 @@
 		}
 		attempt = max(attempt, t.Attempt)
 	}
-	if !p.allow.Fits(s) || len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
+	if !p.allow.Fits(s) {
+		return
+	}
+	if len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
+		p.allow.Yield(s)
 		return
 	}
 	savedFree := make([]model.Amount, len(p.slots))
--- a/internal/jobs/quota/round.go
+++ b/internal/jobs/quota/round.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// Yield records that there is no capacity for a gang that is within the limit. After a while its
+// Yield records that there is no capacity, or no place in the round, for a gang that is within the limit. After a while its
 // account's other tasks may use the room.
 func (r *Round) Yield(s *track.Step) {
 	if !r.isLimited(s) {
