track: ends of jobs without an account are recorded as before

Cause: the record of the end of a job without a client account had the needs of its runs, which nothing reads, and each end looked at all tasks of the job for them. Change: the needs are recorded for jobs with an account only.

--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -51,6 +51,9 @@
 // recordLeft records what runs of a job that ends may need. It is stored with the end: executors can list
 // these runs to a later leader, for which the job has no tasks.
 func (tr *Tracker) recordLeft(j *Job) {
+	if j.Account == "" {
+		return // nothing counts its runs
+	}
 	runs, unresolved := leftTasks(j)
 	j.left, j.unlisted = runs.Plus(unresolved), unresolved
 	tr.addLeft(j)
--- a/internal/jobs/track/occurrence_test.go
+++ b/internal/jobs/track/occurrence_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 )
 
 // newRepeatedJob returns a job of two tasks that an earlier leader accepted and whose first
@@ -57,3 +59,20 @@
 	assert.Assert(t, later.IsWaiting())
 	assert.Equal(t, later.Attempt, 64, "an executor refuses attempts that are not above earlier ones")
 }
+
+// Guards against records of ended jobs without a client account that differ from those of versions without
+// accounts.
+func TestEndOfAJobWithoutAccountRecordsNoNeed(t *testing.T) {
+	for account, cores := range map[string]int64{"": 0, "a": 2000} {
+		tr := New(0)
+		j := tr.Accept("job", model.Queue{Name: "q"}, model.JobSpec{Repeats: 1, Account: account, Steps: []model.Step{{Count: 1, Need: model.Amount{Cores: 2000}}}}, 0, 0)
+		tr.BeginRun(j.Task(model.TaskID{Job: "job"}), "x", 0, 0)
+		tr.Cancel("job", time.Hour)
+		var r workpb.Record
+		for _, rec := range tr.TakeChanges().Records {
+			assert.NilError(t, proto.Unmarshal(rec.Value, &r))
+		}
+		assert.Equal(t, r.GetEnded().GetAt(), time.Hour.Milliseconds())
+		assert.Equal(t, r.GetEnded().GetCores(), cores)
+	}
+}
