leader: orphaned runs count after a partial list, and best-effort ones in full

Cause: a list with rows that can't be read released the charges of orphaned runs that were not in it, though the executor may still have them. Best-effort runs of an ended job counted at most the executor's free cores, none on a full executor, though they reserve none. Change: after a partial list the charge of an account does not fall while one of its orphans is neither listed nor ended. Free capacity bounds only what runs reserve.

--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -83,7 +83,7 @@
 }
 
 // Left returns what the runs of an ended job may have needed when it ended.
-func (j *Job) Left() model.Amount { return j.left.Total() }
+func (j *Job) Left() Left { return j.left }
 
 // Unlisted returns, by client account, what the runs of earlier leaders need that executors may list yet:
 // those of unresolved tasks and of jobs that have ended.
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -220,7 +220,7 @@
 	l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Str("cause", cause).Int("runs", len(l.tracker.RunsOn(m.Key))).Msg("executor is dead")
 	l.resolveFailures(m)
 	l.dropRuns(m, cause)
-	l.chargeOrphans(m, nil)
+	l.chargeOrphans(m, nil, platform.PollResult{})
 }
 
 // dropRuns gives up all runs on an executor. It must be certain that they have ended.
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -210,7 +210,7 @@
 // earlier leaders if adopts is set, stops orphaned runs and drops missing ones.
 func (l *Leader) reconcileRuns(m *member, ev polled, adopts bool) {
 	listed := map[*track.Run]bool{}
-	var orphans []model.Run
+	var orphaned []model.Run
 	for _, row := range ev.list.Running {
 		r := l.tracker.FindRun(m.Key, row.Task, row.Attempt)
 		if r == nil && adopts {
@@ -220,7 +220,7 @@
 			}
 		}
 		if r == nil {
-			orphans = append(orphans, row)
+			orphaned = append(orphaned, row)
 			l.stopOrphan(m, row)
 			continue
 		}
@@ -241,11 +241,11 @@
 			l.stop(r, "another run of the task is done")
 		}
 	}
-	if m.Orphans > 0 && len(orphans) == 0 {
+	if m.Orphans > 0 && len(orphaned) == 0 {
 		l.planDue[m.Service] = true
 	}
-	m.Orphans = len(orphans)
-	l.chargeOrphans(m, orphans)
+	m.Orphans = len(orphaned)
+	l.chargeOrphans(m, orphaned, ev.list)
 	if n := ev.list.Unreadable; n > 0 {
 		l.Log.Warn().Str("executor", m.ID).Int("rows", n).Msg("rows of an executor's lists can't be read")
 	}
--- a/internal/serve/leader/quota.go
+++ b/internal/serve/leader/quota.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"slices"
+
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -13,8 +15,8 @@
 type quotaState struct {
 	// ledger follows the runs of the tracker.
 	ledger quota.Ledger
-	// orphans are, by executor, the charges of each account for the orphaned runs in its last list.
-	orphans map[*member]map[string]model.Amount
+	// orphans are, by executor, the orphaned runs with charges in its last list.
+	orphans map[*member]orphans
 	// allKnown is set once no run of an earlier leader is unknown.
 	allKnown bool
 }
@@ -81,16 +83,52 @@
 	return sum, n, true
 }
 
-// chargeOrphans replaces the charges for orphaned runs on an executor. A run of a job that is not known,
-// or of no account, is not charged: an ended job is known for longer than leases last.
-func (l *Leader) chargeOrphans(m *member, rows []model.Run) {
-	for account, a := range l.quota.orphans[m] {
+// orphans are the orphaned runs on an executor, and what they charge each account.
+type orphans struct {
+	rows    []model.Run
+	charges map[string]model.Amount
+}
+
+// chargeOrphans replaces the charges for orphaned runs on an executor by those for some rows of a list. If the
+// list is partial, the charge of an account with a former orphan that is in neither of its parts does not fall.
+// A run of a job that is not known, or of no account, is not charged: an ended job is known for longer than
+// leases last.
+func (l *Leader) chargeOrphans(m *member, rows []model.Run, list platform.PollResult) {
+	former := l.quota.orphans[m]
+	if len(rows)+len(former.rows) == 0 {
+		return
+	}
+	charges := l.orphanCharges(m, rows)
+	if list.IsPartial() {
+		rows = slices.Clone(rows)
+		for _, f := range former.rows {
+			if slices.ContainsFunc(list.Running, func(r model.Run) bool { return r.Task == f.Task && r.Attempt == f.Attempt }) ||
+				slices.ContainsFunc(list.Ended, func(e model.End) bool { return e.Task == f.Task && e.Attempt == f.Attempt }) {
+				continue
+			}
+			rows = append(rows, f)
+			if j := l.tracker.Job(f.Task.Job); j != nil && j.Account != "" {
+				charges[j.Account] = charges[j.Account].Max(former.charges[j.Account])
+			}
+		}
+	}
+	for account, a := range charges {
+		l.quota.ledger.Charge(account, a)
+	}
+	for account, a := range former.charges {
 		l.quota.ledger.Release(account, a)
 	}
 	delete(l.quota.orphans, m)
-	if len(rows) == 0 {
-		return
+	if len(charges) > 0 {
+		if l.quota.orphans == nil {
+			l.quota.orphans = map[*member]orphans{}
+		}
+		l.quota.orphans[m] = orphans{rows, charges}
 	}
+}
+
+// orphanCharges returns what orphaned runs on an executor may need, by account.
+func (l *Leader) orphanCharges(m *member, rows []model.Run) map[string]model.Amount {
 	charges, ended := map[string]model.Amount{}, map[*track.Job]bool{}
 	for _, row := range rows {
 		j := l.tracker.Job(row.Task.Job)
@@ -104,26 +142,20 @@
 			// The steps of an ended job are not known any more, but what its runs needed together is.
 			ended[j] = true
 			need = m.Free().Max(need)
-			if left := j.Left(); left != (model.Amount{}) {
-				need = need.Min(left)
+			if left := j.Left(); left != (track.Left{}) {
+				need = left.Bound(need)
 			}
 		}
 		charges[j.Account] = charges[j.Account].Plus(need)
-		l.quota.ledger.Charge(j.Account, need)
-	}
-	if len(charges) > 0 {
-		if l.quota.orphans == nil {
-			l.quota.orphans = map[*member]map[string]model.Amount{}
-		}
-		l.quota.orphans[m] = charges
 	}
+	return charges
 }
 
 // expireOrphans ends the charges for orphaned runs whose leases have expired.
 func (l *Leader) expireOrphans() {
 	for m := range l.quota.orphans {
 		if m.Contact != execs.Live && l.LastRenewal() >= m.leaseEnd {
-			l.chargeOrphans(m, nil)
+			l.chargeOrphans(m, nil, platform.PollResult{})
 		}
 	}
 }
--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -233,3 +233,44 @@
 	assert.Equal(t, planAll(l, gang), 2)
 	assert.Equal(t, runsOf(small), 0)
 }
+
+// Guards against an account that exceeds its limit because a list that lacks unreadable rows releases its
+// orphaned runs, which the executor may still have.
+func TestPartialListReleasesNoOrphan(t *testing.T) {
+	l, m, _ := newLimitedLeader(t, 5000)
+	acceptFor(l, "known", "q", "a", model.Step{Count: 1, Need: need(3)})
+	row := model.Run{Task: model.TaskID{Job: "known"}, Attempt: 9}
+	answerPoll(l, m, 0, platform.PollResult{Running: []model.Run{row}})
+	assert.Equal(t, l.quota.ledger.Used("a"), need(3))
+	for range 2 {
+		answerPoll(l, m, 0, platform.PollResult{Unreadable: 1})
+		assert.Equal(t, l.quota.ledger.Used("a"), need(3))
+	}
+	answerPoll(l, m, 0, platform.PollResult{Running: []model.Run{row}, Unreadable: 1})
+	assert.Equal(t, l.quota.ledger.Used("a"), need(3), "a run that is listed again counts once")
+	end := model.End{Seq: 1, Task: row.Task, Attempt: row.Attempt, Ending: model.EndedStopped}
+	answerPoll(l, m, 0, platform.PollResult{Ended: []model.End{end}, Unreadable: 1})
+	assert.Equal(t, l.quota.ledger.Used("a"), model.Amount{}, "its end is listed")
+	for _, last := range []func(){func() { answerPoll(l, m, 0, platform.PollResult{}) }, func() { l.markDead(m, "test") }} {
+		answerPoll(l, m, 0, platform.PollResult{Running: []model.Run{row}})
+		answerPoll(l, m, 0, platform.PollResult{Unreadable: 1})
+		assert.Equal(t, l.quota.ledger.Used("a"), need(3))
+		last()
+		assert.Equal(t, l.quota.ledger.Used("a"), model.Amount{})
+	}
+}
+
+// Guards against an account that exceeds its limit by best-effort runs of an ended job on an executor whose
+// cores are all reserved: these runs reserve none.
+func TestBestEffortOrphansCountOnAFullExecutor(t *testing.T) {
+	l, m, _ := newLimitedLeader(t, 5000)
+	job := acceptFor(l, "job", "q", "a", model.Step{Count: 1, Need: need(4), BestEffort: true})
+	assert.Equal(t, planAll(l, job), 1)
+	r := job.Task(model.TaskID{Job: "job"}).Runs[0]
+	id, attempt := r.Task.ID, r.Attempt
+	l.cancelJob("job")
+	l.dropRun(r)
+	m.Used = m.Capacity
+	answerPoll(l, m, 0, platform.PollResult{Running: []model.Run{{Task: id, Attempt: attempt}}})
+	assert.Equal(t, l.quota.ledger.Used("a"), need(4))
+}
