track: runs of ended jobs count for longer after a long load

Cause: runs of jobs that ended more than 20 s before the jobs were loaded were taken for gone, but a leader whose load takes long extends the leases of all runs meanwhile. Until the executors had listed them, the account's other jobs could start in their place. Change: the time that the load takes is added to the 20 s. Run: the test failed before; go test -race ./internal/jobs/track ./internal/jobs/quota ./internal/jobs/assign ./internal/serve/leader: passed.

--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -60,14 +60,15 @@
 }
 
 // leftRetention is how long after the end of its job a run may still be there without being listed. Runs
-// that can't be stopped end with their leases, 10.3 s after a takeover; clocks differ by up to 10 s.
+// that can't be stopped end with their leases, 10.3 s after a takeover; clocks differ by up to 10 s. The time
+// that the load takes is added, during which the new leader extends the leases.
 const leftRetention = 20 * time.Second
 
 // loadLeft restores what runs of a job that ended under an earlier leader may need.
 func (tr *Tracker) loadLeft(j *Job, e *workpb.Ended, wall time.Duration) {
 	part := func(n int64) int64 { return min(max(n, 0), maxLeft) }
 	j.left = Left{model.Amount{Cores: part(e.GetCores()), Memory: part(e.GetMemory()), Accelerators: part(e.GetAccelerators())}, part(e.GetSpare())}
-	if j.endedAt > wall-leftRetention {
+	if j.endedAt > wall-leftRetention-tr.loadTime {
 		j.unlisted = j.left
 		tr.addLeft(j)
 	}
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -29,6 +29,8 @@
 	usage Usage
 	// leftBehind are the ended jobs with runs that no executor may have listed yet.
 	leftBehind []*Job
+	// loadTime is how long the records of earlier leaders took to load.
+	loadTime time.Duration
 }
 
 // Option changes a new tracker.
@@ -37,6 +39,9 @@
 // WithRecordBytes sets the size in bytes of the largest record that the store accepts.
 func WithRecordBytes(n int) Option { return func(tr *Tracker) { tr.recordBytes = n } }
 
+// WithLoadTime sets how long the records of earlier leaders took to load.
+func WithLoadTime(d time.Duration) Option { return func(tr *Tracker) { tr.loadTime = d } }
+
 // New returns an empty tracker. Attempts of tasks that an earlier leader may have started are
 // numbered above base.
 func New(base int, options ...Option) *Tracker {
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -180,7 +180,8 @@
 		return
 	}
 	base := int(l.token%attemptTokens) * attemptsPerToken
-	tr, bad := ev.loader.Load(base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes), track.WithUsage(&l.quota.ledger))
+	tr, bad := ev.loader.Load(base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes),
+		track.WithUsage(&l.quota.ledger), track.WithLoadTime(l.now-l.start))
 	for _, id := range bad {
 		l.Log.Error().Str("job", id).Msg("job can't be decoded")
 	}
--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -274,3 +274,29 @@
 	answerPoll(l, m, 0, platform.PollResult{Running: []model.Run{{Task: id, Attempt: attempt}}})
 	assert.Equal(t, l.quota.ledger.Used("a"), need(4))
 }
+
+// Guards against an account that exceeds its limit after a long takeover: the leases of the runs of a job that
+// had just ended were extended while the jobs were loaded.
+func TestRunsOfAnEndedJobCountAfterALongLoad(t *testing.T) {
+	for _, c := range []struct {
+		load, ended time.Duration
+		unknown     model.Amount
+	}{{0, 15 * time.Second, need(4)}, {0, 25 * time.Second, model.Amount{}}, {60 * time.Second, 65 * time.Second, need(4)}, {60 * time.Second, 85 * time.Second, model.Amount{}}} {
+		l, m, _ := newLimitedLeader(t, 5000)
+		l.wall = time.Duration(time.Now().UnixNano())
+		former := track.New(0)
+		former.Accept("job", model.Queue{Name: "q", Service: "s"}, model.JobSpec{Repeats: 1, Account: "a", Steps: []model.Step{{Count: 1, Need: need(4)}}}, l.wall, l.now)
+		former.BeginRun(former.Job("job").Task(model.TaskID{Job: "job"}), m.Key, 0, l.now)
+		former.Cancel("job", l.wall-c.ended)
+		loader := track.NewLoader(platform.DecodeJob)
+		for _, r := range former.TakeChanges().Records {
+			assert.NilError(t, loader.Add(r.Key, r.Value))
+		}
+		l.now += 100 * time.Second
+		l.start = l.now - c.load
+		l.onLoaded(loaded{loader: loader, heldAt: l.now})
+		m.Contact, m.adopted = execs.Uncontacted, false
+		l.countFormerRuns()
+		assert.Equal(t, l.quota.ledger.Used("a"), c.unknown, "%+v", c)
+	}
+}
