leader: long-running tasks at their account's limit attract no instances

Cause: the demand of a service left out only other waiting tasks at their account's limit. A long-running step wider than the limit took instances from other services for tasks that can't start, another one every time it had waited for 1.5 s. Change: its waiting tasks are left out too; those that run still count. Run: the test failed before; go test -race ./internal/serve/leader: passed. staticcheck: clean.

--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -300,3 +300,26 @@
 		assert.Equal(t, l.quota.ledger.Used("a"), c.unknown, "%+v", c)
 	}
 }
+
+// Guards against instances that are moved to a pool for long-running tasks that their account's limit keeps
+// waiting, and against instances that are taken from those that run.
+func TestLongRunningTasksAtTheirLimitAttractNoInstances(t *testing.T) {
+	l, m, _ := newLimitedLeader(t, 4000)
+	l.fleet.instances["m1"] = model.Instance{Name: "m1", Pool: "s", Capacity: m.Capacity}
+	l.fleet.waitingSince = map[workKind]time.Duration{}
+	j := acceptFor(l, "wide", "q", "a", model.Step{Count: 50, Need: need(2), LongRunning: true, MaxPerExecutor: 2})
+	assert.Equal(t, planAll(l, j), 2)
+	for range 3 {
+		d := l.demand()["s"][""]
+		assert.Equal(t, d.LongRunning, need(4))
+		assert.Equal(t, d.MinInstances, 1)
+		assert.Assert(t, !d.NeedsInstance)
+		l.now += growAfterLongRunning
+	}
+	setLimit(t, l, 3, 0)
+	l.demand()
+	l.now += 2 * growAfterLongRunning
+	d := l.demand()["s"][""]
+	assert.Equal(t, d.LongRunning, need(100))
+	assert.Assert(t, d.NeedsInstance)
+}
--- a/internal/serve/leader/rebalance.go
+++ b/internal/serve/leader/rebalance.go
@@ -57,11 +57,10 @@
 				if st.Label != "" {
 					l.fleet.neededLabels[st.Label] = true
 				}
-				if !st.LongRunning && l.isAtLimit(st) {
-					continue // its account's limit keeps it waiting, not the pool
-				}
-				addDemand(d, st)
-				if st.IsReady() && hasWaiting(st) {
+				// Its account's limit keeps its tasks waiting, not the pool.
+				atLimit := l.isAtLimit(st)
+				addDemand(d, st, atLimit)
+				if st.IsReady() && !atLimit && hasWaiting(st) {
 					kind := workKind{s, st.Label, st.LongRunning}
 					waiting[kind] = growAfter
 					if st.LongRunning {
@@ -136,7 +135,11 @@
 	growAfterLongRunning = 1500 * time.Millisecond
 )
 
-func addDemand(d scale.Demand, st *track.Step) {
+// addDemand adds the demand of a step. If it is at its account's limit, its waiting tasks need nothing.
+func addDemand(d scale.Demand, st *track.Step, atLimit bool) {
+	if atLimit && !st.LongRunning {
+		return
+	}
 	waiting := 0
 	for _, t := range st.Tasks {
 		if t.IsWaiting() {
@@ -146,9 +149,13 @@
 	load := d[st.Label]
 	switch {
 	case st.LongRunning:
-		load.LongRunning = load.LongRunning.Plus(st.Reservation().Times(int64(st.Count)))
+		n := st.Count
+		if atLimit {
+			n -= waiting
+		}
+		load.LongRunning = load.LongRunning.Plus(st.Reservation().Times(int64(n)))
 		if st.MaxPerExecutor > 0 {
-			load.MinInstances = max(load.MinInstances, (st.Count+st.MaxPerExecutor-1)/st.MaxPerExecutor)
+			load.MinInstances = max(load.MinInstances, (n+st.MaxPerExecutor-1)/st.MaxPerExecutor)
 		}
 	case st.IsReady():
 		load.Backlog = load.Backlog.Plus(st.Reservation().Scale(float64(waiting) * st.Estimate.Seconds()))
