quota: reservations for gangs are checked once in a round

Cause: each service that was planned in a round looked at all members of all gangs with reserved room. Change: the check is skipped for services that are planned at the same time.

--- a/internal/jobs/quota/bench_test.go
+++ b/internal/jobs/quota/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"runtime"
 	"testing"
+	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -91,3 +92,33 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "bytes/account")
 }
+
+// BenchmarkBegin measures the begin of a round of one of 20 services while each account has room reserved for
+// a gang of 100 tasks.
+func BenchmarkBegin(b *testing.B) {
+	for _, n := range []int{20, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, tr, ledger := model.Config{}, track.New(0), &Ledger{}
+			for i := range n {
+				c.Accounts = append(c.Accounts, model.Account{Name: fmt.Sprint(i), Limit: cores(100)})
+			}
+			config := c.Indexed()
+			for _, a := range config.Accounts {
+				gang := model.Step{Count: 100, Need: cores(1), Gang: true}
+				j := tr.Accept(a.Name, model.Queue{Name: "q"}, model.JobSpec{Repeats: 1, Account: a.Name, Steps: []model.Step{gang}}, 0, 0)
+				ledger.Charge(a.Name, cores(1))
+				if ledger.Begin(config, "s", 0).Fits(j.Open[0].Steps[0]) {
+					b.Fatal("within the limit")
+				}
+			}
+			b.ReportAllocs()
+			now := time.Duration(0)
+			for i := 0; b.Loop(); i++ {
+				if i%20 == 0 {
+					now++
+				}
+				ledger.Begin(config, "s", now)
+			}
+		})
+	}
+}
--- a/internal/jobs/quota/hold.go
+++ b/internal/jobs/quota/hold.go
@@ -63,8 +63,13 @@
 	l.free(u)
 }
 
-// dropStale ends the reservations for gangs that don't wait any more or that placement does not reach.
+// dropStale ends the reservations for gangs that don't wait any more or that placement does not reach. It looks
+// at all members of these gangs, once for the services that are planned at the same time.
 func (l *Ledger) dropStale(now time.Duration) {
+	if now == l.checkedAt {
+		return
+	}
+	l.checkedAt = now
 	for name, u := range l.holds {
 		if s := u.gang; s.Occ.Job.IsOver() || !s.IsReady() || !isWhole(s) || now > u.heldAt+holdTime {
 			l.drop(name, u)
--- a/internal/jobs/quota/ledger.go
+++ b/internal/jobs/quota/ledger.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -19,6 +20,8 @@
 	freed map[string]struct{}
 	// holds are the accounts with room that is reserved for a gang.
 	holds map[string]*usage
+	// checkedAt is when the reservations were last checked.
+	checkedAt time.Duration
 }
 
 // usage is what an account uses.
