track: runs of ended jobs that don't stop count after later takeovers

Cause: a new leader counts what a job left that ended in the last 20 s. A run whose stop takes longer was not counted until its executor had listed it, and other jobs of the account could start in its place. Change: the leader renews the record of the end every 3 s while it knows runs or orphaned runs of the job.

--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -119,22 +119,29 @@
 		}
 	}
 	for _, j := range tr.dirtyEnd {
-		out.Records = append(out.Records, Record{j.ID, encode(&workpb.Ended{
-			State: uint32(j.state), At: j.endedAt.Milliseconds(), Queue: j.Queue, Tenant: j.Account,
-			Cores: j.left.Reserved.Cores, Memory: j.left.Reserved.Memory, Accelerators: j.left.Reserved.Accelerators, Spare: j.left.Spare,
-		})})
+		out.Records = append(out.Records, endRecord(j))
 		for id := range j.storedProgress {
 			out.Records = append(out.Records, Record{id.key(j.ID), nil})
 		}
 		j.storedProgress = nil
 		out.ended = append(out.ended, j)
 	}
-	tr.dirtyOcc, tr.dirtyEnd = nil, nil
+	for _, j := range tr.dirtyLeft {
+		out.Records = append(out.Records, endRecord(j))
+	}
+	tr.dirtyOcc, tr.dirtyEnd, tr.dirtyLeft = nil, nil, nil
 	return out
 }
 
+func endRecord(j *Job) Record {
+	return Record{j.ID, encode(&workpb.Ended{
+		State: uint32(j.state), At: j.endedAt.Milliseconds(), Queue: j.Queue, Tenant: j.Account,
+		Cores: j.left.Reserved.Cores, Memory: j.left.Reserved.Memory, Accelerators: j.left.Reserved.Accelerators, Spare: j.left.Spare,
+	})}
+}
+
 // HasChanges reports whether TakeChanges would return anything.
-func (tr *Tracker) HasChanges() bool { return len(tr.dirtyOcc)+len(tr.dirtyEnd) > 0 }
+func (tr *Tracker) HasChanges() bool { return len(tr.dirtyOcc)+len(tr.dirtyEnd)+len(tr.dirtyLeft) > 0 }
 
 // MarkStored makes the final states in a stored batch visible to callers, and its services usable. It
 // returns the jobs that ended in the batch and those that may use another service now.
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -203,7 +203,7 @@
 	// becomes visible once it is stored.
 	state   model.State
 	visible model.State
-	// endedAt is when the job ended, in Unix time.
+	// endedAt is when the job ended, in Unix time, or when its record was last renewed (RenewLeft).
 	endedAt time.Duration
 	// unresolved is set while an earlier leader may have started tasks that are not known to run, and
 	// attemptBase is the highest attempt assumed for them.
--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -7,6 +7,19 @@
 	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 )
 
+// leftState is the state of a tracker for the runs of ended jobs.
+type leftState struct {
+	// leftBehind are the ended jobs with runs that no executor may have listed yet.
+	leftBehind []*Job
+	// dirtyLeft are the ended jobs whose records are to be renewed.
+	dirtyLeft []*Job
+	// loadTime is how long the records of earlier leaders took to load.
+	loadTime time.Duration
+}
+
+// WithLoadTime sets how long the records of earlier leaders took to load.
+func WithLoadTime(d time.Duration) Option { return func(tr *Tracker) { tr.loadTime = d } }
+
 // Left is what runs may need that no executor has listed.
 type Left struct {
 	// Reserved is what they reserve of executors.
@@ -64,6 +77,20 @@
 // that the load takes is added, during which the new leader extends the leases.
 const leftRetention = 20 * time.Second
 
+// leftRenewal is the age at which the record of an ended job that still has runs is renewed. With the 5 s until
+// another entry leads and the difference of the clocks it stays below leftRetention.
+const leftRenewal = 3 * time.Second
+
+// RenewLeft keeps the record of an ended job recent while its runs are there: a stop may take longer than
+// leftRetention. The job counts as ended at the time of the renewal.
+func (tr *Tracker) RenewLeft(j *Job, wall time.Duration) {
+	if j.Account == "" || !j.IsOver() || wall < j.endedAt+leftRenewal {
+		return
+	}
+	j.endedAt = wall
+	tr.dirtyLeft = append(tr.dirtyLeft, j)
+}
+
 // loadLeft restores what runs of a job that ended under an earlier leader may need.
 func (tr *Tracker) loadLeft(j *Job, e *workpb.Ended, wall time.Duration) {
 	part := func(n int64) int64 { return min(max(n, 0), maxLeft) }
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -27,10 +27,7 @@
 	checkpointsSeen int64
 	// usage follows the runs.
 	usage Usage
-	// leftBehind are the ended jobs with runs that no executor may have listed yet.
-	leftBehind []*Job
-	// loadTime is how long the records of earlier leaders took to load.
-	loadTime time.Duration
+	leftState
 }
 
 // Option changes a new tracker.
@@ -39,9 +36,6 @@
 // WithRecordBytes sets the size in bytes of the largest record that the store accepts.
 func WithRecordBytes(n int) Option { return func(tr *Tracker) { tr.recordBytes = n } }
 
-// WithLoadTime sets how long the records of earlier leaders took to load.
-func WithLoadTime(d time.Duration) Option { return func(tr *Tracker) { tr.loadTime = d } }
-
 // New returns an empty tracker. Attempts of tasks that an earlier leader may have started are
 // numbered above base.
 func New(base int, options ...Option) *Tracker {
--- a/internal/serve/leader/quota.go
+++ b/internal/serve/leader/quota.go
@@ -151,11 +151,18 @@
 	return charges
 }
 
-// expireOrphans ends the charges for orphaned runs whose leases have expired.
+// expireOrphans ends the charges for orphaned runs whose leases have expired, and renews the records of the jobs
+// of the others.
 func (l *Leader) expireOrphans() {
-	for m := range l.quota.orphans {
+	for m, o := range l.quota.orphans {
 		if m.Contact != execs.Live && l.LastRenewal() >= m.leaseEnd {
 			l.chargeOrphans(m, nil, platform.PollResult{})
+			continue
+		}
+		for _, row := range o.rows {
+			if j := l.tracker.Job(row.Task.Job); j != nil {
+				l.tracker.RenewLeft(j, l.wall)
+			}
 		}
 	}
 }
--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -323,3 +323,54 @@
 	assert.Equal(t, d.LongRunning, need(100))
 	assert.Assert(t, d.NeedsInstance)
 }
+
+// Guards against an account that exceeds its limit after a takeover by a run of a job that ended long before and
+// whose stop is still not confirmed, whether its leader ordered it or found it as an orphan. Also guards against
+// records of ended jobs that are renewed without runs.
+func TestRunThatDoesNotStopCountsAfterTakeovers(t *testing.T) {
+	l, m, _ := newLimitedLeader(t, 5000)
+	l.wall = time.Duration(time.Now().UnixNano())
+	job := acceptFor(l, "job", "q", "a", model.Step{Count: 1, Need: need(4)})
+	assert.Equal(t, planAll(l, job), 1)
+	r := job.Task(model.TaskID{Job: "job"}).Runs[0]
+	l.onStarted(startedRun{m: m, run: r})
+	row := model.Run{Task: r.Task.ID, Attempt: r.Attempt}
+	l.cancelJob("job")
+	loader := track.NewLoader(platform.DecodeJob)
+	records, ends := 0, 0
+	pass := func(rows ...model.Run) {
+		records = 0
+		for range 50 {
+			l.now, l.wall = l.now+time.Second, l.wall+time.Second
+			answerPoll(l, m, 0, platform.PollResult{Running: rows})
+			l.retryStops()
+			l.expireLeases()
+			batch := l.tracker.TakeChanges()
+			for _, rec := range batch.Records {
+				if rec.Key == "job" {
+					records++
+				}
+				assert.NilError(t, loader.Add(rec.Key, rec.Value))
+			}
+			ended, _ := l.tracker.MarkStored(batch)
+			ends += len(ended)
+		}
+	}
+	for range 2 {
+		pass(row)
+		assert.Assert(t, records > 5 && records <= 20, "%d records", records)
+		l, m, _ = func() (*Leader, *member, *member) {
+			wall := l.wall
+			l, m, o := newLimitedLeader(t, 5000)
+			l.wall, l.start = wall, l.now
+			l.onLoaded(loaded{loader: loader})
+			m.Contact, m.adopted = execs.Uncontacted, false
+			return l, m, o
+		}()
+		next := acceptFor(l, "next", "r", "a", model.Step{Count: 9, Need: need(1)})
+		assert.Equal(t, planAll(l, next), 1)
+	}
+	pass()
+	assert.Assert(t, records <= 1, "%d records", records)
+	assert.Equal(t, ends, 1, "the job ends once")
+}
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -390,11 +390,10 @@
 // are over and stalled runs.
 func (l *Leader) retryStops() {
 	for _, m := range l.members {
-		if m.Contact != execs.Live {
-			continue
-		}
 		for r := range l.tracker.RunsOn(m.Key) {
+			l.tracker.RenewLeft(r.Task.Step.Occ.Job, l.wall)
 			switch {
+			case m.Contact != execs.Live:
 			case r.Phase == track.Stopping && l.now > r.PhaseSince+stopRetryInterval:
 				r.PhaseSince = l.now
 				l.sendStop(m, r.Task.ID, r.Attempt)
