quota: a partial fall of unknown usage makes waiting services due

Cause: SetUnknown compared an account's unknown usage with the former value after it had replaced it, so that only a fall to zero made the services due whose tasks wait for the limit. The others waited for the round after 200 ms. Change: it is compared first.

--- a/internal/jobs/quota/ledger.go
+++ b/internal/jobs/quota/ledger.go
@@ -95,8 +95,8 @@
 
 // SetUnknown sets, by account, what the runs of earlier leaders that are not known may use.
 func (l *Ledger) SetUnknown(amounts map[string]model.Amount) {
-	for name, a := range amounts {
-		l.of(name).unknown = a
+	for name := range amounts {
+		l.of(name)
 	}
 	for name, u := range l.accounts {
 		if a := amounts[name]; a != u.unknown {
--- a/internal/jobs/quota/ledger_test.go
+++ b/internal/jobs/quota/ledger_test.go
@@ -306,3 +306,19 @@
 		})
 	})
 }
+
+// Guards against tasks that wait for the next regular round although the part of their account's usage that is
+// not known has fallen, but not to zero.
+func TestFallOfUnknownUsageFreesServices(t *testing.T) {
+	c, steps := newAccounts(1)
+	ledger := &Ledger{}
+	for _, unknown := range []int64{2, 1, 0} {
+		ledger.SetUnknown(map[string]model.Amount{"account-0000": cores(unknown)})
+		assert.Equal(t, len(ledger.Freed()) == 1, unknown < 2)
+		ledger.Charge("account-0000", cores(2))
+		assert.Assert(t, !ledger.Begin(c, "s", 0).Fits(steps[0]))
+		ledger.accounts["account-0000"].held = model.Amount{}
+	}
+	ledger.SetUnknown(nil)
+	assert.Equal(t, len(ledger.Freed()), 0, "unknown usage has not changed")
+}
