leader: orphaned runs of an ended job count once as what it left

Cause: each executor that listed an orphaned run of an ended job charged all that the job had left. Two runs of 2 cores on two executors counted as 8 cores, and the account's other jobs waited until they had ended. Change: the sum over all executors is at most what the job left.

--- a/internal/serve/leader/quota.go
+++ b/internal/serve/leader/quota.go
@@ -17,6 +17,8 @@
 	ledger quota.Ledger
 	// orphans are, by executor, the orphaned runs with charges in its last list.
 	orphans map[*member]orphans
+	// ended are the ended jobs with orphaned runs.
+	ended map[*track.Job]endedUse
 	// allKnown is set once no run of an earlier leader is unknown.
 	allKnown bool
 }
@@ -83,72 +85,105 @@
 	return sum, n, true
 }
 
-// orphans are the orphaned runs on an executor, and what they charge each account.
+// orphans are the orphaned runs on an executor.
 type orphans struct {
-	rows    []model.Run
+	rows []model.Run
+	// charges are what those with known steps charge each account, and ended bounds what those of each ended
+	// job use there.
 	charges map[string]model.Amount
+	ended   map[*track.Job]model.Amount
 }
 
+// endedUse is what the orphaned runs of an ended job charge its account: what the job left, or the sum of the
+// bounds on all executors if that is less.
+type endedUse struct{ bound, charged model.Amount }
+
 // chargeOrphans replaces the charges for orphaned runs on an executor by those for some rows of a list. If the
-// list is partial, the charge of an account with a former orphan that is in neither of its parts does not fall.
-// A run of a job that is not known, or of no account, is not charged: an ended job is known for longer than
-// leases last.
+// list is partial, the charges for a former orphan that is in neither of its parts don't fall. A run of a job
+// that is not known, or of no account, is not charged: an ended job is known for longer than leases last.
 func (l *Leader) chargeOrphans(m *member, rows []model.Run, list platform.PollResult) {
 	former := l.quota.orphans[m]
 	if len(rows)+len(former.rows) == 0 {
 		return
 	}
-	charges := l.orphanCharges(m, rows)
+	next := l.orphansOn(m, rows)
 	if list.IsPartial() {
-		rows = slices.Clone(rows)
 		for _, f := range former.rows {
 			if slices.ContainsFunc(list.Running, func(r model.Run) bool { return r.Task == f.Task && r.Attempt == f.Attempt }) ||
 				slices.ContainsFunc(list.Ended, func(e model.End) bool { return e.Task == f.Task && e.Attempt == f.Attempt }) {
 				continue
 			}
-			rows = append(rows, f)
+			next.rows = append(next.rows, f)
 			if j := l.tracker.Job(f.Task.Job); j != nil && j.Account != "" {
-				charges[j.Account] = charges[j.Account].Max(former.charges[j.Account])
+				next.charges[j.Account] = next.charges[j.Account].Max(former.charges[j.Account])
+				next.ended[j] = next.ended[j].Max(former.ended[j])
 			}
 		}
 	}
-	for account, a := range charges {
+	for account, a := range next.charges {
 		l.quota.ledger.Charge(account, a)
 	}
 	for account, a := range former.charges {
 		l.quota.ledger.Release(account, a)
 	}
+	for j, a := range next.ended {
+		l.chargeEnded(j, a.Minus(former.ended[j]))
+	}
+	for j, a := range former.ended {
+		if _, ok := next.ended[j]; !ok {
+			l.chargeEnded(j, model.Amount{}.Minus(a))
+		}
+	}
 	delete(l.quota.orphans, m)
-	if len(charges) > 0 {
+	if len(next.charges)+len(next.ended) > 0 {
 		if l.quota.orphans == nil {
 			l.quota.orphans = map[*member]orphans{}
 		}
-		l.quota.orphans[m] = orphans{rows, charges}
+		l.quota.orphans[m] = next
+	}
+}
+
+// chargeEnded adds to the bounds of the orphaned runs of an ended job.
+func (l *Leader) chargeEnded(j *track.Job, more model.Amount) {
+	u := l.quota.ended[j]
+	u.bound = u.bound.Plus(more)
+	charge := u.bound
+	if left := j.Left(); left != (track.Left{}) {
+		charge = charge.Min(left.Total())
+	}
+	l.quota.ledger.Charge(j.Account, charge)
+	l.quota.ledger.Release(j.Account, u.charged)
+	u.charged = charge
+	if u == (endedUse{}) {
+		delete(l.quota.ended, j)
+		return
+	}
+	if l.quota.ended == nil {
+		l.quota.ended = map[*track.Job]endedUse{}
 	}
+	l.quota.ended[j] = u
 }
 
-// orphanCharges returns what orphaned runs on an executor may need, by account.
-func (l *Leader) orphanCharges(m *member, rows []model.Run) map[string]model.Amount {
-	charges, ended := map[string]model.Amount{}, map[*track.Job]bool{}
+// orphansOn returns orphaned runs on an executor with what they may need.
+func (l *Leader) orphansOn(m *member, rows []model.Run) orphans {
+	out := orphans{slices.Clone(rows), map[string]model.Amount{}, map[*track.Job]model.Amount{}}
 	for _, row := range rows {
 		j := l.tracker.Job(row.Task.Job)
-		if j == nil || j.Account == "" || ended[j] {
+		if j == nil || j.Account == "" {
 			continue
 		}
-		need := model.Amount{}
 		if n := row.Task.Step; n < len(j.Spec.Steps) {
-			need = j.Spec.Steps[n].Need
-		} else {
-			// The steps of an ended job are not known any more, but what its runs needed together is.
-			ended[j] = true
-			need = m.Free().Max(need)
-			if left := j.Left(); left != (track.Left{}) {
-				need = left.Bound(need)
-			}
+			out.charges[j.Account] = out.charges[j.Account].Plus(j.Spec.Steps[n].Need)
+			continue
+		}
+		// The steps of an ended job are not known any more, but what its runs needed together is.
+		need := m.Free().Max(model.Amount{})
+		if left := j.Left(); left != (track.Left{}) {
+			need = left.Bound(need)
 		}
-		charges[j.Account] = charges[j.Account].Plus(need)
+		out.ended[j] = need
 	}
-	return charges
+	return out
 }
 
 // expireOrphans ends the charges for orphaned runs whose leases have expired, and renews the records of the jobs
--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -374,3 +374,24 @@
 	assert.Assert(t, records <= 1, "%d records", records)
 	assert.Equal(t, ends, 1, "the job ends once")
 }
+
+// Guards against jobs that wait because the orphaned runs of an ended job count on each executor as all that the
+// job left, and against an account that exceeds its limit once the first of these executors is rid of them.
+func TestOrphansOfAnEndedJobCountAsMuchAsItLeft(t *testing.T) {
+	l, m, other := newLimitedLeader(t, 50000)
+	newFormerJob(t, l)
+	l.cancelJob("job")
+	row := func(i int) model.Run { return model.Run{Task: model.TaskID{Job: "job", Index: i}, Attempt: 3} }
+	for range 2 {
+		answerPoll(l, m, 0, platform.PollResult{Running: []model.Run{row(0)}})
+		answerPoll(l, other, 0, platform.PollResult{Running: []model.Run{row(1)}})
+		assert.Equal(t, l.quota.ledger.Used("a"), need(4))
+	}
+	answerPoll(l, m, 0, platform.PollResult{})
+	assert.Equal(t, l.quota.ledger.Used("a"), need(4), "two cores at least are in use")
+	answerPoll(l, other, 0, platform.PollResult{Unreadable: 1})
+	assert.Equal(t, l.quota.ledger.Used("a"), need(4))
+	answerPoll(l, other, 0, platform.PollResult{})
+	assert.Equal(t, l.quota.ledger.Used("a"), model.Amount{})
+	assert.Equal(t, len(l.quota.orphans)+len(l.quota.ended), 0)
+}
