--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -203,7 +203,7 @@
 	// becomes visible once it is stored.
 	state   model.State
 	visible model.State
-	// endedAt is when the job ended, in Unix time.
+	// endedAt is when the job ended, in Unix time, or when its record was last renewed (RenewLeft).
 	endedAt time.Duration
 	// unresolved is set while an earlier leader may have started tasks that are not known to run, and
 	// attemptBase is the highest attempt assumed for them.
@@ -215,6 +215,9 @@
 	// services are those that tasks may be sent to besides the one at acceptance, with true for those
 	// that are stored.
 	services map[string]bool
+	// left is what its runs may have needed when it ended, and unlisted the part of it for runs that no
+	// executor has listed to this leader.
+	left, unlisted Left
 }
 
 // State returns the state that callers may see.
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -99,6 +99,9 @@
 			break
 		}
 	}
+	if cause := leader.LimitRefusal(a.Config(), s.Account, s.Body); cause != "" {
+		return refusalAfter(relay.Answer{Verdict: relay.Limited, Cause: cause}, *notRun)
+	}
 	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
 	ans := a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Account, s.Body, wall), *notRun)
