jobs/share: token buckets, fair shares of a pool and admission for client accounts

Cause: the weight of an account decided nothing, so one account could take a pool from the others. Change: a decision package with a token bucket for each account (generic cell rate algorithm: one time for each account, exact to the nanosecond), weighted max-min fairness on the dominant resource (DRF, progressive filling), and the decision which excess submissions are refused. Nothing uses it yet.

--- /dev/null
+++ b/internal/jobs/share/share_test.go
@@ -0,0 +1,194 @@
+package share
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+)
+
+// Guards against an account that gets more than its rate and burst in any window, for example after a
+// refund or a forgotten bucket, and against a time of the next token that is too early or too late.
+func TestBucketKeepsItsRateAndTellsWhenTheNextTokenIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.Float64Range(0.001, 2000).Draw(t, "weight")
+		var b Buckets
+		now := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "start"))
+		var taken []time.Duration
+		for range rapid.IntRange(1, 150).Draw(t, "submissions") {
+			now += time.Duration(float64(rapid.Int64Range(0, int64(time.Second)).Draw(t, "gap")) / max(weight, 1))
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				b.Forget(now)
+			case 1:
+				// A job takes a spare token only if the whole burst remains for others.
+				if b.TakeSpare("a", weight, now) {
+					taken = append(taken, now)
+				}
+				continue
+			}
+			after, ok := b.NextToken("a", weight, now)
+			assert.Assert(t, ok)
+			if after > 0 {
+				tick := b
+				tick.byName = map[string]bucket{"a": b.byName["a"]}
+				assert.Assert(t, !tick.Take("a", weight, now), "no token at %v", now)
+				assert.Assert(t, !tick.Take("a", weight, now+after-1), "no token one tick earlier")
+				assert.Assert(t, tick.Take("a", weight, now+after))
+				continue
+			}
+			assert.Assert(t, b.Take("a", weight, now))
+			taken = append(taken, now)
+		}
+		for i := range taken {
+			for k := i; k < len(taken); k++ {
+				bound := weight*(taken[k]-taken[i]).Seconds() + max(weight, minBurst)
+				assert.Assert(t, float64(k-i+1) <= bound+1e-6, "%d submissions in %v", k-i+1, taken[k]-taken[i])
+			}
+		}
+	})
+}
+
+// Guards against accounts whose weight is zero, tiny or huge, and against tokens that a new weight gives
+// or takes.
+func TestBucketOfUnusualWeights(t *testing.T) {
+	var b Buckets
+	for _, weight := range []float64{0, -1, 1e-12, math.SmallestNonzeroFloat64} {
+		assert.Assert(t, !b.Take("none", weight, time.Second), "weight %v", weight)
+		_, ok := b.NextToken("none", weight, time.Second)
+		assert.Assert(t, !ok)
+	}
+	assert.Assert(t, b.Take("huge", math.MaxFloat64, 0))
+	for range minBurst {
+		assert.Assert(t, b.Take("changed", 1, 0))
+	}
+	after, _ := b.NextToken("changed", 0.5, 0)
+	assert.Equal(t, after, 2*time.Second, "the bucket stays empty, and fills at the new rate")
+	assert.Assert(t, !b.Take("changed", 4, 0))
+	b.Return("changed")
+	assert.Assert(t, b.Take("changed", 4, 0), "a returned token can be taken again")
+	b.Forget(time.Hour)
+	assert.Equal(t, b.Len(), 0)
+}
+
+// Guards against a refusal of a job within its share, of one that can be served in time, and of one that
+// finds idle capacity, and against a refusal that takes a token.
+func TestOnlyExcessJobsOfFullPoolsAreRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		load    *Load
+		refused bool
+	}{
+		"unknown":  {nil, false},
+		"idle":     {&Load{Cores: 8000, Waiting: 800}, false},
+		"in time":  {&Load{Cores: 8000, Waiting: 8, Full: true}, false},
+		"too late": {&Load{Cores: 8000, Waiting: 80, Full: true}, true},
+		"no cores": {&Load{Full: true, Waiting: 80}, false},
+		"old":      {&Load{Cores: 8000, Waiting: 80, Full: true, At: -9 * time.Second}, false},
+	} {
+		var b Buckets
+		canWait := func(d time.Duration) bool { return d <= 2*time.Second }
+		for range minBurst {
+			assert.DeepEqual(t, b.Admit("a", 1, 0, c.load, canWait), Decision{Admitted: true})
+		}
+		for range 3 {
+			d := b.Admit("a", 1, 0, c.load, canWait)
+			assert.Equal(t, d.Admitted, !c.refused, name)
+			assert.Assert(t, d.Excess)
+			if c.refused {
+				assert.Equal(t, d.RetryAfter, time.Second, name)
+			}
+		}
+		assert.DeepEqual(t, b.Admit("a", 1, time.Second, c.load, canWait), Decision{Admitted: true})
+	}
+}
+
+func drawNeeds(t *rapid.T, resources int) []Need {
+	needs := make([]Need, rapid.IntRange(1, 12).Draw(t, "accounts"))
+	amount := func() model.Amount {
+		a := model.Amount{Cores: rapid.Int64Range(0, 900).Draw(t, "cores")}
+		if resources > 1 {
+			a.Memory = rapid.Int64Range(0, 900).Draw(t, "memory")
+			a.Accelerators = rapid.Int64Range(0, 3).Draw(t, "accelerators")
+		}
+		return a
+	}
+	for i := range needs {
+		needs[i] = Need{Weight: rapid.Float64Range(0.1, 50).Draw(t, "weight"), Running: amount(), Waiting: amount()}
+	}
+	return needs
+}
+
+const tiny = 1e-9
+
+// Guards against a division that leaves capacity unused while work waits, gives more than there is, or
+// gives one account more for its weight while another is short.
+func TestDivisionIsWeightedMaxMin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		needs := drawNeeds(t, rapid.IntRange(1, resources).Draw(t, "resources"))
+		capacity := model.Amount{Cores: rapid.Int64Range(1, 5000).Draw(t, "cores"), Memory: 2000, Accelerators: 8}
+		var d Divider
+		shares := d.Divide(needs, capacity)
+		var used vector
+		wants := make([]vector, len(needs))
+		met := make([]bool, len(needs))
+		dominant := func(v vector) float64 { return max(v[0], v[1], v[2]) }
+		for i, n := range needs {
+			wants[i] = fractions(n.Running.Plus(n.Waiting), capacity)
+			most := dominant(wants[i])
+			assert.Assert(t, shares[i] <= most+tiny)
+			met[i] = shares[i] >= most-tiny
+			for r := range used {
+				used[r] += wants[i][r] * shares[i] / max(most, tiny)
+			}
+		}
+		for r := range used {
+			assert.Assert(t, used[r] <= 1+1e-6, "resource %d", r)
+		}
+		for i := range needs {
+			if met[i] {
+				continue
+			}
+			blocked := false
+			for r := range used {
+				if wants[i][r] == 0 || used[r] < 1-1e-6 {
+					continue
+				}
+				// No account that uses this resource has more for its weight.
+				worst := true
+				for k := range needs {
+					worst = worst && (wants[k][r] == 0 || shares[k]/needs[k].Weight <= shares[i]/needs[i].Weight+1e-6)
+				}
+				blocked = blocked || worst
+			}
+			assert.Assert(t, blocked, "account %d is short without a reason: %v", i, shares)
+		}
+	})
+}
+
+// Guards against a division in which an account loses because the pool grows, another account needs less,
+// or its own weight rises. This holds for one resource; DRF does not promise it for several.
+func TestDivisionIsMonotone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		needs := drawNeeds(t, 1)
+		capacity := model.Amount{Cores: rapid.Int64Range(1, 5000).Draw(t, "capacity")}
+		var d, e Divider
+		before := d.Divide(needs, capacity)
+		larger := capacity.Times(2)
+		for i, s := range e.Divide(needs, larger) {
+			assert.Assert(t, s*2 >= before[i]-tiny, "account %d in a larger pool", i)
+		}
+		k := rapid.IntRange(0, len(needs)-1).Draw(t, "account")
+		heavier := append([]Need(nil), needs...)
+		heavier[k].Weight *= 2
+		assert.Assert(t, e.Divide(heavier, capacity)[k] >= before[k]-tiny)
+		less := append([]Need(nil), needs...)
+		less[k].Waiting = model.Amount{}
+		for i, s := range e.Divide(less, capacity) {
+			assert.Assert(t, i == k || s >= before[i]-tiny, "account %d beside one with less need", i)
+		}
+	})
+}
