jobs/assign: jobs beyond their account's rate or fair share go behind others

Cause: the order of jobs knew no accounts. Change: excess jobs go behind late regular ones, which are owed and still of use, and are not promoted. In each class the jobs of accounts that are clearly above their fair share go behind the others. Expired jobs are ordered as before, so that each is served in the end; long-running ones as well. Steps count their runs, so that an order needs no walk over tasks. Without accounts the order is the same, which a test over generated jobs compares with a copy of the former one.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -34,6 +34,10 @@
 	timely
 	// late jobs can't meet their objective but can still end while their callers need the result.
 	late
+	// excess jobs are beyond the rate that their account is owed. They go behind late jobs, which are owed
+	// and still of use to their callers, and are never promoted.
+	excessTimely
+	excessLate
 	// expired jobs will end too late for that. They were accepted, so they still run.
 	expired
 )
@@ -54,8 +58,10 @@
 
 // rank holds what determines the order of a job within its service.
 type rank struct {
-	job      *track.Job
-	class    class
+	job   *track.Job
+	class class
+	// above is set if the job's account uses clearly more than its fair share of the pool.
+	above    bool
 	priority int
 	begun    bool
 	// laxity is how long the job can wait and still meet its objective or, if it can't, be of use.
@@ -112,6 +118,12 @@
 	if c := cmp.Compare(a.class, b.class); c != 0 {
 		return c
 	}
+	if a.above != b.above {
+		if b.above {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(a.priority, b.priority); c != 0 {
 		return c
 	}
@@ -124,24 +136,6 @@
 	return cmp.Or(cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.job.ID, b.job.ID))
 }
 
-// OrderJobs returns jobs in the order in which they get capacity. cores is the size of the pool in
-// thousandths of a core, wall is in Unix time.
-func OrderJobs(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration) []*track.Job {
-	ranks := make([]rank, 0, len(jobs))
-	for _, j := range jobs {
-		ranks = append(ranks, rankOf(j, settings(j), wall))
-	}
-	slices.SortFunc(ranks, compareRanks)
-	if promoteUrgent(ranks, int64(promoteShare*float64(cores))) {
-		slices.SortFunc(ranks, compareRanks)
-	}
-	out := make([]*track.Job, len(ranks))
-	for i, r := range ranks {
-		out[i] = r.job
-	}
-	return out
-}
-
 // Rarity holds for each label that work needs the share of the instances without it, from 0 to 1.
 type Rarity map[string]float64
 
--- /dev/null
+++ b/internal/jobs/assign/share.go
@@ -0,0 +1,138 @@
+package assign
+
+import (
+	"slices"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/share"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+)
+
+// OrderJobs returns jobs in the order in which they get capacity. cores is the size of the pool in
+// thousandths of a core, wall is in Unix time.
+func OrderJobs(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration) []*track.Job {
+	out, _ := OrderShared(jobs, settings, cores, wall, nil)
+	return out
+}
+
+// OrderShared is OrderJobs with accounts that are above their fair share, whose jobs go behind those of the
+// other accounts in the same class. It also returns the waiting work that is served before another excess
+// job, in core-seconds.
+func OrderShared(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool) ([]*track.Job, float64) {
+	ranks := make([]rank, 0, len(jobs))
+	waiting := 0.0
+	for _, j := range jobs {
+		r := rankOf(j, settings(j), wall)
+		r.applyShares(above)
+		ranks = append(ranks, r)
+		if r.class != longRunning && r.class != expired {
+			waiting += waitingWork(j)
+		}
+	}
+	slices.SortFunc(ranks, compareRanks)
+	if promoteUrgent(ranks, int64(promoteShare*float64(cores))) {
+		slices.SortFunc(ranks, compareRanks)
+	}
+	out := make([]*track.Job, len(ranks))
+	for i, r := range ranks {
+		out[i] = r.job
+	}
+	return out, waiting
+}
+
+// applyShares moves a job behind those of other accounts if it is excess or its account is above its fair
+// share. Long-running jobs are not ordered by shares. Expired jobs are neither: they are of no use
+// to any caller, and by age each of them is served in the end.
+func (r *rank) applyShares(above map[string]bool) {
+	j := r.job
+	if j.Account == "" || r.class == longRunning || r.class == expired {
+		return
+	}
+	r.above = above[j.Account]
+	switch {
+	case j.Excess && r.class == timely:
+		r.class = excessTimely
+	case j.Excess && r.class == late:
+		r.class = excessLate
+	}
+}
+
+// waitingWork returns the estimated work of the tasks of a job that are not done and don't run, in
+// core-seconds.
+func waitingWork(j *track.Job) float64 {
+	sum := 0.0
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			if n := s.Left - s.Running; n > 0 && !s.LongRunning {
+				sum += float64(n) * float64(s.Reservation().Cores) / 1000 * s.Estimate.Seconds()
+			}
+		}
+	}
+	return sum
+}
+
+// Claims computes which accounts are above their fair share of a pool. It keeps its memory for the next
+// computation. The zero value is ready for use.
+type Claims struct {
+	index   map[string]int
+	needs   []share.Need
+	above   map[string]bool
+	divider share.Divider
+}
+
+// Above returns the accounts that use clearly more than their fair share of a pool, which weights and the
+// needs of the pool's jobs determine. What long-running tasks and jobs without an account use is not
+// divided. The result is valid until the next call, and nil if no job has an account.
+func (c *Claims) Above(jobs []*track.Job, weight func(account string) float64, capacity model.Amount) map[string]bool {
+	if c.index == nil {
+		c.index, c.above = map[string]int{}, map[string]bool{}
+	}
+	clear(c.index)
+	clear(c.above)
+	c.needs = c.needs[:0]
+	for _, j := range jobs {
+		running, waiting, lasting := needsOf(j)
+		capacity = capacity.Minus(lasting)
+		if j.Account == "" {
+			capacity = capacity.Minus(running)
+			continue
+		}
+		i, ok := c.index[j.Account]
+		if !ok {
+			i = len(c.needs)
+			c.index[j.Account] = i
+			c.needs = append(c.needs, share.Need{Weight: weight(j.Account)})
+		}
+		n := &c.needs[i]
+		n.Running, n.Waiting = n.Running.Plus(running), n.Waiting.Plus(waiting)
+	}
+	if len(c.needs) == 0 {
+		return nil
+	}
+	fair := c.divider.Divide(c.needs, capacity)
+	for account, i := range c.index {
+		if share.IsAbove(c.needs[i].Running.Share(capacity), fair[i]) {
+			c.above[account] = true
+		}
+	}
+	return c.above
+}
+
+// needsOf returns what the runs of a job reserve, what its tasks that could start need, and what its
+// long-running tasks reserve.
+func needsOf(j *track.Job) (running, waiting, lasting model.Amount) {
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			if s.LongRunning {
+				lasting = lasting.Plus(s.Reservation().Times(int64(s.Running)))
+				continue
+			}
+			running = running.Plus(s.Reservation().Times(int64(s.Running)))
+			if n := s.Left - s.Running; n > 0 && s.IsReady() {
+				waiting = waiting.Plus(s.Reservation().Times(int64(n)))
+			}
+		}
+	}
+	return running, waiting, lasting
+}
--- /dev/null
+++ b/internal/jobs/assign/share_test.go
@@ -0,0 +1,142 @@
+package assign
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+)
+
+// formerOrder is the order before there were accounts: class, priority, begun, laxity and ID, with late
+// jobs promoted in that order.
+func formerOrder(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration) []string {
+	var ranks []rank
+	for _, j := range jobs {
+		ranks = append(ranks, rankOf(j, settings(j), wall))
+	}
+	compare := func(a, b rank) int {
+		begun := 0
+		if a.begun != b.begun {
+			begun = 1
+			if a.begun {
+				begun = -1
+			}
+		}
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority), begun, cmp.Compare(a.laxity, b.laxity), cmp.Compare(a.job.ID, b.job.ID))
+	}
+	slices.SortFunc(ranks, compare)
+	left := int64(promoteShare * float64(cores))
+	for i := range ranks {
+		if r := &ranks[i]; r.class == late && r.laxity <= promoteWithin {
+			if left -= neededCores(r.job); left < 0 {
+				break
+			}
+			r.class = promoted
+		}
+	}
+	slices.SortFunc(ranks, compare)
+	var ids []string
+	for _, r := range ranks {
+		ids = append(ids, r.job.ID)
+	}
+	return ids
+}
+
+// drawJobs returns jobs of all classes, some of which have begun, at the time of 20 s.
+func drawJobs(t *rapid.T) []*track.Job {
+	tr := track.New(0)
+	var jobs []*track.Job
+	for i := range rapid.IntRange(0, 40).Draw(t, "jobs") {
+		q := model.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 1.6, Objective: 600 * time.Millisecond, Priority: rapid.IntRange(0, 2).Draw(t, "priority")}
+		s := model.Step{
+			Count: rapid.IntRange(1, 4).Draw(t, "tasks"), Need: cores(rapid.Int64Range(1, 4).Draw(t, "cores")),
+			Estimate: time.Duration(rapid.IntRange(0, 900).Draw(t, "estimate")) * time.Millisecond, LongRunning: rapid.IntRange(0, 9).Draw(t, "lasts") == 0,
+		}
+		accepted := 20*time.Second - time.Duration(rapid.IntRange(0, 5000).Draw(t, "age"))*time.Millisecond
+		j := tr.Accept(fmt.Sprint(i), q, model.JobSpec{Repeats: 1, Steps: []model.Step{s}}, accepted, accepted)
+		if rapid.Bool().Draw(t, "begun") {
+			tr.ConfirmRun(tr.BeginRun(j.Open[0].Steps[0].Tasks[0], "x", 0, 0), 0)
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+func settingsOf(j *track.Job) *model.Queue { return &j.Settings }
+
+// Guards against deployments without accounts that are served differently, also where other accounts are
+// above their share.
+func TestOrderWithoutAccountsIsAsBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		jobs := drawJobs(t)
+		pool := rapid.Int64Range(0, 64).Draw(t, "pool") * 1000
+		var c Claims
+		above := c.Above(jobs, func(string) float64 { return 1 }, cores(64))
+		assert.Assert(t, above == nil)
+		got, _ := OrderShared(jobs, settingsOf, pool, 20*time.Second, map[string]bool{"other": true})
+		var ids []string
+		for _, j := range got {
+			ids = append(ids, j.ID)
+		}
+		assert.DeepEqual(t, ids, formerOrder(jobs, settingsOf, pool, 20*time.Second))
+	})
+}
+
+// Guards against an excess job before one that is owed and of use, a promoted excess job, an account above
+// its share before another of the same class, and long-running or expired jobs that are ordered by shares.
+func TestOrderKeepsClassesAndShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		jobs := drawJobs(t)
+		for _, j := range jobs {
+			j.Account = rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account")
+			j.Excess = j.Account != "" && rapid.Bool().Draw(t, "excess")
+		}
+		got, _ := OrderShared(jobs, settingsOf, 0, 20*time.Second, map[string]bool{"a": true})
+		assert.Equal(t, len(got), len(jobs))
+		position := func(j *track.Job) int {
+			p := 0
+			switch rankOf(j, &j.Settings, 20*time.Second).class {
+			case longRunning:
+				return 0
+			case timely:
+				p = 1
+			case late:
+				p = 3
+			default:
+				return 9
+			}
+			if j.Excess {
+				p += 4
+			}
+			if j.Account == "a" {
+				p++
+			}
+			return p
+		}
+		for i := 1; i < len(got); i++ {
+			assert.Assert(t, position(got[i-1]) <= position(got[i]), "job %s before %s", got[i-1].ID, got[i].ID)
+		}
+	})
+}
+
+// Guards against an excess job that is promoted because it would soon be of no use.
+func TestExcessJobsAreNotPromoted(t *testing.T) {
+	h := newHarness(t, 1, cores(8))
+	excess := h.accept("excess", model.Step{Need: cores(1), Estimate: 400 * time.Millisecond})
+	excess.Account, excess.Excess = "a", true
+	h.now = 2900 * time.Millisecond
+	h.accept("timely", model.Step{Need: cores(1), Estimate: 400 * time.Millisecond})
+	order := func() string {
+		return OrderJobs([]*track.Job{h.tracker.Job("timely"), excess}, h.settings, 8000, h.now)[0].ID
+	}
+	assert.Equal(t, order(), "timely")
+	excess.Excess = false
+	assert.Equal(t, order(), "excess", "the same job within its share is promoted")
+}
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -134,6 +134,8 @@
 	Tasks  []*Task
 	// Left is the number of tasks that are not done.
 	Left int
+	// Running is the number of runs of its tasks that may be on an executor.
+	Running int
 	// firstIndex is the position of its first task among all tasks of the occurrence.
 	firstIndex int
 	// GangAttempt is the attempt of the current run of a gang.
@@ -185,7 +187,9 @@
 	Queue string
 	// Account is the client account that submitted it, empty for none.
 	Account string
-	Spec    model.JobSpec
+	// Excess is set while the job is beyond the rate that its account is owed.
+	Excess bool
+	Spec   model.JobSpec
 	// Accepted is when it was accepted, in Unix time.
 	Accepted time.Duration
 	// SeenAt is when this process first received it.
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -201,6 +201,7 @@
 		Checkpoint: t.owner().Checkpoint, savedSeen: t.owner().savedSeen, Pace: 100, Task: t,
 	}
 	t.Runs = append(t.Runs, r)
+	t.Step.Running++
 	tr.runSet(executor)[r] = struct{}{}
 	return r
 }
@@ -241,6 +242,7 @@
 	t := r.Task
 	if i := slices.Index(t.Runs, r); i >= 0 {
 		t.Runs = slices.Delete(t.Runs, i, i+1)
+		t.Step.Running--
 	}
 	delete(tr.runs[r.Executor], r)
 	if len(tr.runs[r.Executor]) == 0 {
