leader: client accounts share pools by weight, and submissions beyond their share are refused

Cause: the decisions of jobs/share had no effect. Change: the leader takes a token for each submission, refuses excess ones for full pools that can't serve them in time (429 with the time of the next token, nothing stored, counted as cause "share"), orders jobs by shares, and counts loaded and leaderless jobs by their acceptance times.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -112,6 +112,7 @@
 	replanAt  map[string]time.Duration // by service
 	nextPlan  time.Duration
 	jobOrders map[string]*jobOrder // by service
+	shares    shareState
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
 	window       window.Window
 	windowLogged time.Duration
@@ -344,6 +345,7 @@
 	l.Meters.startLimit.Update(float64(l.window.Size()))
 	l.forgetEnded()
 	l.purgeAdvice()
+	l.forgetShares()
 	for key, m := range l.members {
 		if m.Contact == execs.Dead && len(l.tracker.RunsOn(key)) == 0 && !m.polling {
 			delete(l.members, key)
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -202,6 +202,7 @@
 	for _, j := range tr.Active() {
 		l.recordArrival(j)
 	}
+	l.loadShares()
 	l.reportCentreSizes()
 	l.ready, l.readyAt = true, l.now
 	if ev.heldAt > 0 {
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -21,7 +21,9 @@
 	ctx      context.Context
 	settings model.Queue
 	accepted time.Duration
-	reply    chan relay.Answer
+	// excess is set if the job is beyond the rate that its account is owed.
+	excess bool
+	reply  chan relay.Answer
 	// repeats are repeated submissions of the same job.
 	repeats []*submitRequest
 }
@@ -185,6 +187,9 @@
 		ev.answer(relay.Answer{Verdict: relay.Refused, Cause: "submission is larger than a record of the store"})
 		return
 	}
+	if !l.admit(ev) {
+		return
+	}
 	l.store.accepts = append(l.store.accepts, ev)
 }
 
@@ -202,6 +207,7 @@
 	}
 	spec.Account = ev.Account
 	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
+	l.countStored(j, ev.excess)
 	l.Meters.accepted.Inc(1)
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", spec.TaskCount()).Bool("lasts", spec.IsLongRunning()).Msg("job is accepted")
 	l.planDue[l.queueOf(j).Service] = true
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -168,7 +168,7 @@
 		}
 	}
 	for s, order := range stale {
-		order.jobs = assign.OrderJobs(order.jobs, l.queueOf, totalCores(members[s]), l.wall)
+		l.orderByShares(s, order, members[s])
 		l.jobOrders[s] = order
 	}
 	end := l.Clock.Now()
--- /dev/null
+++ b/internal/serve/leader/share.go
@@ -0,0 +1,217 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/share"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
+)
+
+const (
+	// removedWeight is the weight of an account that is not in the configuration: its jobs continue as
+	// those of an account of weight 1.
+	removedWeight = 1.0
+	// refusalQuiet is the time without a refusal after which an account counts as no longer refused. It is
+	// longer than the time between two tokens of most accounts, so that one flood is logged once.
+	refusalQuiet = 5 * time.Second
+)
+
+// shareState is the state of the client accounts' shares. It is lost with the leader: the next one starts
+// with full buckets, less the tokens of the jobs that it loads.
+type shareState struct {
+	buckets share.Buckets
+	claims  assign.Claims
+	loads   map[string]*share.Load // by service
+	// refusals are those of accounts with refused submissions lately.
+	refusals map[string]*refusal
+}
+
+// refusal is a time in which submissions of an account are refused.
+type refusal struct {
+	jobs int
+	last time.Duration
+}
+
+// accountOf returns the weight of an account, and whether it is in the configuration.
+func (l *Leader) accountOf(name string) (weight float64, isKnown bool) {
+	if c := l.Orders.Config(); c != nil {
+		if a := c.AccountByName(name); a != nil {
+			return a.Weight, true
+		}
+	}
+	return removedWeight, false
+}
+
+func (l *Leader) weightOf(name string) float64 {
+	w, _ := l.accountOf(name)
+	return w
+}
+
+// sharesApply reports whether submissions of an account count against its rate.
+func (l *Leader) sharesApply(account string) bool {
+	c := l.Orders.Config()
+	return account != "" && c != nil && c.ChecksKeys
+}
+
+// admit decides whether a submission is accepted, and refuses it if not. Nothing of a refused one is kept.
+// A submission of an account that this leader's configuration does not have is always accepted: the entry
+// may have a newer one.
+func (l *Leader) admit(ev *submitRequest) bool {
+	if !l.sharesApply(ev.Account) {
+		return true
+	}
+	weight, isKnown := l.accountOf(ev.Account)
+	load := l.shares.loads[ev.settings.Service]
+	if !isKnown {
+		load = nil
+	}
+	d := l.shares.buckets.Admit(ev.Account, weight, l.now, load, func(wait time.Duration) bool { return l.canWait(ev, wait) })
+	ev.excess = d.Excess
+	if d.Admitted {
+		return true
+	}
+	l.Meters.refuse("share")
+	l.recordRefusal(ev.Account)
+	// Entries pass the time on in whole milliseconds, and a token must be there when it has passed.
+	after := (d.RetryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
+	ev.answer(relay.Answer{Verdict: relay.Limited, RetryAfter: after, Cause: "account is beyond its share, and the service is at capacity"})
+	return false
+}
+
+// canWait reports whether a submitted job can meet its objective if it starts after a wait. Jobs that are not due
+// yet and long-running ones have no objective that the present backlog endangers.
+func (l *Leader) canWait(ev *submitRequest, wait time.Duration) bool {
+	if wait <= ev.settings.Objective {
+		return true
+	}
+	spec, err := platform.DecodeJob(ev.Body)
+	if err != nil || spec.IsLongRunning() || spec.Scheduled && spec.Start > l.wall {
+		return true
+	}
+	chain := spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })
+	return wait <= time.Duration((ev.settings.Slack-1)*float64(chain))+ev.settings.Objective
+}
+
+func (l *Leader) recordRefusal(account string) {
+	if l.shares.refusals == nil {
+		l.shares.refusals = map[string]*refusal{}
+	}
+	r := l.shares.refusals[account]
+	if r == nil {
+		r = &refusal{}
+		l.shares.refusals[account] = r
+		l.Log.Info().Str("account", account).Float64("weight", l.weightOf(account)).Msg("submissions of an account beyond its share are refused")
+	}
+	r.jobs++
+	r.last = l.now
+}
+
+// returnToken gives back the token of a submission that was not stored.
+func (l *Leader) returnToken(ev *submitRequest) {
+	if l.sharesApply(ev.Account) && !ev.excess {
+		l.shares.buckets.Return(ev.Account)
+	}
+}
+
+// countStored marks a stored job as excess if its submission was, and adds its work to the load of its pool.
+func (l *Leader) countStored(j *track.Job, isExcess bool) {
+	j.Excess = isExcess
+	if load := l.shares.loads[l.queueOf(j).Service]; load != nil {
+		load.Add(assign.WaitingWork(j))
+	}
+}
+
+// countUnasked takes the token of a job that was accepted without this leader, at the time when it was
+// accepted: a flood that other entries or leaders have accepted stays one.
+func (l *Leader) countUnasked(j *track.Job) {
+	if !l.sharesApply(j.Account) {
+		return
+	}
+	at := l.now - max(l.wall-j.Accepted, 0)
+	l.countStored(j, !l.shares.buckets.Take(j.Account, l.weightOf(j.Account), at))
+}
+
+// loadShares counts the jobs that this leader has loaded, in the order of their acceptance.
+func (l *Leader) loadShares() {
+	jobs := make([]*track.Job, 0, len(l.tracker.Active()))
+	for _, j := range l.tracker.Active() {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *track.Job) int {
+		return cmp.Or(cmp.Compare(a.Accepted, b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	for _, j := range jobs {
+		l.countUnasked(j)
+	}
+}
+
+// orderByShares sets the order in which the jobs of a service get capacity, and the load of its pool.
+func (l *Leader) orderByShares(service string, order *jobOrder, members []*execs.Member) {
+	cores := totalCores(members)
+	c := l.Orders.Config()
+	if c == nil || !c.ChecksKeys {
+		for _, j := range order.jobs {
+			j.Excess = false // the configuration has no accounts any more
+		}
+		order.jobs = assign.OrderJobs(order.jobs, l.queueOf, cores, l.wall)
+		return
+	}
+	l.settleExcess(order.jobs)
+	var used, usable, capacity model.Amount
+	for _, m := range members {
+		capacity = capacity.Plus(m.Capacity)
+		if m.CanAcceptTasks(l.now) {
+			used, usable = used.Plus(m.Used), usable.Plus(m.Capacity)
+		}
+	}
+	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity)
+	load := &share.Load{Cores: usable.Cores, Full: share.IsFull(used, usable), At: l.now}
+	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above)
+	if l.shares.loads == nil {
+		l.shares.loads = map[string]*share.Load{}
+	}
+	l.shares.loads[service] = load
+}
+
+// settleExcess makes the oldest excess job of each account a regular one if the account has tokens to spare.
+func (l *Leader) settleExcess(jobs []*track.Job) {
+	var oldest map[string]*track.Job
+	for _, j := range jobs {
+		if !j.Excess {
+			continue
+		}
+		if oldest == nil {
+			oldest = map[string]*track.Job{}
+		}
+		if o := oldest[j.Account]; o == nil || cmp.Or(cmp.Compare(j.Accepted, o.Accepted), cmp.Compare(j.ID, o.ID)) < 0 {
+			oldest[j.Account] = j
+		}
+	}
+	for account, j := range oldest {
+		j.Excess = !l.shares.buckets.TakeSpare(account, l.weightOf(account), l.now)
+	}
+}
+
+// forgetShares forgets full buckets, pools that are gone, and refusals that have ended.
+func (l *Leader) forgetShares() {
+	l.shares.buckets.Forget(l.now)
+	c := l.Orders.Config()
+	for service := range l.shares.loads {
+		if c == nil || c.Service(service) == nil {
+			delete(l.shares.loads, service)
+		}
+	}
+	for account, r := range l.shares.refusals {
+		if l.now > r.last+refusalQuiet {
+			delete(l.shares.refusals, account)
+			l.Log.Info().Str("account", account).Int("refused", r.jobs).Msg("submissions of an account are no longer refused")
+		}
+	}
+}
--- /dev/null
+++ b/internal/serve/leader/share_test.go
@@ -0,0 +1,140 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/scale"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+)
+
+const sharedBody = `{"phases":[{"count":4,"cpu":2000,"estimate_ms":400}]}`
+
+// newSharedLeader returns a leader whose configuration has the accounts "large" and "small", with one
+// executor of the service "s" that is full.
+func newSharedLeader(t *testing.T, tenants string) (*Leader, *member) {
+	t.Helper()
+	l, m, _ := newTestLeader(t)
+	l.Orders = newOrders(t)
+	assert.NilError(t, l.Orders.SetConfig([]byte(`{"version":1,"routes":[{"name":"q","service":"s","slack_factor":1.6,"target_runtime_ms":600}],"services":[{"name":"s"}]`+tenants+`}`)))
+	l.ready, l.wall = true, 1000*time.Second
+	l.Settings.Store.RecordBytes = 1 << 20
+	l.LastRenewal = func() time.Duration { return l.now }
+	l.tracker, l.jobOrders, l.leaderless = track.New(0), map[string]*jobOrder{}, map[string]leaderlessRecords{}
+	l.fleet.arrivals = map[string]*scale.Arrivals{}
+	m.Capacity, m.Used, m.Listed = model.Amount{Cores: 8000}, model.Amount{Cores: 8000}, true
+	return l, m
+}
+
+const twoAccounts = `,"tenants":[{"name":"large","api_keys":["k1"],"weight":10},{"name":"small","api_keys":["k2"],"weight":1}]`
+
+// submitAs submits a job and returns the answer, or nil if it is to be stored. It stores the job at once.
+func submitAs(l *Leader, account, id string) *relay.Answer {
+	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 2)}
+	l.onSubmit(ev)
+	select {
+	case a := <-ev.reply:
+		return &a
+	default:
+	}
+	for _, a := range l.store.accepts {
+		a.accepted = l.wall
+		l.onJobStored(a)
+	}
+	l.store.accepts = nil
+	return nil
+}
+
+func (l *Leader) orderNow(m *member) []*track.Job {
+	order := &jobOrder{}
+	for _, j := range l.tracker.Active() {
+		order.jobs = append(order.jobs, j)
+	}
+	l.orderByShares("s", order, []*execs.Member{&m.Member})
+	return order.jobs
+}
+
+// Guards against a refusal of a job within its account's share, a refusal after which something is kept, and a time to try
+// again at which the account has no token.
+func TestSubmissionsBeyondTheShareAreRefused(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	n := 0
+	submit := func(account string) *relay.Answer {
+		n++
+		return submitAs(l, account, fmt.Sprint(n))
+	}
+	for range 10 {
+		assert.Assert(t, submit("large") == nil)
+	}
+	assert.Assert(t, submit("large") == nil, "the backlog is not known yet")
+	l.orderNow(m)
+	jobs := l.tracker.Len()
+	a := submit("large")
+	assert.Assert(t, a != nil)
+	assert.Equal(t, a.Verdict, relay.Limited)
+	assert.Equal(t, a.RetryAfter, 100*time.Millisecond)
+	assert.Equal(t, l.tracker.Len(), jobs)
+	assert.Equal(t, len(l.store.accepts)+len(l.store.inFlight), 0)
+	assert.Assert(t, submit("small") == nil, "an account within its share")
+	assert.Assert(t, submit("") == nil, "a job without an account")
+	assert.Assert(t, submit("unknown") == nil, "an account that only the entry knows")
+	l.now += a.RetryAfter
+	assert.Assert(t, submit("large") == nil)
+	assert.Assert(t, submit("large") != nil)
+	l.now += time.Minute
+	l.forgetShares()
+	assert.Equal(t, l.shares.buckets.Len()+len(l.shares.refusals), 0)
+}
+
+// Guards against a token that is lost with a submission that the store did not take.
+func TestTokensOfUnsentSubmissionsAreReturned(t *testing.T) {
+	l, _ := newSharedLeader(t, twoAccounts)
+	for i := range 30 {
+		l.onSubmit(&submitRequest{Submission: relay.Submission{ID: fmt.Sprint(i), Queue: "q", Account: "small"}, reply: make(chan relay.Answer, 1)})
+		assert.Assert(t, !l.store.accepts[0].excess)
+		l.returnUnsent()
+	}
+}
+
+// Guards against a flood that a takeover makes one within its account's share, in the store or in leaderless records, and
+// against an excess job that stays one although its account has tokens to spare.
+func TestLoadedJobsAreCountedByTheirAcceptance(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	spec := model.JobSpec{Repeats: 1, Account: "small", Steps: []model.Step{{Count: 1, Estimate: time.Second}}}
+	for i := range 8 {
+		l.tracker.Accept(fmt.Sprint(i), model.Queue{Name: "q", Service: "s"}, spec, l.wall-time.Duration(8-i)*time.Millisecond, l.now)
+	}
+	l.loadShares()
+	excess := func() (ids string) {
+		for i := range 8 {
+			if l.tracker.Job(fmt.Sprint(i)).Excess {
+				ids += fmt.Sprint(i)
+			}
+		}
+		return ids
+	}
+	assert.Equal(t, excess(), "567")
+	l.orderNow(m)
+	assert.Equal(t, excess(), "567")
+	l.now += 5 * time.Second
+	l.orderNow(m)
+	assert.Equal(t, excess(), "67", "the oldest becomes a regular one")
+}
+
+// Guards against shares in deployments without accounts, also for records of accounts that were removed.
+func TestNoSharesWithoutAccounts(t *testing.T) {
+	l, m := newSharedLeader(t, "")
+	for i := range 100 {
+		assert.Assert(t, submitAs(l, "gone", fmt.Sprint(i)) == nil)
+	}
+	for _, j := range l.orderNow(m) {
+		assert.Assert(t, !j.Excess)
+	}
+	assert.Equal(t, l.shares.buckets.Len()+len(l.shares.loads), 0)
+}
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -280,6 +280,7 @@
 func (l *Leader) returnUnsent() {
 	s := &l.store
 	for _, a := range s.accepts {
+		l.returnToken(a)
 		a.answer(notLeaderAnswer)
 	}
 	for _, c := range s.cancels {
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -169,6 +169,7 @@
 	case rec.Spec != nil && l.tracker.Job(rec.ID) == nil:
 		j := l.tracker.Accept(rec.ID, rec.Settings, *rec.Spec, rec.Accepted, l.now)
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Msg("leaderless job is accepted")
+		l.countUnasked(j)
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
 	case rec.Cancelled:
