leader: submissions are refused for their share only after a read of leaderless records

Cause: a caller that was told that the outcome is not known may repeat its submission while an entry's leaderless record of the job is not read yet. The leader would have refused a job that runs. Change: such a submission is held until a read that was sent after it, at least 100 ms after the one before, and then decided as if it had just arrived. If the read fails it goes back to the entry. Run: go test -race ./internal/serve/leader; vet, gofmt, staticcheck.

--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -23,7 +23,10 @@
 	accepted time.Duration
 	// excess is set if the job is beyond the rate that its account is owed.
 	excess bool
-	reply  chan relay.Answer
+	// asked is when it was held, and checked is set once leaderless records were read since.
+	asked   time.Duration
+	checked bool
+	reply   chan relay.Answer
 	// repeats are repeated submissions of the same job.
 	repeats []*submitRequest
 }
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -21,6 +21,9 @@
 	// refusalQuiet is the time without a refusal after which an account counts as no longer refused. It is
 	// longer than the time between two tokens of most accounts, so that one flood is logged once.
 	refusalQuiet = 5 * time.Second
+	// refusalReadInterval is the least time between reads of leaderless records before refusals. Each read is
+	// charged, and callers wait this long for a refusal at most, besides the read.
+	refusalReadInterval = 100 * time.Millisecond
 )
 
 // shareState is the state of the client accounts' shares. It is lost with the leader: the next one starts
@@ -31,6 +34,8 @@
 	loads   map[string]*share.Load // by service
 	// refusals are those of accounts with refused submissions lately.
 	refusals map[string]*refusal
+	// held are submissions that are refused unless the next read of leaderless records has their jobs.
+	held []*submitRequest
 }
 
 // refusal is a time in which submissions of an account are refused.
@@ -77,6 +82,14 @@
 	if d.Admitted {
 		return true
 	}
+	if !ev.checked {
+		// Its caller may repeat it after an answer that the outcome is not known, and an entry may have stored the
+		// job without this leader: a refusal would not be true.
+		ev.asked = l.now
+		l.shares.held = append(l.shares.held, ev)
+		l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
+		return false
+	}
 	l.Meters.refuse("share")
 	l.recordRefusal(ev.Account)
 	// Entries pass the time on in whole milliseconds, and a token must be there when it has passed.
@@ -85,6 +98,28 @@
 	return false
 }
 
+// decideHeld decides about the held submissions that arrived before the last read of leaderless records.
+func (l *Leader) decideHeld() {
+	held := l.shares.held
+	l.shares.held = nil
+	for _, ev := range held {
+		if ev.asked > l.leaderlessTail.lastRead {
+			l.shares.held = append(l.shares.held, ev)
+			continue
+		}
+		ev.checked = true
+		l.onSubmit(ev)
+	}
+}
+
+// returnHeld returns the held submissions to the entries that sent them, which store the jobs themselves.
+func (l *Leader) returnHeld() {
+	for _, ev := range l.shares.held {
+		ev.answer(notLeaderAnswer)
+	}
+	l.shares.held = nil
+}
+
 // canWait reports whether a submitted job can meet its objective if it starts after a wait. Jobs that are not due
 // yet and long-running ones have no objective that the present backlog endangers.
 func (l *Leader) canWait(ev *submitRequest, wait time.Duration) bool {
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/scale"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
 )
 
 const sharedBody = `{"phases":[{"count":4,"cpu":2000,"estimate_ms":400}]}`
@@ -34,10 +36,15 @@
 
 const twoAccounts = `,"tenants":[{"name":"large","api_keys":["k1"],"weight":10},{"name":"small","api_keys":["k2"],"weight":1}]`
 
-// submitAs submits a job and returns the answer, or nil if it is to be stored. It stores the job at once.
-func submitAs(l *Leader, account, id string) *relay.Answer {
+// submitAs submits a job and returns the answer, or nil if it is to be stored. It stores the job at once. A read of leaderless
+// records before a refusal returns some.
+func submitAs(l *Leader, account, id string, records ...platform.Record) *relay.Answer {
 	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 2)}
 	l.onSubmit(ev)
+	if len(l.shares.held) > 0 {
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{records: records})
+	}
 	select {
 	case a := <-ev.reply:
 		return &a
@@ -92,6 +99,23 @@
 	assert.Equal(t, l.shares.buckets.Len()+len(l.shares.refusals), 0)
 }
 
+// Guards against a refusal of a job that an entry has stored without the leader, which runs.
+func TestStoredJobsAreNotRefused(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	r := track.LeaderlessJobRecord("stored", model.Queue{Name: "q", Service: "s"}, "small", []byte(sharedBody), l.wall)
+	a := submitAs(l, "small", "stored", platform.Record{Key: r.Key, Value: r.Value})
+	assert.Equal(t, a.Verdict, relay.Stored)
+	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.Limited)
+	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 1)}
+	l.onSubmit(ev)
+	l.onLeaderless(leaderlessRead{err: errors.New("store is down")})
+	assert.Equal(t, (<-ev.reply).Verdict, relay.NotLeader)
+}
+
 // Guards against a token that is lost with a submission that the store did not take.
 func TestTokensOfUnsentSubmissionsAreReturned(t *testing.T) {
 	l, _ := newSharedLeader(t, twoAccounts)
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -144,6 +144,7 @@
 	for _, c := range unread {
 		l.onCancel(c)
 	}
+	l.decideHeld()
 }
 
 // returnUnread returns the cancels of jobs that are not known to the entries that sent them, which
@@ -153,6 +154,7 @@
 		c.reply <- relay.NotLeader
 	}
 	l.unread = nil
+	l.returnHeld()
 }
 
 // applyLeaderless applies a leaderless record: a job or a cancel.
