--- a/internal/jobs/assign/flood_test.go
+++ b/internal/jobs/assign/flood_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -88,7 +89,7 @@
 	}
 	oldest := map[string]*track.Job{}
 	for _, j := range jobs {
-		if o := oldest[j.Account]; j.Excess && (o == nil || j.Accepted < o.Accepted) {
+		if o := oldest[j.Account]; j.Excess && (o == nil || cmp.Or(cmp.Compare(j.Accepted, o.Accepted), cmp.Compare(j.ID, o.ID)) < 0) {
 			oldest[j.Account] = j
 		}
 	}
@@ -217,8 +218,8 @@
 			return d
 		}
 		a, b, c, e := play(1, false), play(hot, false), play(1, true), play(hot, true)
-		t.Logf("seed %d, %.1f times the usual: worst tenth %.3f, without the hot account %.3f; before shares %.3f and %.3f; hot account sent %d, in time %d, refused %d times",
-			seed, hot, b.worstTenth(), a.worstTenth(), e.worstTenth(), c.worstTenth(), b.sent["account00"], b.inTime["account00"], b.refused["account00"])
+		t.Logf("seed %d, %.1f times the usual: worst tenth %.3f, without the hot account %.3f; before shares %.3f and %.3f; hot account sent %d, in time %d, refused %d times; came back with a token %d, without %d",
+			seed, hot, b.worstTenth(), a.worstTenth(), e.worstTenth(), c.worstTenth(), b.sent["account00"], b.inTime["account00"], b.refused["account00"], b.retried, b.early)
 		assert.Assert(t, b.retried > 0)
 		calm, flood = calm+a.worstTenth()/seeds, flood+b.worstTenth()/seeds
 		formerCalm, formerFlood = formerCalm+c.worstTenth()/seeds, formerFlood+e.worstTenth()/seeds
--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -89,7 +89,7 @@
 	for {
 		var next *track.Run
 		for run, at := range h.ends {
-			if at <= until && (next == nil || at < h.ends[next]) {
+			if at <= until && (next == nil || at < h.ends[next] || at == h.ends[next] && run.Task.ID.String() < next.Task.ID.String()) {
 				next = run
 			}
 		}
