--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -205,6 +205,7 @@
 		Checkpoint: t.owner().Checkpoint, savedSeen: t.owner().savedSeen, Pace: 100, Task: t,
 	}
 	t.Runs = append(t.Runs, r)
+	t.Step.Running++
 	tr.runSet(executor)[r] = struct{}{}
 	tr.usage.RunBegins(t.Step)
 	return r
@@ -246,6 +247,7 @@
 	t := r.Task
 	if i := slices.Index(t.Runs, r); i >= 0 {
 		t.Runs = slices.Delete(t.Runs, i, i+1)
+		t.Step.Running--
 		tr.usage.RunEnded(t.Step)
 	}
 	delete(tr.runs[r.Executor], r)
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -21,7 +21,12 @@
 	ctx      context.Context
 	settings model.Queue
 	accepted time.Duration
-	reply    chan relay.Answer
+	// excess is set if the job is beyond the rate that its account is owed.
+	excess bool
+	// asked is when it was held, and checked is set once leaderless records were read since.
+	asked   time.Duration
+	checked bool
+	reply   chan relay.Answer
 	// refusal is why its account's limit refuses it, empty if it does not.
 	refusal string
 	// repeats are repeated submissions of the same job.
@@ -194,6 +199,9 @@
 		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: ev.refusal})
 		return
 	}
+	if !l.admit(ev) {
+		return
+	}
 	l.store.accepts = append(l.store.accepts, ev)
 }
 
@@ -211,6 +219,7 @@
 	}
 	spec.Account = ev.Account
 	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
+	l.countStored(j, ev.excess)
 	l.Meters.accepted.Inc(1)
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", spec.TaskCount()).Bool("lasts", spec.IsLongRunning()).Msg("job is accepted")
 	l.planDue[l.queueOf(j).Service] = true
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -144,6 +144,7 @@
 	for _, c := range unread {
 		l.onCancel(c)
 	}
+	l.decideHeld()
 }
 
 // returnUnread returns the cancels of jobs that are not known to the entries that sent them, which
@@ -153,6 +154,7 @@
 		c.reply <- relay.NotLeader
 	}
 	l.unread = nil
+	l.returnHeld()
 }
 
 // applyLeaderless applies a leaderless record: a job or a cancel.
@@ -169,6 +171,7 @@
 	case rec.Spec != nil && l.tracker.Job(rec.ID) == nil:
 		j := l.tracker.Accept(rec.ID, rec.Settings, *rec.Spec, rec.Accepted, l.now)
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Msg("leaderless job is accepted")
+		l.countUnasked(j)
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
 	case rec.Cancelled:
