--- a/_scripts/test.sh
+++ b/_scripts/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs all tests with the race detector and with a fixed seed for property tests, except
-# the tests listed in KNOWN-RED.txt. Arguments are passed on to go test.
+# the tests listed in KNOWN-RED.txt. Arguments are passed on to go test. The tests of
+# internal/proof/crowd measure the memory of processes and run after all others, by themselves.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -16,9 +17,11 @@
 find='{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{"\n"}}{{end}}'
 uses="{{range .TestImports}}$find{{end}}{{range .XTestImports}}$find{{end}}"
 mapfile -t seeded < <(go list -f "$uses" ./... | grep . | sort -u)
-mapfile -t plain < <(go list ./... | grep -vxF "$(printf '%s\n' "${seeded[@]}")")
+crowd=$(go list ./internal/proof/crowd)
+mapfile -t plain < <(go list ./... | grep -vxF "$(printf '%s\n' "${seeded[@]}" "$crowd")")
 
 status=0
 go test "${opts[@]}" "$@" "${seeded[@]}" -rapid.seed=1 || status=1
 go test "${opts[@]}" "$@" "${plain[@]}" || status=1
+go test "${opts[@]}" "$@" "$crowd" || status=1
 exit "$status"
