serve/guard: budgets for connections, unfinished requests, decoding and accepted jobs

Change: serve/guard wraps the listeners of all four ports of an entry. A connection counts the bytes received since the last answer; when the sum exceeds the budget, those that hold the most are closed, stalled ones first; when a port has too many connections, the one idle for longest is closed. Calls between entries report whole messages (peers.WithMessageMarks; `serve` does not use it). serve/front reads bodies into a buffer that grows with what arrived, answers announced bodies over the limit at once, refuses with 503 and Retry-After when whole requests use up their part, and limits how much is decoded at the same time. The leader estimates the memory of a job and answers relay.Refused with Retry-After beyond its part of the memory. golang.org/x/sync is used for the weighted semaphore.

--- a/cmd/chervilgauge/cmds/agent.go
+++ b/cmd/chervilgauge/cmds/agent.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"os"
@@ -11,6 +12,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/serve/agent"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/watch/logs"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -51,7 +53,7 @@
 		return err
 	}
 	debug.SetGCPercent(followerGCPercent)
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory<<20)))
+	debug.SetMemoryLimit(int64(memoryLimitShare * float64(cmp.Or(settings.Memory, guard.DefaultMemory)<<20)))
 	sink := logs.NewSink(e.out)
 	defer sink.Close()
 	log := logs.New(sink, "", settings.Node)
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -19,6 +19,7 @@
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/serve/front"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/serve/lead"
 	"chervilgauge.example/chervilgauge/internal/serve/leader"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
@@ -56,6 +57,7 @@
 	orders       *orders.Orders
 	elector      *lead.Elector
 	peerServer   *peers.Server
+	guard        *guard.Guard
 	front        *front.Server
 	readyServer  *http.Server
 	readyDone    chan error
@@ -138,6 +140,7 @@
 	a.execs = proxy.New(ctx, a.client, a.clk, log, settings.Node, a.peerClient.OpenProxy)
 	a.meter = meter.New(settings.Node)
 	a.meters = leader.NewMeters(a.meter.Scope())
+	a.guard = guard.New(ctx, guard.NewLimits(settings.Memory, settings.MaxDescriptors), a.clk, a.meter.Scope())
 	addr := net.JoinHostPort(settings.IP, strconv.Itoa(settings.Peers.First))
 	var listeners [3]net.Listener
 	for i, at := range []string{settings.Front, settings.Ready, addr} {
@@ -152,14 +155,14 @@
 	rank := elect.Rank(settings.Cores)
 	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.onDigest)
 	var err error
-	if a.peerServer, err = relay.Serve(ctx, a.traffic.Listener(links.Entries, listeners[2]), (*peerHandler)(a), peers.WithLog(log)); err != nil {
+	if a.peerServer, err = relay.Serve(ctx, a.guard.Listener(guard.Entries, a.traffic.Listener(links.Entries, listeners[2])), (*peerHandler)(a), peers.WithLog(log), peers.WithMessageMarks()); err != nil {
 		cancel()
 		return nil, Err.Wrap(err)
 	}
 	a.register(ctx, addr, rank)
-	a.front = front.Serve(a.traffic.Listener(links.Callers, listeners[0]), a, log)
-	a.readyServer = &http.Server{Handler: http.HandlerFunc(a.readyz), ReadHeaderTimeout: time.Second}
-	go func() { a.readyDone <- a.readyServer.Serve(listeners[1]) }()
+	a.front = front.Serve(a.guard.Listener(guard.Callers, a.traffic.Listener(links.Callers, listeners[0])), a, log, front.WithGuard(a.guard))
+	a.readyServer = newAuxServer(http.HandlerFunc(a.readyz))
+	go func() { a.readyDone <- a.readyServer.Serve(a.guard.Listener(guard.Readiness, listeners[1])) }()
 	if err := a.serveMetrics(); err != nil {
 		// The entry serves callers even if its metrics can't be served.
 		log.Error().Err(err).Int("port", a.metricsPort).Msg("metrics are not served")
@@ -194,8 +197,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", a.meter.Handler())
-	a.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { a.metricsDone <- a.metricsServer.Serve(lis) }()
+	a.metricsServer = newAuxServer(mux)
+	go func() { a.metricsDone <- a.metricsServer.Serve(a.guard.Listener(guard.Metrics, lis)) }()
 	return nil
 }
 
@@ -399,6 +402,7 @@
 	<-a.registered
 	a.announcing.Wait()
 	a.watcher.Close()
+	a.guard.Close()
 	a.elector.Close()
 	a.execs.Close()
 	a.orders.Close()
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -228,6 +228,10 @@
 // Submit stores a job if this entry leads.
 func (h *peerHandler) Submit(ctx context.Context, s relay.Submission) relay.Answer {
 	if l := h.agent().localLeader(); l != nil {
+		if h.guard.IsFull() {
+			h.guard.Refuse("leader")
+			return memoryAnswer
+		}
 		return l.Submit(ctx, s)
 	}
 	return relay.Answer{Verdict: relay.NotLeader}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -73,15 +73,21 @@
 type handler struct {
 	jobs Jobs
 	log  zerolog.Logger
+	// guard limits the memory for bodies, nil for no limit.
+	guard *guard.Guard
 	// draining reports whether each connection is closed after its next response.
 	draining atomic.Bool
 }
 
 // Serve starts to serve callers on a listener, until Close or CloseNow.
-func Serve(lis net.Listener, j Jobs, log zerolog.Logger) *Server {
+func Serve(lis net.Listener, j Jobs, log zerolog.Logger, opts ...Option) *Server {
 	h := &handler{jobs: j, log: log}
+	for _, o := range opts {
+		o(h)
+	}
 	s := &Server{h: h, done: make(chan error, 1), srv: &http.Server{
 		Handler: h.router(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConn,
 	}}
 	go func() { s.done <- s.srv.Serve(lis) }()
 	return s
@@ -139,6 +145,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callerTimeout(r))
 	defer cancel()
+	if r.Method != http.MethodPost {
+		markComplete(r)
+	}
 	switch {
 	case id == "" && r.Method == http.MethodGet:
 		h.pending(c, q)
@@ -183,13 +192,8 @@
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, min(limit, maxBodyLimit)))
-	if err != nil {
-		h.writeError(c, http.StatusBadRequest, id, "the body can't be read: "+err.Error(), 0)
-		return
-	}
-	if _, err := platform.DecodeJob(body); err != nil {
-		h.writeError(c, http.StatusBadRequest, id, err.Error(), 0)
+	body, ok := h.readBody(c, id, min(limit, maxBodyLimit))
+	if !ok || !h.checkJob(ctx, c, id, body) {
 		return
 	}
 	a := h.jobs.Submit(ctx, relay.Submission{ID: id, Queue: q.Name, Body: body}, q)
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -106,6 +106,7 @@
 	leaderless     map[string]leaderlessRecords // by the ID of their job
 	purging        bool                         // a deletion of leaderless records is in flight
 	unread         []*cancelRequest             // cancels that wait for the next read of leaderless records
+	memory         jobMemory
 
 	deferred  []event // requests that arrived before the state was loaded
 	planDue   map[string]bool
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -21,7 +21,9 @@
 	ctx      context.Context
 	settings model.Queue
 	accepted time.Duration
-	reply    chan relay.Answer
+	// bytes is an estimate of the memory that the job takes.
+	bytes int64
+	reply chan relay.Answer
 	// repeats are repeated submissions of the same job.
 	repeats []*submitRequest
 }
@@ -84,7 +86,7 @@
 // Submit stores a job. The verdict is Stored once the job is stored, NotLeader if this leader has
 // not handled it, and Unknown if the outcome is not known.
 func (l *Leader) Submit(ctx context.Context, s relay.Submission) relay.Answer {
-	ev := &submitRequest{Submission: s, ctx: ctx, reply: make(chan relay.Answer, 1)}
+	ev := &submitRequest{Submission: s, ctx: ctx, bytes: bodyBytes(s.Body), reply: make(chan relay.Answer, 1)}
 	if !l.send(ctx, ev) {
 		return notLeaderAnswer
 	}
@@ -185,6 +187,11 @@
 		ev.answer(relay.Answer{Verdict: relay.Refused, Cause: "submission is larger than a record of the store"})
 		return
 	}
+	if !l.hasMemory(ev.bytes) {
+		l.Meters.refuse("memory")
+		ev.answer(relay.Answer{Verdict: relay.Refused, RetryAfter: memoryRetry, Cause: "leader has no memory for another job"})
+		return
+	}
 	l.store.accepts = append(l.store.accepts, ev)
 }
 
@@ -202,6 +209,7 @@
 	}
 	spec.Account = ev.Account
 	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
+	l.memory.add(j)
 	l.Meters.accepted.Inc(1)
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", spec.TaskCount()).Bool("lasts", spec.IsLongRunning()).Msg("job is accepted")
 	l.planDue[l.queueOf(j).Service] = true
--- /dev/null
+++ b/internal/serve/peers/mark.go
@@ -0,0 +1,113 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcserver"
+)
+
+// Marked is a connection that is told when a whole message has been received on it and when the message
+// is not held any more.
+type Marked interface {
+	MarkComplete()
+	// Consume reports the end of a message of n bytes.
+	Consume(n int)
+}
+
+// WithMessageMarks makes a Server without TLS report the messages on connections that implement Marked.
+func WithMessageMarks() Option { return func(o *options) { o.marksMessages = true } }
+
+// acceptPause is the time between attempts to accept connections after a failure, such as a lack of
+// descriptors.
+const acceptPause = 100 * time.Millisecond
+
+// serveMarked serves connections until the context ends, and then waits for them. The library's own loop
+// does not tell a handler which connection a call came on.
+func serveMarked(ctx context.Context, lis net.Listener, h traceExtractor) error {
+	tracker := drpcctx.NewTracker(ctx)
+	defer tracker.Wait()
+	defer tracker.Cancel()
+	tracker.Run(func(ctx context.Context) {
+		<-ctx.Done()
+		_ = lis.Close() // it may be closed already
+	})
+	srv := drpcserver.New(markingHandler{h})
+	for {
+		conn, err := lis.Accept()
+		switch {
+		case err == nil:
+			tracker.Run(func(ctx context.Context) {
+				_ = srv.ServeOne(drpcctx.WithTransport(ctx, conn), conn) // a broken connection is its caller's concern
+			})
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return err
+		default:
+			select {
+			case <-time.After(acceptPause):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// markingHandler reports the messages of calls to their connections.
+type markingHandler struct{ drpc.Handler }
+
+// HandleRPC handles one call.
+func (h markingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	tr, _ := drpcctx.Transport(stream.Context())
+	m, ok := tr.(Marked)
+	if !ok {
+		return h.Handler.HandleRPC(stream, rpc)
+	}
+	s := &markingStream{Stream: stream, conn: m}
+	defer s.consume()
+	return h.Handler.HandleRPC(s, rpc)
+}
+
+// markingStream is the stream of a call. Its last message counts as held until the next one is requested or
+// the call ends.
+type markingStream struct {
+	drpc.Stream
+	conn Marked
+	// size is the size of the last message, and received is set while it is held.
+	size     int
+	received bool
+}
+
+// MsgRecv receives a message.
+func (s *markingStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
+	s.consume()
+	if err := s.Stream.MsgRecv(msg, sizingEncoding{enc, s}); err != nil {
+		return err
+	}
+	s.received = true
+	s.conn.MarkComplete()
+	return nil
+}
+
+func (s *markingStream) consume() {
+	if s.received {
+		s.received = false
+		s.conn.Consume(s.size)
+	}
+}
+
+// sizingEncoding records the sizes of the messages that it decodes.
+type sizingEncoding struct {
+	drpc.Encoding
+	stream *markingStream
+}
+
+// Unmarshal decodes a message.
+func (e sizingEncoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	e.stream.size = len(buf)
+	return e.Encoding.Unmarshal(buf, msg)
+}
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -41,13 +41,18 @@
 }
 
 // Option configures a Server.
-type Option func(*traceExtractor)
+type Option func(*options)
+
+type options struct {
+	traceExtractor
+	marksMessages bool
+}
 
 // WithTracer writes a span for each call that carries a trace context.
-func WithTracer(t trace.Tracer) Option { return func(h *traceExtractor) { h.tracer = t } }
+func WithTracer(t trace.Tracer) Option { return func(h *options) { h.tracer = t } }
 
 // WithLog logs the calls whose handlers panic.
-func WithLog(log zerolog.Logger) Option { return func(h *traceExtractor) { h.log = log } }
+func WithLog(log zerolog.Logger) Option { return func(h *options) { h.log = log } }
 
 // Serve accepts connections until Close. A nil TLS configuration means plain TCP. Errors are of
 // class Err.
@@ -66,11 +71,15 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &Server{cancel: cancel, done: make(chan error, 1)}
-	traced := traceExtractor{Handler: mux, tracer: noop.NewTracerProvider().Tracer("peers")}
-	for _, o := range opts {
-		o(&traced)
+	o := options{traceExtractor: traceExtractor{Handler: mux, tracer: noop.NewTracerProvider().Tracer("peers")}}
+	for _, set := range opts {
+		set(&o)
+	}
+	if o.marksMessages {
+		go func() { s.done <- serveMarked(ctx, lis, o.traceExtractor) }()
+		return s
 	}
-	srv := drpcserver.New(traced)
+	srv := drpcserver.New(o.traceExtractor)
 	go func() { s.done <- srv.Serve(ctx, lis) }()
 	return s
 }
