--- a/internal/serve/agent/guard.go
+++ b/internal/serve/agent/guard.go
@@ -18,6 +18,8 @@
 	auxIdleTimeout = 90 * time.Second
 	// auxHeaderBytes bounds a header there.
 	auxHeaderBytes = 4 << 10
+	// largeJobRetry is the Retry-After time of a large job without a leader: a takeover takes some 2 s.
+	largeJobRetry = 3 * time.Second
 )
 
 // newAuxServer returns a server for the readiness or the metrics.
@@ -30,3 +32,13 @@
 
 // memoryAnswer is the answer to a submission of another entry that the leader has no memory for.
 var memoryAnswer = relay.Answer{Verdict: relay.Refused, RetryAfter: guard.RetryAfter, Cause: "leader has no memory for another request"}
+
+// largeJobAnswer is the answer to the submission of a large job that no leader has decided on. It is not stored
+// without the leader: the next one would have to load it, and several of them can exceed its memory.
+func largeJobAnswer(notRun bool) relay.Answer {
+	a := relay.Answer{Verdict: relay.Unknown, RetryAfter: largeJobRetry, Cause: "the leader has not answered for a large job"}
+	if notRun {
+		a.Verdict = relay.Refused
+	}
+	return a
+}
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -69,6 +69,9 @@
 			break
 		}
 	}
+	if leader.IsLargeJob(s.Body) {
+		return largeJobAnswer(notRun)
+	}
 	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
 	return a.storeLeaderless(ctx, track.LeaderlessJobRecord(s.ID, *q, s.Account, s.Body, wall), notRun)
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -37,6 +37,9 @@
 	return estimateBytes(s.Steps, s.Tasks, len(body))
 }
 
+// IsLargeJob reports whether the body of a submission describes a job that counts as large.
+func IsLargeJob(body []byte) bool { return bodyBytes(body) > largeJobBytes }
+
 // jobMemory counts the memory that active jobs take.
 type jobMemory struct {
 	// perOccurrence is the estimate of each job with one open occurrence.
