--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -99,8 +99,15 @@
 			break
 		}
 	}
-	if cause := leader.LimitRefusal(a.Config(), s.Account, s.Body); cause != "" {
-		return refusalAfter(relay.Answer{Verdict: relay.Limited, Cause: cause}, *notRun)
+	limited, ok := leader.LimitRefusal(ctx, a.guard, a.Config(), s.Account, s.Body)
+	switch {
+	case !ok:
+		return refusalAfter(memoryAnswer, *notRun)
+	case limited != "":
+		return refusalAfter(relay.Answer{Verdict: relay.Limited, Cause: limited}, *notRun)
+	}
+	if leader.IsLargeJob(s.Body) {
+		return largeJobAnswer(*notRun)
 	}
 	a.log.Info().Err(cause).Str("job", s.ID).Str("queue", s.Queue).Msg("job is stored without the leader")
 	wall := time.Duration(a.clk.Wall().UnixNano())
@@ -273,6 +280,10 @@
 // Submit stores a job if this entry leads.
 func (h *peerHandler) Submit(ctx context.Context, s relay.Submission) relay.Answer {
 	if l := h.agent().localLeader(); l != nil {
+		if h.guard.IsFull() {
+			h.guard.Refuse("leader")
+			return memoryAnswer
+		}
 		return l.Submit(ctx, s)
 	}
 	return relay.Answer{Verdict: relay.NotLeader}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -75,6 +75,8 @@
 type handler struct {
 	jobs Jobs
 	log  zerolog.Logger
+	// guard limits the memory for bodies, nil for no limit.
+	guard *guard.Guard
 	// draining reports whether each connection is closed after its next response.
 	draining atomic.Bool
 	// stale reports whether the view was too old for the last call that was checked.
@@ -87,6 +89,7 @@
 	h := newHandler(j, log, opts...)
 	s := &Server{h: h, done: make(chan error, 1), srv: &http.Server{
 		Handler: h.router(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConn,
 	}}
 	go func() { s.done <- s.srv.Serve(lis) }()
 	return s
@@ -148,6 +151,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callerTimeout(r))
 	defer cancel()
+	if r.Method != http.MethodPost {
+		markComplete(r)
+	}
 	switch {
 	case id == "" && r.Method == http.MethodGet:
 		h.pending(c, q)
@@ -192,13 +198,8 @@
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, min(limit, maxBodyLimit)))
-	if err != nil {
-		h.writeError(c, http.StatusBadRequest, id, "the body can't be read: "+err.Error(), 0)
-		return
-	}
-	if _, err := platform.DecodeJob(body); err != nil {
-		h.writeError(c, http.StatusBadRequest, id, err.Error(), 0)
+	body, ok := h.readBody(c, id, min(limit, maxBodyLimit))
+	if !ok || !h.checkJob(ctx, c, id, body) {
 		return
 	}
 	// The key may have been removed while the body arrived.
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -16,6 +16,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/jobs/window"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/internal/serve/proxy"
 	"chervilgauge.example/chervilgauge/platform"
@@ -56,6 +57,8 @@
 	Clock    clock.Clock
 	Log      zerolog.Logger
 	Meters   *Meters
+	// Guard bounds the memory for decoding, nil for no limit.
+	Guard *guard.Guard
 	// LastRenewal returns when the last successful renewal of the leader lease was sent.
 	LastRenewal func() time.Duration
 	// HasSentResignation reports whether a resignation was sent. It is nil for a leader that never
@@ -106,6 +109,7 @@
 	leaderless     map[string]leaderlessRecords // by the ID of their job
 	purging        bool                         // a deletion of leaderless records is in flight
 	unread         []*cancelRequest             // cancels that wait for the next read of leaderless records
+	memory         jobMemory
 
 	deferred  []event // requests that arrived before the state was loaded
 	planDue   map[string]bool
--- a/internal/serve/leader/quota.go
+++ b/internal/serve/leader/quota.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"context"
+
 	"slices"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
@@ -8,6 +10,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/quota"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
@@ -203,20 +206,26 @@
 }
 
 // LimitRefusal returns why a job is refused because of its account's limit, or an empty string: a task or
-// a gang needs more than the limit, and could never start.
-func LimitRefusal(c *model.Config, account string, body []byte) string {
+// a gang needs more than the limit, and could never start. It returns false if there is no memory to decode
+// the body.
+func LimitRefusal(ctx context.Context, g *guard.Guard, c *model.Config, account string, body []byte) (string, bool) {
 	if c == nil {
-		return ""
+		return "", true
 	}
 	a := c.AccountByName(account)
 	if a == nil || !a.IsLimited() {
-		return ""
+		return "", true
+	}
+	release, ok := g.Decode(ctx, body)
+	if !ok {
+		return "", false
 	}
+	defer release()
 	spec, err := platform.DecodeJob(body)
 	if err != nil {
-		return "" // the entry that received the job has checked it
+		return "", true // the entry that received the job has checked it
 	}
-	return quota.Refusal(a, spec.Steps)
+	return quota.Refusal(a, spec.Steps), true
 }
 
 // isAtLimit reports whether a step could start but for its account's limit.
--- a/internal/serve/leader/quota_test.go
+++ b/internal/serve/leader/quota_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -187,7 +188,7 @@
 	} {
 		for account, limited := range map[string]bool{"a": refused, "": false, "unknown": false} {
 			s := &submitRequest{Submission: relay.Submission{ID: "0123456789abcdef", Queue: "q", Account: account, Body: []byte(body)}, reply: make(chan relay.Answer, 1)}
-			s.refusal = LimitRefusal(l.Orders.Config(), s.Account, s.Body)
+			s.refusal, _ = LimitRefusal(context.Background(), nil, l.Orders.Config(), s.Account, s.Body)
 			l.store.accepts = nil
 			l.onSubmit(s)
 			assert.Equal(t, len(l.store.accepts) == 0, limited, body)
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -13,6 +13,7 @@
 var (
 	notLeaderAnswer = relay.Answer{Verdict: relay.NotLeader}
 	unknownAnswer   = relay.Answer{Verdict: relay.Unknown, Cause: "outcome of the append is not known"}
+	noMemoryAnswer  = relay.Answer{Verdict: relay.Refused, RetryAfter: memoryRetry, Cause: "leader has no memory for another job"}
 )
 
 // submitRequest is the submission of a job that is to be stored.
@@ -29,6 +30,8 @@
 	reply   chan relay.Answer
 	// refusal is why its account's limit refuses it, empty if it does not.
 	refusal string
+	// bytes is an estimate of the memory that the job takes.
+	bytes int64
 	// repeats are repeated submissions of the same job.
 	repeats []*submitRequest
 }
@@ -91,9 +94,13 @@
 // Submit stores a job. The verdict is Stored once the job is stored, NotLeader if this leader has
 // not handled it, and Unknown if the outcome is not known.
 func (l *Leader) Submit(ctx context.Context, s relay.Submission) relay.Answer {
-	ev := &submitRequest{Submission: s, ctx: ctx, reply: make(chan relay.Answer, 1)}
+	ev := &submitRequest{Submission: s, ctx: ctx, bytes: bodyBytes(s.Body), reply: make(chan relay.Answer, 1)}
 	// A large body takes milliseconds to decode, which the control goroutine must not spend.
-	ev.refusal = LimitRefusal(l.Orders.Config(), s.Account, s.Body)
+	ok := false
+	if ev.refusal, ok = LimitRefusal(ctx, l.Guard, l.Orders.Config(), s.Account, s.Body); !ok {
+		l.Meters.refuse("memory")
+		return noMemoryAnswer
+	}
 	if !l.send(ctx, ev) {
 		return notLeaderAnswer
 	}
@@ -199,6 +206,11 @@
 		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: ev.refusal})
 		return
 	}
+	if !l.hasMemory(ev.bytes) {
+		l.Meters.refuse("memory")
+		ev.answer(noMemoryAnswer)
+		return
+	}
 	if !l.admit(ev) {
 		return
 	}
@@ -220,6 +232,7 @@
 	spec.Account = ev.Account
 	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
 	l.countStored(j, ev.excess)
+	l.memory.add(j)
 	l.Meters.accepted.Inc(1)
 	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", spec.TaskCount()).Bool("lasts", spec.IsLongRunning()).Msg("job is accepted")
 	l.planDue[l.queueOf(j).Service] = true
