leader: only a leader that can have no successor yet refuses a submission for its share

Cause: after a resignation this leader still answers until its lease ends, while the next one may have accepted the same job for a caller that repeats it. The refusal said that the job never runs. Change: a submission that would be refused then goes back to its entry. Run: go test -run TestOnlyTheSole ./internal/serve/leader, red before, green after.

--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -90,6 +90,12 @@
 		l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
 		return false
 	}
+	if !l.isSole() {
+		// Another entry may have claimed since, and have accepted the job for a caller that repeats it.
+		l.Meters.refuse("store")
+		ev.answer(notLeaderAnswer)
+		return false
+	}
 	l.Meters.refuse("share")
 	l.recordRefusal(ev.Account)
 	// Entries pass the time on in whole milliseconds, and a token must be there when it has passed.
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -162,3 +162,17 @@
 	}
 	assert.Equal(t, l.shares.buckets.Len()+len(l.shares.loads), 0)
 }
+
+// Guards against a refusal of a job that the next leader has accepted: after a resignation the lease still allows this leader
+// to act, but another entry may have claimed while the submission was held.
+func TestOnlyTheSoleLeaderRefuses(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	assert.Equal(t, submitAs(l, "small", "refused").Verdict, relay.Limited)
+	l.HasSentResignation = func() bool { return true }
+	assert.Assert(t, l.isValid())
+	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.NotLeader)
+}
