leader: a job whose first submission was abandoned is not refused

Cause: an entry that stops waiting for the leader stores the job itself, possibly after the read of leaderless records that precedes a refusal. A repeated submission of the same job through another entry was then refused, although the job runs. Change: for 30 s after a submission was seen abandoned, its job goes back to the entry instead of being refused. Run: go test -run TestAbandoned ./internal/serve/leader, red before, green after.

--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -160,6 +160,7 @@
 		return
 	}
 	if ev.ctx != nil && ev.ctx.Err() != nil {
+		l.abandon(ev)
 		return // the entry has stopped waiting, and may have stored the job itself
 	}
 	if l.tracker.Job(ev.ID) != nil {
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -24,6 +24,9 @@
 	// refusalReadInterval is the least time between reads of leaderless records before refusals. Each read is
 	// charged, and callers wait this long for a refusal at most, besides the read.
 	refusalReadInterval = 100 * time.Millisecond
+	// abandonedRetention is how long a job is not refused after an entry has stopped waiting for the answer to
+	// its submission. The entry then stores it itself or gives up, within its caller's time limit.
+	abandonedRetention = 30 * time.Second
 )
 
 // shareState is the state of the client accounts' shares. It is lost with the leader: the next one starts
@@ -36,6 +39,8 @@
 	refusals map[string]*refusal
 	// held are submissions that are refused unless the next read of leaderless records has their jobs.
 	held []*submitRequest
+	// abandoned are, by job, when it was seen that an entry had stopped waiting for the answer to a submission.
+	abandoned map[string]time.Duration
 }
 
 // refusal is a time in which submissions of an account are refused.
@@ -90,8 +95,9 @@
 		l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
 		return false
 	}
-	if !l.isSole() {
-		// Another entry may have claimed since, and have accepted the job for a caller that repeats it.
+	if _, isAbandoned := l.shares.abandoned[ev.ID]; isAbandoned || !l.isSole() {
+		// Another entry may have stored the job since the read, or have claimed since and accepted it, for a
+		// caller that repeats it.
 		l.Meters.refuse("store")
 		ev.answer(notLeaderAnswer)
 		return false
@@ -118,6 +124,17 @@
 	}
 }
 
+// abandon records that an entry has stopped waiting for the answer to a submission.
+func (l *Leader) abandon(ev *submitRequest) {
+	if !l.sharesApply(ev.Account) {
+		return
+	}
+	if l.shares.abandoned == nil {
+		l.shares.abandoned = map[string]time.Duration{}
+	}
+	l.shares.abandoned[ev.ID] = l.now
+}
+
 // returnHeld returns the held submissions to the entries that sent them, which store the jobs themselves.
 func (l *Leader) returnHeld() {
 	for _, ev := range l.shares.held {
@@ -240,9 +257,14 @@
 	}
 }
 
-// forgetShares forgets full buckets, pools that are gone, and refusals that have ended.
+// forgetShares forgets full buckets, pools that are gone, abandoned submissions, and refusals that have ended.
 func (l *Leader) forgetShares() {
 	l.shares.buckets.Forget(l.now)
+	for id, at := range l.shares.abandoned {
+		if l.now > at+abandonedRetention {
+			delete(l.shares.abandoned, id)
+		}
+	}
 	c := l.Orders.Config()
 	for service := range l.shares.loads {
 		if c == nil || c.Service(service) == nil {
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -176,3 +177,25 @@
 	assert.Assert(t, l.isValid())
 	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.NotLeader)
 }
+
+// Guards against a refusal of a job that an entry stores after the read of leaderless records: it has stopped waiting for the
+// leader, while another entry has a repeated submission of the job.
+func TestAbandonedSubmissionsAreNotRefused(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	ctx, cancel := context.WithCancel(context.Background())
+	first := &submitRequest{Submission: relay.Submission{ID: "x", Queue: "q", Account: "small", Body: []byte(sharedBody)}, ctx: ctx, reply: make(chan relay.Answer, 1)}
+	l.onSubmit(first)
+	assert.Equal(t, len(l.shares.held), 1)
+	cancel()
+	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader)
+	assert.Equal(t, len(first.reply), 0)
+	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader, "also a later one")
+	assert.Equal(t, submitAs(l, "small", "y").Verdict, relay.Limited)
+	l.now += abandonedRetention + time.Second
+	l.forgetShares()
+	assert.Equal(t, len(l.shares.abandoned), 0)
+}
