leader: submissions that are held for a refusal are bounded

Cause: they keep their bodies until a read of leaderless records has ended, which takes 1.5 s and more on a stalled link, and their number had no bound. Change: at most 512 and 16 MiB of bodies are held. Others go back to their entries, as if the records could not be read.

--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -24,6 +24,10 @@
 	// refusalReadInterval is the least time between reads of leaderless records before refusals. Each read is
 	// charged, and callers wait this long for a refusal at most, besides the read.
 	refusalReadInterval = 100 * time.Millisecond
+	// maxHeld and maxHeldBytes bound the held submissions and their bodies. A read takes some 0.2 s with the
+	// wait for it, in which 1,000 submissions a second are 200; the smallest entry has 184 MB.
+	maxHeld      = 512
+	maxHeldBytes = 16 << 20
 	// abandonedRetention is how long a job is not refused after an entry has stopped waiting for the answer to
 	// its submission. The entry then stores it itself or gives up, within its caller's time limit.
 	abandonedRetention = 30 * time.Second
@@ -38,7 +42,8 @@
 	// refusals are those of accounts with refused submissions lately.
 	refusals map[string]*refusal
 	// held are submissions that are refused unless the next read of leaderless records has their jobs.
-	held []*submitRequest
+	held      []*submitRequest
+	heldBytes int // of their bodies
 	// abandoned are, by job, when it was seen that an entry had stopped waiting for the answer to a submission.
 	abandoned map[string]time.Duration
 }
@@ -91,7 +96,13 @@
 		// Its caller may repeat it after an answer that the outcome is not known, and an entry may have stored the
 		// job without this leader: a refusal would not be true.
 		ev.asked = l.now
-		l.shares.held = append(l.shares.held, ev)
+		if len(l.shares.held) >= maxHeld || l.shares.heldBytes+len(ev.Body) > maxHeldBytes {
+			// As if leaderless records could not be read: the entry stores the job.
+			l.Meters.refuse("held")
+			ev.answer(notLeaderAnswer)
+			return false
+		}
+		l.holdSubmission(ev)
 		l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
 		return false
 	}
@@ -110,13 +121,18 @@
 	return false
 }
 
+func (l *Leader) holdSubmission(ev *submitRequest) {
+	l.shares.held = append(l.shares.held, ev)
+	l.shares.heldBytes += len(ev.Body)
+}
+
 // decideHeld decides about the held submissions that arrived before the last read of leaderless records.
 func (l *Leader) decideHeld() {
 	held := l.shares.held
-	l.shares.held = nil
+	l.shares.held, l.shares.heldBytes = nil, 0
 	for _, ev := range held {
 		if ev.asked > l.leaderlessTail.lastRead {
-			l.shares.held = append(l.shares.held, ev)
+			l.holdSubmission(ev)
 			continue
 		}
 		ev.checked = true
@@ -140,7 +156,7 @@
 	for _, ev := range l.shares.held {
 		ev.answer(notLeaderAnswer)
 	}
-	l.shares.held = nil
+	l.shares.held, l.shares.heldBytes = nil, 0
 }
 
 // canWait reports whether a submitted job can meet its objective if it starts after a wait. Jobs that are not due
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -199,3 +199,35 @@
 	l.forgetShares()
 	assert.Equal(t, len(l.shares.abandoned), 0)
 }
+
+// Guards against held submissions that use up the memory while the read of leaderless records takes long, and against one that
+// is then neither held nor answered.
+func TestHeldSubmissionsAreBounded(t *testing.T) {
+	for size, most := range map[int]int{100: maxHeld, 128 << 10: maxHeldBytes >> 17} {
+		l, m := newSharedLeader(t, twoAccounts)
+		for i := range 8 {
+			assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+		}
+		l.orderNow(m)
+		l.Settings.Store.RecordBytes = 2 << 20
+		body := []byte(fmt.Sprintf("%-*s", size, sharedBody))
+		var evs []*submitRequest
+		for i := range most + 10 {
+			ev := &submitRequest{Submission: relay.Submission{ID: fmt.Sprint("x", i), Queue: "q", Account: "small", Body: body}, reply: make(chan relay.Answer, 2)}
+			l.onSubmit(ev)
+			evs = append(evs, ev)
+		}
+		assert.Equal(t, len(l.shares.held), most)
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(l.shares.held)+l.shares.heldBytes, 0)
+		for i, ev := range evs {
+			assert.Equal(t, len(ev.reply), 1)
+			want := relay.Limited
+			if i >= most {
+				want = relay.NotLeader
+			}
+			assert.Equal(t, (<-ev.reply).Verdict, want)
+		}
+	}
+}
