jobs/assign: late jobs that their account's limit keeps from starting are not promoted

Cause: promotion counts the need of late jobs against a quarter of the pool, also of jobs of an account at its limit, which can't start. Late jobs of other accounts were then not promoted and became of no use. Change: promotion asks the ledger, counting the starts of the jobs promoted before, and leaves out jobs without a task that may start or runs. promoteUrgent moves to share.go. The test of the former order has its own sum of needs.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -148,36 +148,6 @@
 	return most
 }
 
-// promoteUrgent promotes the late jobs that would soon be of no use, in order, as long as their
-// total need is at most cores, in thousandths. It reports whether it promoted any.
-func promoteUrgent(ranks []rank, cores int64) bool {
-	found := false
-	for i := range ranks {
-		r := &ranks[i]
-		if r.class != late || r.laxity > promoteWithin {
-			continue
-		}
-		if cores -= neededCores(r.job); cores < 0 {
-			break
-		}
-		r.class, found = promoted, true
-	}
-	return found
-}
-
-// neededCores returns the cores, in thousandths, for all tasks of a job that run or could start.
-func neededCores(j *track.Job) int64 {
-	var sum int64
-	for _, o := range j.Open {
-		for _, s := range o.Steps {
-			if s.IsReady() {
-				sum += int64(s.Left) * s.Reservation().Cores
-			}
-		}
-	}
-	return sum
-}
-
 // Plan returns the tasks to start now, best first, for jobs of one service in the given order. It
 // returns limit tasks at most, or a single gang that has more members. A nil Allowance limits no
 // account.
--- a/internal/jobs/assign/bench_test.go
+++ b/internal/jobs/assign/bench_test.go
@@ -59,7 +59,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				above := c.Above(jobs, func(string) float64 { return 1 }, model.Amount{Cores: 9_600_000, Memory: 19_660_800})
-				OrderShared(jobs, func(*track.Job) *model.Queue { return q }, 0, time.Second, above)
+				OrderShared(jobs, func(*track.Job) *model.Queue { return q }, 0, time.Second, above, nil)
 			}
 		})
 	}
--- a/internal/jobs/assign/flood_test.go
+++ b/internal/jobs/assign/flood_test.go
@@ -101,7 +101,7 @@
 		used, capacity = used.Plus(m.Used), capacity.Plus(m.Capacity)
 	}
 	above := d.claims.Above(jobs, d.weight, capacity)
-	out, waiting := OrderShared(jobs, h.settings, h.cores(), h.now, above)
+	out, waiting := OrderShared(jobs, h.settings, h.cores(), h.now, above, nil)
 	d.loads[q] = &share.Load{Cores: h.cores(), Full: share.IsFull(used, capacity), Waiting: waiting, At: h.now}
 	return out
 }
@@ -239,7 +239,7 @@
 	var claims Claims
 	h.order = func(jobs []*track.Job) []*track.Job {
 		above := claims.Above(jobs, func(name string) float64 { return weights[name] }, cores(64))
-		out, _ := OrderShared(jobs, h.settings, h.cores(), h.now, above)
+		out, _ := OrderShared(jobs, h.settings, h.cores(), h.now, above, nil)
 		return out
 	}
 	for i := range 450 {
@@ -280,7 +280,7 @@
 	excess.Account, excess.Excess = "a", true
 	h.order = func(jobs []*track.Job) []*track.Job {
 		excess.Excess = excess.Excess && !buckets.TakeSpare("a", weight, h.now)
-		out, _ := OrderShared(jobs, h.settings, h.cores(), h.now, claims.Above(jobs, func(string) float64 { return weight }, cores(4)))
+		out, _ := OrderShared(jobs, h.settings, h.cores(), h.now, claims.Above(jobs, func(string) float64 { return weight }, cores(4)), nil)
 		return out
 	}
 	h.queues["fast"] = &model.Queue{Name: "fast", Service: "s", Attempts: 2, Slack: 1.6, Objective: 100 * time.Millisecond}
--- a/internal/jobs/assign/share.go
+++ b/internal/jobs/assign/share.go
@@ -12,14 +12,14 @@
 // OrderJobs returns jobs in the order in which they get capacity. cores is the size of the pool in
 // thousandths of a core, wall is in Unix time.
 func OrderJobs(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration) []*track.Job {
-	out, _ := OrderShared(jobs, settings, cores, wall, nil)
+	out, _ := OrderShared(jobs, settings, cores, wall, nil, nil)
 	return out
 }
 
 // OrderShared is OrderJobs with accounts that are above their fair share, whose jobs go behind those of the
-// other accounts in the same class. It also returns the waiting work that is served before another excess
+// other accounts in the same class. Jobs that are blocked are not promoted. It also returns the waiting work that is served before another excess
 // job, in core-seconds.
-func OrderShared(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool) ([]*track.Job, float64) {
+func OrderShared(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool, isBlocked Blocked) ([]*track.Job, float64) {
 	ranks := make([]rank, 0, len(jobs))
 	waiting := 0.0
 	for _, j := range jobs {
@@ -31,7 +31,7 @@
 		}
 	}
 	slices.SortFunc(ranks, compareRanks)
-	if promoteUrgent(ranks, int64(promoteShare*float64(cores))) {
+	if promoteUrgent(ranks, int64(promoteShare*float64(cores)), isBlocked) {
 		slices.SortFunc(ranks, compareRanks)
 	}
 	out := make([]*track.Job, len(ranks))
@@ -58,6 +58,59 @@
 	}
 }
 
+// promoteUrgent promotes the late jobs that would soon be of no use, in order, as long as their
+// total need is at most cores, in thousandths. A job that its account's limit keeps from starting is not
+// promoted, since it would use up what other accounts' late jobs need. It reports whether it promoted any.
+func promoteUrgent(ranks []rank, cores int64, isBlocked Blocked) bool {
+	found := false
+	starts := map[string]model.Amount{} // what the promoted jobs of each account may start
+	for i := range ranks {
+		r := &ranks[i]
+		if r.class != late || r.laxity > promoteWithin {
+			continue
+		}
+		need, ok := neededCores(r.job, isBlocked, starts)
+		if !ok {
+			continue
+		}
+		if cores -= need; cores < 0 {
+			break
+		}
+		r.class, found = promoted, true
+	}
+	return found
+}
+
+// Blocked reports whether the limit of an account keeps a task of a step, or a whole gang, from starting
+// after other starts of the account. It may be nil if there are no limits.
+type Blocked func(s *track.Step, starts model.Amount) bool
+
+// neededCores returns the cores, in thousandths, for all tasks of a job that run or could start, and adds
+// what could start to the starts of its account. It returns false if the account's limit keeps all of
+// them from starting and none runs.
+func neededCores(j *track.Job, isBlocked Blocked, starts map[string]model.Amount) (int64, bool) {
+	var sum int64
+	needs, waits := false, false
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			if !s.IsReady() {
+				continue
+			}
+			n := s.Left
+			if isBlocked != nil && j.Account != "" && s.Left > s.Running {
+				if isBlocked(s, starts[j.Account]) {
+					n, waits = s.Running, true
+				} else {
+					starts[j.Account] = starts[j.Account].Plus(s.Need.Times(int64(s.Left - s.Running)))
+				}
+			}
+			needs = needs || n > 0
+			sum += int64(n) * s.Reservation().Cores
+		}
+	}
+	return sum, needs || !waits
+}
+
 // WaitingWork returns the estimated work of the tasks of a job that are not done and don't run, in
 // core-seconds.
 func WaitingWork(j *track.Job) float64 {
--- a/internal/jobs/assign/share_test.go
+++ b/internal/jobs/assign/share_test.go
@@ -11,9 +11,22 @@
 	"pgregory.net/rapid"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/quota"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
+// formerNeed is the need of a late job before accounts had limits.
+func formerNeed(j *track.Job) (sum int64) {
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			if s.IsReady() {
+				sum += int64(s.Left) * s.Reservation().Cores
+			}
+		}
+	}
+	return sum
+}
+
 // formerOrder is the order before there were accounts: class, priority, begun, laxity and ID, with late
 // jobs promoted in that order.
 func formerOrder(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration) []string {
@@ -35,7 +48,7 @@
 	left := int64(promoteShare * float64(cores))
 	for i := range ranks {
 		if r := &ranks[i]; r.class == late && r.laxity <= promoteWithin {
-			if left -= neededCores(r.job); left < 0 {
+			if left -= formerNeed(r.job); left < 0 {
 				break
 			}
 			r.class = promoted
@@ -80,7 +93,7 @@
 		var c Claims
 		above := c.Above(jobs, func(string) float64 { return 1 }, cores(64))
 		assert.Assert(t, above == nil)
-		got, _ := OrderShared(jobs, settingsOf, pool, 20*time.Second, map[string]bool{"other": true})
+		got, _ := OrderShared(jobs, settingsOf, pool, 20*time.Second, map[string]bool{"other": true}, nil)
 		var ids []string
 		for _, j := range got {
 			ids = append(ids, j.ID)
@@ -98,7 +111,7 @@
 			j.Account = rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account")
 			j.Excess = j.Account != "" && rapid.Bool().Draw(t, "excess")
 		}
-		got, _ := OrderShared(jobs, settingsOf, 0, 20*time.Second, map[string]bool{"a": true})
+		got, _ := OrderShared(jobs, settingsOf, 0, 20*time.Second, map[string]bool{"a": true}, nil)
 		assert.Equal(t, len(got), len(jobs))
 		position := func(j *track.Job) int {
 			p := 0
@@ -140,3 +153,34 @@
 	excess.Excess = false
 	assert.Equal(t, order(), "excess", "the same job within its share is promoted")
 }
+
+// Guards against late jobs of an account at its limit that use up the promoted share without being able to start, also where
+// the limit has room for one of them.
+func TestJobsAtTheirLimitAreNotPromoted(t *testing.T) {
+	for _, room := range []int64{0, 1} {
+		h := newHarness(t, 1, cores(8))
+		account := model.Account{Name: "limited", Limit: model.Amount{Cores: 4000}}
+		var ledger quota.Ledger
+		ledger.Charge("limited", cores(4-room))
+		accept := func(account, id string) *track.Job {
+			j := h.accept(id, model.Step{Need: cores(1), Estimate: 400 * time.Millisecond})
+			j.Account = account
+			return j
+		}
+		var jobs []*track.Job
+		for i := range 6 {
+			jobs = append(jobs, accept("limited", fmt.Sprint("a", i)))
+		}
+		jobs = append(jobs, accept("other", "b"))
+		h.now = 2900 * time.Millisecond
+		jobs = append(jobs, accept("other", "timely"))
+		out, _ := OrderShared(jobs, h.settings, 8000, h.now, nil, func(s *track.Step, starts model.Amount) bool {
+			return s.Occ.Job.Account == "limited" && ledger.BlocksAfter(&account, s, starts)
+		})
+		var ids []string
+		for _, j := range out[:2+room] {
+			ids = append(ids, j.ID)
+		}
+		assert.DeepEqual(t, ids, []string{"a0", "b", "timely"}[1-room:])
+	}
+}
--- a/internal/jobs/quota/ledger.go
+++ b/internal/jobs/quota/ledger.go
@@ -127,6 +127,11 @@
 
 // Blocks reports whether the limit of an account keeps a task of a step, or a whole gang, from starting.
 func (l *Ledger) Blocks(a *model.Account, s *track.Step) bool {
+	return l.BlocksAfter(a, s, model.Amount{})
+}
+
+// BlocksAfter is Blocks after other starts of the account.
+func (l *Ledger) BlocksAfter(a *model.Account, s *track.Step, starts model.Amount) bool {
 	if a == nil || !a.IsLimited() {
 		return false
 	}
@@ -134,7 +139,7 @@
 	if u == nil {
 		u = &usage{}
 	}
-	return !u.fits(a, s, needOf(s))
+	return !u.fits(a, s, starts.Plus(needOf(s)))
 }
 
 // needOf returns what starts together: a gang, or one task of another step.
--- a/internal/serve/leader/quota.go
+++ b/internal/serve/leader/quota.go
@@ -225,6 +225,13 @@
 	return j.Account != "" && c != nil && s.IsReady() && l.quota.ledger.Blocks(c.AccountByName(j.Account), s)
 }
 
+// isBlockedAfter reports whether its account's limit keeps a step from starting after other starts of the
+// account.
+func (l *Leader) isBlockedAfter(s *track.Step, starts model.Amount) bool {
+	c := l.Orders.Config()
+	return c != nil && l.quota.ledger.BlocksAfter(c.AccountByName(s.Occ.Job.Account), s, starts)
+}
+
 // waitsForLimit reports whether tasks of a job wait because of its account's limit.
 func (l *Leader) waitsForLimit(j *track.Job) bool {
 	for _, o := range j.Open {
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -247,7 +247,7 @@
 	}
 	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity)
 	load := &share.Load{Cores: usable.Cores, Full: share.IsFull(used, usable), At: l.now}
-	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above)
+	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
 	if l.shares.loads == nil {
 		l.shares.loads = map[string]*share.Load{}
 	}
