jobs/share: refused callers are promised successive tokens

Cause: callers that were refused at the same time got the same Retry-After, returned together, and all but one were refused again. Change: the bucket keeps the time of the last promised token, and the next refusal promises the token after it, up to 5 s after the next one.

--- a/internal/jobs/share/bucket.go
+++ b/internal/jobs/share/bucket.go
@@ -18,10 +18,13 @@
 	// maxInterval is the longest time between two tokens. Accounts of less weight get none, which keeps
 	// sums of intervals within a time.Duration.
 	maxInterval = 1000 * time.Hour
+	// promiseTime is how long after the next token further tokens are promised to refused callers, if an
+	// empty bucket does not take longer to fill. Callers that don't return must not put off others for longer.
+	promiseTime = 5 * time.Second
 )
 
 // Buckets holds a token bucket for the submissions of each account that has sent some lately. It is the
-// generic cell rate algorithm (ITU-T I.371), which keeps one time for each account and is exact to the
+// generic cell rate algorithm (ITU-T I.371), which keeps one time for each bucket and is exact to the
 // nanosecond. The zero value has only full buckets.
 type Buckets struct {
 	byName map[string]bucket
@@ -33,6 +36,8 @@
 	full time.Duration
 	// interval is the time between two tokens for which full was computed.
 	interval time.Duration
+	// promised is when the token is there that was promised to the last refused caller.
+	promised time.Duration
 }
 
 // intervalOf returns the time between two tokens, rounded up so that the rate is never exceeded. It
@@ -82,7 +87,11 @@
 	if full+interval-at > depthOf(interval) {
 		return false
 	}
-	b.set(name, bucket{full + interval, interval})
+	k := bucket{full: full + interval, interval: interval}
+	if old := b.byName[name]; full > at && old.interval == interval {
+		k.promised = old.promised
+	}
+	b.set(name, k)
 	return true
 }
 
@@ -113,6 +122,24 @@
 	return max(b.fullAt(name, interval, now)+interval-depthOf(interval)-now, 0), true
 }
 
+// Promise returns the time until a refused caller finds a token, 0 if it never does. Callers that are refused
+// one after the other are promised successive tokens, so that those that return at that time don't
+// compete for one.
+func (b *Buckets) Promise(name string, weight float64, now time.Duration) time.Duration {
+	after, ok := b.NextToken(name, weight, now)
+	if !ok || after == 0 {
+		return 0
+	}
+	// There is state, since a full bucket has a token.
+	k, interval, next := b.byName[name], intervalOf(weight), now+after
+	at := next
+	if p := k.promised + interval; k.interval == interval && k.promised >= next && p <= next+max(promiseTime, depthOf(interval)) {
+		at = p
+	}
+	b.set(name, bucket{full: b.fullAt(name, interval, now), interval: interval, promised: at})
+	return at - now
+}
+
 // Forget drops the state of full buckets, also those of accounts that no longer exist.
 func (b *Buckets) Forget(now time.Duration) {
 	for name, k := range b.byName {
--- a/internal/jobs/share/share_test.go
+++ b/internal/jobs/share/share_test.go
@@ -53,6 +53,53 @@
 	})
 }
 
+// Guards against callers that are refused one after the other, return when they were told to, and compete for one token,
+// against promises beyond a bound, and against a promise that takes a token.
+func TestRefusedCallersArePromisedSuccessiveTokens(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weight := rapid.Float64Range(0.01, 500).Draw(t, "weight")
+		interval := intervalOf(weight)
+		var b Buckets
+		now := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "start"))
+		for b.Take("a", weight, now) {
+		}
+		bound := max(promiseTime, depthOf(interval))
+		var returns []time.Duration
+		for range rapid.IntRange(1, int(bound/interval)+1).Draw(t, "refused") {
+			now += time.Duration(rapid.Int64Range(0, int64(interval)/1000).Draw(t, "gap"))
+			next, _ := b.NextToken("a", weight, now)
+			if next == 0 {
+				break
+			}
+			after := b.Promise("a", weight, now)
+			assert.Assert(t, after >= next && after <= next+bound)
+			left, _ := b.NextToken("a", weight, now)
+			assert.Equal(t, left, next)
+			returns = append(returns, now+after)
+		}
+		for i, at := range returns {
+			if i > 0 && at < returns[i-1] {
+				break // the bound was reached, and tokens are promised a second time
+			}
+			assert.Assert(t, b.Take("a", weight, at), "caller %d of %d", i, len(returns))
+			assert.Assert(t, !b.Take("a", weight, at) || i < len(returns)-1 && returns[i+1] <= at)
+		}
+	})
+	var b Buckets
+	assert.Equal(t, b.Promise("full", 1, 0), time.Duration(0))
+	assert.Equal(t, b.Promise("none", 0, 0), time.Duration(0))
+	for range 1000 {
+		b.Take("a", 10, 0)
+		assert.Assert(t, b.Promise("a", 10, 0) <= promiseTime+100*time.Millisecond)
+	}
+	for range minBurst {
+		b.Take("slow", 0.1, 0)
+	}
+	assert.Equal(t, b.Promise("slow", 0.1, 0), 10*time.Second)
+	assert.Equal(t, b.Promise("slow", 0.1, 0), 20*time.Second)
+	assert.Equal(t, b.Promise("slow", 0.2, 0), 5*time.Second, "promises of another rate don't count")
+}
+
 // Guards against accounts whose weight is zero, tiny or huge, and against tokens that a new weight gives
 // or takes.
 func TestBucketOfUnusualWeights(t *testing.T) {
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -116,7 +116,7 @@
 	l.Meters.refuse("share")
 	l.recordRefusal(ev.Account)
 	// Entries pass the time on in whole milliseconds, and a token must be there when it has passed.
-	after := (d.RetryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
+	after := (l.shares.buckets.Promise(ev.Account, weight, l.now) + time.Millisecond - 1).Truncate(time.Millisecond)
 	ev.answer(relay.Answer{Verdict: relay.Limited, RetryAfter: after, Cause: "account is beyond its share, and the service is at capacity"})
 	return false
 }
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -87,6 +87,7 @@
 	assert.Assert(t, a != nil)
 	assert.Equal(t, a.Verdict, relay.Limited)
 	assert.Equal(t, a.RetryAfter, 100*time.Millisecond)
+	assert.Equal(t, submit("large").RetryAfter, 200*time.Millisecond, "the next caller gets the next token")
 	assert.Equal(t, l.tracker.Len(), jobs)
 	assert.Equal(t, len(l.store.accepts)+len(l.store.inFlight), 0)
 	assert.Assert(t, submit("small") == nil, "an account within its share")
