leader: submissions of accounts are decoded outside of the control goroutine

Cause: whether an excess submission can wait was decided after decoding its body in the control goroutine, twice for each that was held. Bodies have up to 256 KB, and a flood of them delays polls, starts and renewals. Change: Submit decodes it and passes on its timing. Run: go test ./internal/serve/leader -run 'Share|Submission|Stored|Token|Loaded|Sole|Held', the new test red without the decode in Submit.

--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -21,6 +21,8 @@
 	ctx      context.Context
 	settings model.Queue
 	accepted time.Duration
+	// timing is what decides how long the job can wait, nil if its account has no share.
+	timing *jobTiming
 	// excess is set if the job is beyond the rate that its account is owed.
 	excess bool
 	// asked is when it was held, and checked is set once leaderless records were read since.
@@ -94,6 +96,9 @@
 	ev := &submitRequest{Submission: s, ctx: ctx, reply: make(chan relay.Answer, 1)}
 	// A large body takes milliseconds to decode, which the control goroutine must not spend.
 	ev.refusal = LimitRefusal(l.Orders.Config(), s.Account, s.Body)
+	if l.sharesApply(s.Account) {
+		ev.timing = timingOf(s.Body)
+	}
 	if !l.send(ctx, ev) {
 		return notLeaderAnswer
 	}
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -165,12 +165,31 @@
 	if wait <= ev.settings.Objective {
 		return true
 	}
-	spec, err := platform.DecodeJob(ev.Body)
-	if err != nil || spec.IsLongRunning() || spec.Scheduled && spec.Start > l.wall {
+	t := ev.timing
+	if t == nil || t.hasNoObjective || t.start > l.wall {
 		return true
 	}
-	chain := spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })
-	return wait <= time.Duration((ev.settings.Slack-1)*float64(chain))+ev.settings.Objective
+	return wait <= time.Duration((ev.settings.Slack-1)*float64(t.chain))+ev.settings.Objective
+}
+
+// jobTiming is what decides how long a submitted job can wait.
+type jobTiming struct {
+	hasNoObjective bool
+	start          time.Duration // in Unix time, 0 for now
+	chain          time.Duration // the estimate of the longest chain of steps
+}
+
+// timingOf decodes a job. It is called outside of the control goroutine.
+func timingOf(body []byte) *jobTiming {
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return &jobTiming{hasNoObjective: true} // the entry that received the job has checked it
+	}
+	t := &jobTiming{hasNoObjective: spec.IsLongRunning(), chain: spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })}
+	if spec.Scheduled {
+		t.start = spec.Start
+	}
+	return t
 }
 
 func (l *Leader) recordRefusal(account string) {
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -40,7 +40,7 @@
 // submitAs submits a job and returns the answer, or nil if it is to be stored. It stores the job at once. A read of leaderless
 // records before a refusal returns some.
 func submitAs(l *Leader, account, id string, records ...platform.Record) *relay.Answer {
-	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 2)}
+	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
 	l.onSubmit(ev)
 	if len(l.shares.held) > 0 {
 		l.leaderlessTail.sent = l.now
@@ -112,7 +112,7 @@
 	a := submitAs(l, "small", "stored", platform.Record{Key: r.Key, Value: r.Value})
 	assert.Equal(t, a.Verdict, relay.Stored)
 	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.Limited)
-	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 1)}
+	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 1)}
 	l.onSubmit(ev)
 	l.onLeaderless(leaderlessRead{err: errors.New("store is down")})
 	assert.Equal(t, (<-ev.reply).Verdict, relay.NotLeader)
@@ -188,7 +188,7 @@
 	}
 	l.orderNow(m)
 	ctx, cancel := context.WithCancel(context.Background())
-	first := &submitRequest{Submission: relay.Submission{ID: "x", Queue: "q", Account: "small", Body: []byte(sharedBody)}, ctx: ctx, reply: make(chan relay.Answer, 1)}
+	first := &submitRequest{Submission: relay.Submission{ID: "x", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), ctx: ctx, reply: make(chan relay.Answer, 1)}
 	l.onSubmit(first)
 	assert.Equal(t, len(l.shares.held), 1)
 	cancel()
@@ -214,7 +214,7 @@
 		body := []byte(fmt.Sprintf("%-*s", size, sharedBody))
 		var evs []*submitRequest
 		for i := range most + 10 {
-			ev := &submitRequest{Submission: relay.Submission{ID: fmt.Sprint("x", i), Queue: "q", Account: "small", Body: body}, reply: make(chan relay.Answer, 2)}
+			ev := &submitRequest{Submission: relay.Submission{ID: fmt.Sprint("x", i), Queue: "q", Account: "small", Body: body}, timing: timingOf(body), reply: make(chan relay.Answer, 2)}
 			l.onSubmit(ev)
 			evs = append(evs, ev)
 		}
@@ -232,3 +232,25 @@
 		}
 	}
 }
+
+// Guards against large bodies that the control goroutine decodes to decide about their submissions, and against a submission
+// whose objective is not known by then.
+func TestSubmissionsAreDecodedOutsideOfTheControlGoroutine(t *testing.T) {
+	l, _ := newSharedLeader(t, twoAccounts)
+	l.events, l.done = make(chan event, 1), make(chan struct{})
+	l.ctx = t.Context()
+	close(l.done)
+	for account, isDecoded := range map[string]bool{"small": true, "": false} {
+		l.Submit(t.Context(), relay.Submission{ID: "a", Queue: "q", Account: account, Body: []byte(sharedBody)})
+		ev := (<-l.events).(*submitRequest)
+		assert.Equal(t, ev.timing != nil, isDecoded)
+		if !isDecoded {
+			continue
+		}
+		assert.Equal(t, *ev.timing, jobTiming{chain: 400 * time.Millisecond})
+		ev.settings = model.Queue{Slack: 1.5, Objective: 600 * time.Millisecond}
+		ev.Body = nil
+		assert.Assert(t, l.canWait(ev, 800*time.Millisecond))
+		assert.Assert(t, !l.canWait(ev, 801*time.Millisecond))
+	}
+}
