jobs/share: an excess job takes only a token that would be lost

Cause: an older excess job took a token as soon as the bucket was full. An account that then sent its weight of jobs at once had one too few, and one of them could be refused although the account was within its weight. Change: it takes the token that a full bucket has no room for, one interval later, and the bucket stays full.

--- a/internal/jobs/share/bucket.go
+++ b/internal/jobs/share/bucket.go
@@ -30,7 +30,7 @@
 	byName map[string]bucket
 }
 
-// bucket is the state of a token bucket. A full bucket needs none.
+// bucket is the state of a token bucket. One that has been full for an interval needs none.
 type bucket struct {
 	// full is when it is full again if no token is taken.
 	full time.Duration
@@ -95,13 +95,19 @@
 	return true
 }
 
-// TakeSpare takes a token if the bucket is full, so that no later submission of the account lacks it: a
-// full bucket gets no further tokens.
+// TakeSpare takes a token that a full bucket has no room for, and reports whether there was one: the bucket
+// has been full for as long as a token takes. It stays full, so that no later submission of the account
+// lacks the token.
 func (b *Buckets) TakeSpare(name string, weight float64, now time.Duration) bool {
-	if k, ok := b.byName[name]; ok && k.full > now {
+	interval := intervalOf(weight)
+	if interval == 0 {
 		return false
 	}
-	return b.Take(name, weight, now)
+	if k, ok := b.byName[name]; ok && k.full+interval > now {
+		return false
+	}
+	b.set(name, bucket{full: now, interval: interval})
+	return true
 }
 
 // Return gives back the token of a submission that was not accepted.
@@ -140,10 +146,11 @@
 	return at - now
 }
 
-// Forget drops the state of full buckets, also those of accounts that no longer exist.
+// Forget drops the state of buckets that are full and have a spare token, also those of accounts that no
+// longer exist.
 func (b *Buckets) Forget(now time.Duration) {
 	for name, k := range b.byName {
-		if k.full <= now {
+		if k.full+k.interval <= now {
 			delete(b.byName, name)
 		}
 	}
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -150,6 +150,9 @@
 	assert.Equal(t, excess(), "567")
 	l.now += 5 * time.Second
 	l.orderNow(m)
+	assert.Equal(t, excess(), "567", "the bucket is full, but the account may need all of its tokens")
+	l.now += time.Second
+	l.orderNow(m)
 	assert.Equal(t, excess(), "67", "the oldest becomes a regular one")
 }
 
