leader: repeats of a held submission get its answer, and returned jobs are not refused

Cause: two held submissions of the same job were decided one after the other, so that one caller could be told that the job never runs while the other's was accepted. A submission that was returned to its entry, which stores the job itself, did not keep a repeat through another entry from being refused. A cancel was answered that there is no such job while its submission was held. Change: a repeat joins the held submission, which then waits for a read that is sent after the repeat; if one of their entries has stopped waiting, they go back. Jobs that were returned are not refused for 30 s. Held submissions are decided before cancels. TestAbandonedSubmissionsAreNotRefused expected no answer to a submission whose caller has gone; it gets the answer of its repeat now, and the test checks that this is no refusal.

--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -37,6 +37,9 @@
 
 func (*submitRequest) isEvent() {}
 
+// isAbandoned reports whether the entry that sent the submission has stopped waiting for the answer.
+func (s *submitRequest) isAbandoned() bool { return s.ctx != nil && s.ctx.Err() != nil }
+
 // answer answers the submission and its repeats. It must be called once.
 func (s *submitRequest) answer(a relay.Answer) {
 	s.reply <- a
@@ -164,7 +167,7 @@
 		l.deferred = append(l.deferred, ev)
 		return
 	}
-	if ev.ctx != nil && ev.ctx.Err() != nil {
+	if ev.isAbandoned() {
 		l.abandon(ev)
 		return // the entry has stopped waiting, and may have stored the job itself
 	}
@@ -176,10 +179,13 @@
 		a.repeats = append(a.repeats, ev)
 		return
 	}
+	if l.joinHeld(ev) {
+		return
+	}
 	if l.isStoreSlow() || !l.isValid() {
 		// The store may refuse only this entry; the entry that sent the job can store it itself.
 		l.Meters.refuse("store")
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 		return
 	}
 	q := (*model.Queue)(nil)
@@ -190,7 +196,7 @@
 		// This leader has not read the configuration that the entry has, which stores the job with the settings
 		// of its queue.
 		l.Meters.refuse("queue")
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 		return
 	}
 	ev.settings = *q
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -28,8 +28,8 @@
 	// wait for it, in which 1,000 submissions a second are 200; the smallest entry has 184 MB.
 	maxHeld      = 512
 	maxHeldBytes = 16 << 20
-	// abandonedRetention is how long a job is not refused after an entry has stopped waiting for the answer to
-	// its submission. The entry then stores it itself or gives up, within its caller's time limit.
+	// abandonedRetention is how long a job is not refused after an entry got its submission back or has stopped
+	// waiting for the answer. The entry then stores it itself or gives up, within its caller's time limit.
 	abandonedRetention = 30 * time.Second
 )
 
@@ -44,7 +44,8 @@
 	// held are submissions that are refused unless the next read of leaderless records has their jobs.
 	held      []*submitRequest
 	heldBytes int // of their bodies
-	// abandoned are, by job, when it was seen that an entry had stopped waiting for the answer to a submission.
+	// abandoned are, by job, when a submission was returned to its entry, or it was seen that the entry had
+	// stopped waiting for the answer. The entry may store the job.
 	abandoned map[string]time.Duration
 }
 
@@ -99,7 +100,7 @@
 		if len(l.shares.held) >= maxHeld || l.shares.heldBytes+len(ev.Body) > maxHeldBytes {
 			// As if leaderless records could not be read: the entry stores the job.
 			l.Meters.refuse("held")
-			ev.answer(notLeaderAnswer)
+			l.returnSubmission(ev)
 			return false
 		}
 		l.holdSubmission(ev)
@@ -110,7 +111,7 @@
 		// Another entry may have stored the job since the read, or have claimed since and accepted it, for a
 		// caller that repeats it.
 		l.Meters.refuse("store")
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 		return false
 	}
 	l.Meters.refuse("share")
@@ -136,11 +137,41 @@
 			continue
 		}
 		ev.checked = true
+		if len(ev.repeats) > 0 && (ev.isAbandoned() || slices.ContainsFunc(ev.repeats, (*submitRequest).isAbandoned)) {
+			l.returnSubmission(ev) // one entry may have stored the job, and others wait
+			continue
+		}
 		l.onSubmit(ev)
 	}
 }
 
-// abandon records that an entry has stopped waiting for the answer to a submission.
+// joinHeld has a repeated submission answered with the one of the same job that is held, if there is one. With
+// answers of their own, one caller could be told that the job never runs while the other's is accepted.
+func (l *Leader) joinHeld(ev *submitRequest) bool {
+	i := slices.IndexFunc(l.shares.held, func(h *submitRequest) bool { return h.ID == ev.ID })
+	if i < 0 || ev.checked {
+		return false
+	}
+	h := l.shares.held[i]
+	if len(h.repeats) >= maxHeld {
+		l.returnSubmission(ev)
+		return true
+	}
+	ev.Body = nil // that of the first is stored
+	h.repeats = append(h.repeats, ev)
+	// The read must be sent after the last of them.
+	h.asked = l.now
+	l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
+	return true
+}
+
+// returnSubmission returns a submission to the entry that sent it, which may store the job itself.
+func (l *Leader) returnSubmission(ev *submitRequest) {
+	l.abandon(ev)
+	ev.answer(notLeaderAnswer)
+}
+
+// abandon records that an entry may store the job of a submission that it has sent.
 func (l *Leader) abandon(ev *submitRequest) {
 	if !l.sharesApply(ev.Account) {
 		return
@@ -154,7 +185,7 @@
 // returnHeld returns the held submissions to the entries that sent them, which store the jobs themselves.
 func (l *Leader) returnHeld() {
 	for _, ev := range l.shares.held {
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 	}
 	l.shares.held, l.shares.heldBytes = nil, 0
 }
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -196,7 +196,7 @@
 	assert.Equal(t, len(l.shares.held), 1)
 	cancel()
 	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader)
-	assert.Equal(t, len(first.reply), 0)
+	assert.Equal(t, (<-first.reply).Verdict, relay.NotLeader, "nothing is refused to the entry either")
 	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader, "also a later one")
 	assert.Equal(t, submitAs(l, "small", "y").Verdict, relay.Limited)
 	l.now += abandonedRetention + time.Second
@@ -257,3 +257,79 @@
 		assert.Assert(t, !l.canWait(ev, 801*time.Millisecond))
 	}
 }
+
+// fillShare returns a leader that refuses further submissions of the account "small".
+func fillShare(t *testing.T) *Leader {
+	t.Helper()
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	return l
+}
+
+func newSubmission(ctx context.Context, id string) *submitRequest {
+	return &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: "small", Body: []byte(sharedBody)}, ctx: ctx, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
+}
+
+// Guards against a job that is refused to one caller and accepted for another that repeated its submission, because a token
+// became free between the two decisions, against a repeat that is not answered, and against a refusal without a read that was sent
+// after the repeat.
+func TestRepeatsOfHeldSubmissionsGetTheSameAnswer(t *testing.T) {
+	for name, gone := range map[string]int{"waiting": -1, "first gone": 0, "second gone": 1} {
+		l := fillShare(t)
+		isGone := gone >= 0
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		contexts := []context.Context{context.Background(), context.Background()}
+		if isGone {
+			contexts[gone] = ctx
+		}
+		first, second := newSubmission(contexts[0], "x"), newSubmission(contexts[1], "x")
+		l.onSubmit(first)
+		l.leaderlessTail.sent = l.now
+		l.now += 10 * time.Millisecond
+		l.onSubmit(second)
+		if isGone {
+			cancel()
+		}
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(first.reply)+len(second.reply), 0, name)
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(second.reply), 1, name)
+		want := relay.Limited
+		if isGone {
+			want = relay.NotLeader
+		}
+		assert.Equal(t, (<-first.reply).Verdict, want)
+		assert.Equal(t, (<-second.reply).Verdict, want)
+		assert.Equal(t, len(first.reply)+len(second.reply)+len(l.shares.held), 0)
+	}
+}
+
+// Guards against a refusal of a job that was returned to another entry, which may store it after the read of leaderless records.
+func TestReturnedSubmissionsAreNotRefused(t *testing.T) {
+	l := fillShare(t)
+	l.onSubmit(newSubmission(context.Background(), "x"))
+	l.onLeaderless(leaderlessRead{err: errors.New("store is down")})
+	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader)
+	assert.Equal(t, submitAs(l, "small", "y").Verdict, relay.Limited)
+}
+
+// Guards against a cancel that is told that there is no such job while its submission is held, and is accepted then.
+func TestCancelsApplyToHeldSubmissions(t *testing.T) {
+	l := fillShare(t)
+	l.onSubmit(newSubmission(context.Background(), "x"))
+	assert.Equal(t, len(l.shares.held), 1)
+	c := &cancelRequest{id: "x", reply: make(chan relay.Verdict, 1)}
+	l.now += 10 * time.Millisecond
+	l.onCancel(c)
+	l.now += time.Minute // the account has a token
+	l.leaderlessTail.sent = l.now
+	l.onLeaderless(leaderlessRead{})
+	assert.Equal(t, len(l.store.accepts), 1)
+	assert.Equal(t, len(l.store.cancels), 1)
+	assert.Equal(t, len(c.reply), 0)
+}
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -281,7 +281,7 @@
 	s := &l.store
 	for _, a := range s.accepts {
 		l.returnToken(a)
-		a.answer(notLeaderAnswer)
+		l.returnSubmission(a)
 	}
 	for _, c := range s.cancels {
 		c.reply <- relay.NotLeader
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -139,12 +139,13 @@
 	}
 	l.leaderlessTail.lastRead = l.leaderlessTail.sent
 	l.forgetDeleted()
+	// A cancel applies to a submission that was held before it arrived.
+	l.decideHeld()
 	unread := l.unread
 	l.unread = nil
 	for _, c := range unread {
 		l.onCancel(c)
 	}
-	l.decideHeld()
 }
 
 // returnUnread returns the cancels of jobs that are not known to the entries that sent them, which
