leader: only submissions of the same account join a held one

Cause: a submission of another account, or of none, with the ID of a held one was refused with it. Change: it is decided on its own. Run: go test ./internal/serve/leader -run 'OthersDoNot|Repeats', red before.

--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -148,7 +148,7 @@
 // joinHeld has a repeated submission answered with the one of the same job that is held, if there is one. With
 // answers of their own, one caller could be told that the job never runs while the other's is accepted.
 func (l *Leader) joinHeld(ev *submitRequest) bool {
-	i := slices.IndexFunc(l.shares.held, func(h *submitRequest) bool { return h.ID == ev.ID })
+	i := slices.IndexFunc(l.shares.held, func(h *submitRequest) bool { return h.ID == ev.ID && h.Account == ev.Account })
 	if i < 0 || ev.checked {
 		return false
 	}
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -333,3 +333,21 @@
 	assert.Equal(t, len(l.store.cancels), 1)
 	assert.Equal(t, len(c.reply), 0)
 }
+
+// Guards against a refusal of another account's submission, or of one without an account, because an excess one with the same ID
+// is held.
+func TestSubmissionsOfOthersDoNotJoinHeldOnes(t *testing.T) {
+	for _, account := range []string{"", "large"} {
+		l := fillShare(t)
+		held, other := newSubmission(context.Background(), "x"), newSubmission(context.Background(), "x")
+		l.onSubmit(held)
+		other.Account = account
+		l.onSubmit(other)
+		assert.Equal(t, len(l.store.accepts), 1)
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(held.reply), 0, "it is answered with the one that is stored")
+		l.returnUnsent()
+		assert.Equal(t, len(held.reply)+len(other.reply), 2)
+	}
+}
