jobs/assign: work that its account's limit keeps from starting does not count as waiting before others

Cause: the estimated wait of an excess submission had the backlog of accounts at their limit in it, which no job waits for, so that others' submissions were refused for it. Change: the sum of waiting work leaves out blocked steps.

--- a/internal/jobs/assign/share.go
+++ b/internal/jobs/assign/share.go
@@ -27,7 +27,7 @@
 		r.applyShares(above)
 		ranks = append(ranks, r)
 		if r.class != longRunning && r.class != expired {
-			waiting += WaitingWork(j)
+			waiting += workOf(j, isBlocked)
 		}
 	}
 	slices.SortFunc(ranks, compareRanks)
@@ -113,11 +113,18 @@
 
 // WaitingWork returns the estimated work of the tasks of a job that are not done and don't run, in
 // core-seconds.
-func WaitingWork(j *track.Job) float64 {
+func WaitingWork(j *track.Job) float64 { return workOf(j, nil) }
+
+// workOf is WaitingWork without the steps whose account's limit keeps them from starting: others are not
+// served after them.
+func workOf(j *track.Job, isBlocked Blocked) float64 {
 	sum := 0.0
+	if j.Account == "" {
+		isBlocked = nil
+	}
 	for _, o := range j.Open {
 		for _, s := range o.Steps {
-			if n := s.Left - s.Running; n > 0 && !s.LongRunning {
+			if n := s.Left - s.Running; n > 0 && !s.LongRunning && (isBlocked == nil || !isBlocked(s, model.Amount{})) {
 				sum += float64(n) * float64(s.Reservation().Cores) / 1000 * s.Estimate.Seconds()
 			}
 		}
--- a/internal/jobs/assign/share_test.go
+++ b/internal/jobs/assign/share_test.go
@@ -184,3 +184,26 @@
 		assert.DeepEqual(t, ids, []string{"a0", "b", "timely"}[1-room:])
 	}
 }
+
+// Guards against a backlog that its account's limit keeps from starting and that counts as waiting before the jobs of others,
+// whose excess submissions would be refused for it.
+func TestWaitingWorkAtItsLimitIsNotBeforeOthers(t *testing.T) {
+	h := newHarness(t, 1, cores(8))
+	account := model.Account{Name: "limited", Limit: model.Amount{Cores: 4000}}
+	var ledger quota.Ledger
+	var jobs []*track.Job
+	for _, name := range []string{"limited", "other", ""} {
+		j := h.accept("job of "+name, model.Step{Count: 2, Need: cores(1), Estimate: 500 * time.Millisecond})
+		j.Account = name
+		jobs = append(jobs, j)
+	}
+	waiting := func() float64 {
+		_, sum := OrderShared(jobs, h.settings, 8000, h.now, nil, func(s *track.Step, starts model.Amount) bool {
+			return s.Occ.Job.Account == "limited" && ledger.BlocksAfter(&account, s, starts)
+		})
+		return sum
+	}
+	assert.Equal(t, waiting(), 3.0)
+	ledger.Charge("limited", cores(4))
+	assert.Equal(t, waiting(), 2.0)
+}
