--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -351,3 +351,14 @@
 		assert.Equal(t, len(held.reply)+len(other.reply), 2)
 	}
 }
+
+// Guards against an order that is computed without the accounts' limits.
+func TestOrderKnowsLimits(t *testing.T) {
+	l, m := newSharedLeader(t, `,"tenants":[{"name":"large","api_keys":["k1"],"weight":10,"max_count":{"cpu":2000}}]`)
+	assert.Assert(t, submitAs(l, "large", "a") == nil)
+	l.orderNow(m)
+	assert.Equal(t, l.shares.loads["s"].Waiting, 3.2)
+	l.quota.ledger.Charge("large", model.Amount{Cores: 2000})
+	l.orderNow(m)
+	assert.Equal(t, l.shares.loads["s"].Waiting, 0.0)
+}
