--- a/internal/jobs/share/bucket.go
+++ b/internal/jobs/share/bucket.go
@@ -18,21 +18,26 @@
 	// maxInterval is the longest time between two tokens. Accounts of less weight get none, which keeps
 	// sums of intervals within a time.Duration.
 	maxInterval = 1000 * time.Hour
+	// promiseTime is how long after the next token further tokens are promised to refused callers, if an
+	// empty bucket does not take longer to fill. Callers that don't return must not put off others for longer.
+	promiseTime = 5 * time.Second
 )
 
 // Buckets holds a token bucket for the submissions of each account that has sent some lately. It is the
-// generic cell rate algorithm (ITU-T I.371), which keeps one time for each account and is exact to the
+// generic cell rate algorithm (ITU-T I.371), which keeps one time for each bucket and is exact to the
 // nanosecond. The zero value has only full buckets.
 type Buckets struct {
 	byName map[string]bucket
 }
 
-// bucket is the state of a token bucket. A full bucket needs none.
+// bucket is the state of a token bucket. One that has been full for an interval needs none.
 type bucket struct {
 	// full is when it is full again if no token is taken.
 	full time.Duration
 	// interval is the time between two tokens for which full was computed.
 	interval time.Duration
+	// promised is when the token is there that was promised to the last refused caller.
+	promised time.Duration
 }
 
 // intervalOf returns the time between two tokens, rounded up so that the rate is never exceeded. It
@@ -82,17 +87,27 @@
 	if full+interval-at > depthOf(interval) {
 		return false
 	}
-	b.set(name, bucket{full + interval, interval})
+	k := bucket{full: full + interval, interval: interval}
+	if old := b.byName[name]; full > at && old.interval == interval {
+		k.promised = old.promised
+	}
+	b.set(name, k)
 	return true
 }
 
-// TakeSpare takes a token if the bucket is full, so that no later submission of the account lacks it: a
-// full bucket gets no further tokens.
+// TakeSpare takes a token that a full bucket has no room for, and reports whether there was one: the bucket
+// has been full for as long as a token takes. It stays full, so that no later submission of the account
+// lacks the token.
 func (b *Buckets) TakeSpare(name string, weight float64, now time.Duration) bool {
-	if k, ok := b.byName[name]; ok && k.full > now {
+	interval := intervalOf(weight)
+	if interval == 0 {
 		return false
 	}
-	return b.Take(name, weight, now)
+	if k, ok := b.byName[name]; ok && k.full+interval > now {
+		return false
+	}
+	b.set(name, bucket{full: now, interval: interval})
+	return true
 }
 
 // Return gives back the token of a submission that was not accepted.
@@ -113,10 +128,29 @@
 	return max(b.fullAt(name, interval, now)+interval-depthOf(interval)-now, 0), true
 }
 
-// Forget drops the state of full buckets, also those of accounts that no longer exist.
+// Promise returns the time until a refused caller finds a token, 0 if it never does. Callers that are refused
+// one after the other are promised successive tokens, so that those that return at that time don't
+// compete for one.
+func (b *Buckets) Promise(name string, weight float64, now time.Duration) time.Duration {
+	after, ok := b.NextToken(name, weight, now)
+	if !ok || after == 0 {
+		return 0
+	}
+	// There is state, since a full bucket has a token.
+	k, interval, next := b.byName[name], intervalOf(weight), now+after
+	at := next
+	if p := k.promised + interval; k.interval == interval && k.promised >= next && p <= next+max(promiseTime, depthOf(interval)) {
+		at = p
+	}
+	b.set(name, bucket{full: b.fullAt(name, interval, now), interval: interval, promised: at})
+	return at - now
+}
+
+// Forget drops the state of buckets that are full and have a spare token, also those of accounts that no
+// longer exist.
 func (b *Buckets) Forget(now time.Duration) {
 	for name, k := range b.byName {
-		if k.full <= now {
+		if k.full+k.interval <= now {
 			delete(b.byName, name)
 		}
 	}
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -22,14 +22,18 @@
 	ctx      context.Context
 	settings model.Queue
 	accepted time.Duration
+	// timing is what decides how long the job can wait, nil if its account has no share.
+	timing *jobTiming
 	// excess is set if the job is beyond the rate that its account is owed.
 	excess bool
 	// asked is when it was held, and checked is set once leaderless records were read since.
 	asked   time.Duration
 	checked bool
 	reply   chan relay.Answer
-	// refusal is why its account's limit refuses it, empty if it does not.
-	refusal string
+	// refusal is why its account's limit refuses it, empty if it does not. unchecked is set if there was no
+	// memory to decode the body for that.
+	refusal   string
+	unchecked bool
 	// bytes is an estimate of the memory that the job takes.
 	bytes int64
 	// repeats are repeated submissions of the same job.
@@ -38,6 +42,9 @@
 
 func (*submitRequest) isEvent() {}
 
+// isAbandoned reports whether the entry that sent the submission has stopped waiting for the answer.
+func (s *submitRequest) isAbandoned() bool { return s.ctx != nil && s.ctx.Err() != nil }
+
 // answer answers the submission and its repeats. It must be called once.
 func (s *submitRequest) answer(a relay.Answer) {
 	s.reply <- a
@@ -95,12 +102,7 @@
 // not handled it, and Unknown if the outcome is not known.
 func (l *Leader) Submit(ctx context.Context, s relay.Submission) relay.Answer {
 	ev := &submitRequest{Submission: s, ctx: ctx, bytes: bodyBytes(s.Body), reply: make(chan relay.Answer, 1)}
-	// A large body takes milliseconds to decode, which the control goroutine must not spend.
-	ok := false
-	if ev.refusal, ok = LimitRefusal(ctx, l.Guard, l.Orders.Config(), s.Account, s.Body); !ok {
-		l.Meters.refuse("memory")
-		return noMemoryAnswer
-	}
+	l.checkBody(ctx, ev)
 	if !l.send(ctx, ev) {
 		return notLeaderAnswer
 	}
@@ -113,6 +115,26 @@
 	return unknownAnswer
 }
 
+// checkBody decodes what the control goroutine needs of a submission. A large body takes milliseconds, which
+// that goroutine must not spend.
+func (l *Leader) checkBody(ctx context.Context, ev *submitRequest) {
+	ok := false
+	if ev.refusal, ok = LimitRefusal(ctx, l.Guard, l.Orders.Config(), ev.Account, ev.Body); !ok {
+		ev.unchecked = true
+		return
+	}
+	if !l.sharesApply(ev.Account) {
+		return
+	}
+	release, ok := l.Guard.Decode(ctx, ev.Body)
+	if !ok {
+		ev.unchecked = true
+		return
+	}
+	ev.timing = timingOf(ev.Body)
+	release()
+}
+
 // Query returns the state of a job. It returns false if this leader can't answer for the job.
 func (l *Leader) Query(ctx context.Context, id string) (model.State, bool) {
 	ev := &stateRequest{id, make(chan queryReply, 1)}
@@ -166,7 +188,8 @@
 		l.deferred = append(l.deferred, ev)
 		return
 	}
-	if ev.ctx != nil && ev.ctx.Err() != nil {
+	if ev.isAbandoned() {
+		l.abandon(ev)
 		return // the entry has stopped waiting, and may have stored the job itself
 	}
 	if l.tracker.Job(ev.ID) != nil {
@@ -177,10 +200,13 @@
 		a.repeats = append(a.repeats, ev)
 		return
 	}
+	if l.joinHeld(ev) {
+		return
+	}
 	if l.isStoreSlow() || !l.isValid() {
 		// The store may refuse only this entry; the entry that sent the job can store it itself.
 		l.Meters.refuse("store")
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 		return
 	}
 	q := (*model.Queue)(nil)
@@ -191,7 +217,7 @@
 		// This leader has not read the configuration that the entry has, which stores the job with the settings
 		// of its queue.
 		l.Meters.refuse("queue")
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 		return
 	}
 	ev.settings = *q
@@ -206,7 +232,7 @@
 		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: ev.refusal})
 		return
 	}
-	if !l.hasMemory(ev.bytes) {
+	if ev.unchecked || !l.hasMemory(ev.bytes) {
 		l.Meters.refuse("memory")
 		ev.answer(noMemoryAnswer)
 		return
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -24,6 +24,13 @@
 	// refusalReadInterval is the least time between reads of leaderless records before refusals. Each read is
 	// charged, and callers wait this long for a refusal at most, besides the read.
 	refusalReadInterval = 100 * time.Millisecond
+	// maxHeld and maxHeldBytes bound the held submissions and their bodies. A read takes some 0.2 s with the
+	// wait for it, in which 1,000 submissions a second are 200; the smallest entry has 184 MB.
+	maxHeld      = 512
+	maxHeldBytes = 16 << 20
+	// abandonedRetention is how long a job is not refused after an entry got its submission back or has stopped
+	// waiting for the answer. The entry then stores it itself or gives up, within its caller's time limit.
+	abandonedRetention = 30 * time.Second
 )
 
 // shareState is the state of the client accounts' shares. It is lost with the leader: the next one starts
@@ -35,7 +42,11 @@
 	// refusals are those of accounts with refused submissions lately.
 	refusals map[string]*refusal
 	// held are submissions that are refused unless the next read of leaderless records has their jobs.
-	held []*submitRequest
+	held      []*submitRequest
+	heldBytes int // of their bodies
+	// abandoned are, by job, when a submission was returned to its entry, or it was seen that the entry had
+	// stopped waiting for the answer. The entry may store the job.
+	abandoned map[string]time.Duration
 }
 
 // refusal is a time in which submissions of an account are refused.
@@ -86,38 +97,97 @@
 		// Its caller may repeat it after an answer that the outcome is not known, and an entry may have stored the
 		// job without this leader: a refusal would not be true.
 		ev.asked = l.now
-		l.shares.held = append(l.shares.held, ev)
+		if len(l.shares.held) >= maxHeld || l.shares.heldBytes+len(ev.Body) > maxHeldBytes {
+			// As if leaderless records could not be read: the entry stores the job.
+			l.Meters.refuse("held")
+			l.returnSubmission(ev)
+			return false
+		}
+		l.holdSubmission(ev)
 		l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
 		return false
 	}
+	if _, isAbandoned := l.shares.abandoned[ev.ID]; isAbandoned || !l.isSole() {
+		// Another entry may have stored the job since the read, or have claimed since and accepted it, for a
+		// caller that repeats it.
+		l.Meters.refuse("store")
+		l.returnSubmission(ev)
+		return false
+	}
 	l.Meters.refuse("share")
 	l.recordRefusal(ev.Account)
 	// Entries pass the time on in whole milliseconds, and a token must be there when it has passed.
-	after := (d.RetryAfter + time.Millisecond - 1).Truncate(time.Millisecond)
+	after := (l.shares.buckets.Promise(ev.Account, weight, l.now) + time.Millisecond - 1).Truncate(time.Millisecond)
 	ev.answer(relay.Answer{Verdict: relay.Limited, RetryAfter: after, Cause: "account is beyond its share, and the service is at capacity"})
 	return false
 }
 
+func (l *Leader) holdSubmission(ev *submitRequest) {
+	l.shares.held = append(l.shares.held, ev)
+	l.shares.heldBytes += len(ev.Body)
+}
+
 // decideHeld decides about the held submissions that arrived before the last read of leaderless records.
 func (l *Leader) decideHeld() {
 	held := l.shares.held
-	l.shares.held = nil
+	l.shares.held, l.shares.heldBytes = nil, 0
 	for _, ev := range held {
 		if ev.asked > l.leaderlessTail.lastRead {
-			l.shares.held = append(l.shares.held, ev)
+			l.holdSubmission(ev)
 			continue
 		}
 		ev.checked = true
+		if len(ev.repeats) > 0 && (ev.isAbandoned() || slices.ContainsFunc(ev.repeats, (*submitRequest).isAbandoned)) {
+			l.returnSubmission(ev) // one entry may have stored the job, and others wait
+			continue
+		}
 		l.onSubmit(ev)
 	}
 }
 
+// joinHeld has a repeated submission answered with the one of the same job that is held, if there is one. With
+// answers of their own, one caller could be told that the job never runs while the other's is accepted.
+func (l *Leader) joinHeld(ev *submitRequest) bool {
+	i := slices.IndexFunc(l.shares.held, func(h *submitRequest) bool { return h.ID == ev.ID && h.Account == ev.Account })
+	if i < 0 || ev.checked {
+		return false
+	}
+	h := l.shares.held[i]
+	if len(h.repeats) >= maxHeld {
+		l.returnSubmission(ev)
+		return true
+	}
+	ev.Body = nil // that of the first is stored
+	h.repeats = append(h.repeats, ev)
+	// The read must be sent after the last of them.
+	h.asked = l.now
+	l.leaderlessTail.next = min(l.leaderlessTail.next, max(l.now, l.leaderlessTail.sent+refusalReadInterval))
+	return true
+}
+
+// returnSubmission returns a submission to the entry that sent it, which may store the job itself.
+func (l *Leader) returnSubmission(ev *submitRequest) {
+	l.abandon(ev)
+	ev.answer(notLeaderAnswer)
+}
+
+// abandon records that an entry may store the job of a submission that it has sent.
+func (l *Leader) abandon(ev *submitRequest) {
+	if !l.sharesApply(ev.Account) {
+		return
+	}
+	if l.shares.abandoned == nil {
+		l.shares.abandoned = map[string]time.Duration{}
+	}
+	l.shares.abandoned[ev.ID] = l.now
+}
+
 // returnHeld returns the held submissions to the entries that sent them, which store the jobs themselves.
 func (l *Leader) returnHeld() {
 	for _, ev := range l.shares.held {
-		ev.answer(notLeaderAnswer)
+		l.returnSubmission(ev)
 	}
-	l.shares.held = nil
+	l.shares.held, l.shares.heldBytes = nil, 0
 }
 
 // canWait reports whether a submitted job can meet its objective if it starts after a wait. Jobs that are not due
@@ -126,12 +196,31 @@
 	if wait <= ev.settings.Objective {
 		return true
 	}
-	spec, err := platform.DecodeJob(ev.Body)
-	if err != nil || spec.IsLongRunning() || spec.Scheduled && spec.Start > l.wall {
+	t := ev.timing
+	if t == nil || t.hasNoObjective || t.start > l.wall {
 		return true
 	}
-	chain := spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })
-	return wait <= time.Duration((ev.settings.Slack-1)*float64(chain))+ev.settings.Objective
+	return wait <= time.Duration((ev.settings.Slack-1)*float64(t.chain))+ev.settings.Objective
+}
+
+// jobTiming is what decides how long a submitted job can wait.
+type jobTiming struct {
+	hasNoObjective bool
+	start          time.Duration // in Unix time, 0 for now
+	chain          time.Duration // the estimate of the longest chain of steps
+}
+
+// timingOf decodes a job. It is called outside of the control goroutine.
+func timingOf(body []byte) *jobTiming {
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return &jobTiming{hasNoObjective: true} // the entry that received the job has checked it
+	}
+	t := &jobTiming{hasNoObjective: spec.IsLongRunning(), chain: spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })}
+	if spec.Scheduled {
+		t.start = spec.Start
+	}
+	return t
 }
 
 func (l *Leader) recordRefusal(account string) {
@@ -208,7 +297,7 @@
 	}
 	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity)
 	load := &share.Load{Cores: usable.Cores, Full: share.IsFull(used, usable), At: l.now}
-	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above)
+	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
 	if l.shares.loads == nil {
 		l.shares.loads = map[string]*share.Load{}
 	}
@@ -234,9 +323,14 @@
 	}
 }
 
-// forgetShares forgets full buckets, pools that are gone, and refusals that have ended.
+// forgetShares forgets full buckets, pools that are gone, abandoned submissions, and refusals that have ended.
 func (l *Leader) forgetShares() {
 	l.shares.buckets.Forget(l.now)
+	for id, at := range l.shares.abandoned {
+		if l.now > at+abandonedRetention {
+			delete(l.shares.abandoned, id)
+		}
+	}
 	c := l.Orders.Config()
 	for service := range l.shares.loads {
 		if c == nil || c.Service(service) == nil {
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -39,7 +40,7 @@
 // submitAs submits a job and returns the answer, or nil if it is to be stored. It stores the job at once. A read of leaderless
 // records before a refusal returns some.
 func submitAs(l *Leader, account, id string, records ...platform.Record) *relay.Answer {
-	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 2)}
+	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
 	l.onSubmit(ev)
 	if len(l.shares.held) > 0 {
 		l.leaderlessTail.sent = l.now
@@ -86,6 +87,7 @@
 	assert.Assert(t, a != nil)
 	assert.Equal(t, a.Verdict, relay.Limited)
 	assert.Equal(t, a.RetryAfter, 100*time.Millisecond)
+	assert.Equal(t, submit("large").RetryAfter, 200*time.Millisecond, "the next caller gets the next token")
 	assert.Equal(t, l.tracker.Len(), jobs)
 	assert.Equal(t, len(l.store.accepts)+len(l.store.inFlight), 0)
 	assert.Assert(t, submit("small") == nil, "an account within its share")
@@ -110,7 +112,7 @@
 	a := submitAs(l, "small", "stored", platform.Record{Key: r.Key, Value: r.Value})
 	assert.Equal(t, a.Verdict, relay.Stored)
 	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.Limited)
-	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, reply: make(chan relay.Answer, 1)}
+	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 1)}
 	l.onSubmit(ev)
 	l.onLeaderless(leaderlessRead{err: errors.New("store is down")})
 	assert.Equal(t, (<-ev.reply).Verdict, relay.NotLeader)
@@ -148,6 +150,9 @@
 	assert.Equal(t, excess(), "567")
 	l.now += 5 * time.Second
 	l.orderNow(m)
+	assert.Equal(t, excess(), "567", "the bucket is full, but the account may need all of its tokens")
+	l.now += time.Second
+	l.orderNow(m)
 	assert.Equal(t, excess(), "67", "the oldest becomes a regular one")
 }
 
@@ -162,3 +167,198 @@
 	}
 	assert.Equal(t, l.shares.buckets.Len()+len(l.shares.loads), 0)
 }
+
+// Guards against a refusal of a job that the next leader has accepted: after a resignation the lease still allows this leader
+// to act, but another entry may have claimed while the submission was held.
+func TestOnlyTheSoleLeaderRefuses(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	assert.Equal(t, submitAs(l, "small", "refused").Verdict, relay.Limited)
+	l.HasSentResignation = func() bool { return true }
+	assert.Assert(t, l.isValid())
+	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.NotLeader)
+}
+
+// Guards against a refusal of a job that an entry stores after the read of leaderless records: it has stopped waiting for the
+// leader, while another entry has a repeated submission of the job.
+func TestAbandonedSubmissionsAreNotRefused(t *testing.T) {
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	ctx, cancel := context.WithCancel(context.Background())
+	first := &submitRequest{Submission: relay.Submission{ID: "x", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), ctx: ctx, reply: make(chan relay.Answer, 1)}
+	l.onSubmit(first)
+	assert.Equal(t, len(l.shares.held), 1)
+	cancel()
+	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader)
+	assert.Equal(t, (<-first.reply).Verdict, relay.NotLeader, "nothing is refused to the entry either")
+	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader, "also a later one")
+	assert.Equal(t, submitAs(l, "small", "y").Verdict, relay.Limited)
+	l.now += abandonedRetention + time.Second
+	l.forgetShares()
+	assert.Equal(t, len(l.shares.abandoned), 0)
+}
+
+// Guards against held submissions that use up the memory while the read of leaderless records takes long, and against one that
+// is then neither held nor answered.
+func TestHeldSubmissionsAreBounded(t *testing.T) {
+	for size, most := range map[int]int{100: maxHeld, 128 << 10: maxHeldBytes >> 17} {
+		l, m := newSharedLeader(t, twoAccounts)
+		for i := range 8 {
+			assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+		}
+		l.orderNow(m)
+		l.Settings.Store.RecordBytes = 2 << 20
+		body := []byte(fmt.Sprintf("%-*s", size, sharedBody))
+		var evs []*submitRequest
+		for i := range most + 10 {
+			ev := &submitRequest{Submission: relay.Submission{ID: fmt.Sprint("x", i), Queue: "q", Account: "small", Body: body}, timing: timingOf(body), reply: make(chan relay.Answer, 2)}
+			l.onSubmit(ev)
+			evs = append(evs, ev)
+		}
+		assert.Equal(t, len(l.shares.held), most)
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(l.shares.held)+l.shares.heldBytes, 0)
+		for i, ev := range evs {
+			assert.Equal(t, len(ev.reply), 1)
+			want := relay.Limited
+			if i >= most {
+				want = relay.NotLeader
+			}
+			assert.Equal(t, (<-ev.reply).Verdict, want)
+		}
+	}
+}
+
+// Guards against large bodies that the control goroutine decodes to decide about their submissions, and against a submission
+// whose objective is not known by then.
+func TestSubmissionsAreDecodedOutsideOfTheControlGoroutine(t *testing.T) {
+	l, _ := newSharedLeader(t, twoAccounts)
+	l.events, l.done = make(chan event, 1), make(chan struct{})
+	l.ctx = t.Context()
+	close(l.done)
+	for account, isDecoded := range map[string]bool{"small": true, "": false} {
+		l.Submit(t.Context(), relay.Submission{ID: "a", Queue: "q", Account: account, Body: []byte(sharedBody)})
+		ev := (<-l.events).(*submitRequest)
+		assert.Equal(t, ev.timing != nil, isDecoded)
+		if !isDecoded {
+			continue
+		}
+		assert.Equal(t, *ev.timing, jobTiming{chain: 400 * time.Millisecond})
+		ev.settings = model.Queue{Slack: 1.5, Objective: 600 * time.Millisecond}
+		ev.Body = nil
+		assert.Assert(t, l.canWait(ev, 800*time.Millisecond))
+		assert.Assert(t, !l.canWait(ev, 801*time.Millisecond))
+	}
+}
+
+// fillShare returns a leader that refuses further submissions of the account "small".
+func fillShare(t *testing.T) *Leader {
+	t.Helper()
+	l, m := newSharedLeader(t, twoAccounts)
+	for i := range 8 {
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+	}
+	l.orderNow(m)
+	return l
+}
+
+func newSubmission(ctx context.Context, id string) *submitRequest {
+	return &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: "small", Body: []byte(sharedBody)}, ctx: ctx, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
+}
+
+// Guards against a job that is refused to one caller and accepted for another that repeated its submission, because a token
+// became free between the two decisions, against a repeat that is not answered, and against a refusal without a read that was sent
+// after the repeat.
+func TestRepeatsOfHeldSubmissionsGetTheSameAnswer(t *testing.T) {
+	for name, gone := range map[string]int{"waiting": -1, "first gone": 0, "second gone": 1} {
+		l := fillShare(t)
+		isGone := gone >= 0
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		contexts := []context.Context{context.Background(), context.Background()}
+		if isGone {
+			contexts[gone] = ctx
+		}
+		first, second := newSubmission(contexts[0], "x"), newSubmission(contexts[1], "x")
+		l.onSubmit(first)
+		l.leaderlessTail.sent = l.now
+		l.now += 10 * time.Millisecond
+		l.onSubmit(second)
+		if isGone {
+			cancel()
+		}
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(first.reply)+len(second.reply), 0, name)
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(second.reply), 1, name)
+		want := relay.Limited
+		if isGone {
+			want = relay.NotLeader
+		}
+		assert.Equal(t, (<-first.reply).Verdict, want)
+		assert.Equal(t, (<-second.reply).Verdict, want)
+		assert.Equal(t, len(first.reply)+len(second.reply)+len(l.shares.held), 0)
+	}
+}
+
+// Guards against a refusal of a job that was returned to another entry, which may store it after the read of leaderless records.
+func TestReturnedSubmissionsAreNotRefused(t *testing.T) {
+	l := fillShare(t)
+	l.onSubmit(newSubmission(context.Background(), "x"))
+	l.onLeaderless(leaderlessRead{err: errors.New("store is down")})
+	assert.Equal(t, submitAs(l, "small", "x").Verdict, relay.NotLeader)
+	assert.Equal(t, submitAs(l, "small", "y").Verdict, relay.Limited)
+}
+
+// Guards against a cancel that is told that there is no such job while its submission is held, and is accepted then.
+func TestCancelsApplyToHeldSubmissions(t *testing.T) {
+	l := fillShare(t)
+	l.onSubmit(newSubmission(context.Background(), "x"))
+	assert.Equal(t, len(l.shares.held), 1)
+	c := &cancelRequest{id: "x", reply: make(chan relay.Verdict, 1)}
+	l.now += 10 * time.Millisecond
+	l.onCancel(c)
+	l.now += time.Minute // the account has a token
+	l.leaderlessTail.sent = l.now
+	l.onLeaderless(leaderlessRead{})
+	assert.Equal(t, len(l.store.accepts), 1)
+	assert.Equal(t, len(l.store.cancels), 1)
+	assert.Equal(t, len(c.reply), 0)
+}
+
+// Guards against a refusal of another account's submission, or of one without an account, because an excess one with the same ID
+// is held.
+func TestSubmissionsOfOthersDoNotJoinHeldOnes(t *testing.T) {
+	for _, account := range []string{"", "large"} {
+		l := fillShare(t)
+		held, other := newSubmission(context.Background(), "x"), newSubmission(context.Background(), "x")
+		l.onSubmit(held)
+		other.Account = account
+		l.onSubmit(other)
+		assert.Equal(t, len(l.store.accepts), 1)
+		l.leaderlessTail.sent = l.now
+		l.onLeaderless(leaderlessRead{})
+		assert.Equal(t, len(held.reply), 0, "it is answered with the one that is stored")
+		l.returnUnsent()
+		assert.Equal(t, len(held.reply)+len(other.reply), 2)
+	}
+}
+
+// Guards against an order that is computed without the accounts' limits.
+func TestOrderKnowsLimits(t *testing.T) {
+	l, m := newSharedLeader(t, `,"tenants":[{"name":"large","api_keys":["k1"],"weight":10,"max_count":{"cpu":2000}}]`)
+	assert.Assert(t, submitAs(l, "large", "a") == nil)
+	l.orderNow(m)
+	assert.Equal(t, l.shares.loads["s"].Waiting, 3.2)
+	l.quota.ledger.Charge("large", model.Amount{Cores: 2000})
+	l.orderNow(m)
+	assert.Equal(t, l.shares.loads["s"].Waiting, 0.0)
+}
