relay: the fuzz test of replies knows the verdict Limited

Cause: the test bounded decoded verdicts by NotFound, so that an answer with Limited failed it, and a known verdict that is decoded as another one passed. Change: each known verdict must be decoded as itself, and each other one as Unknown. Seeds for Limited and the next number. Run: go test -race ./internal/serve/relay (seeds only).

--- a/internal/serve/relay/fuzz_test.go
+++ b/internal/serve/relay/fuzz_test.go
@@ -15,6 +15,7 @@
 	for _, m := range []proto.Message{
 		&workpb.DigestReply{Leads: true, Token: 7, Age: 9, Backlog: []*workpb.Backlog{{Queue: "q", N: 1<<32 - 1}}, Counted: true},
 		&workpb.DigestReply{Backlog: []*workpb.Backlog{{}}, Age: 1<<32 - 1, Pause: 1<<32 - 1},
+		&workpb.SubmitReply{Leads: true, Verdict: uint32(Limited)}, &workpb.SubmitReply{Verdict: uint32(Limited) + 1},
 		&workpb.SubmitReply{Leads: true, Verdict: 9, After: 1<<32 - 1, Cause: "c"}, &workpb.QueryReply{Leads: true, State: 6},
 	} {
 		data, err := proto.Marshal(m)
@@ -32,7 +33,11 @@
 			}
 		}
 		if r := (&workpb.SubmitReply{}); proto.Unmarshal(data, r) == nil {
-			assert.Assert(t, decodeVerdict(r.GetVerdict()) <= NotFound)
+			want := Unknown
+			if r.GetVerdict() <= uint32(Limited) {
+				want = Verdict(r.GetVerdict())
+			}
+			assert.Equal(t, decodeVerdict(r.GetVerdict()), want)
 		}
 		if r := (&workpb.QueryReply{}); proto.Unmarshal(data, r) == nil {
 			s, ok := decodeState(r.GetState())
