orders: a configuration that can't be decoded may hide one that removes keys

Cause: the list of newest records has only the newest configuration. If that can't be decoded, the one before it is missed in a new process and after history was deleted. The view was extended all the same, so that a key which the missed one removed stayed valid without end, and a new process took any old configuration of a leader for the newest one. A restarted entry had no configuration either: it never asked the leader while the store answered. Change: reads don't extend the view then. The entry asks the leader until the leader's view is of after the read, or a later configuration is read. Records that were followed before miss nothing and change nothing. Run: go test -race ./internal/serve/orders; go test -race -run TestRestartedEntryGets ./internal/serve/agent.

--- a/internal/serve/agent/config.go
+++ b/internal/serve/agent/config.go
@@ -33,9 +33,10 @@
 
 // wantedConfigAbove returns the version of the configuration above which the leader should send its
 // own. Entries that can read the store read the configuration there: the leader would otherwise
-// send it to all of them at once after each change, and it can be large.
+// send it to all of them at once after each change, and it can be large. Entries that can't decode the
+// newest configuration there and may have missed the previous one ask for that.
 func (a *Agent) wantedConfigAbove() int64 {
-	if a.orders.SinceLastRead() < storeReachableAge {
+	if a.orders.SinceLastRead() < storeReachableAge && !a.orders.MayLackConfig() {
 		return math.MaxInt64
 	}
 	return a.configVersion()
--- a/internal/serve/agent/keys_test.go
+++ b/internal/serve/agent/keys_test.go
@@ -178,3 +178,21 @@
 	assert.DeepEqual(t, stored, want)
 	r.assertNoKeysInLog()
 }
+
+// Guards against an entry that refuses calls after a restart because the newest configuration can't be
+// decoded, although the leader has the one in force.
+func TestRestartedEntryGetsTheConfigurationInForceFromTheLeader(t *testing.T) {
+	r := newRig(t, 2, map[string]int{"pool-a": 1, "pool-b": 1}, setStrict)
+	lead := r.leader()
+	other := 1 - lead
+	r.untilFollowed(other, lead)
+	r.setKeys(true, r.entries...)
+	r.platform.Store.Put(platform.OperatorTopic, platform.ConfigKey, fmt.Appendf(nil, `{"version":%d,"tenants":[{}]}`, r.version+1))
+	r.kill(r.entries[other])
+	r.start(other)
+	r.until("the restarted entry accepts a key", func() bool { return r.check(other, keptKey, "/a/") == front.Accepted })
+	assert.Equal(t, r.check(other, removedKey, "/a/"), front.InvalidKey)
+	for end := time.Now().Add(testRevoke * 3 / 2); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		assert.Equal(t, r.check(other, keptKey, "/a/"), front.Accepted)
+	}
+}
--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -45,6 +45,8 @@
 	raw      atomic.Pointer[[]byte]
 	lastRead atomic.Int64 // when the store last answered, on the entry's clock
 	view     viewTime
+	// followed is the offset up to which each record was read. Only the reader uses it.
+	followed int64
 
 	mu    sync.Mutex
 	waves map[int64]Wave
@@ -135,11 +137,15 @@
 			from = end
 		}
 		for _, r := range rs {
-			o.apply(r)
+			// The list has no earlier configuration than the newest one.
+			if !o.apply(r) && r.Offset >= o.followed {
+				o.view.beginGap(o.clk.Now())
+			}
 			after = r.Key
 		}
 		if !more || len(rs) == 0 {
-			o.ExtendView(sent)
+			o.view.extendByRead(sent)
+			o.followed = from
 			return from, nil
 		}
 	}
@@ -157,22 +163,31 @@
 		o.apply(r)
 	}
 	from += int64(len(rs))
+	o.followed = from
 	if from == end {
-		o.ExtendView(sent)
+		o.view.extendByRead(sent)
 	}
 	return from, nil
 }
 
-func (o *Orders) apply(r platform.Record) {
+// apply applies a record. It returns false for a configuration that can't be decoded.
+func (o *Orders) apply(r platform.Record) bool {
 	if len(r.Value) == 0 {
-		return
+		return true
 	}
 	if r.Key == platform.ConfigKey {
 		if err := o.SetConfig(r.Value); err != nil {
 			o.log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration can't be decoded")
+			return false
 		}
-		return
+		o.view.endGap() // earlier configurations don't matter any more
+		return true
 	}
+	o.applyWave(r)
+	return true
+}
+
+func (o *Orders) applyWave(r platform.Record) {
 	if _, ok := platform.WaveKey(r.Key); !ok {
 		return
 	}
--- a/internal/serve/orders/view_test.go
+++ b/internal/serve/orders/view_test.go
@@ -161,3 +161,54 @@
 	assert.NilError(t, passedOn.SetConfig(r.RawConfig()))
 	assert.DeepEqual(t, passedOn.Config().Accounts, r.Config().Accounts)
 }
+
+// Guards against a removed key that stays valid because the list of newest records has a configuration that
+// can't be decoded in place of the one that removed the key: after deleted history, and in a new process
+// that gets an old configuration of a leader. Also guards against keys that are refused after deleted
+// history although nothing was missed.
+func TestMissedConfigurationsStopTheView(t *testing.T) {
+	const faulty = `{"version":3,"tenants":[{"name":"a","api_keys":[""]}]}`
+	ctx := context.Background()
+	r := newViewRig(t)
+	r.put(platform.ConfigKey, `{"version":1,"tenants":[{"name":"a","api_keys":["k"]}]}`)
+	from, err := r.readAll(ctx)
+	assert.NilError(t, err)
+	r.put(platform.ConfigKey, `{"version":2,"tenants":[{"name":"a","api_keys":["other"]}]}`)
+	r.put(platform.ConfigKey, faulty)
+	r.store.Compact()
+	_, err = r.readNext(ctx, from)
+	gone := (*platform.GoneError)(nil)
+	assert.Assert(t, errors.As(err, &gone))
+	from, err = r.readAll(ctx)
+	assert.NilError(t, err)
+	r.assertAge(3 * answerTime)
+	assert.Assert(t, r.MayLackConfig())
+	_, err = r.readNext(ctx, from)
+	assert.NilError(t, err)
+	r.assertAge(4 * answerTime)
+
+	started := &Orders{client: r.client, log: zerolog.Nop(), clk: r.clk, waves: map[int64]Wave{}}
+	from, err = started.readAll(ctx)
+	assert.NilError(t, err)
+	_, ok := started.ViewAge()
+	assert.Assert(t, !ok && started.MayLackConfig())
+	// A leader's view of before the gap doesn't end it, and a later one does.
+	started.ExtendView(r.clk.Now() - time.Second)
+	assert.Assert(t, started.MayLackConfig())
+	assert.NilError(t, started.SetConfig([]byte(`{"version":2}`)))
+	started.ExtendView(r.clk.Now())
+	assert.Assert(t, !started.MayLackConfig())
+	r.store.Compact()
+	from, err = started.readNext(ctx, from)
+	assert.NilError(t, err)
+	_, err = started.readAll(ctx)
+	assert.NilError(t, err)
+	age, _ := started.ViewAge()
+	assert.Equal(t, age, answerTime, "nothing was missed")
+
+	r.put(platform.ConfigKey, `{"version":4}`)
+	_, err = r.readNext(ctx, from)
+	assert.NilError(t, err)
+	r.assertAge(answerTime)
+	assert.Assert(t, !r.MayLackConfig())
+}
