orders: reads of a slow store don't wait for a change

Cause: a read waits 0.8 s for a change and is given up after 1.3 s. While the store took 1 s for an answer, no read succeeded at any entry or leader, the view became too old, and all calls with keys would be refused from 4.75 s on. Change: after a failed read, reads don't wait for a change as long as answers take longer than 250 ms. Run: go test -race ./internal/serve/orders.

--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -24,6 +24,9 @@
 	// configuration must be in force.
 	readWait  = 800 * time.Millisecond
 	readStall = 500 * time.Millisecond
+	// slowAnswer is the time for an answer from which on the store counts as slow. Reads of a slow store
+	// don't wait for a change: an answer that takes 1 s would come after readWait + readStall.
+	slowAnswer = readStall / 2
 	// retryPause is the time between reads after a failure.
 	retryPause = 100 * time.Millisecond
 )
@@ -96,14 +99,20 @@
 func (o *Orders) run(ctx context.Context) {
 	defer close(o.done)
 	from, ok := int64(0), false
-	lost := false
+	lost, slow := false, false
 	for ctx.Err() == nil {
 		var err error
+		begin := o.clk.Now()
 		if !ok {
 			from, err = o.readAll(ctx)
 		} else {
-			from, err = o.readNext(ctx, from)
+			wait := readWait
+			if slow {
+				wait = 0
+			}
+			from, err = o.readNext(ctx, from, wait)
 		}
+		slow = err != nil || slow && o.clk.Now()-begin > slowAnswer
 		ok = err == nil
 		if gone := (*platform.GoneError)(nil); !ok && !errors.As(err, &gone) && from > 0 {
 			// The orders read so far stay in force, and reading continues at the same offset.
@@ -151,11 +160,12 @@
 	}
 }
 
-// readNext reads the records from an offset on, and returns the offset from which reading continues.
+// readNext reads the records from an offset on, or waits for one, and returns the offset from which reading
+// continues.
 // The store may answer with a part of the records; the view is extended only by a read up to the end.
-func (o *Orders) readNext(ctx context.Context, from int64) (int64, error) {
+func (o *Orders) readNext(ctx context.Context, from int64, wait time.Duration) (int64, error) {
 	sent := o.clk.Now()
-	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, readWait, readStall)
+	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, wait, readWait+readStall-wait)
 	if err != nil {
 		return from, err
 	}
--- a/internal/serve/orders/orders_test.go
+++ b/internal/serve/orders/orders_test.go
@@ -31,7 +31,7 @@
 	read := func() int64 {
 		_, err := o.readAll(context.Background())
 		assert.NilError(t, err)
-		_, err = o.readNext(context.Background(), 0)
+		_, err = o.readNext(context.Background(), 0, readWait)
 		assert.NilError(t, err)
 		return o.Config().Version
 	}
--- a/internal/serve/orders/view_test.go
+++ b/internal/serve/orders/view_test.go
@@ -82,7 +82,7 @@
 	r.clk.Advance(time.Hour) // the entry is suspended
 	r.assertAge(time.Hour + answerTime)
 	r.put(platform.ConfigKey, `{"version":2}`)
-	_, err = r.readNext(context.Background(), from)
+	_, err = r.readNext(context.Background(), from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(answerTime)
 	r.ExtendView(r.clk.Now() - time.Second)
@@ -108,25 +108,25 @@
 	assert.Assert(t, !ok, "only the first page was read")
 
 	r.failAfter = 0
-	from, err := r.readNext(ctx, 0)
+	from, err := r.readNext(ctx, 0, readWait)
 	assert.NilError(t, err)
 	assert.Assert(t, from < keys+1)
 	_, ok = r.ViewAge()
 	assert.Assert(t, !ok, "a part of the records was read")
 	for from < keys+1 {
-		from, err = r.readNext(ctx, from)
+		from, err = r.readNext(ctx, from, readWait)
 		assert.NilError(t, err)
 	}
 	r.assertAge(answerTime)
 
 	r.put(platform.ConfigKey, `{"version":2}`)
 	r.store.Set(fake.Faults{Busy: true})
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	assert.Assert(t, err != nil)
 	r.assertAge(2 * answerTime)
 	r.store.Set(fake.Faults{})
 	r.store.Truncate(platform.OperatorTopic, 0)
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	gone := (*platform.GoneError)(nil)
 	assert.Assert(t, errors.As(err, &gone))
 	r.assertAge(3 * answerTime)
@@ -149,7 +149,7 @@
 		`[{"name":"a","api_keys":"` + key + `"}]`, `["` + key + `"]`, `"` + key, `{"` + key + `":1}`,
 	} {
 		r.put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"tenants":%s}`, i+2, accounts))
-		from, err = r.readNext(context.Background(), from)
+		from, err = r.readNext(context.Background(), from, readWait)
 		assert.NilError(t, err)
 		assert.Equal(t, strings.Count(r.log.String(), "can't be decoded"), i+1)
 		r.assertAge(answerTime)
@@ -176,14 +176,14 @@
 	r.put(platform.ConfigKey, `{"version":2,"tenants":[{"name":"a","api_keys":["other"]}]}`)
 	r.put(platform.ConfigKey, faulty)
 	r.store.Compact()
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	gone := (*platform.GoneError)(nil)
 	assert.Assert(t, errors.As(err, &gone))
 	from, err = r.readAll(ctx)
 	assert.NilError(t, err)
 	r.assertAge(3 * answerTime)
 	assert.Assert(t, r.MayLackConfig())
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(4 * answerTime)
 
@@ -199,7 +199,7 @@
 	started.ExtendView(r.clk.Now())
 	assert.Assert(t, !started.MayLackConfig())
 	r.store.Compact()
-	from, err = started.readNext(ctx, from)
+	from, err = started.readNext(ctx, from, readWait)
 	assert.NilError(t, err)
 	_, err = started.readAll(ctx)
 	assert.NilError(t, err)
@@ -207,7 +207,7 @@
 	assert.Equal(t, age, answerTime, "nothing was missed")
 
 	r.put(platform.ConfigKey, `{"version":4}`)
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(answerTime)
 	assert.Assert(t, !r.MayLackConfig())
