orders: the view is extended also while reads don't reach the end of the log

Cause: a read that was answered with a part of the records (1 MiB) did not extend the view. While large configurations are written as fast as a link carries them, each answer is a part, and valid keys were refused with 503 although the entry was only some reads behind. Change: once an entry has read up to the end that an earlier read reported, its view is as of when that one was sent. Run: go test -race ./internal/serve/orders. The new test failed without the change.

--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -50,6 +50,10 @@
 	view     viewTime
 	// followed is the offset up to which each record was read. Only the reader uses it.
 	followed int64
+	// behind is the first read since whose answer the end that it reported was not reached, with hasBehind.
+	// Only the reader uses it.
+	behind    readEnd
+	hasBehind bool
 
 	mu    sync.Mutex
 	waves map[int64]Wave
@@ -60,6 +64,12 @@
 	done   chan struct{}
 }
 
+// readEnd is the end of the log that a read reported, and when the read was sent.
+type readEnd struct {
+	sent time.Duration
+	end  int64
+}
+
 // Start follows the operators' orders until Close.
 func Start(ctx context.Context, c *platform.Client, clk clock.Clock, log zerolog.Logger) *Orders {
 	ctx, cancel := context.WithCancel(ctx)
@@ -137,6 +147,7 @@
 // readAll reads the newest record of each key. It returns the offset from which reading continues.
 func (o *Orders) readAll(ctx context.Context) (int64, error) {
 	from, after, sent := int64(-1), "", o.clk.Now()
+	o.hasBehind = false
 	for {
 		rs, more, end, err := o.client.Newest(ctx, platform.OperatorTopic, 0, after, readWait+readStall)
 		if err != nil {
@@ -162,7 +173,8 @@
 
 // readNext reads the records from an offset on, or waits for one, and returns the offset from which reading
 // continues.
-// The store may answer with a part of the records; the view is extended only by a read up to the end.
+// The store may answer with a part of the records; the view is extended to a read once the end that it
+// reported is reached. Reads may never reach their own end while much is written.
 func (o *Orders) readNext(ctx context.Context, from int64, wait time.Duration) (int64, error) {
 	sent := o.clk.Now()
 	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, wait, readWait+readStall-wait)
@@ -174,8 +186,15 @@
 	}
 	from += int64(len(rs))
 	o.followed = from
-	if from == end {
+	if o.hasBehind && from >= o.behind.end {
+		o.view.extendByRead(o.behind.sent)
+		o.hasBehind = false
+	}
+	switch {
+	case from == end:
 		o.view.extendByRead(sent)
+	case !o.hasBehind:
+		o.behind, o.hasBehind = readEnd{sent, end}, true
 	}
 	return from, nil
 }
--- a/internal/serve/orders/view_test.go
+++ b/internal/serve/orders/view_test.go
@@ -212,3 +212,29 @@
 	r.assertAge(answerTime)
 	assert.Assert(t, !r.MayLackConfig())
 }
+
+// Guards against keys that are refused while configurations are written as fast as they can be read: no read
+// gets to the end of the log then.
+func TestViewIsExtendedWhileReadsDontReachTheEnd(t *testing.T) {
+	ctx := context.Background()
+	r := newViewRig(t)
+	from, err := r.readAll(ctx)
+	assert.NilError(t, err)
+	large := strings.Repeat("x", 600<<10) // two records are an answer
+	for i := range 30 {
+		for range 2 {
+			r.put("other/", large)
+		}
+		if i == 0 {
+			r.put("other/", large)
+		}
+		next, err := r.readNext(ctx, from, readWait)
+		assert.NilError(t, err)
+		assert.Equal(t, next, from+2)
+		from = next
+		age, ok := r.ViewAge()
+		assert.Assert(t, ok && age <= 4*answerTime, "age %v after %d reads", age, i+1)
+	}
+	// A read that is answered with a part doesn't extend the view to its own time.
+	r.assertAge(2 * answerTime)
+}
