--- a/internal/serve/lead/handover.go
+++ b/internal/serve/lead/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
@@ -43,6 +44,14 @@
 	e.followers[f.Name] = c
 }
 
+// HasFollower reports whether an entry has polled this one within a time.
+func (e *Elector) HasFollower(name string, within time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.followers[name]
+	return ok && e.clk.Now()-c.LastSeen <= within
+}
+
 // FollowerCount returns the number of entries that follow this one.
 func (e *Elector) FollowerCount() int {
 	e.mu.Lock()
