--- a/internal/serve/orders/view_test.go
+++ b/internal/serve/orders/view_test.go
@@ -82,7 +82,7 @@
 	r.clk.Advance(time.Hour) // the entry is suspended
 	r.assertAge(time.Hour + answerTime)
 	r.put(platform.ConfigKey, `{"version":2}`)
-	_, err = r.readNext(context.Background(), from)
+	_, err = r.readNext(context.Background(), from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(answerTime)
 	r.ExtendView(r.clk.Now() - time.Second)
@@ -108,25 +108,25 @@
 	assert.Assert(t, !ok, "only the first page was read")
 
 	r.failAfter = 0
-	from, err := r.readNext(ctx, 0)
+	from, err := r.readNext(ctx, 0, readWait)
 	assert.NilError(t, err)
 	assert.Assert(t, from < keys+1)
 	_, ok = r.ViewAge()
 	assert.Assert(t, !ok, "a part of the records was read")
 	for from < keys+1 {
-		from, err = r.readNext(ctx, from)
+		from, err = r.readNext(ctx, from, readWait)
 		assert.NilError(t, err)
 	}
 	r.assertAge(answerTime)
 
 	r.put(platform.ConfigKey, `{"version":2}`)
 	r.store.Set(fake.Faults{Busy: true})
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	assert.Assert(t, err != nil)
 	r.assertAge(2 * answerTime)
 	r.store.Set(fake.Faults{})
 	r.store.Truncate(platform.OperatorTopic, 0)
-	_, err = r.readNext(ctx, from)
+	_, err = r.readNext(ctx, from, readWait)
 	gone := (*platform.GoneError)(nil)
 	assert.Assert(t, errors.As(err, &gone))
 	r.assertAge(3 * answerTime)
@@ -149,7 +149,7 @@
 		`[{"name":"a","api_keys":"` + key + `"}]`, `["` + key + `"]`, `"` + key, `{"` + key + `":1}`,
 	} {
 		r.put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"tenants":%s}`, i+2, accounts))
-		from, err = r.readNext(context.Background(), from)
+		from, err = r.readNext(context.Background(), from, readWait)
 		assert.NilError(t, err)
 		assert.Equal(t, strings.Count(r.log.String(), "can't be decoded"), i+1)
 		r.assertAge(answerTime)
@@ -161,3 +161,80 @@
 	assert.NilError(t, passedOn.SetConfig(r.RawConfig()))
 	assert.DeepEqual(t, passedOn.Config().Accounts, r.Config().Accounts)
 }
+
+// Guards against a removed key that stays valid because the list of newest records has a configuration that
+// can't be decoded in place of the one that removed the key: after deleted history, and in a new process
+// that gets an old configuration of a leader. Also guards against keys that are refused after deleted
+// history although nothing was missed.
+func TestMissedConfigurationsStopTheView(t *testing.T) {
+	const faulty = `{"version":3,"tenants":[{"name":"a","api_keys":[""]}]}`
+	ctx := context.Background()
+	r := newViewRig(t)
+	r.put(platform.ConfigKey, `{"version":1,"tenants":[{"name":"a","api_keys":["k"]}]}`)
+	from, err := r.readAll(ctx)
+	assert.NilError(t, err)
+	r.put(platform.ConfigKey, `{"version":2,"tenants":[{"name":"a","api_keys":["other"]}]}`)
+	r.put(platform.ConfigKey, faulty)
+	r.store.Compact()
+	_, err = r.readNext(ctx, from, readWait)
+	gone := (*platform.GoneError)(nil)
+	assert.Assert(t, errors.As(err, &gone))
+	from, err = r.readAll(ctx)
+	assert.NilError(t, err)
+	r.assertAge(3 * answerTime)
+	assert.Assert(t, r.MayLackConfig())
+	_, err = r.readNext(ctx, from, readWait)
+	assert.NilError(t, err)
+	r.assertAge(4 * answerTime)
+
+	started := &Orders{client: r.client, log: zerolog.Nop(), clk: r.clk, waves: map[int64]Wave{}}
+	from, err = started.readAll(ctx)
+	assert.NilError(t, err)
+	_, ok := started.ViewAge()
+	assert.Assert(t, !ok && started.MayLackConfig())
+	// A leader's view of before the gap doesn't end it, and a later one does.
+	started.ExtendView(r.clk.Now() - time.Second)
+	assert.Assert(t, started.MayLackConfig())
+	assert.NilError(t, started.SetConfig([]byte(`{"version":2}`)))
+	started.ExtendView(r.clk.Now())
+	assert.Assert(t, !started.MayLackConfig())
+	r.store.Compact()
+	from, err = started.readNext(ctx, from, readWait)
+	assert.NilError(t, err)
+	_, err = started.readAll(ctx)
+	assert.NilError(t, err)
+	age, _ := started.ViewAge()
+	assert.Equal(t, age, answerTime, "nothing was missed")
+
+	r.put(platform.ConfigKey, `{"version":4}`)
+	_, err = r.readNext(ctx, from, readWait)
+	assert.NilError(t, err)
+	r.assertAge(answerTime)
+	assert.Assert(t, !r.MayLackConfig())
+}
+
+// Guards against keys that are refused while configurations are written as fast as they can be read: no read
+// gets to the end of the log then.
+func TestViewIsExtendedWhileReadsDontReachTheEnd(t *testing.T) {
+	ctx := context.Background()
+	r := newViewRig(t)
+	from, err := r.readAll(ctx)
+	assert.NilError(t, err)
+	large := strings.Repeat("x", 600<<10) // two records are an answer
+	for i := range 30 {
+		for range 2 {
+			r.put("other/", large)
+		}
+		if i == 0 {
+			r.put("other/", large)
+		}
+		next, err := r.readNext(ctx, from, readWait)
+		assert.NilError(t, err)
+		assert.Equal(t, next, from+2)
+		from = next
+		age, ok := r.ViewAge()
+		assert.Assert(t, ok && age <= 4*answerTime, "age %v after %d reads", age, i+1)
+	}
+	// A read that is answered with a part doesn't extend the view to its own time.
+	r.assertAge(2 * answerTime)
+}
