--- a/internal/serve/agent/quota_test.go
+++ b/internal/serve/agent/quota_test.go
@@ -16,6 +16,7 @@
 // limitAccount gives the account "a" a limit and waits until it is in force on all entries.
 func (r *rig) limitAccount(cores int) {
 	r.t.Helper()
+	r.key = "k"
 	r.accounts = fmt.Sprintf(`,"tenants":[{"name":"a","api_keys":["k"],"weight":1,"max_count":{"cpu":%d,"mem_mb":0,"gpu":0}}]`, cores)
 	r.configure("")
 	for _, a := range r.entries {
