orders: the version since which an account's keys are in force

Change: KeysSince has, by account, the version of the configuration since which its set of keys is unchanged, of those that this process has read. It is in memory only: an entry that starts later shows the first version that it read.

--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -44,10 +44,12 @@
 	log    zerolog.Logger
 	clk    clock.Clock
 
-	conf     atomic.Pointer[model.Config]
-	raw      atomic.Pointer[[]byte]
-	lastRead atomic.Int64 // when the store last answered, on the entry's clock
-	view     viewTime
+	conf atomic.Pointer[model.Config]
+	raw  atomic.Pointer[[]byte]
+	// keysSince are, by account, the versions since which their keys have not changed. It is never modified.
+	keysSince atomic.Pointer[map[string]int64]
+	lastRead  atomic.Int64 // when the store last answered, on the entry's clock
+	view      viewTime
 	// followed is the offset up to which each record was read. Only the reader uses it.
 	followed int64
 	// behind is the first read since whose answer the end that it reported was not reached, with hasBehind.
@@ -257,6 +259,8 @@
 	if old != nil {
 		o.recordMoves(old, c)
 	}
+	since := keysSince(old, o.KeysSince(), c)
+	o.keysSince.Store(&since) // first, so that each account of the configuration has one
 	o.conf.Store(c)
 	o.raw.Store(&value)
 	o.log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration is in force")
