--- a/internal/jobs/assign/share.go
+++ b/internal/jobs/assign/share.go
@@ -1,6 +1,8 @@
 package assign
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"time"
 
@@ -139,6 +141,10 @@
 	needs   []share.Need
 	above   map[string]bool
 	divider share.Divider
+	// fair are the fair shares of the last computation, by index.
+	fair []float64
+	// capacity is what the last computation has divided.
+	capacity model.Amount
 }
 
 // Above returns the accounts that use clearly more than their fair share of a pool, which weights and the
@@ -150,7 +156,7 @@
 	}
 	clear(c.index)
 	clear(c.above)
-	c.needs = c.needs[:0]
+	c.needs, c.fair, c.capacity = c.needs[:0], nil, model.Amount{}
 	for _, j := range jobs {
 		running, waiting, lasting := needsOf(j)
 		capacity = capacity.Minus(lasting)
@@ -171,16 +177,32 @@
 	if len(c.needs) == 0 {
 		return nil
 	}
-	fair := c.divider.Divide(c.needs, capacity)
+	c.capacity = capacity
+	c.fair = c.divider.Divide(c.needs, capacity)
 	for account, i := range c.index {
 		n := &c.needs[i]
-		if share.IsAbove(n.Running.Share(capacity), fair[i], n.Largest.Share(capacity)) {
+		if share.IsAbove(n.Running.Share(capacity), c.fair[i], n.Largest.Share(capacity)) {
 			c.above[account] = true
 		}
 	}
 	return c.above
 }
 
+// Accounts returns the accounts with jobs in the last computation.
+func (c *Claims) Accounts() iter.Seq[string] { return maps.Keys(c.index) }
+
+// Capacity returns what the last computation has divided: the pool without what long-running tasks and jobs
+// without an account use.
+func (c *Claims) Capacity() model.Amount { return c.capacity }
+
+// Fair returns the fair dominant share of that capacity of an account in the last computation, 0 if it needed nothing.
+func (c *Claims) Fair(account string) float64 {
+	if i, ok := c.index[account]; ok && c.fair != nil {
+		return c.fair[i]
+	}
+	return 0
+}
+
 // needsOf returns what the runs of a job reserve, what its tasks that could start need, and what its
 // long-running tasks reserve.
 func needsOf(j *track.Job) (running, waiting, lasting model.Amount) {
--- a/internal/serve/guard/guard.go
+++ b/internal/serve/guard/guard.go
@@ -75,6 +75,17 @@
 	return g != nil && float64(g.answering.Load()) > fullShare*float64(g.limits.Held)
 }
 
+// Load returns the bytes received for requests that are not answered, and the number of open connections.
+func (g *Guard) Load() (held int64, conns int) {
+	if g == nil {
+		return 0, 0
+	}
+	for k := range Kinds {
+		conns += g.count(k)
+	}
+	return g.held.Load(), conns
+}
+
 // Refuse counts a body that was refused.
 func (g *Guard) Refuse(cause string) {
 	if g == nil {
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -77,6 +78,8 @@
 	done   chan struct{}
 	// calls is the number of goroutines that have yet to report their event.
 	calls int
+	// watchedUntil is until when the gauges of accounts are kept up to date.
+	watchedUntil atomic.Int64
 
 	// The fields below are owned by the control goroutine.
 	now     time.Duration
@@ -127,6 +130,8 @@
 	advice      map[*track.Step]*stepAdvice
 	adviceCalls int // calls to the advice service in flight
 	quota       quotaState
+	accounts    accountsState
+	waits       waitState
 	// pendingJobs is the last count of pending jobs by queue, and countedAt its time. The map is
 	// shared with readers and never modified.
 	pendingJobs        map[string]int
@@ -184,6 +189,7 @@
 	}
 	l.Log.Info().Int("jobs", l.jobCount()).Msg("leading stops")
 	l.refuseAll()
+	l.Meters.setAccounts(&Accounts{})
 	for l.calls > 0 {
 		if _, ok := (<-l.events).(reporting); ok {
 			l.calls--
@@ -257,6 +263,8 @@
 		l.onCancel(ev)
 	case *pendingRequest:
 		l.onPending(ev)
+	case *accountsRequest:
+		ev.reply <- l.accountsNow()
 	case appended:
 		l.onAppended(ev)
 	case appendRefused:
@@ -351,6 +359,10 @@
 	l.forgetEnded()
 	l.purgeAdvice()
 	l.forgetShares()
+	l.forgetWaits()
+	if l.now < time.Duration(l.watchedUntil.Load()) {
+		l.accountsNow()
+	}
 	for key, m := range l.members {
 		if m.Contact == execs.Dead && len(l.tracker.RunsOn(key)) == 0 && !m.polling {
 			delete(l.members, key)
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -229,6 +229,7 @@
 	}
 	if ev.refusal != "" {
 		l.Meters.refuse("limit")
+		l.countRefused(ev.Account, RefusedCounts{Limit: 1})
 		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: ev.refusal})
 		return
 	}
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -105,6 +105,9 @@
 			l.startRun(st)
 		}
 		room -= len(starts)
+		if len(starts) < limit {
+			l.explainWaits(s, order)
+		}
 		if len(starts) >= limit || order.madeAt < l.now {
 			// More tasks may be startable, or jobs have arrived since the order was computed.
 			l.planDue[s] = true
@@ -150,6 +153,8 @@
 	jobs []*track.Job
 	// needsAdvice is set if starts for some of the jobs need tickets.
 	needsAdvice bool
+	// above are the accounts that used clearly more than their share when the order was computed.
+	above map[string]bool
 	// madeAt is when the order was computed, and validUntil when it must be computed again.
 	madeAt, validUntil time.Duration
 }
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -115,6 +116,7 @@
 		return false
 	}
 	l.Meters.refuse("share")
+	l.countRefused(ev.Account, RefusedCounts{Share: 1})
 	l.recordRefusal(ev.Account)
 	// Entries pass the time on in whole milliseconds, and a token must be there when it has passed.
 	after := (l.shares.buckets.Promise(ev.Account, weight, l.now) + time.Millisecond - 1).Truncate(time.Millisecond)
@@ -296,6 +298,7 @@
 		}
 	}
 	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity)
+	order.above = maps.Clone(above)
 	load := &share.Load{Cores: usable.Cores, Full: share.IsFull(used, usable), At: l.now}
 	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
 	if l.shares.loads == nil {
