--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -197,7 +197,8 @@
 		return Err.Wrap(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", a.meter.Handler())
+	mux.HandleFunc("GET /metrics", a.serveMeters)
+	mux.HandleFunc("GET /status", a.status)
 	a.metricsServer = newAuxServer(mux)
 	go func() { a.metricsDone <- a.metricsServer.Serve(a.guard.Listener(guard.Metrics, lis)) }()
 	return nil
