cmds: accounts shows the client accounts of the leading entry

Change: chervilgauge accounts [-json] ADDR prints GET /status as a table; an entry that does not lead is an error that names the leader. Run: go test -race -p 2 ./cmd/... passes.

--- a/cmd/chervilgauge/cmds/cmds.go
+++ b/cmd/chervilgauge/cmds/cmds.go
@@ -61,6 +61,7 @@
 		{"entry", "remove NAME", "remove an entry that has ended and that no majority is left to evict", runEntry},
 		{"config", "wait VERSION", "wait until a change is in force on every entry", runConfig},
 		{"status", "", "show the state of the fleet", runStatus},
+		{"accounts", "ADDR", "show the client accounts, from the metrics address of the entry that leads", runAccounts},
 		{"explain", "ID FILE...", "show what the logs of entries say about a job", runExplain},
 		{"demo", "", "run entries, fakes and traffic in one process and report", runDemo},
 		{"load", "", "send open-loop load to an entry or an endpoint", runLoad},
