--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -42,10 +42,12 @@
 	rng  *rand.Rand
 	http *http.Client
 	key  string
+	// account is the one that the key belongs to.
+	account string
 }
 
 func (r *run) newCaller(n int) *caller {
-	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}, keptKey(n % accounts)}
+	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}, keptKey(n % accounts), accountName(n % accounts)}
 }
 
 // callerStream is the first random stream of callers. Those below are the series of faults.
@@ -85,7 +87,7 @@
 // submit submits a new job, at one entry after the other until it is accepted.
 func (c *caller) submit(ctx context.Context) {
 	j := newJob(c.rng, c.r.cfg.delegates())
-	j.submitted = c.r.clk.Now()
+	j.submitted, j.account = c.r.clk.Now(), c.account
 	c.r.jobs.add(j)
 	timeout := callTimeout
 	if c.rng.IntN(8) == 0 {
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -93,6 +93,7 @@
 	for seen := 0; ctx.Err() == nil; {
 		seen = r.checkPlatform(seen)
 		r.checkWaves()
+		r.shares.add(r.clk.Now(), r.platform.CoresByAccount)
 		clock.Pause(ctx, r.clk, checkInterval)
 	}
 }
--- a/internal/bench/soak/job.go
+++ b/internal/bench/soak/job.go
@@ -32,6 +32,7 @@
 	spec     model.JobSpec
 	body     []byte
 	tasks    int
+	account  string // set before the job is submitted
 	// index is the task that always fails in a hopeless job.
 	long, hopeless, flaky bool
 	runtime               time.Duration
@@ -99,7 +100,7 @@
 		return fake.RunPlan{Result: "failed", Unasked: true}
 	}
 	s := j.spec.Steps[t.Step]
-	p := fake.RunPlan{Duration: j.runtime, Result: "done", Service: j.service, Cores: int(s.Need.Cores), MaxFailures: maxAttempts}
+	p := fake.RunPlan{Duration: j.runtime, Result: "done", Service: j.service, Account: j.account, Cores: int(s.Need.Cores), MaxFailures: maxAttempts}
 	for _, before := range s.After {
 		for i := range j.spec.Steps[before].Count {
 			p.After = append(p.After, model.TaskID{Job: j.id, Step: before, Index: i}.String())
--- a/internal/bench/soak/keys.go
+++ b/internal/bench/soak/keys.go
@@ -14,6 +14,8 @@
 	revoke = 2500 * time.Millisecond
 )
 
+func accountName(account int) string { return fmt.Sprint("account-", account) }
+
 // keptKey returns the key that an account has in all configurations, and changingKey the one that the
 // operator removes and adds.
 func keptKey(account int) string     { return fmt.Sprint("kept-key-of-account-", account) }
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -75,7 +75,7 @@
 	w := written{version: version, at: now}
 	var all []fake.AccountKeys
 	for i := range w.keys {
-		a := fake.AccountKeys{Name: fmt.Sprint("account-", i), Keys: []string{keptKey(i)}}
+		a := fake.AccountKeys{Name: accountName(i), Keys: []string{keptKey(i)}}
 		if w.keys[i] = o.rng.IntN(2) == 0; w.keys[i] {
 			a.Keys = append(a.Keys, changingKey(i))
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -111,6 +111,7 @@
 	// unplanned signals only.
 	unplanned, planned, signals *calendar
 	submits                     *latency
+	shares                      shares
 	wg                          sync.WaitGroup // processes
 
 	mu       sync.Mutex
@@ -161,7 +162,7 @@
 	out := r.report()
 	if len(out.Findings) > 0 || err != nil || cfg.Keep {
 		out.Dir = dir
-		return out, err
+		return out, errs.Combine(err, r.shares.write(dir, fmt.Sprintf("Shares of accounts, seed %d", cfg.Seed)))
 	}
 	return out, Err.Wrap(os.RemoveAll(dir))
 }
