--- a/internal/serve/agent/status_test.go
+++ b/internal/serve/agent/status_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -70,6 +71,8 @@
 	})
 	all := r.get(leads, ports[leads], "/status") + r.get(leads, ports[leads], "/metrics")
 	digest := model.DigestKey(r.key)
-	assert.Assert(t, !strings.Contains(all, `"k"`) && !strings.Contains(all, fmt.Sprintf("%x", digest[:4])))
+	for _, secret := range []string{`"k"`, fmt.Sprintf("%x", digest[:4]), base64.StdEncoding.EncodeToString(digest[:6]), fmt.Sprintf("%d,%d,%d", digest[0], digest[1], digest[2])} {
+		assert.Assert(t, !strings.Contains(all, secret), secret)
+	}
 	assert.Assert(t, !strings.Contains(r.get(leads, ports[leads], "/metrics"), `="a"`))
 }
