--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -90,6 +90,7 @@
 	assert.Equal(t, submit("large").RetryAfter, 200*time.Millisecond, "the next caller gets the next token")
 	assert.Equal(t, l.tracker.Len(), jobs)
 	assert.Equal(t, len(l.store.accepts)+len(l.store.inFlight), 0)
+	assert.DeepEqual(t, l.accounts.refused, map[string]RefusedCounts{"large": {Share: 2}})
 	assert.Assert(t, submit("small") == nil, "an account within its share")
 	assert.Assert(t, submit("") == nil, "a job without an account")
 	assert.Assert(t, submit("unknown") == nil, "an account that only the entry knows")
