--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -69,6 +69,7 @@
 	metricsPort   int
 	metricsServer *http.Server
 	metricsDone   chan error
+	encoded       encodedStatus
 
 	traffic links.Counters
 	watcher *links.Watcher
@@ -197,7 +198,8 @@
 		return Err.Wrap(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", a.meter.Handler())
+	mux.HandleFunc("GET /metrics", a.serveMeters)
+	mux.HandleFunc("GET /status", a.status)
 	a.metricsServer = newAuxServer(mux)
 	go func() { a.metricsDone <- a.metricsServer.Serve(a.guard.Listener(guard.Metrics, lis)) }()
 	return nil
