execs: a learned failure rate, and a bound for suspects

Cause: an executor that fails part of its runs is not quarantined, because each success ends its series of failures; after a quarantine it got a full load at once. Failures of jobs that fail everywhere quarantined sound executors.

Change: each executor has a failure rate over its last 50 runs. With two recent faults of different jobs and a rate of 12%, or after a quarantine, it is on probation: it holds one run, one more for each success, and one again after a fault, up to 18 without a high rate. Failures, stalls, lapses of its leases and refusals as unhealthy count. Tasks that failed before avoid suspects, and the failure rate of suspects is part of the cost of a place. A job that failed on two sound executors without any success counts for no executor. No bound applies while more than half of a pool are suspects. A probation is inherited by the next incarnation.

Evidence that enables it: two faults within 50 runs at a rate of 12%. Sound executors fail 3% at most.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -187,10 +187,11 @@
 // Plan returns the tasks to start now, best first, for jobs of one service in the given order. It
 // returns limit tasks at most, or a single gang that has more members.
 func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, policy: policy}
+	p := plan{now: now, limit: limit, policy: policy, bounded: execs.BoundsApply(members)}
+	room := roomOf(p.bounded)
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
-			p.slots = append(p.slots, &slot{m: m, free: m.Free(), rarity: rarity.Of(m.Labels)})
+			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: room(m), rarity: rarity.Of(m.Labels)})
 		}
 	}
 	p.all = slices.Clone(p.slots)
@@ -214,8 +215,10 @@
 
 // slot is an executor with the capacity that the plan has not used.
 type slot struct {
-	m      *execs.Member
-	free   model.Amount
+	m    *execs.Member
+	free model.Amount
+	// room is how many more runs a suspect may hold.
+	room   int
 	rarity float64
 }
 
@@ -227,6 +230,8 @@
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
+	// bounded is set if the bounds of suspects apply.
+	bounded bool
 	// unfit are amounts for which no executor has enough free capacity. Free capacity only shrinks
 	// during a plan, so tasks that need as much or more are skipped without a search. In a burst
 	// these are most of the backlog.
@@ -304,6 +309,7 @@
 
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
 	sl.free = sl.free.Minus(s.Reservation())
+	sl.room--
 	if placed != nil {
 		placed[sl.m.Key]++
 	}
@@ -322,9 +328,9 @@
 	if len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
 		return
 	}
-	savedFree := make([]model.Amount, len(p.slots))
+	saved := make([]slot, len(p.slots))
 	for i, sl := range p.slots {
-		savedFree[i] = sl.free
+		saved[i] = *sl
 	}
 	n, savedUnfit := len(p.out), slices.Clone(p.unfit)
 	placed := runsByExecutor(s)
@@ -333,7 +339,7 @@
 		if sl == nil {
 			p.out, p.unfit = p.out[:n], savedUnfit
 			for i, sl := range p.slots {
-				sl.free = savedFree[i]
+				*sl = saved[i]
 			}
 			return
 		}
@@ -406,14 +412,14 @@
 	}
 	fitsAny := false
 	for _, sl := range p.slots {
-		if !need.FitsIn(sl.free) {
+		if sl.room <= 0 || !need.FitsIn(sl.free) {
 			continue
 		}
 		fitsAny = true
 		if !canHost(s, sl.m, placed) {
 			continue
 		}
-		if p.policy(s, sl.m) != Startable || p.mustAvoid(s, t, sl.m, placed) {
+		if p.policy(s, sl.m) != Startable || p.mustAvoid(s, t, sl.m, placed) || p.avoidsSuspect(s, t, sl.m, placed) {
 			continue
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
@@ -428,7 +434,7 @@
 		if s.Label == "" {
 			cost += rareLabelWeight * sl.rarity
 		}
-		cost += slownessWeight * max(sl.m.Slowness-1, 0)
+		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(sl.m)
 		if best == nil || cost < least {
 			best, least = sl, cost
 		}
--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -23,6 +23,10 @@
 	policy  Policy
 	// order replaces OrderJobs if it is set.
 	order func([]*track.Job) []*track.Job
+	// fails decides whether a run fails; nil if none does. failed and failedJobs count them
+	// and the jobs that they end.
+	fails              func(*track.Run) bool
+	failed, failedJobs int
 }
 
 func newHarness(t *testing.T, executors int, room model.Amount) *harness {
@@ -108,6 +112,17 @@
 	m := h.byKey[run.Executor]
 	m.RemoveRun(run.Task.Step)
 	id := run.Task.ID
+	if h.fails != nil && h.fails(run) {
+		h.failed++
+		h.tracker.ApplyEnd(run.Executor, model.End{Task: id, Attempt: run.Attempt, Ending: model.EndedFailed}, false, h.now)
+		m.RecordFailure(id.Job, h.now)
+		if h.tracker.ConfirmFailure(id, run.Attempt, h.now) {
+			h.ended[id.Job] = h.now
+			h.failedJobs++
+		}
+		return
+	}
+	m.RecordSuccess(run.OrderedAt)
 	if h.tracker.ApplyEnd(run.Executor, model.End{Task: id, Attempt: run.Attempt, Ending: model.EndedDone}, false, h.now).Over {
 		h.ended[id.Job] = h.now
 	}
--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -40,19 +40,20 @@
 		missing = len(s.Tasks)
 	}
 	var ask, full []*execs.Member
+	room := roomOf(execs.BoundsApply(members))
 	isApproved := false // on an executor that a waiting task can reserve
 	for _, m := range members {
 		if !m.CanAcceptTasks(now) || !canHost(s, m, placed) {
 			continue
 		}
 		p := policy(s, m)
-		switch fits := need.FitsIn(m.Free()); {
+		switch fits := room(m) > 0 && need.FitsIn(m.Free()); {
 		case p == Denied:
 		case p == Startable && fits:
 			if isAvoided(s, m) {
 				continue
 			}
-			if missing -= placesOn(m, s, placed, missing); missing == 0 {
+			if missing -= placesOn(m, s, placed, min(missing, room(m))); missing == 0 {
 				return nil
 			}
 		case fits:
--- a/internal/jobs/execs/member.go
+++ b/internal/jobs/execs/member.go
@@ -65,6 +65,9 @@
 	LastGoodStart time.Duration
 	quarantine    time.Duration
 	failedJobs    []string
+	probation     probation
+	// shortRuns is the number of runs there that don't last until they are cancelled.
+	shortRuns int
 }
 
 // CanAcceptTasks reports whether the executor accepts new tasks.
@@ -80,10 +83,12 @@
 	m.LastGoodStart = max(m.LastGoodStart, orderedAt)
 	m.failedJobs = nil
 	m.quarantine = 0
+	m.probation.succeed()
 }
 
 // RecordFailure records a failed run of a job and reports whether this quarantines the executor.
 func (m *Member) RecordFailure(job string, now time.Duration) bool {
+	m.probation.fail(job, 1)
 	for _, j := range m.failedJobs {
 		if j == job {
 			return false
@@ -97,11 +102,16 @@
 	m.failedJobs = m.failedJobs[1:]
 	m.quarantine = min(max(m.quarantine*2, minQuarantine), maxQuarantine)
 	m.QuarantinedUntil = now + m.quarantine
+	m.probation.bound = firstBound
 	return true
 }
 
 // RecordUnhealthy records that the executor refused a start because it is unhealthy.
 func (m *Member) RecordUnhealthy(now time.Duration) {
+	if now >= m.QuarantinedUntil {
+		// Orders that were sent before the first refusal count once.
+		m.probation.fail("", refusalFault)
+	}
 	m.QuarantinedUntil = max(m.QuarantinedUntil, now+unhealthyPause)
 }
 
@@ -118,6 +128,8 @@
 	m.Used = m.Used.Plus(s.Reservation())
 	if s.LongRunning {
 		m.LongRunning = m.LongRunning.Plus(s.Reservation())
+	} else {
+		m.shortRuns++
 	}
 }
 
@@ -126,5 +138,7 @@
 	m.Used = m.Used.Minus(s.Reservation())
 	if s.LongRunning {
 		m.LongRunning = m.LongRunning.Minus(s.Reservation())
+	} else {
+		m.shortRuns--
 	}
 }
--- a/internal/jobs/execs/stall.go
+++ b/internal/jobs/execs/stall.go
@@ -25,6 +25,3 @@
 	}
 	return lastSeen-r.LastProgress > max(minStall, time.Duration(stallShare*float64(usual)))
 }
-
-// RecordStall records a stalled run of a job and reports whether this quarantines the executor.
-func (m *Member) RecordStall(job string, now time.Duration) bool { return m.RecordFailure(job, now) }
--- /dev/null
+++ b/internal/jobs/execs/suspect.go
@@ -0,0 +1,141 @@
+package execs
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	// rateWindow is the number of recent runs that the failure rate is learned from.
+	rateWindow = 50
+	// priorRuns is the number of successful runs assumed of a new executor, so that its first
+	// failure is no rate of 100%.
+	priorRuns = 10
+	// suspectRate is the failure rate from which an executor is on probation. Sound executors fail
+	// 0.2 to 3% of their runs.
+	suspectRate = 0.12
+	// minFaults is the least number of recent faults, of different jobs, for that. Less than 2
+	// because each run since the first has let it decay.
+	minFaults = 1.7
+	// refusalFault and lapseFault are the weights of faults that end no run by the executor's
+	// own failure. A refusal as unhealthy costs only an order, and a single lapse of all leases can
+	// be the leader's network.
+	refusalFault = 0.25
+	lapseFault   = 1.0
+	// firstBound is the number of runs that an executor holds at the start of its probation. Each
+	// success adds one, as in slow start, and each fault starts again.
+	firstBound = 1
+	// passedBound is the bound at which the probation ends if the rate is low enough.
+	passedBound = 18
+	// maxFaultJobs is the number of recent faults whose jobs are remembered.
+	maxFaultJobs = 8
+	// maxSuspectShare is the share of a pool's executors up to which bounds apply. If more are
+	// suspects, the cause is probably not the executors, and bounds would only lose capacity.
+	maxSuspectShare = 0.5
+)
+
+// probation is the learned failure rate of an executor and the bound that follows from it.
+type probation struct {
+	// runs and faults are counts that decay by 1/rateWindow with each run.
+	runs, faults float64
+	// bound is the number of runs that it may hold, 0 for no bound.
+	bound int
+	// jobs are those of its last faults.
+	jobs []string
+}
+
+// FailureRate returns the share of its recent runs that failed by the executor's fault.
+func (m *Member) FailureRate() float64 {
+	return m.probation.faults / (m.probation.runs + priorRuns)
+}
+
+// IsSuspect reports whether the executor is on probation.
+func (m *Member) IsSuspect() bool { return m.probation.bound > 0 }
+
+// Room returns how many more runs the executor may hold, besides its capacity. Long-running tasks
+// don't count.
+func (m *Member) Room() int {
+	if m.probation.bound == 0 {
+		return math.MaxInt
+	}
+	return max(m.probation.bound-m.shortRuns, 0)
+}
+
+// BoundsApply reports whether the bounds of suspects among the executors of a pool apply.
+func BoundsApply(members []*Member) bool {
+	suspects := 0
+	for _, m := range members {
+		if m.IsSuspect() {
+			suspects++
+		}
+	}
+	return suspects > 0 && float64(suspects) <= maxSuspectShare*float64(len(members))
+}
+
+// succeed records a successful run.
+func (p *probation) succeed() {
+	p.decay()
+	p.runs++
+	if p.bound == 0 {
+		return
+	}
+	if p.bound++; p.bound >= passedBound && !p.isFaulty() {
+		p.bound = 0
+	}
+}
+
+func (p *probation) decay() {
+	p.runs *= 1 - 1.0/rateWindow
+	p.faults *= 1 - 1.0/rateWindow
+}
+
+func (p *probation) isFaulty() bool {
+	return p.faults >= minFaults && p.faults/(p.runs+priorRuns) >= suspectRate
+}
+
+// fail records a fault of a weight. Further failures of a job that is remembered count once.
+func (p *probation) fail(job string, weight float64) {
+	if job != "" {
+		if slices.Contains(p.jobs, job) {
+			return
+		}
+		if len(p.jobs) == maxFaultJobs {
+			p.jobs = slices.Delete(p.jobs, 0, 1)
+		}
+		p.jobs = append(p.jobs, job)
+	}
+	p.decay()
+	p.runs += weight
+	p.faults += weight
+	if p.bound > 0 || p.isFaulty() {
+		p.bound = firstBound
+	}
+}
+
+// Exonerate withdraws the fault for a job that fails on sound executors as well.
+func (m *Member) Exonerate(job string) {
+	m.failedJobs = slices.DeleteFunc(m.failedJobs, func(j string) bool { return j == job })
+	p := &m.probation
+	i := slices.Index(p.jobs, job)
+	if i < 0 {
+		return
+	}
+	p.jobs = slices.Delete(p.jobs, i, i+1)
+	p.faults, p.runs = max(p.faults-1, 0), max(p.runs-1, 0)
+	if !p.isFaulty() && m.quarantine == 0 {
+		p.bound = 0
+	}
+}
+
+// Inherit takes over the probation of the executor's former incarnation. Jobs are not remembered: the
+// restart may have ended the fault.
+func (m *Member) Inherit(former *Member) {
+	if !former.IsSuspect() {
+		return
+	}
+	p := former.probation
+	m.probation = probation{runs: p.runs, faults: p.faults, bound: firstBound}
+}
+
+// RecordLapse records that the leases of runs there expired without an answer.
+func (m *Member) RecordLapse() { m.probation.fail("", lapseFault) }
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -109,6 +109,10 @@
 	return !t.Step.LongRunning && len(t.owner().failures)+1 >= t.Step.Occ.Job.maxFailures()
 }
 
+// Failures returns the number of runs of the task, or of its gang, that failed, including unconfirmed
+// failures.
+func (t *Task) Failures() int { return len(t.owner().failures) }
+
 // confirmedFailures returns the number of failures that count permanently.
 func (t *Task) confirmedFailures() int {
 	n := 0
@@ -215,6 +219,7 @@
 	// services are those that tasks may be sent to besides the one at acceptance, with true for those
 	// that are stored.
 	services map[string]bool
+	evidence evidence
 }
 
 // State returns the state that callers may see.
--- a/internal/jobs/track/progress.go
+++ b/internal/jobs/track/progress.go
@@ -202,6 +202,7 @@
 			}
 			if t := o.taskAt(8*i + b); t != nil && !t.Done {
 				t.Done = true
+				o.Job.evidence.succeeded = true
 				t.Step.Left--
 				o.Left--
 			}
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -337,6 +337,7 @@
 // setDone marks a task, or all tasks of a gang, as done.
 func (tr *Tracker) setDone(t *Task, wall time.Duration) {
 	s, o := t.Step, t.Step.Occ
+	o.Job.evidence.succeeded = true
 	mark := func(t *Task) {
 		if !t.Done {
 			t.Done = true
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -273,6 +273,7 @@
 		l.tracker.MoveRun(r, next.Key, l.now)
 		next.AddRun(r.Task.Step)
 	}
+	next.Inherit(&old.Member)
 	l.markDead(old, "it restarted")
 }
 
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -130,10 +130,7 @@
 		if r.Task.IsWaiting() && r.Task.HasLastAttempt() {
 			l.Log.Info().Stringer("task", r.Task.ID).Str("executor", m.ID).Msg("task has one attempt left")
 		}
-		if m.RecordFailure(e.Task.Job, l.now) {
-			l.Meters.quarantines.Inc(1)
-			l.Log.Warn().Str("executor", m.ID).Dur("until", m.QuarantinedUntil-l.now).Msg("executor quarantined because its runs fail")
-		}
+		l.recordFailure(m, s.Occ.Job)
 	case model.EndedOther, model.EndedStopped, model.EndedLapsed, model.EndedBroken, model.EndedAlone:
 	}
 }
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -284,6 +284,7 @@
 		if m.Contact == execs.Live {
 			m.Contact = execs.Unresponsive // no poll was sent in time
 		}
+		l.recordLapse(m)
 		l.resolveFailures(m)
 		l.dropRuns(m, "its leases expired")
 		m.hasUnanswered = true
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -304,7 +304,9 @@
 		m.QuarantinedUntil = max(m.QuarantinedUntil, l.now+startRetryDelay)
 		m.due = l.now
 	case platform.ReasonUnhealthy:
+		was := m.IsSuspect()
 		m.RecordUnhealthy(l.now)
+		l.noteSuspect(m, was, "it refuses starts as unhealthy")
 	case platform.ReasonTicket:
 		if a := l.advice[t.Step]; a != nil {
 			a.expire(m.Key)
@@ -396,10 +398,7 @@
 				l.stop(r, "job is over")
 			case execs.IsStalled(r, m.clockAt, l.expectedRuntime(m, r)):
 				r.Task.Avoid(m.Key)
-				if m.RecordStall(r.Task.ID.Job, l.now) {
-					l.Meters.quarantines.Inc(1)
-					l.Log.Warn().Str("executor", m.ID).Dur("until", m.QuarantinedUntil-l.now).Msg("executor quarantined because its runs stall")
-				}
+				l.recordFault(m, r.Task.Step.Occ.Job, "its runs stall")
 				l.stop(r, "run is stalled")
 			}
 		}
