track: tasks of jobs that fail everywhere are tried one at a time

Cause: a job that can never succeed used all attempts of all its tasks side by side before the first task ended it.

Change: a job that failed on two different sound executors, with no task ever done, is given one run (or gang) at a time, of the task with the most failures; its other waiting tasks wait. A success ends that at once, and so does the suspicion of one of the executors, whose failures then count no more. Which failures end a job is unchanged. A new leader learns the evidence again. The walk over the tasks is made once; its result is kept.

Evidence that enables it: failures on two sound executors before any success. With 3% of failing runs that happens by chance in about one job in a thousand, and lasts for one run.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -196,7 +196,7 @@
 	}
 	p.all = slices.Clone(p.slots)
 	for _, j := range jobs {
-		if j.IsOver() {
+		if j.IsOver() || p.placeProbe(j) {
 			continue
 		}
 		for _, o := range j.Open {
--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -27,6 +27,8 @@
 	// and the jobs that they end.
 	fails              func(*track.Run) bool
 	failed, failedJobs int
+	// detects is set if failures are evidence against jobs.
+	detects bool
 }
 
 func newHarness(t *testing.T, executors int, room model.Amount) *harness {
@@ -116,6 +118,9 @@
 		h.failed++
 		h.tracker.ApplyEnd(run.Executor, model.End{Task: id, Attempt: run.Attempt, Ending: model.EndedFailed}, false, h.now)
 		m.RecordFailure(id.Job, h.now)
+		if h.detects {
+			run.Task.Step.Occ.Job.RecordFailureOn(m.Key)
+		}
 		if h.tracker.ConfirmFailure(id, run.Attempt, h.now) {
 			h.ended[id.Job] = h.now
 			h.failedJobs++
--- a/internal/jobs/track/poison.go
+++ b/internal/jobs/track/poison.go
@@ -18,6 +18,8 @@
 	succeeded bool
 	// failedOn are sound executors on which its runs failed.
 	failedOn []string
+	// probe is the task that is tried while the job counts as poison.
+	probe *Task
 }
 
 // RecordFailureOn records that a run failed on an executor that is not suspected.
@@ -30,6 +32,7 @@
 // WithdrawFailures removes the evidence from an executor that has become a suspect.
 func (j *Job) WithdrawFailures(executor string) {
 	j.evidence.failedOn = slices.DeleteFunc(j.evidence.failedOn, func(e string) bool { return e == executor })
+	j.evidence.probe = nil // other tasks may run until there is enough evidence again
 }
 
 // FailedOn returns the sound executors on which runs of the job failed.
@@ -40,3 +43,39 @@
 func (j *Job) FailsEverywhere() bool {
 	return !j.evidence.succeeded && len(j.evidence.failedOn) >= poisonExecutors
 }
+
+// IsPoison reports whether the job will probably never succeed. Its tasks are then tried one at a time.
+func (j *Job) IsPoison() bool { return j.FailsEverywhere() && !j.Spec.IsLongRunning() }
+
+// Probe returns the task of a poison job to start next, the one with the most failures, or nil while
+// the outcome of another run or failure is awaited. All members of a gang are started together.
+func (j *Job) Probe() *Task {
+	e := &j.evidence
+	if e.probe == nil {
+		e.probe = j.chooseProbe()
+	}
+	if e.probe == nil || !e.probe.IsWaiting() {
+		return nil
+	}
+	return e.probe
+}
+
+// chooseProbe returns the waiting task with the most failures, or nil if a run is left from before or
+// a failure may still end the job. It walks over all tasks, so its result is kept.
+func (j *Job) chooseProbe() *Task {
+	var best *Task
+	for _, o := range j.Open {
+		for _, s := range o.Steps {
+			isReady := s.IsReady()
+			for _, t := range s.Tasks {
+				if len(t.Runs) > 0 || !t.Done && t.isExhausted() {
+					return nil
+				}
+				if isReady && t.IsWaiting() && (best == nil || t.Failures() > best.Failures()) {
+					best = t
+				}
+			}
+		}
+	}
+	return best
+}
--- a/internal/serve/leader/suspect.go
+++ b/internal/serve/leader/suspect.go
@@ -8,8 +8,12 @@
 
 // recordFailure records a run that failed by the fault of its executor or its job.
 func (l *Leader) recordFailure(m *member, j *track.Job) {
-	if !m.IsSuspect() {
+	if was := j.FailsEverywhere(); !m.IsSuspect() {
 		j.RecordFailureOn(m.Key)
+		if !was && j.FailsEverywhere() {
+			l.Meters.poison.Inc(1)
+			l.Log.Info().Str("job", j.ID).Strs("executors", j.FailedOn()).Msg("job fails on all executors: its tasks are tried one at a time")
+		}
 	}
 	l.recordFault(m, j, "its runs fail")
 }
