leader: second runs of late tasks where the step allows copies

Cause: speculative steps ran once, so that a job waited for its slowest run while capacity was idle.

If no work of the service waits, one copy each starts on an executor that is neither a suspect nor slow. Copies use a tenth of the pool's cores at most. The first run that is done counts, the others are stopped, and their executor's slowness is learned from the time they took. No copy starts if failures of both runs would exceed max_attempts, for gangs, for long-running and best-effort steps, for jobs that fail everywhere, and for jobs of client accounts: a new leader does not know of a second run, and would count too little against their limit.

Evidence that enables it: a run of twice the expected time, or on a suspect or silent executor.

--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -27,6 +27,8 @@
 	// and the jobs that they end.
 	fails              func(*track.Run) bool
 	failed, failedJobs int
+	// takes returns the run time; nil if it is the estimate.
+	takes func(*track.Run) time.Duration
 	// detects is set if failures are evidence against jobs.
 	detects bool
 }
@@ -74,7 +76,11 @@
 	if h.order != nil {
 		order = h.order(jobs)
 	}
-	starts := Plan(order, h.members, h.policy, h.rarity, h.now, 64)
+	return h.begin(Plan(order, h.members, h.policy, h.rarity, h.now, 64))
+}
+
+// begin starts tasks.
+func (h *harness) begin(starts []Start) []Start {
 	for _, s := range starts {
 		run := h.tracker.BeginRun(s.Task, s.Member.Key, s.Attempt, h.now)
 		h.tracker.ConfirmRun(run, h.now)
@@ -84,6 +90,9 @@
 		}
 		if !s.Task.Step.LongRunning {
 			h.ends[run] = h.now + s.Task.Step.Estimate
+			if h.takes != nil {
+				h.ends[run] = h.now + h.takes(run)
+			}
 		}
 	}
 	return starts
@@ -128,6 +137,13 @@
 		return
 	}
 	m.RecordSuccess(run.OrderedAt)
+	for _, other := range run.Task.Runs {
+		if !run.Task.Step.Gang && other != run {
+			delete(h.ends, other)
+			h.byKey[other.Executor].RemoveRun(other.Task.Step)
+			defer h.tracker.RemoveRun(other)
+		}
+	}
 	if h.tracker.ApplyEnd(run.Executor, model.End{Task: id, Attempt: run.Attempt, Ending: model.EndedDone}, false, h.now).Over {
 		h.ended[id.Job] = h.now
 	}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -112,6 +112,7 @@
 	replanAt  map[string]time.Duration // by service
 	nextPlan  time.Duration
 	jobOrders map[string]*jobOrder // by service
+	late      map[string]*lateRuns // by service, of the last sweep
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
 	window       window.Window
 	windowLogged time.Duration
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -106,7 +106,9 @@
 		}
 		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
 			l.replanAt[s] = l.now + replanInterval
+			continue
 		}
+		room -= l.startCopies(s, members[s], policy, rare, room)
 	}
 }
 
@@ -383,10 +385,14 @@
 }
 
 // retryStops repeats stops whose end was not reported in time. It also stops runs of jobs that
-// are over and stalled runs.
+// are over and stalled runs, and collects late ones.
 func (l *Leader) retryStops() {
+	l.late = map[string]*lateRuns{}
 	for _, m := range l.members {
 		if m.Contact != execs.Live {
+			for r := range l.tracker.RunsOn(m.Key) {
+				l.observeRun(m, r)
+			}
 			continue
 		}
 		for r := range l.tracker.RunsOn(m.Key) {
@@ -400,6 +406,8 @@
 				r.Task.Avoid(m.Key)
 				l.recordFault(m, r.Task.Step.Occ.Job, "its runs stall")
 				l.stop(r, "run is stalled")
+			default:
+				l.observeRun(m, r)
 			}
 		}
 	}
