leader: slow runs with checkpoints continue on another executor

Cause: a long run on a slow executor stayed there while faster ones were idle.

Change: a run's rate of progress is measured from the first listed progress on. The rate counts for the slowness of the executor.

--- a/internal/jobs/assign/copy.go
+++ b/internal/jobs/assign/copy.go
@@ -22,11 +22,8 @@
 	budget := -used
 	for _, m := range members {
 		budget += int64(maxCopyShare * float64(m.Capacity.Cores))
-		if m.CanAcceptTasks(now) && !m.IsSuspect() && m.Slowness <= maxCopySlowness {
-			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: m.Room(), rarity: rarity.Of(m.Labels)})
-		}
 	}
-	p.all = p.slots
+	p.addSoundSlots(members, rarity)
 	for _, r := range late {
 		t := r.Task
 		need := t.Step.Reservation()
@@ -42,6 +39,16 @@
 	return p.out
 }
 
+// addSoundSlots adds the executors that are neither suspects nor slow.
+func (p *plan) addSoundSlots(members []*execs.Member, rarity Rarity) {
+	for _, m := range members {
+		if m.CanAcceptTasks(p.now) && !m.IsSuspect() && m.Slowness <= maxCopySlowness {
+			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: m.Room(), rarity: rarity.Of(m.Labels)})
+		}
+	}
+	p.all = p.slots
+}
+
 // bestSlotExcept returns the best slot for a task on another executor than one, or nil.
 func (p *plan) bestSlotExcept(executor string, t *track.Task, placed map[string]int) *slot {
 	others := plan{now: p.now, policy: p.policy, all: p.all}
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -47,6 +47,10 @@
 	Pace int
 	// LastProgress is when Percent last grew.
 	LastProgress time.Duration
+	// rateFrom is when progress was first listed, and ratePercent that progress.
+	rateFrom     time.Duration
+	ratePercent  float64
+	savedPercent float64
 	// MissedLists counts the lists of its executor that did not contain it.
 	MissedLists int
 	Task        *Task
@@ -76,6 +80,8 @@
 	LastFailure time.Duration
 	// NotBefore is the earliest time of the next start, after a refusal.
 	NotBefore time.Duration
+	// SlowMoves is how often it was moved by this leader because its run was slow.
+	SlowMoves int
 }
 
 // failure is a run that failed. It counts permanently once the executor was told that its end is
--- a/internal/jobs/track/saved.go
+++ b/internal/jobs/track/saved.go
@@ -4,7 +4,7 @@
 func (tr *Tracker) ObserveCheckpoint(r *Run, value string) {
 	if value != "" && value != r.Checkpoint {
 		tr.checkpointsSeen++
-		r.Checkpoint, r.savedSeen = value, tr.checkpointsSeen
+		r.Checkpoint, r.savedSeen, r.savedPercent = value, tr.checkpointsSeen, r.Percent
 	}
 }
 
--- a/internal/serve/leader/copies.go
+++ b/internal/serve/leader/copies.go
@@ -20,6 +20,17 @@
 type lateRuns struct {
 	runs      []*track.Run
 	copyCores int64
+	// slow are runs that should continue elsewhere from their checkpoints.
+	slow []*track.Run
+}
+
+func (l *Leader) lateOf(service string) *lateRuns {
+	late := l.late[service]
+	if late == nil {
+		late = &lateRuns{}
+		l.late[service] = late
+	}
+	return late
 }
 
 // observeRun collects a run for the next round of placement if it is late.
@@ -28,11 +39,7 @@
 		return
 	}
 	s := l.queueOf(r.Task.Step.Occ.Job).Service
-	late := l.late[s]
-	if late == nil {
-		late = &lateRuns{}
-		l.late[s] = late
-	}
+	late := l.lateOf(s)
 	if r.Task.Runs[0] != r {
 		late.copyCores += r.Task.Step.Reservation().Cores
 		return
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -113,6 +113,7 @@
 	nextPlan  time.Duration
 	jobOrders map[string]*jobOrder // by service
 	late      map[string]*lateRuns // by service, of the last sweep
+	nextMove  time.Duration        // when slow runs may be moved next
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
 	window       window.Window
 	windowLogged time.Duration
--- /dev/null
+++ b/internal/serve/leader/move.go
@@ -0,0 +1,56 @@
+package leader
+
+import (
+	"time"
+
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+)
+
+const (
+	// maxMovesPerRound bounds the slow runs that are stopped in a round of placement.
+	maxMovesPerRound = 2
+	// moveInterval is the least time between such rounds. A stopped run's task starts again within
+	// that time as a rule; until then its new place seems free.
+	moveInterval = 2 * time.Second
+)
+
+// observeSlow collects a run for the next round of placement if it should continue elsewhere.
+func (l *Leader) observeSlow(m *member, r *track.Run) {
+	if !r.Task.Step.WritesCheckpoints || !execs.ShouldMove(r, l.now, l.usualRuntime(m, r)) {
+		return
+	}
+	s := l.queueOf(r.Task.Step.Occ.Job).Service
+	if late := l.lateOf(s); len(late.slow) < maxLateRuns {
+		late.slow = append(late.slow, r)
+		l.planDue[s] = true
+	}
+}
+
+// moveSlow stops slow runs of a service, none of whose work waits, where other executors have capacity
+// to continue them. Their tasks start again once the ends are listed.
+func (l *Leader) moveSlow(service string, members []*execs.Member, policy assign.Policy, rare assign.Rarity) {
+	late := l.late[service]
+	if late == nil || len(late.slow) == 0 || l.now < l.nextMove {
+		return
+	}
+	var slow []*track.Run
+	for _, r := range late.slow {
+		if m := l.members[r.Executor]; l.isTracked(r) && m != nil && execs.ShouldMove(r, l.now, l.usualRuntime(m, r)) {
+			slow = append(slow, r)
+		}
+	}
+	late.slow = nil
+	for _, r := range assign.ChooseMoves(slow, members, policy, rare, l.now, maxMovesPerRound) {
+		l.nextMove = l.now + moveInterval
+		m := l.members[r.Executor]
+		m.RecordRate(r, l.usualRuntime(m, r))
+		r.Task.SlowMoves++
+		r.Task.Avoid(m.Key)
+		l.Meters.slowMoves.Inc(1)
+		l.Log.Info().Stringer("task", r.Task.ID).Str("executor", m.ID).Float64("percent", r.Percent).Float64("saved", r.SavedPercent()).
+			Float64("slowness", m.Slowness).Msg("slow run continues elsewhere")
+		l.stop(r, "run is slow")
+	}
+}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -227,10 +227,8 @@
 		if r.Phase == track.Uncertain || r.Phase == track.Starting && ev.sent > r.OrderedAt {
 			l.confirmRun(r)
 		}
-		if row.Percent > r.Percent {
-			r.LastProgress = l.now
-		}
-		r.Percent, r.Metric, r.MissedLists = row.Percent, row.Metric, 0
+		r.ObservePercent(row.Percent, l.now)
+		r.Metric, r.MissedLists = row.Metric, 0
 		l.tracker.ObserveCheckpoint(r, row.Checkpoint)
 		switch {
 		case r.Phase != track.Running:
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -109,6 +109,7 @@
 			continue
 		}
 		room -= l.startCopies(s, members[s], policy, rare, room)
+		l.moveSlow(s, members[s], policy, rare)
 	}
 }
 
@@ -408,6 +409,7 @@
 				l.stop(r, "run is stalled")
 			default:
 				l.observeRun(m, r)
+				l.observeSlow(m, r)
 			}
 		}
 	}
