execs: a fault that all executors have in common counts for no job

Cause: if all executors fail everything, each job fails on two of them without a success. It counted as poison, its failures counted for no executor, none was quarantined, and the jobs used up their attempts.

Change: a failure is evidence against a job only on an executor that has succeeded before, and against one job between two successes there. The other failures count for the executor. A long-running task reserves no suspect that is at its bound.

Run: TestCommonFaultQuarantinesAllExecutors failed before and passes now; go test -race on serve/leader, jobs/assign, execs, track, proof/rules.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -295,7 +295,7 @@
 	best := -1
 	need := s.Reservation()
 	for i, sl := range p.slots {
-		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved || p.mustAvoid(s, t, sl.m, placed) {
+		if sl.room <= 0 || !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved || p.mustAvoid(s, t, sl.m, placed) {
 			continue
 		}
 		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
--- a/internal/jobs/assign/poison_test.go
+++ b/internal/jobs/assign/poison_test.go
@@ -58,6 +58,9 @@
 		h.queues["q"].Attempts = 3
 		h.detects = true
 		h.fails = func(*track.Run) bool { return true }
+		for _, m := range h.members {
+			m.RecordSuccess(0)
+		}
 		j := h.accept("poison", model.Step{Count: 3, Gang: gang, Need: cores(12), Estimate: time.Second})
 		h.accept("filler", model.Step{Need: cores(1), Estimate: time.Hour})
 		h.plan()
--- a/internal/jobs/execs/suspect.go
+++ b/internal/jobs/execs/suspect.go
@@ -42,6 +42,10 @@
 	bound int
 	// jobs are those of its last faults.
 	jobs []string
+	// succeeded is set once any run has succeeded.
+	succeeded bool
+	// blamed is the job that its failures since the last success are evidence against.
+	blamed string
 }
 
 // FailureRate returns the share of its recent runs that failed by the executor's fault.
@@ -52,6 +56,19 @@
 // IsSuspect reports whether the executor is on probation.
 func (m *Member) IsSuspect() bool { return m.probation.bound > 0 }
 
+// Blame reports whether a failure of a job there is evidence against the job: the executor is no
+// suspect, has succeeded before, and has failed no other job since. Otherwise a fault that all executors
+// have in common would count for the jobs, and quarantine none of them.
+func (m *Member) Blame(job string) bool {
+	p := &m.probation
+	if m.IsSuspect() || !p.succeeded || p.blamed != "" && p.blamed != job ||
+		slices.ContainsFunc(m.failedJobs, func(j string) bool { return j != job }) {
+		return false
+	}
+	p.blamed = job
+	return true
+}
+
 // Room returns how many more runs the executor may hold, besides its capacity. Long-running tasks
 // don't count.
 func (m *Member) Room() int {
@@ -74,6 +91,7 @@
 
 // succeed records a successful run.
 func (p *probation) succeed() {
+	p.succeeded, p.blamed = true, ""
 	p.decay()
 	p.runs++
 	if p.bound == 0 {
--- a/internal/serve/leader/suspect.go
+++ b/internal/serve/leader/suspect.go
@@ -8,7 +8,7 @@
 
 // recordFailure records a run that failed by the fault of its executor or its job.
 func (l *Leader) recordFailure(m *member, j *track.Job) {
-	if was := j.FailsEverywhere(); !m.IsSuspect() {
+	if was := j.FailsEverywhere(); m.Blame(j.ID) {
 		j.RecordFailureOn(m.Key)
 		if !was && j.FailsEverywhere() {
 			l.Meters.poison.Inc(1)
--- a/internal/serve/leader/suspect_test.go
+++ b/internal/serve/leader/suspect_test.go
@@ -31,12 +31,16 @@
 	}
 	for i := range 10 {
 		j := accept(fmt.Sprint("poison", i))
+		x.RecordSuccess(l.now)
+		y.RecordSuccess(l.now)
 		failRun(l, x, j)
 		failRun(l, y, j)
 		assert.Assert(t, j.FailsEverywhere())
 		failRun(l, x, j)
 	}
 	assert.Assert(t, !x.IsSuspect() && !y.IsSuspect() && x.QuarantinedUntil+y.QuarantinedUntil == 0)
+	x.RecordSuccess(l.now)
+	y.RecordSuccess(l.now)
 	var jobs []*track.Job
 	for i := range 3 {
 		jobs = append(jobs, accept(fmt.Sprint("job", i)))
@@ -49,6 +53,27 @@
 	}
 }
 
+// Guards against a fault that all executors have in common, and that counts for the jobs so that no
+// executor is quarantined and all jobs use up their attempts.
+func TestCommonFaultQuarantinesAllExecutors(t *testing.T) {
+	l, _, _ := newStoringLeader(t)
+	var ms []*member
+	for i := range 6 {
+		m := &member{Member: execs.Member{Key: fmt.Sprint(i), Contact: execs.Live}, adopted: true}
+		m.RecordSuccess(l.now)
+		l.members[m.Key] = m
+		ms = append(ms, m)
+	}
+	for i := range 15 {
+		j := l.tracker.Accept(fmt.Sprint(i), model.Queue{Service: "s", Attempts: 3}, model.JobSpec{Repeats: 1, Steps: []model.Step{{Count: 1}}}, 0, 0)
+		failRun(l, ms[i%6], j)
+		failRun(l, ms[(i+1)%6], j)
+	}
+	for _, m := range ms {
+		assert.Assert(t, m.QuarantinedUntil > 0, m.Key)
+	}
+}
+
 // Guards against an executor whose leases keep expiring and that gets a full load each time it
 // answers again.
 func TestRepeatedLapsesMakeASuspect(t *testing.T) {
