leader: a lapse because the leader sent no poll in time is no fault of the executor

Cause: expireLeases also ends the runs of executors that answer, if the leader was too slow to poll them; that counted as a lapse, and a slow leader would have put sound executors on probation.

Change: only lapses of executors that left a poll unanswered count.

Run: go test -race ./internal/serve/leader, staticcheck.

--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -281,8 +281,9 @@
 		}
 		if m.Contact == execs.Live {
 			m.Contact = execs.Unresponsive // no poll was sent in time
+		} else {
+			l.recordLapse(m)
 		}
-		l.recordLapse(m)
 		l.resolveFailures(m)
 		l.dropRuns(m, "its leases expired")
 		m.hasUnanswered = true
--- a/internal/serve/leader/suspect_test.go
+++ b/internal/serve/leader/suspect_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -78,9 +79,18 @@
 // answers again.
 func TestRepeatedLapsesMakeASuspect(t *testing.T) {
 	l, m, _, _ := newRunningLeader(t)
-	l.recordLapse(m)
+	lapse := func(contact execs.Contact) {
+		l.startRun(assign.Start{Task: l.tracker.Job("job").Open[0].Steps[0].Tasks[0], Member: &m.Member})
+		m.Contact, l.now = contact, l.now+time.Minute
+		l.expireLeases()
+		assert.Equal(t, len(l.tracker.RunsOn(m.Key)), 0)
+	}
+	for range 3 {
+		lapse(execs.Live) // the leader sent no poll in time
+	}
+	lapse(execs.Unresponsive)
 	assert.Assert(t, !m.IsSuspect())
-	l.recordLapse(m)
+	lapse(execs.Unresponsive)
 	assert.Assert(t, m.IsSuspect())
 	next := &member{}
 	next.Inherit(&m.Member)
