assign: a failed task is not kept off a sound executor and a suspect at once

Cause: a task that failed on a sound executor avoided it because a suspect was an alternative, and avoided the suspect because a sound executor could host it. With no third executor it never started.

Change: for such a task a suspect is no alternative to a sound executor.

Run: go test -race ./internal/jobs/assign, go vet; the new test failed before (0 starts).

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -372,14 +372,17 @@
 
 // mustAvoid reports whether a task is kept away from an executor because it has failed there.
 func (p *plan) mustAvoid(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
-	return slices.Contains(t.Avoided, m.Key) && (!isRetryDue(t, m, p.now) || p.hasAlternative(s, t, placed))
+	return slices.Contains(t.Avoided, m.Key) && (!isRetryDue(t, m, p.now) || p.hasAlternative(s, t, m, placed))
 }
 
-// hasAlternative reports whether a task can run on an executor on which it has not failed. The task
-// then waits for capacity there, or for the policy's decision, since another failure may be its last.
-func (p *plan) hasAlternative(s *track.Step, t *track.Task, placed map[string]int) bool {
+// hasAlternative reports whether a task can run on an executor on which it has not failed, other than m.
+// The task then waits for capacity there, or for the policy's decision, since another failure may be
+// its last. A suspect is no alternative to a sound executor for a task that avoids suspects: it would
+// wait for each because of the other.
+func (p *plan) hasAlternative(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
+	onlySound := p.bounded && t.Failures() > 0 && !m.IsSuspect()
 	return slices.ContainsFunc(p.all, func(sl *slot) bool {
-		return !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
+		return !(onlySound && sl.m.IsSuspect()) && !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
 	})
 }
 
