assign: tickets are requested for the tasks that can use them

Cause: ToAsk asked about no executors while a waiting task could start on one with a ticket. It counted suspects that all waiting tasks avoid, and tasks of a poison job that wait for the one that is tried. A failed task, or a poison job, then waited for ever for executors that nobody asked about.

Change: ToAsk considers the tasks that may start, and leaves out suspects that they avoid.

Run: go test -race ./internal/jobs/assign, go vet; both new tests failed before.

--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -33,6 +33,10 @@
 // ToAsk returns the executors that the policy of a step's queue is to be asked about, those with the
 // most free capacity first, or none while a waiting task of the step, or all members of a gang, can start.
 func ToAsk(s *track.Step, members []*execs.Member, policy Policy, now time.Duration) []*execs.Member {
+	tasks := startableTasks(s)
+	if len(tasks) == 0 {
+		return nil
+	}
 	placed := runsByExecutor(s)
 	need := s.Reservation()
 	missing := 1 // tasks without a place among the startable executors
@@ -40,7 +44,12 @@
 		missing = len(s.Tasks)
 	}
 	var ask, full []*execs.Member
-	room := roomOf(execs.BoundsApply(members))
+	bounded := execs.BoundsApply(members)
+	room := roomOf(bounded)
+	avoidSuspects := bounded && !slices.ContainsFunc(tasks, func(t *track.Task) bool { return t.Failures() == 0 }) &&
+		slices.ContainsFunc(members, func(m *execs.Member) bool {
+			return !m.IsSuspect() && m.CanAcceptTasks(now) && canHost(s, m, placed) && policy(s, m) != Denied
+		})
 	isApproved := false // on an executor that a waiting task can reserve
 	for _, m := range members {
 		if !m.CanAcceptTasks(now) || !canHost(s, m, placed) {
@@ -50,7 +59,7 @@
 		switch fits := room(m) > 0 && need.FitsIn(m.Free()); {
 		case p == Denied:
 		case p == Startable && fits:
-			if isAvoided(s, m) {
+			if isAvoided(tasks, m) || avoidSuspects && m.IsSuspect() {
 				continue
 			}
 			if missing -= placesOn(m, s, placed, min(missing, room(m))); missing == 0 {
@@ -59,7 +68,7 @@
 		case fits:
 			ask = append(ask, m)
 		case p >= Approved:
-			isApproved = isApproved || !isAvoided(s, m)
+			isApproved = isApproved || !isAvoided(tasks, m)
 		default:
 			full = append(full, m)
 		}
@@ -74,9 +83,29 @@
 	return ask
 }
 
-// isAvoided reports whether each waiting task of a step has failed on an executor.
-func isAvoided(s *track.Step, m *execs.Member) bool {
-	return !slices.ContainsFunc(s.Tasks, func(t *track.Task) bool { return t.IsWaiting() && !slices.Contains(t.Avoided, m.Key) })
+// startableTasks returns the waiting tasks of a step, without those that wait for the outcome of
+// another task because their job is poison.
+func startableTasks(s *track.Step) []*track.Task {
+	j := s.Occ.Job
+	isPoison := j.IsPoison()
+	var probe *track.Task
+	if isPoison {
+		if probe = j.Probe(); probe == nil || probe.Step != s {
+			return nil
+		}
+	}
+	var out []*track.Task
+	for _, t := range s.Tasks {
+		if t.IsWaiting() && (!isPoison || s.Gang || t == probe) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// isAvoided reports whether each of some tasks has failed on an executor.
+func isAvoided(tasks []*track.Task, m *execs.Member) bool {
+	return !slices.ContainsFunc(tasks, func(t *track.Task) bool { return !slices.Contains(t.Avoided, m.Key) })
 }
 
 // placesOn returns how many tasks of a step an executor can start now, most at the most.
--- a/internal/jobs/assign/suspect_wait_test.go
+++ b/internal/jobs/assign/suspect_wait_test.go
@@ -38,3 +38,37 @@
 		assert.Equal(t, starts[0].Member.Key, "a")
 	}
 }
+
+// Guards against a failed task that waits for a decision on sound executors that nobody asks for,
+// because a suspect that it avoids has a ticket.
+func TestToAskBesidesASuspect(t *testing.T) {
+	h := newHarness(t, 3, cores(8))
+	h.queues["q"].Attempts = 4
+	j := h.accept("job", model.Step{Need: cores(2), Estimate: time.Second})
+	h.failOnce(j)
+	h.suspect("b")
+	policy := policyOf(map[string]Permission{"b": Startable, "c": Undecided})
+	s := j.Open[0].Steps[0]
+	h.policy = policy
+	assert.Equal(t, len(h.plan()), 0)
+	assert.Equal(t, keys(ToAsk(s, h.members, policy, h.now)), "c")
+}
+
+// Guards against a poison job that never ends: its next task avoids the executors that have tickets,
+// and no others are asked about because its waiting tasks could start there.
+func TestToAskForThePoisonTaskThatIsTried(t *testing.T) {
+	h := newHarness(t, 3, cores(8))
+	h.queues["q"].Attempts = 4
+	j := h.accept("job", model.Step{Count: 2, Need: cores(8), Estimate: time.Second}, model.Step{Need: cores(8)})
+	s := j.Open[0].Steps[0]
+	for _, key := range []string{"a", "b"} {
+		r := h.tracker.BeginRun(s.Tasks[0], key, 0, h.now)
+		h.tracker.ApplyEnd(key, model.End{Task: r.Task.ID, Attempt: r.Attempt, Ending: model.EndedFailed}, false, h.now)
+		j.RecordFailureOn(key)
+	}
+	assert.Assert(t, j.IsPoison())
+	h.policy = policyOf(map[string]Permission{"a": Startable, "b": Startable, "c": Undecided})
+	assert.Equal(t, len(h.plan()), 0)
+	assert.Equal(t, keys(ToAsk(s, h.members, h.policy, h.now)), "c")
+	assert.Equal(t, keys(ToAsk(j.Open[0].Steps[1], h.members, h.policy, h.now)), "", "its tasks wait")
+}
