assign: the bound for suspects delays no long-running task, and poison tasks keep the limit

Cause: the bound leaves out long-running runs, but a suspect that held as many short runs as it may got no long-running task, so that a serving task waited until one of them had ended. Plan also exceeded its limit by one start for each poison job.

Change: such a suspect gets a long-running task if no other executor has capacity, and Plan checks the limit before each job.

Run: go test -race ./internal/jobs/assign, go vet; both new tests failed before.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -196,6 +196,9 @@
 	}
 	p.all = slices.Clone(p.slots)
 	for _, j := range jobs {
+		if len(p.out) >= limit {
+			return p.out
+		}
 		if j.IsOver() || p.placeProbe(j) {
 			continue
 		}
@@ -232,7 +235,8 @@
 	out []Start
 	// bounded is set if the bounds of suspects apply.
 	bounded bool
-	// unfit are amounts for which no executor has enough free capacity. Free capacity only shrinks
+	// unfit are amounts for which no executor has enough free capacity, or only suspects that hold as
+	// many runs as they may, which does not matter to long-running tasks. Free capacity only shrinks
 	// during a plan, so tasks that need as much or more are skipped without a search. In a burst
 	// these are most of the backlog.
 	unfit []model.Amount
@@ -295,7 +299,7 @@
 	best := -1
 	need := s.Reservation()
 	for i, sl := range p.slots {
-		if sl.room <= 0 || !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved || p.mustAvoid(s, t, sl.m, placed) {
+		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved || p.mustAvoid(s, t, sl.m, placed) {
 			continue
 		}
 		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
@@ -309,7 +313,9 @@
 
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
 	sl.free = sl.free.Minus(s.Reservation())
-	sl.room--
+	if !s.LongRunning {
+		sl.room--
+	}
 	if placed != nil {
 		placed[sl.m.Key]++
 	}
@@ -365,6 +371,8 @@
 	otherRackWeight = 10.0
 	// slownessWeight is the cost of each multiple of the usual run time.
 	slownessWeight = 2.0
+	// pastBoundWeight is the cost of a long-running task on a suspect that holds as many runs as it may.
+	pastBoundWeight = 10.0
 	// rareLabelWeight keeps work that needs no label off executors with a label that other work
 	// needs. It outweighs packing where a quarter of the instances or fewer have the label.
 	rareLabelWeight = 1.4
@@ -410,12 +418,12 @@
 	var best *slot
 	var least float64
 	need := s.Reservation()
-	if p.isUnfit(need) {
+	if !s.LongRunning && p.isUnfit(need) {
 		return nil
 	}
 	fitsAny := false
 	for _, sl := range p.slots {
-		if sl.room <= 0 || !need.FitsIn(sl.free) {
+		if !s.LongRunning && sl.room <= 0 || !need.FitsIn(sl.free) {
 			continue
 		}
 		fitsAny = true
@@ -430,6 +438,10 @@
 			// Serving tasks compete for resources that are not accounted for, so they are spread
 			// out.
 			cost = -cost
+			if sl.room <= 0 {
+				// The bound is for runs that end, and must not delay the restart of a serving task.
+				cost += pastBoundWeight
+			}
 		}
 		if s.Rack != "" && s.Rack != sl.m.Rack {
 			cost += otherRackWeight
--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -56,13 +56,17 @@
 			continue
 		}
 		p := policy(s, m)
-		switch fits := room(m) > 0 && need.FitsIn(m.Free()); {
+		switch fits := (s.LongRunning || room(m) > 0) && need.FitsIn(m.Free()); {
 		case p == Denied:
 		case p == Startable && fits:
 			if isAvoided(tasks, m) || avoidSuspects && m.IsSuspect() {
 				continue
 			}
-			if missing -= placesOn(m, s, placed, min(missing, room(m))); missing == 0 {
+			most := missing
+			if !s.LongRunning {
+				most = min(most, room(m))
+			}
+			if missing -= placesOn(m, s, placed, most); missing == 0 {
 				return nil
 			}
 		case fits:
--- a/internal/jobs/assign/suspect_wait_test.go
+++ b/internal/jobs/assign/suspect_wait_test.go
@@ -9,6 +9,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
 // suspect puts an executor on probation, past its quarantine.
@@ -72,3 +73,37 @@
 	assert.Equal(t, keys(ToAsk(s, h.members, h.policy, h.now)), "c")
 	assert.Equal(t, keys(ToAsk(j.Open[0].Steps[1], h.members, h.policy, h.now)), "", "its tasks wait")
 }
+
+// Guards against a long-running task that is unavailable until a suspect's short runs have ended, though
+// the bound is only for those, and against one that is sent to a suspect past its bound while a sound
+// executor has capacity.
+func TestBoundDelaysNoLongRunningTask(t *testing.T) {
+	for _, soundIsFull := range []bool{true, false} {
+		h := newHarness(t, 2, cores(8))
+		h.suspect("b").AddRun(h.accept("short", model.Step{Need: cores(1), Estimate: time.Hour}).Open[0].Steps[0])
+		h.tracker.Cancel("short", 0)
+		if soundIsFull {
+			h.byKey["a"].AddRun(&track.Step{Step: &model.Step{Need: cores(8)}})
+		} else {
+			h.byKey["a"].AddRun(&track.Step{Step: &model.Step{Need: cores(6)}})
+		}
+		h.accept("serving", model.Step{Need: cores(2), LongRunning: true})
+		want := map[bool]string{true: "b", false: "a"}[soundIsFull]
+		starts := h.plan()
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Member.Key, want)
+	}
+}
+
+// Guards against a plan with more starts than its limit.
+func TestPoisonTasksKeepTheLimit(t *testing.T) {
+	h := newHarness(t, 3, cores(8))
+	var jobs []*track.Job
+	for i := range 3 {
+		j := h.accept(fmt.Sprint(i), model.Step{Need: cores(1)})
+		j.RecordFailureOn("x")
+		j.RecordFailureOn("y")
+		jobs = append(jobs, j)
+	}
+	assert.Equal(t, len(Plan(jobs, h.members, h.policy, nil, h.now, 2)), 2)
+}
