track: a checkpoint of an adopted run is of unknown progress

Cause: a new leader took the checkpoint in the first list of a run for one of the run's present progress, so that a slow run could be moved although that lost most of its work.

Change: such a checkpoint counts as saved progress 0 for the decision until the next one is listed.

--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -219,8 +219,9 @@
 	t.Unresolved = false
 	run := tr.BeginRun(t, executor, r.Attempt, now)
 	tr.ConfirmRun(run, now)
-	run.Percent, run.Metric = r.Percent, r.Metric
+	// Before its progress: the checkpoint may be much older.
 	tr.ObserveCheckpoint(run, r.Checkpoint)
+	run.Percent, run.Metric = r.Percent, r.Metric
 	if t.Step.Gang {
 		t.Step.GangAttempt = max(t.Step.GangAttempt, r.Attempt)
 	}
