leader: waiting tasks of poison jobs hold up no copies and moves

Cause: late and slow runs are acted on only if no work of the service waits. All tasks of a poison job but one wait by decision and take no capacity, so that one such job in the service prevented all copies and moves.

Change: of a poison job only the task to try next counts as waiting work.

Run: go test -race ./internal/serve/leader, go vet, staticcheck; the new test failed before.

--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -106,6 +106,8 @@
 		}
 		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
 			l.replanAt[s] = l.now + replanInterval
+		}
+		if slices.ContainsFunc(order.jobs, needsCapacity) {
 			continue
 		}
 		room -= l.startCopies(s, members[s], policy, rare, room)
@@ -132,6 +134,15 @@
 	})
 }
 
+// needsCapacity reports whether tasks of a job would take capacity now. The other tasks of a poison job
+// wait for the outcome of the one that is tried.
+func needsCapacity(j *track.Job) bool {
+	if j.IsPoison() {
+		return !j.IsOver() && j.Probe() != nil
+	}
+	return hasWaitingTasks(j)
+}
+
 // replan makes a round of placement due for services with waiting tasks that had none for a while.
 func (l *Leader) replan() {
 	for s, at := range l.replanAt {
