track: a long-running job that was serving is not poison

One that fails its runs was not suspected or quarantined.

Change: a long-running task that serves is evidence that its job can succeed, as a done task is.

--- a/internal/jobs/track/poison.go
+++ b/internal/jobs/track/poison.go
@@ -14,7 +14,7 @@
 // evidence is what speaks for and against a job that fails wherever it runs. A new leader learns it
 // again, except for tasks that are done.
 type evidence struct {
-	// succeeded is set once any task was done.
+	// succeeded is set once any task was done, or a long-running one was serving.
 	succeeded bool
 	// failedOn are sound executors on which its runs failed.
 	failedOn []string
@@ -39,7 +39,7 @@
 func (j *Job) FailedOn() []string { return j.evidence.failedOn }
 
 // FailsEverywhere reports whether the job has failed on several sound executors and no task of it was
-// ever done.
+// ever done or serving.
 func (j *Job) FailsEverywhere() bool {
 	return !j.evidence.succeeded && len(j.evidence.failedOn) >= poisonExecutors
 }
--- a/internal/jobs/track/rate.go
+++ b/internal/jobs/track/rate.go
@@ -12,6 +12,9 @@
 		}
 	}
 	r.Percent = percent
+	if r.Task.Step.LongRunning && percent >= servingPercent {
+		r.Task.Step.Occ.Job.evidence.succeeded = true
+	}
 }
 
 // Duration returns the time that the run would take for its whole task at its measured rate of
