leader: a new leader starts no third run of a task

Cause: a task whose step allows copies counted as resolved once one of its runs was adopted. If the second run was on an executor not contacted yet, the new leader gave the task a copy, or started it again after a failure: three runs, and up to max_attempts + 1 failed ones.

--- a/internal/jobs/execs/late.go
+++ b/internal/jobs/execs/late.go
@@ -54,11 +54,11 @@
 	return doubtful || float64(TimeLeft(r, now)) > copyGain*float64(expected)
 }
 
-// AllowsCopy reports whether a second run of a task may start: its step allows copies, it has one run,
-// and its attempts suffice if both runs fail. Tasks of client accounts get none, since a new leader
+// AllowsCopy reports whether a second run of a task may start: its step allows copies, it has one run
+// for certain, and its attempts suffice if both runs fail. Tasks of client accounts get none, since a new leader
 // does not know of the second run and would count too little against the account's limit.
 func AllowsCopy(t *track.Task) bool {
 	s := t.Step
-	return s.AllowsCopies && !s.Gang && !s.LongRunning && !s.BestEffort && !t.Done && len(t.Runs) == 1 &&
+	return s.AllowsCopies && !s.Gang && !s.LongRunning && !s.BestEffort && !t.Done && !t.Unresolved && len(t.Runs) == 1 &&
 		s.Occ.Job.Account == "" && !t.HasLastAttempt() && !s.Occ.Job.IsOver() && !s.Occ.Job.FailsEverywhere()
 }
