assign: the members of a gang on a suspect count as one run against its bound

Cause: the bound of a suspect grows only with successes there. A gang that needs two places on one with bound 1 never started, and its job never ended, if nothing else ran there.

Change: the first member on an executor counts against the bound.

Run: go test -race ./internal/jobs/assign, go vet, staticcheck; the new test failed before (0 starts).

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -313,7 +313,7 @@
 
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
 	sl.free = sl.free.Minus(s.Reservation())
-	if !s.LongRunning {
+	if usesRoom(s, sl.m, placed) {
 		sl.room--
 	}
 	if placed != nil {
@@ -423,7 +423,7 @@
 	}
 	fitsAny := false
 	for _, sl := range p.slots {
-		if !s.LongRunning && sl.room <= 0 || !need.FitsIn(sl.free) {
+		if sl.room <= 0 && usesRoom(s, sl.m, placed) || !need.FitsIn(sl.free) {
 			continue
 		}
 		fitsAny = true
--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -63,7 +63,7 @@
 				continue
 			}
 			most := missing
-			if !s.LongRunning {
+			if !s.LongRunning && !s.Gang {
 				most = min(most, room(m))
 			}
 			if missing -= placesOn(m, s, placed, most); missing == 0 {
--- a/internal/jobs/assign/suspect.go
+++ b/internal/jobs/assign/suspect.go
@@ -21,6 +21,13 @@
 	return func(*execs.Member) int { return math.MaxInt }
 }
 
+// usesRoom reports whether a run of a step counts against the bound of a suspect. The placed members of a
+// gang there count as one run: the bound grows only with successes, and a gang that needs several places
+// there would never start.
+func usesRoom(s *track.Step, m *execs.Member, placed map[string]int) bool {
+	return !s.LongRunning && !(s.Gang && placed[m.Key] > 0)
+}
+
 // suspectCost returns the cost of a suspect's failure rate, 0 for other executors.
 func (p *plan) suspectCost(m *execs.Member) float64 {
 	if !p.bounded || !m.IsSuspect() {
--- a/internal/jobs/assign/suspect_wait_test.go
+++ b/internal/jobs/assign/suspect_wait_test.go
@@ -107,3 +107,17 @@
 	}
 	assert.Equal(t, len(Plan(jobs, h.members, h.policy, nil, h.now, 2)), 2)
 }
+
+// Guards against a gang that never starts because it needs several places on a suspect, whose bound grows
+// only with successes there.
+func TestGangCountsOnceAgainstTheBound(t *testing.T) {
+	h := newHarness(t, 2, cores(8))
+	h.suspect("b")
+	j := h.accept("gang", model.Step{Count: 4, Gang: true, Need: cores(4), Estimate: time.Second})
+	policy := policyOf(map[string]Permission{"a": Startable, "b": Startable})
+	assert.Equal(t, len(ToAsk(j.Open[0].Steps[0], h.members, policy, h.now)), 0, "it can start")
+	assert.Equal(t, len(h.plan()), 4)
+	assert.Equal(t, h.byKey["b"].Room(), 0)
+	h.advance(time.Second)
+	assert.Assert(t, j.IsOver())
+}
