leader: the longest of the late runs get copies first

Cause: late runs were taken in the order of a map, though their copies have a bound of a tenth of the pool.

Change: late runs are sorted by when they began.

--- a/internal/jobs/assign/copy.go
+++ b/internal/jobs/assign/copy.go
@@ -15,7 +15,7 @@
 	maxCopySlowness = 1.25
 )
 
-// PlaceCopies returns the starts of second runs for late runs of one service, latest first. The
+// PlaceCopies returns the starts of second runs for late runs of one service, in their order. The
 // caller has placed all waiting work. used are the cores that copies use already, in thousandths.
 func PlaceCopies(late []*track.Run, members []*execs.Member, policy Policy, rarity Rarity, now time.Duration, used int64, limit int) []Start {
 	p := plan{now: now, limit: limit, policy: policy}
--- a/internal/serve/leader/copies.go
+++ b/internal/serve/leader/copies.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
@@ -74,6 +76,7 @@
 		}
 	}
 	late.runs = nil
+	slices.SortFunc(runs, func(x, y *track.Run) int { return cmp.Compare(x.PhaseSince, y.PhaseSince) })
 	starts := assign.PlaceCopies(runs, members, policy, rare, l.now, late.copyCores, limit)
 	for _, st := range starts {
 		r := st.Task.Runs[0]
--- a/internal/serve/leader/copies_test.go
+++ b/internal/serve/leader/copies_test.go
@@ -115,3 +115,19 @@
 		assert.Assert(t, !task.IsWaiting())
 	}
 }
+
+// Guards against the share of the pool for copies being used up by runs that are hardly late while the
+// longest one gets none.
+func TestLongestRunsGetCopiesFirst(t *testing.T) {
+	for range 10 {
+		l, x, y, r := newCopyLeader(t, true)
+		l.now += 3 * time.Second
+		other := r.Task.Step.Tasks[1]
+		l.startRun(assign.Start{Task: other, Member: &x.Member})
+		l.confirmRun(other.Runs[0])
+		l.now += 3 * time.Second
+		l.retryStops()
+		assert.Equal(t, l.startCopies("s", []*execs.Member{&x.Member, &y.Member}, assign.Unrestricted, nil, 1), 1)
+		assert.Equal(t, len(r.Task.Runs), 2)
+	}
+}
