track: wide jobs count as poison only if a quarter of their runs failed

Cause: a job counted as poison once runs had failed on two sound executors before any success. Of a wide step, whose runs fail at 3%, two nearly always fail before the first is done; the waiting tasks of the job were then held for up to a run time beside idle capacity.

Change: a quarter of the runs started so far must have failed as well. The result is kept until an executor becomes a suspect.

--- a/internal/jobs/track/poison.go
+++ b/internal/jobs/track/poison.go
@@ -7,6 +7,9 @@
 	// cause counts as the job. Sound executors fail 3% of their runs at most, so a job fails on two of
 	// them before any success by their fault about once in a thousand jobs.
 	poisonExecutors = 2
+	// minFailedShare is the share of a job's runs so far that must have failed. Of a wide step, a few runs of a
+	// sound job can fail before the first one is done.
+	minFailedShare = 0.25
 	// maxFailedOn bounds the executors that are remembered of a job.
 	maxFailedOn = 4
 )
@@ -16,6 +19,10 @@
 type evidence struct {
 	// succeeded is set once any task was done, or a long-running one was serving.
 	succeeded bool
+	// started is the number of its runs so far, and failed that of those that failed on sound executors.
+	started, failed int
+	// failsEverywhere is set while enough of its runs have failed on enough sound executors.
+	failsEverywhere bool
 	// failedOn are sound executors on which its runs failed.
 	failedOn []string
 	// probe is the task that is tried while the job counts as poison.
@@ -24,24 +31,30 @@
 
 // RecordFailureOn records that a run failed on an executor that is not suspected.
 func (j *Job) RecordFailureOn(executor string) {
-	if e := &j.evidence; len(e.failedOn) < maxFailedOn && !slices.Contains(e.failedOn, executor) {
+	e := &j.evidence
+	e.failed++
+	if len(e.failedOn) < maxFailedOn && !slices.Contains(e.failedOn, executor) {
 		e.failedOn = append(e.failedOn, executor)
 	}
+	if len(e.failedOn) >= poisonExecutors && float64(e.failed) >= minFailedShare*float64(e.started) {
+		e.failsEverywhere = true
+	}
 }
 
 // WithdrawFailures removes the evidence from an executor that has become a suspect.
 func (j *Job) WithdrawFailures(executor string) {
 	j.evidence.failedOn = slices.DeleteFunc(j.evidence.failedOn, func(e string) bool { return e == executor })
+	j.evidence.failsEverywhere = j.evidence.failsEverywhere && len(j.evidence.failedOn) >= poisonExecutors
 	j.evidence.probe = nil // other tasks may run until there is enough evidence again
 }
 
 // FailedOn returns the sound executors on which runs of the job failed.
 func (j *Job) FailedOn() []string { return j.evidence.failedOn }
 
-// FailsEverywhere reports whether the job has failed on several sound executors and no task of it was
+// FailsEverywhere reports whether enough runs of the job have failed on several sound executors and no task of it was
 // ever done or serving.
 func (j *Job) FailsEverywhere() bool {
-	return !j.evidence.succeeded && len(j.evidence.failedOn) >= poisonExecutors
+	return !j.evidence.succeeded && j.evidence.failsEverywhere
 }
 
 // IsPoison reports whether the job will probably never succeed. Its tasks are then tried one at a time.
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -201,6 +201,7 @@
 		Checkpoint: t.owner().Checkpoint, savedSeen: t.owner().savedSeen, Pace: 100, Task: t,
 	}
 	t.Runs = append(t.Runs, r)
+	t.Step.Occ.Job.evidence.started++
 	tr.runSet(executor)[r] = struct{}{}
 	return r
 }
