--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -113,6 +113,11 @@
 		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
 			l.replanAt[s] = l.now + replanInterval
 		}
+		if slices.ContainsFunc(order.jobs, needsCapacity) {
+			continue
+		}
+		room -= l.startCopies(s, members[s], policy, rare, room)
+		l.moveSlow(s, members[s], policy, rare)
 	}
 }
 
@@ -135,6 +140,15 @@
 	})
 }
 
+// needsCapacity reports whether tasks of a job would take capacity now. The other tasks of a poison job
+// wait for the outcome of the one that is tried.
+func needsCapacity(j *track.Job) bool {
+	if j.IsPoison() {
+		return !j.IsOver() && j.Probe() != nil
+	}
+	return hasWaitingTasks(j)
+}
+
 // replan makes a round of placement due for services with waiting tasks that had none for a while.
 func (l *Leader) replan() {
 	for s, at := range l.replanAt {
@@ -310,7 +324,9 @@
 		m.QuarantinedUntil = max(m.QuarantinedUntil, l.now+startRetryDelay)
 		m.due = l.now
 	case platform.ReasonUnhealthy:
+		was := m.IsSuspect()
 		m.RecordUnhealthy(l.now)
+		l.noteSuspect(m, was, "it refuses starts as unhealthy")
 	case platform.ReasonTicket:
 		if a := l.advice[t.Step]; a != nil {
 			a.expire(m.Key)
@@ -387,13 +403,15 @@
 }
 
 // retryStops repeats stops whose end was not reported in time. It also stops runs of jobs that
-// are over and stalled runs.
+// are over and stalled runs, and collects late ones.
 func (l *Leader) retryStops() {
+	l.late = map[string]*lateRuns{}
 	for _, m := range l.members {
 		for r := range l.tracker.RunsOn(m.Key) {
 			l.tracker.RenewLeft(r.Task.Step.Occ.Job, l.wall)
 			switch {
 			case m.Contact != execs.Live:
+				l.observeRun(m, r)
 			case r.Phase == track.Stopping && l.now > r.PhaseSince+stopRetryInterval:
 				r.PhaseSince = l.now
 				l.sendStop(m, r.Task.ID, r.Attempt)
@@ -401,11 +419,11 @@
 				l.stop(r, "job is over")
 			case execs.IsStalled(r, m.clockAt, l.expectedRuntime(m, r)):
 				r.Task.Avoid(m.Key)
-				if m.RecordStall(r.Task.ID.Job, l.now) {
-					l.Meters.quarantines.Inc(1)
-					l.Log.Warn().Str("executor", m.ID).Dur("until", m.QuarantinedUntil-l.now).Msg("executor quarantined because its runs stall")
-				}
+				l.recordFault(m, r.Task.Step.Occ.Job, "its runs stall")
 				l.stop(r, "run is stalled")
+			default:
+				l.observeRun(m, r)
+				l.observeSlow(m, r)
 			}
 		}
 	}
