--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -24,6 +24,9 @@
 	// configuration must be in force.
 	readWait  = 800 * time.Millisecond
 	readStall = 500 * time.Millisecond
+	// slowAnswer is the time for an answer from which on the store counts as slow. Reads of a slow store
+	// don't wait for a change: an answer that takes 1 s would come after readWait + readStall.
+	slowAnswer = readStall / 2
 	// retryPause is the time between reads after a failure.
 	retryPause = 100 * time.Millisecond
 )
@@ -45,6 +48,12 @@
 	raw      atomic.Pointer[[]byte]
 	lastRead atomic.Int64 // when the store last answered, on the entry's clock
 	view     viewTime
+	// followed is the offset up to which each record was read. Only the reader uses it.
+	followed int64
+	// behind is the first read since whose answer the end that it reported was not reached, with hasBehind.
+	// Only the reader uses it.
+	behind    readEnd
+	hasBehind bool
 
 	mu    sync.Mutex
 	waves map[int64]Wave
@@ -55,6 +64,12 @@
 	done   chan struct{}
 }
 
+// readEnd is the end of the log that a read reported, and when the read was sent.
+type readEnd struct {
+	sent time.Duration
+	end  int64
+}
+
 // Start follows the operators' orders until Close.
 func Start(ctx context.Context, c *platform.Client, clk clock.Clock, log zerolog.Logger) *Orders {
 	ctx, cancel := context.WithCancel(ctx)
@@ -94,14 +109,20 @@
 func (o *Orders) run(ctx context.Context) {
 	defer close(o.done)
 	from, ok := int64(0), false
-	lost := false
+	lost, slow := false, false
 	for ctx.Err() == nil {
 		var err error
+		begin := o.clk.Now()
 		if !ok {
 			from, err = o.readAll(ctx)
 		} else {
-			from, err = o.readNext(ctx, from)
+			wait := readWait
+			if slow {
+				wait = 0
+			}
+			from, err = o.readNext(ctx, from, wait)
 		}
+		slow = err != nil || slow && o.clk.Now()-begin > slowAnswer
 		ok = err == nil
 		if gone := (*platform.GoneError)(nil); !ok && !errors.As(err, &gone) && from > 0 {
 			// The orders read so far stay in force, and reading continues at the same offset.
@@ -126,6 +147,7 @@
 // readAll reads the newest record of each key. It returns the offset from which reading continues.
 func (o *Orders) readAll(ctx context.Context) (int64, error) {
 	from, after, sent := int64(-1), "", o.clk.Now()
+	o.hasBehind = false
 	for {
 		rs, more, end, err := o.client.Newest(ctx, platform.OperatorTopic, 0, after, readWait+readStall)
 		if err != nil {
@@ -135,21 +157,27 @@
 			from = end
 		}
 		for _, r := range rs {
-			o.apply(r)
+			// The list has no earlier configuration than the newest one.
+			if !o.apply(r) && r.Offset >= o.followed {
+				o.view.beginGap(o.clk.Now())
+			}
 			after = r.Key
 		}
 		if !more || len(rs) == 0 {
-			o.ExtendView(sent)
+			o.view.extendByRead(sent)
+			o.followed = from
 			return from, nil
 		}
 	}
 }
 
-// readNext reads the records from an offset on, and returns the offset from which reading continues.
-// The store may answer with a part of the records; the view is extended only by a read up to the end.
-func (o *Orders) readNext(ctx context.Context, from int64) (int64, error) {
+// readNext reads the records from an offset on, or waits for one, and returns the offset from which reading
+// continues.
+// The store may answer with a part of the records; the view is extended to a read once the end that it
+// reported is reached. Reads may never reach their own end while much is written.
+func (o *Orders) readNext(ctx context.Context, from int64, wait time.Duration) (int64, error) {
 	sent := o.clk.Now()
-	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, readWait, readStall)
+	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, wait, readWait+readStall-wait)
 	if err != nil {
 		return from, err
 	}
@@ -157,22 +185,38 @@
 		o.apply(r)
 	}
 	from += int64(len(rs))
-	if from == end {
-		o.ExtendView(sent)
+	o.followed = from
+	if o.hasBehind && from >= o.behind.end {
+		o.view.extendByRead(o.behind.sent)
+		o.hasBehind = false
+	}
+	switch {
+	case from == end:
+		o.view.extendByRead(sent)
+	case !o.hasBehind:
+		o.behind, o.hasBehind = readEnd{sent, end}, true
 	}
 	return from, nil
 }
 
-func (o *Orders) apply(r platform.Record) {
+// apply applies a record. It returns false for a configuration that can't be decoded.
+func (o *Orders) apply(r platform.Record) bool {
 	if len(r.Value) == 0 {
-		return
+		return true
 	}
 	if r.Key == platform.ConfigKey {
 		if err := o.SetConfig(r.Value); err != nil {
 			o.log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration can't be decoded")
+			return false
 		}
-		return
+		o.view.endGap() // earlier configurations don't matter any more
+		return true
 	}
+	o.applyWave(r)
+	return true
+}
+
+func (o *Orders) applyWave(r platform.Record) {
 	if _, ok := platform.WaveKey(r.Key); !ok {
 		return
 	}
