--- a/internal/jobs/execs/late.go
+++ b/internal/jobs/execs/late.go
@@ -8,15 +8,17 @@
 
 const (
 	// lateFactor is the multiple of the expected run time from which a run is late, and
-	// suspectLateFactor that on an executor that is a suspect or does not answer.
-	lateFactor        = 2.0
+	// suspectLateFactor that on an executor that is a suspect or does not answer. Tasks of one step differ
+	// in length by a factor of two, and a copy of a long task takes as long: with 2, most of 136 copies of a
+	// day were overtaken by the first run.
+	lateFactor        = 2.5
 	suspectLateFactor = 1.0
 	// minLate is the least time by which a run exceeds the expected one: ends are known late when
 	// executors or the leader are busy.
 	minLate = 400 * time.Millisecond
 	// copyGain is the ratio of the time left of a run to that of its copy from which a copy is
 	// started.
-	copyGain = 1.25
+	copyGain = 2.0
 	// silentAfter is the time without an answer after which an executor's runs may get copies.
 	silentAfter = 1300 * time.Millisecond
 )
