jobs, leader: no speculative copies of late runs

Moves at a checkpoint, bounds for suspects and poison jobs are unchanged.

TestPoisonJobsHoldUpNoMoves fails if waiting tasks of poison jobs hold up moves.

--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -218,8 +218,7 @@
 	if len(t.Runs) > 0 && !t.Step.AllowsCopies {
 		return nil
 	}
-	// Another executor may still list a second run of the task if its step allows copies.
-	t.Unresolved = t.Unresolved && t.Step.AllowsCopies
+	t.Unresolved = false
 	run := tr.BeginRun(t, executor, r.Attempt, now)
 	tr.ConfirmRun(run, now)
 	// Before its progress: the checkpoint may be much older.
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -117,8 +117,8 @@
 	nextPlan  time.Duration
 	jobOrders map[string]*jobOrder // by service
 	shares    shareState
-	late      map[string]*lateRuns // by service, of the last sweep
-	nextMove  time.Duration        // when slow runs may be moved next
+	slow      map[string][]*track.Run // runs that should continue elsewhere, by service, of the last sweep
+	nextMove  time.Duration           // when slow runs may be moved next
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
 	window       window.Window
 	windowLogged time.Duration
--- a/internal/serve/leader/meters.go
+++ b/internal/serve/leader/meters.go
@@ -20,8 +20,6 @@
 	quarantines   tally.Counter
 	suspects      tally.Counter
 	poison        tally.Counter
-	copies        tally.Counter
-	copiesWon     tally.Counter
 	slowMoves     tally.Counter
 	terms         tally.Counter
 	limitLowered  tally.Counter
@@ -50,7 +48,7 @@
 	m := &Meters{
 		scope: s, accepted: s.Counter("jobs_accepted"), starts: s.Counter("runs_ordered"), stops: s.Counter("runs_stopped"),
 		polls: s.Counter("executor_looks"), instanceCalls: s.Counter("instance_calls"),
-		quarantines: s.Counter("executors_aside"), copies: s.Counter("copies_started"), copiesWon: s.Counter("copies_won"), slowMoves: s.Counter("runs_moved"), poison: s.Counter("jobs_poison"), suspects: s.Counter("executors_on_probation"), terms: s.Counter("leads"), limitLowered: s.Counter("start_limit_lowered"), startsHeld: s.Counter("starts_held"), startLimit: s.Gauge("start_limit"),
+		quarantines: s.Counter("executors_aside"), slowMoves: s.Counter("runs_moved"), poison: s.Counter("jobs_poison"), suspects: s.Counter("executors_on_probation"), terms: s.Counter("leads"), limitLowered: s.Counter("start_limit_lowered"), startsHeld: s.Counter("starts_held"), startLimit: s.Gauge("start_limit"),
 		appendTime: s.Histogram("store_append_seconds", durationBuckets), jobWait: s.Histogram("job_wait_seconds", durationBuckets),
 		jobTime: s.Histogram("job_seconds", durationBuckets), takeover: s.Histogram("takeover_seconds", durationBuckets),
 		activeJobs: s.Gauge("jobs_active"), pendingJobs: s.Gauge("jobs_pending"), waveLeft: s.Gauge("wave_left"),
--- a/internal/serve/leader/move.go
+++ b/internal/serve/leader/move.go
@@ -14,6 +14,10 @@
 	// moveInterval is the least time between such rounds. A stopped run's task starts again within
 	// that time as a rule; until then its new place seems free.
 	moveInterval = 2 * time.Second
+	// maxSlowRuns bounds the slow runs of a service that a sweep collects.
+	maxSlowRuns = 32
+	// otherRackFactor is how much longer a run takes on another rack than that of its data.
+	otherRackFactor = 1.5
 )
 
 // observeSlow collects a run for the next round of placement if it should continue elsewhere.
@@ -22,26 +26,34 @@
 		return
 	}
 	s := l.queueOf(r.Task.Step.Occ.Job).Service
-	if late := l.lateOf(s); len(late.slow) < maxLateRuns {
-		late.slow = append(late.slow, r)
+	if len(l.slow[s]) < maxSlowRuns {
+		l.slow[s] = append(l.slow[s], r)
 		l.planDue[s] = true
 	}
 }
 
+// usualRuntime returns the expected run time of a run on its executor's rack, if the executor is sound.
+func (l *Leader) usualRuntime(m *member, r *track.Run) time.Duration {
+	d := l.expectedRuntime(m, r)
+	if s := r.Task.Step; s.Rack != "" && s.Rack != m.Rack {
+		d = time.Duration(otherRackFactor * float64(d))
+	}
+	return d
+}
+
 // moveSlow stops slow runs of a service, none of whose work waits, where other executors have capacity
 // to continue them. Their tasks start again once the ends are listed.
 func (l *Leader) moveSlow(service string, members []*execs.Member, policy assign.Policy, rare assign.Rarity) {
-	late := l.late[service]
-	if late == nil || len(late.slow) == 0 || l.now < l.nextMove {
+	if len(l.slow[service]) == 0 || l.now < l.nextMove {
 		return
 	}
 	var slow []*track.Run
-	for _, r := range late.slow {
+	for _, r := range l.slow[service] {
 		if m := l.members[r.Executor]; l.isTracked(r) && m != nil && execs.ShouldMove(r, l.now, l.usualRuntime(m, r)) {
 			slow = append(slow, r)
 		}
 	}
-	late.slow = nil
+	delete(l.slow, service)
 	for _, r := range assign.ChooseMoves(slow, members, policy, rare, l.now, maxMovesPerRound) {
 		l.nextMove = l.now + moveInterval
 		m := l.members[r.Executor]
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -49,9 +49,6 @@
 		l.stopJob(j)
 	}
 	if eff.Done {
-		if r != nil && !r.Task.Step.Gang {
-			l.recordOvertaken(r)
-		}
 		l.stopOtherRuns(j, e.Task)
 	}
 	if r != nil && r.Task.Step.Gang && e.Ending == model.EndedDone {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -116,7 +116,6 @@
 		if slices.ContainsFunc(order.jobs, needsCapacity) {
 			continue
 		}
-		room -= l.startCopies(s, members[s], policy, rare, room)
 		l.moveSlow(s, members[s], policy, rare)
 	}
 }
@@ -403,15 +402,14 @@
 }
 
 // retryStops repeats stops whose end was not reported in time. It also stops runs of jobs that
-// are over and stalled runs, and collects late ones.
+// are over and stalled runs, and collects slow ones.
 func (l *Leader) retryStops() {
-	l.late = map[string]*lateRuns{}
+	l.slow = map[string][]*track.Run{}
 	for _, m := range l.members {
 		for r := range l.tracker.RunsOn(m.Key) {
 			l.tracker.RenewLeft(r.Task.Step.Occ.Job, l.wall)
 			switch {
 			case m.Contact != execs.Live:
-				l.observeRun(m, r)
 			case r.Phase == track.Stopping && l.now > r.PhaseSince+stopRetryInterval:
 				r.PhaseSince = l.now
 				l.sendStop(m, r.Task.ID, r.Attempt)
@@ -422,7 +420,6 @@
 				l.recordFault(m, r.Task.Step.Occ.Job, "its runs stall")
 				l.stop(r, "run is stalled")
 			default:
-				l.observeRun(m, r)
 				l.observeSlow(m, r)
 			}
 		}
