--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -152,15 +152,19 @@
 // returns limit tasks at most, or a single gang that has more members. A nil Allowance limits no
 // account.
 func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, allow Allowance, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow)}
+	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), bounded: execs.BoundsApply(members)}
+	room := roomOf(p.bounded)
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
-			p.slots = append(p.slots, &slot{m: m, free: m.Free(), rarity: rarity.Of(m.Labels)})
+			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: room(m), rarity: rarity.Of(m.Labels)})
 		}
 	}
 	p.all = slices.Clone(p.slots)
 	for _, j := range jobs {
-		if j.IsOver() {
+		if len(p.out) >= limit {
+			return p.out
+		}
+		if j.IsOver() || p.placeProbe(j) {
 			continue
 		}
 		for _, o := range j.Open {
@@ -179,8 +183,10 @@
 
 // slot is an executor with the capacity that the plan has not used.
 type slot struct {
-	m      *execs.Member
-	free   model.Amount
+	m    *execs.Member
+	free model.Amount
+	// room is how many more runs a suspect may hold.
+	room   int
 	rarity float64
 }
 
@@ -193,7 +199,10 @@
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
-	// unfit are amounts for which no executor has enough free capacity. Free capacity only shrinks
+	// bounded is set if the bounds of suspects apply.
+	bounded bool
+	// unfit are amounts for which no executor has enough free capacity, or only suspects that hold as
+	// many runs as they may, which does not matter to long-running tasks. Free capacity only shrinks
 	// during a plan, so tasks that need as much or more are skipped without a search. In a burst
 	// these are most of the backlog.
 	unfit []model.Amount
@@ -271,6 +280,9 @@
 
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
 	sl.free = sl.free.Minus(s.Reservation())
+	if usesRoom(s, sl.m, placed) {
+		sl.room--
+	}
 	if placed != nil {
 		placed[sl.m.Key]++
 	}
@@ -293,9 +305,9 @@
 		p.allow.Yield(s)
 		return
 	}
-	savedFree := make([]model.Amount, len(p.slots))
+	saved := make([]slot, len(p.slots))
 	for i, sl := range p.slots {
-		savedFree[i] = sl.free
+		saved[i] = *sl
 	}
 	n, savedUnfit := len(p.out), slices.Clone(p.unfit)
 	placed := runsByExecutor(s)
@@ -304,7 +316,7 @@
 		if sl == nil {
 			p.out, p.unfit = p.out[:n], savedUnfit
 			for i, sl := range p.slots {
-				sl.free = savedFree[i]
+				*sl = saved[i]
 			}
 			p.allow.Yield(s)
 			return
@@ -332,6 +344,8 @@
 	otherRackWeight = 10.0
 	// slownessWeight is the cost of each multiple of the usual run time.
 	slownessWeight = 2.0
+	// pastBoundWeight is the cost of a long-running task on a suspect that holds as many runs as it may.
+	pastBoundWeight = 10.0
 	// rareLabelWeight keeps work that needs no label off executors with a label that other work
 	// needs. It outweighs packing where a quarter of the instances or fewer have the label.
 	rareLabelWeight = 1.4
@@ -339,14 +353,17 @@
 
 // mustAvoid reports whether a task is kept away from an executor because it has failed there.
 func (p *plan) mustAvoid(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
-	return slices.Contains(t.Avoided, m.Key) && (!isRetryDue(t, m, p.now) || p.hasAlternative(s, t, placed))
+	return slices.Contains(t.Avoided, m.Key) && (!isRetryDue(t, m, p.now) || p.hasAlternative(s, t, m, placed))
 }
 
-// hasAlternative reports whether a task can run on an executor on which it has not failed. The task
-// then waits for capacity there, or for the policy's decision, since another failure may be its last.
-func (p *plan) hasAlternative(s *track.Step, t *track.Task, placed map[string]int) bool {
+// hasAlternative reports whether a task can run on an executor on which it has not failed, other than m.
+// The task then waits for capacity there, or for the policy's decision, since another failure may be
+// its last. A suspect is no alternative to a sound executor for a task that avoids suspects: it would
+// wait for each because of the other.
+func (p *plan) hasAlternative(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
+	onlySound := p.bounded && t.Failures() > 0 && !m.IsSuspect()
 	return slices.ContainsFunc(p.all, func(sl *slot) bool {
-		return !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
+		return !(onlySound && sl.m.IsSuspect()) && !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
 	})
 }
 
@@ -374,19 +391,19 @@
 	var best *slot
 	var least float64
 	need := s.Reservation()
-	if p.isUnfit(need) {
+	if !s.LongRunning && p.isUnfit(need) {
 		return nil
 	}
 	fitsAny := false
 	for _, sl := range p.slots {
-		if !need.FitsIn(sl.free) {
+		if sl.room <= 0 && usesRoom(s, sl.m, placed) || !need.FitsIn(sl.free) {
 			continue
 		}
 		fitsAny = true
 		if !canHost(s, sl.m, placed) {
 			continue
 		}
-		if p.policy(s, sl.m) != Startable || p.mustAvoid(s, t, sl.m, placed) {
+		if p.policy(s, sl.m) != Startable || p.mustAvoid(s, t, sl.m, placed) || p.avoidsSuspect(s, t, sl.m, placed) {
 			continue
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
@@ -394,6 +411,10 @@
 			// Serving tasks compete for resources that are not accounted for, so they are spread
 			// out.
 			cost = -cost
+			if sl.room <= 0 {
+				// The bound is for runs that end, and must not delay the restart of a serving task.
+				cost += pastBoundWeight
+			}
 		}
 		if s.Rack != "" && s.Rack != sl.m.Rack {
 			cost += otherRackWeight
@@ -401,7 +422,7 @@
 		if s.Label == "" {
 			cost += rareLabelWeight * sl.rarity
 		}
-		cost += slownessWeight * max(sl.m.Slowness-1, 0)
+		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(sl.m)
 		if best == nil || cost < least {
 			best, least = sl, cost
 		}
