guard: fields of headers count, and closed connections end their requests

A header of many short fields took some 250 KB decoded where 19 KB were counted, a client that was told to send its body was not counted any more, requests went on after the guard had closed their connection if a byte of another request was waiting, and connections whose client does not read could not be closed for 30 s although the port had too many. Fields count 128 bytes each, interim answers release nothing, a closed connection ends its requests' context, and an unread answer is closed after 5 s if connections are short.

Run: go test -race ./internal/serve/guard ./internal/serve/front. TestClosedConnectionsEndTheirRequests fails without the change.

--- a/internal/serve/front/body.go
+++ b/internal/serve/front/body.go
@@ -27,8 +27,12 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// withConn returns the context of a connection's requests. It ends when the guard closes the connection: the
+// server does not notice that while bytes of a further request wait to be read.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
 	if c, ok := conn.(*guard.Conn); ok {
+		ctx, cancel := context.WithCancel(ctx)
+		c.OnClose(cancel)
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	return ctx
--- a/internal/serve/front/body_test.go
+++ b/internal/serve/front/body_test.go
@@ -152,3 +152,63 @@
 	resp := status(t, post(t, serveGuarded(t, stubJobs{}), fmt.Sprint("Content-Length: ", len(body)), body))
 	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
 }
+
+// Guards against submissions that hold their bodies for an hour after the guard has closed their connections: the
+// server does not notice that while a byte of a further request waits to be read.
+func TestClosedConnectionsEndTheirRequests(t *testing.T) {
+	g := guard.New(context.Background(), guard.NewLimits(guard.DefaultMemory, 0), clock.NewSystem(), tally.NoopScope)
+	defer g.Close()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	accepted := make(chan net.Conn, 1)
+	j := endingJobs{began: make(chan struct{}, 1), ended: make(chan struct{}, 1)}
+	s := Serve(recordingListener{g.Listener(guard.Callers, lis), accepted}, j, zerolog.Nop(), WithGuard(g))
+	defer s.CloseNow()
+	body := `{"phases":[{"count":1}]}`
+	conn, err := net.Dial("tcp", lis.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST /q/0123456789abcdef HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 3600000\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	assert.NilError(t, err)
+	<-j.began
+	// The server reads one byte in the background, and nothing more before it has answered.
+	_, err = conn.Write([]byte("G"))
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, (<-accepted).Close())
+	select {
+	case <-j.ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request goes on")
+	}
+}
+
+// endingJobs reports when a submission begins and when its context ends.
+type endingJobs struct {
+	stubJobs
+	began, ended chan struct{}
+}
+
+func (j endingJobs) Submit(ctx context.Context, _ relay.Submission, _ *model.Queue) relay.Answer {
+	j.began <- struct{}{}
+	select {
+	case <-ctx.Done():
+		j.ended <- struct{}{}
+	case <-time.After(10 * time.Second):
+	}
+	return relay.Answer{Verdict: relay.Unknown}
+}
+
+// recordingListener passes on the connections that it accepts.
+type recordingListener struct {
+	net.Listener
+	accepted chan<- net.Conn
+}
+
+func (l recordingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- conn
+	}
+	return conn, err
+}
--- a/internal/serve/guard/choose.go
+++ b/internal/serve/guard/choose.go
@@ -15,6 +15,8 @@
 	idle time.Duration // since the last progress
 	// complete is set while a whole request is being answered, and served once any was answered.
 	complete, served bool
+	// writing is set while the client does not take what is written.
+	writing bool
 }
 
 // chooseHolders returns the connections to close so that bytes are freed: unfinished requests that have
@@ -45,12 +47,15 @@
 // chooseOldest returns the connection of one port to close when another one exceeds its number, or false
 // if none can be closed. The order is: idle connections of callers, or those of entries that never served
 // a call; then unfinished requests; each with the longest time without progress first. A whole request that
-// is being answered is chosen last, and only if its client does not read. Connections between entries that
-// have served calls are chosen only after they were idle for longer than entries keep them.
+// is being answered is chosen last, and only if its client has not read for progressTimeout or the answer takes
+// writeTimeout. Connections between entries that have served calls are chosen only after they were idle for
+// longer than entries keep them.
 func chooseOldest(all []state) (state, bool) {
 	const never = 4
 	rank := func(s state) int {
 		switch {
+		case s.writing && s.idle >= progressTimeout:
+			return 2
 		case s.complete && s.idle >= writeTimeout:
 			return 3
 		case s.complete:
--- a/internal/serve/guard/conn.go
+++ b/internal/serve/guard/conn.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bytes"
 	"net"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,11 @@
 	complete  atomic.Bool
 	served    atomic.Bool
 	closed    atomic.Bool
+	// writing is set while the client does not take what is written.
+	writing atomic.Bool
+	// header is the position in the header of the request.
+	header  atomic.Int64
+	onClose atomic.Pointer[func()]
 }
 
 // Read reads from the connection and counts the bytes.
@@ -49,8 +55,12 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.last.Store(c.g.now.Load())
-		c.held.Add(int64(n))
-		total := c.g.held.Add(int64(n))
+		size := int64(n)
+		if c.kind != Entries {
+			size += fieldBytes * c.countFields(b[:n])
+		}
+		c.held.Add(size)
+		total := c.g.held.Add(size)
 		if c.closed.Load() {
 			c.release()
 		} else if total > c.g.limits.Held {
@@ -60,14 +70,66 @@
 	return n, err
 }
 
-// Write writes to the connection. On the ports for HTTP, the request of an answer is not held any more.
+// Values of Conn.header: the number of the header's bytes so far times headerStep, plus lineBegun within a line
+// that is not empty. Past the header it is headerEnded.
+const (
+	lineBegun   = 1
+	headerStep  = 2
+	headerEnded = -1
+)
+
+// countFields returns the number of lines of the request's header that end in b.
+func (c *Conn) countFields(b []byte) int64 {
+	before := c.header.Load()
+	if before == headerEnded {
+		return 0
+	}
+	size, begun, lines := before/headerStep, before%headerStep == lineBegun, int64(0)
+	after := int64(headerEnded)
+	for {
+		i := bytes.IndexByte(b, '\n')
+		line := b
+		if i >= 0 {
+			line = b[:i]
+		}
+		begun = begun || len(bytes.TrimSuffix(line, []byte{'\r'})) > 0
+		if i < 0 {
+			if size += int64(len(b)); size <= maxHeaderScan {
+				after = size * headerStep
+				if begun {
+					after += lineBegun
+				}
+			}
+			break
+		}
+		if !begun {
+			break
+		}
+		lines++
+		size += int64(i) + 1
+		b, begun = b[i+1:], false
+	}
+	// If it has changed, an answer was written meanwhile and the next header begins.
+	c.header.CompareAndSwap(before, after)
+	return lines
+}
+
+// interim begins an answer after which the client sends the body of its request.
+var interim = []byte("HTTP/1.1 100 ")
+
+// Write writes to the connection. On the ports for HTTP, the request of a final answer is not held any more.
 func (c *Conn) Write(b []byte) (int, error) {
+	c.last.Store(c.g.now.Load())
+	c.writing.Store(true)
 	n, err := c.Conn.Write(b)
+	c.writing.Store(false)
 	if n > 0 {
 		c.last.Store(c.g.now.Load())
-		if c.kind == Entries {
+		switch {
+		case c.kind == Entries:
 			c.consume(peerOverhead)
-		} else {
+		case !bytes.HasPrefix(b, interim):
+			c.header.Store(0)
 			c.release()
 			c.clearComplete()
 		}
@@ -76,6 +138,15 @@
 	return n, err
 }
 
+// OnClose sets a function that is called, possibly more than once, when the connection is closed. It must not
+// wait.
+func (c *Conn) OnClose(f func()) {
+	c.onClose.Store(&f)
+	if c.closed.Load() {
+		f()
+	}
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -121,7 +192,7 @@
 func (c *Conn) state(now time.Duration) state {
 	return state{
 		conn: c, kind: c.kind, seq: c.seq, held: c.held.Load(), idle: now - time.Duration(c.last.Load()),
-		complete: c.complete.Load(), served: c.served.Load(),
+		complete: c.complete.Load(), served: c.served.Load(), writing: c.writing.Load(),
 	}
 }
 
--- a/internal/serve/guard/guard.go
+++ b/internal/serve/guard/guard.go
@@ -239,4 +239,7 @@
 	c.closed.Store(true)
 	c.release()
 	c.clearComplete()
+	if f := c.onClose.Load(); f != nil {
+		(*f)()
+	}
 }
--- a/internal/serve/guard/limits.go
+++ b/internal/serve/guard/limits.go
@@ -46,13 +46,18 @@
 	// checkedSize is the size of a body from which the number of its objects is checked.
 	checkedSize = 16 << 10
 
-	// progressTimeout is how long an unfinished request may go without a byte. A client within the
+	// fieldBytes is what a field of a header takes besides its text, and maxHeaderScan bounds the headers in
+	// which fields are counted: net/http allows 4 KB more than the 16 KB of its limit.
+	fieldBytes, maxHeaderScan = 128, 24 << 10
+
+	// progressTimeout is how long an unfinished request may go without a byte, and an answer without being
+	// read if connections are short. A client within the
 	// page's limits sends its request at once; 5 s cover a lost packet's retransmissions.
 	progressTimeout = 5 * time.Second
 	// stallTime is the time without progress from which an unfinished request is closed before
 	// larger ones that still make progress, if memory is short.
 	stallTime = 1 * time.Second
-	// writeTimeout is how long a client may leave its answer unread when connections are short. No
+	// writeTimeout is how long a request may take to be answered when connections are short. No
 	// answer takes longer than a call to the leader and an append, 3.2 s, unless nothing is known.
 	writeTimeout = 30 * time.Second
 	// peerIdleTime is the time without a byte from which a connection between entries that has served
