peers: messages between entries are bounded in frames, metadata and fields, and kept buffers count

drpc keeps the buffers of the largest frame and packet of a connection, which did not count once the message was handled. Metadata of 4 MB took some 50 MB decoded, and a message of 2 million empty orders 350 MB. The server follows the frames: it reports the kept buffers to the guard, which may close the connection for them when memory is short, and fails connections with a frame over 64 KB (drpc sends no larger ones) or with more than 4 KB of metadata in a call. Messages of more than 1,024 fields are not decoded; batches have at most 512.

Run: go test -race ./internal/serve/{guard,peers,relay,proxy}; internal/proof/crowd, one at a time.

--- /dev/null
+++ b/internal/proof/crowd/messages_test.go
@@ -0,0 +1,67 @@
+package crowd
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"storj.io/drpc/drpcmetadata"
+	"storj.io/drpc/drpcwire"
+)
+
+// largeMessage is a size below the limit of a message between entries, 4 MiB.
+const largeMessage = 4_000_000
+
+// packet returns the frames of a packet.
+func packet(kind drpcwire.Kind, stream, message uint64, data []byte) []byte {
+	var out []byte
+	for first := true; first || len(data) > 0; first = false {
+		n := min(64<<10, len(data))
+		out = drpcwire.AppendFrame(out, drpcwire.Frame{
+			Data: data[:n], ID: drpcwire.ID{Stream: stream, Message: message}, Kind: kind, Done: n == len(data),
+		})
+		data = data[n:]
+	}
+	return out
+}
+
+const relayService = "/chervilgauge.work.v1.Relay/"
+
+// Guards against a process that runs out of memory by connections whose large messages were handled: the buffers in
+// which they arrived are kept.
+func TestServedMessages(t *testing.T) {
+	r := newRig(t)
+	// A field that the schema does not have, of type bytes.
+	ask := append([]byte{0x9a, 0x06, 0x80, 0x92, 0xf4, 0x01}, make([]byte, largeMessage)...)
+	call := packet(drpcwire.KindInvoke, 1, 1, []byte(relayService+"Query"))
+	call = append(call, packet(drpcwire.KindMessage, 1, 2, ask)...)
+	call = append(call, packet(drpcwire.KindCloseSend, 1, 3, nil)...)
+	// One after the other, so that each is handled.
+	for range messages {
+		c := open(r.peers, inPieces(nil, call, 64<<10))
+		defer c.close()
+	}
+	r.serveOrdinary()
+	r.check()
+}
+
+// Guards against a process that runs out of memory by messages of very many orders, whose decoded form is many times
+// as large.
+func TestMessagesOfManyOrders(t *testing.T) {
+	r := newRig(t)
+	call := packet(drpcwire.KindInvoke, 1, 1, []byte(relayService+"Carry"))
+	call = append(call, packet(drpcwire.KindMessage, 1, 2, bytes.Repeat([]byte{0x0a, 0}, largeMessage/2))...)
+	r.withCrowd(r.peers, inPieces(nil, call, 64<<10))
+}
+
+// Guards against a process that runs out of memory by metadata of calls, whose decoded form is many times as large.
+func TestMetadata(t *testing.T) {
+	r := newRig(t)
+	var meta []byte
+	for i := 0; len(meta) < largeMessage; i++ {
+		meta, _ = drpcmetadata.Encode(meta, map[string]string{fmt.Sprintf("%x", i): ""})
+	}
+	r.withCrowd(r.peers, times(messages, func(int) client {
+		return inPieces(nil, packet(drpcwire.KindInvokeMetadata, 1, 1, meta), 64<<10)
+	})...)
+}
--- a/internal/serve/guard/choose.go
+++ b/internal/serve/guard/choose.go
@@ -12,6 +12,8 @@
 	kind Kind
 	seq  uint64 // in order of acceptance
 	held int64
+	// kept is the part of held that no request needs.
+	kept int64
 	idle time.Duration // since the last progress
 	// complete is set while a whole request is being answered, and served once any was answered.
 	complete, served bool
@@ -60,7 +62,7 @@
 			return 3
 		case s.complete:
 			return never
-		case s.kind == Entries && s.served && s.held < peerStallBytes && s.idle < peerIdleTime:
+		case s.kind == Entries && s.served && s.held-s.kept < peerStallBytes && s.idle < peerIdleTime:
 			return never
 		case s.held == 0 || s.kind == Entries && !s.served:
 			return 0
@@ -82,5 +84,5 @@
 	if s.kind == Entries {
 		least = peerStallBytes
 	}
-	return !s.complete && s.held >= least && s.idle >= progressTimeout
+	return !s.complete && s.held-s.kept >= least && s.idle >= progressTimeout
 }
--- a/internal/serve/guard/conn.go
+++ b/internal/serve/guard/conn.go
@@ -39,10 +39,12 @@
 	held atomic.Int64
 	// answering is the part of held that belongs to a whole request.
 	answering atomic.Int64
-	last      atomic.Int64 // time of the last progress
-	complete  atomic.Bool
-	served    atomic.Bool
-	closed    atomic.Bool
+	// kept is the part of held that stays for further messages.
+	kept     atomic.Int64
+	last     atomic.Int64 // time of the last progress
+	complete atomic.Bool
+	served   atomic.Bool
+	closed   atomic.Bool
 	// writing is set while the client does not take what is written.
 	writing atomic.Bool
 	// header is the position in the header of the request.
@@ -157,7 +159,7 @@
 // MarkComplete reports that a whole request has been received, which will be answered.
 func (c *Conn) MarkComplete() {
 	c.last.Store(c.g.now.Load())
-	n := c.held.Load()
+	n := max(c.held.Load()-c.kept.Load(), 0)
 	c.g.answering.Add(n - c.answering.Swap(n))
 	c.complete.Store(true)
 }
@@ -175,10 +177,24 @@
 	c.consume(int64(n) + peerOverhead)
 }
 
+// Keep reports that buffers of n bytes in all are kept until the connection is closed or Keep is called again.
+// It must not be called by two goroutines at the same time.
+func (c *Conn) Keep(n int) {
+	diff := int64(n) - c.kept.Load()
+	c.held.Add(diff)
+	total := c.g.held.Add(diff)
+	c.kept.Store(int64(n))
+	if c.closed.Load() {
+		c.release()
+	} else if diff > 0 && total > c.g.limits.Held {
+		c.g.relieve()
+	}
+}
+
 func (c *Conn) consume(n int64) {
 	for {
 		held := c.held.Load()
-		n := min(n, held)
+		n := max(min(n, held-c.kept.Load()), 0)
 		if c.held.CompareAndSwap(held, held-n) {
 			c.g.held.Add(-n)
 			return
@@ -191,7 +207,7 @@
 
 func (c *Conn) state(now time.Duration) state {
 	return state{
-		conn: c, kind: c.kind, seq: c.seq, held: c.held.Load(), idle: now - time.Duration(c.last.Load()),
+		conn: c, kind: c.kind, seq: c.seq, held: c.held.Load(), kept: c.kept.Load(), idle: now - time.Duration(c.last.Load()),
 		complete: c.complete.Load(), served: c.served.Load(), writing: c.writing.Load(),
 	}
 }
--- a/internal/serve/guard/conn_test.go
+++ b/internal/serve/guard/conn_test.go
@@ -96,3 +96,30 @@
 	c.server.OnClose(func() { calls++ })
 	assert.Equal(t, calls, 1)
 }
+
+// Guards against buffers of connections between entries that don't count once a message was handled, and against
+// sound idle connections that are closed because of them while there is memory.
+func TestKeptBuffersCount(t *testing.T) {
+	g := newTestGuard(t, testLimits)
+	c := dial(g, Entries)
+	c.send(300 << 10)
+	c.server.Keep(400 << 10)
+	assert.Equal(t, g.held.Load(), int64(700<<10))
+	c.server.MarkComplete()
+	assert.Equal(t, g.answering.Load(), int64(300<<10))
+	c.answer(t)
+	c.server.Consume(300 << 10)
+	assert.Equal(t, g.held.Load(), int64(400<<10))
+	g.now.Store(int64(progressTimeout))
+	g.closeStalled()
+	for range 5 {
+		dial(g, Entries)
+	}
+	assert.Assert(t, !c.server.closed.Load())
+	other := dial(g, Callers)
+	other.send(700 << 10)
+	assert.Assert(t, c.server.closed.Load() && !other.server.closed.Load())
+	assert.Equal(t, g.held.Load(), int64(700<<10))
+	c.server.Keep(0)
+	assert.Equal(t, g.held.Load(), int64(700<<10))
+}
--- a/internal/serve/peers/mark.go
+++ b/internal/serve/peers/mark.go
@@ -17,6 +17,8 @@
 	MarkComplete()
 	// Consume reports the end of a message of n bytes.
 	Consume(n int)
+	// Keep reports that buffers of n bytes in all are kept for further messages.
+	Keep(n int)
 }
 
 // WithMessageMarks makes a Server without TLS report the messages on connections that implement Marked.
@@ -42,7 +44,8 @@
 		switch {
 		case err == nil:
 			tracker.Run(func(ctx context.Context) {
-				_ = srv.ServeOne(drpcctx.WithTransport(ctx, conn), conn) // a broken connection is its caller's concern
+				marked, _ := conn.(Marked)
+				_ = srv.ServeOne(ctx, &limitedConn{Conn: conn, marked: marked}) // a broken connection is its caller's concern
 			})
 		case ctx.Err() != nil:
 			return nil
@@ -63,11 +66,11 @@
 // HandleRPC handles one call.
 func (h markingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
 	tr, _ := drpcctx.Transport(stream.Context())
-	m, ok := tr.(Marked)
-	if !ok {
+	c, ok := tr.(*limitedConn)
+	if !ok || c.marked == nil {
 		return h.Handler.HandleRPC(stream, rpc)
 	}
-	s := &markingStream{Stream: stream, conn: m}
+	s := &markingStream{Stream: stream, conn: c.marked}
 	defer s.consume()
 	return h.Handler.HandleRPC(s, rpc)
 }
@@ -85,7 +88,7 @@
 // MsgRecv receives a message.
 func (s *markingStream) MsgRecv(msg drpc.Message, enc drpc.Encoding) error {
 	s.consume()
-	if err := s.Stream.MsgRecv(msg, sizingEncoding{enc, s}); err != nil {
+	if err := s.Stream.MsgRecv(msg, sizingEncoding{boundedEncoding{enc}, s}); err != nil {
 		return err
 	}
 	s.received = true
--- a/internal/serve/peers/mark_test.go
+++ b/internal/serve/peers/mark_test.go
@@ -20,6 +20,8 @@
 func (c markedConn) MarkComplete() { c.complete.Add(1) }
 func (c markedConn) Consume(n int) { c.consumed.Add(1); c.bytes.Add(int64(n)) }
 
+func (c markedConn) Keep(int) {}
+
 // markedListener accepts marked connections.
 type markedListener struct {
 	net.Listener
