proxy: streams of orders are bounded in calls and specifications, and entries in followers

Any client can open the stream for calls to executors. Its specifications were kept without a bound, each order in progress took a goroutine and a descriptor for up to the time that it asked for, outcomes piled up while the client did not read, and polls under ever new names were kept for good.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -59,6 +59,7 @@
 	elector      *lead.Elector
 	peerServer   *peers.Server
 	guard        *guard.Guard
+	proxyLimits  *proxy.Limits
 	front        *front.Server
 	readyServer  *http.Server
 	readyDone    chan error
@@ -141,7 +142,9 @@
 	a.execs = proxy.New(ctx, a.client, a.clk, log, settings.Node, a.peerClient.OpenProxy)
 	a.meter = meter.New(settings.Node)
 	a.meters = leader.NewMeters(a.meter.Scope())
-	a.guard = guard.New(ctx, guard.NewLimits(settings.Memory, settings.MaxDescriptors), a.clk, a.meter.Scope())
+	limits := guard.NewLimits(settings.Memory, settings.MaxDescriptors)
+	a.guard = guard.New(ctx, limits, a.clk, a.meter.Scope())
+	a.proxyLimits = proxy.NewLimits(limits.Calls, limits.Specs)
 	addr := net.JoinHostPort(settings.IP, strconv.Itoa(settings.Peers.First))
 	var listeners [3]net.Listener
 	for i, at := range []string{settings.Front, settings.Ready, addr} {
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -309,11 +309,13 @@
 // the polling entry, and steps down if that is a larger instance.
 func (h *peerHandler) Digest(ctx context.Context, f relay.Follower) relay.Digest {
 	a := h.agent()
-	a.elector.RecordFollower(f)
-	if f.Leaving {
-		a.execs.RemovePeer(f.Name)
-	} else {
-		a.execs.RecordPeer(f.Name, f.Addr, f.Centre, f.Rank)
+	if len(f.Name)+len(f.Addr)+len(f.Centre) <= maxNames {
+		a.elector.RecordFollower(f)
+		if f.Leaving {
+			a.execs.RemovePeer(f.Name)
+		} else {
+			a.execs.RecordPeer(f.Name, f.Addr, f.Centre, f.Rank)
+		}
 	}
 	elected := a.elector.Leader()
 	out := a.configDigest(f.Version)
@@ -334,10 +336,17 @@
 
 // ProxyCalls makes calls to executors for the leader.
 func (h *peerHandler) ProxyCalls(s proxy.ServerStream) error {
-	return proxy.Serve(s, h.client, h.clk, h.log)
+	return proxy.Serve(s, h.client, h.proxyLimits, h.clk, h.log)
 }
 
+// maxNames bounds the sum of an entry's name, address and data centre: what is longer is no entry's, and would be
+// kept.
+const maxNames = 1024
+
 // Announce records the new leader, or that this entry is the designated successor.
 func (h *peerHandler) Announce(token uint64, name, addr string) {
+	if len(name)+len(addr) > maxNames {
+		return
+	}
 	h.agent().elector.HandleAnnouncement(token, name, addr)
 }
--- a/internal/serve/guard/limits.go
+++ b/internal/serve/guard/limits.go
@@ -34,6 +34,12 @@
 	// auxConns is the number of connections on the readiness port, and on the metrics port. The
 	// platform needs one or two on each.
 	auxConns = 32
+	// callShare is the share of the other descriptors for calls to executors that other entries order, and
+	// minCalls the least number of such calls at a time.
+	callShare, minCalls = 0.75, 64
+	// specShare is the share of the memory for the specifications of jobs that other entries order to start. It
+	// is part of what jobs may take in the leader, which makes such calls through other entries.
+	specShare = 0.12
 	// minConns is the least number of connections on the ports of callers and of entries.
 	minConns = 64
 
@@ -88,6 +94,10 @@
 	// Held is the number of bytes received for requests that are not answered, Decode that of decoded
 	// forms at the same time, and Jobs that of the leader's accepted jobs.
 	Held, Decode, Jobs int64
+	// Calls is the number of calls to executors in progress for other entries, and Specs the number of bytes of
+	// the specifications for them.
+	Calls int
+	Specs int64
 }
 
 // NewLimits returns the limits of an entry with a memory in MiB and a number of descriptors, each 0 if
@@ -105,6 +115,8 @@
 	l := Limits{Held: share(heldShare, maxHeldBytes), Decode: share(decodeShare, maxDecodeBytes)}
 	rest := softShare*bytes - float64(baseBytes+conns+l.Held+l.Decode)
 	l.Jobs = share(jobShare, rest)
+	l.Specs = min(share(specShare, bytes), l.Jobs)
+	l.Calls = max(int(callShare*(1-descriptorShare)*float64(descriptors)), minCalls)
 	n := min(int(conns/connBytes), int(descriptorShare*float64(descriptors)))
 	each := max((n-2*auxConns)/2, minConns)
 	l.Conns = [Kinds]int{Callers: each, Entries: each, Readiness: auxConns, Metrics: auxConns}
--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -253,3 +254,18 @@
 	t.Cleanup(c.Close)
 	return c, storeProxy
 }
+
+// Guards against a process that runs out of memory by polls under ever new names, and against sound followers that
+// are forgotten because of them.
+func TestFollowersAreBounded(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := newFollower(t, clk)
+	e.followers = map[string]elect.Candidate{}
+	for i := range 3 * maxFollowers {
+		clk.Advance(time.Millisecond)
+		e.RecordFollower(relay.Follower{Name: "sound", Addr: "a"})
+		e.RecordFollower(relay.Follower{Name: strconv.Itoa(i), Addr: "b"})
+	}
+	assert.Equal(t, len(e.followers), maxFollowers)
+	assert.Assert(t, e.HasFollower("sound", time.Second))
+}
--- a/internal/serve/lead/handover.go
+++ b/internal/serve/lead/handover.go
@@ -40,10 +40,28 @@
 	if !ok || now > c.LastSeen+elect.CandidateTimeout {
 		c.UpSince = now
 	}
+	if !ok && len(e.followers) >= maxFollowers {
+		e.forgetOldest()
+	}
 	c.Name, c.Addr, c.Rank, c.LastSeen = f.Name, f.Addr, f.Rank, now
 	e.followers[f.Name] = c
 }
 
+// maxFollowers bounds the entries that are remembered: any client can poll under new names. A deployment has at
+// most some 150.
+const maxFollowers = 1024
+
+// forgetOldest forgets the follower that has not polled for the longest time. The caller holds mu.
+func (e *Elector) forgetOldest() {
+	oldest := ""
+	for name, c := range e.followers {
+		if oldest == "" || c.LastSeen < e.followers[oldest].LastSeen {
+			oldest = name
+		}
+	}
+	delete(e.followers, oldest)
+}
+
 // HasFollower reports whether an entry has polled this one within a time.
 func (e *Elector) HasFollower(name string, within time.Duration) bool {
 	e.mu.Lock()
--- a/internal/serve/proxy/fuzz_test.go
+++ b/internal/serve/proxy/fuzz_test.go
@@ -19,7 +19,7 @@
 	rec := &execRecorder{}
 	p := newPipe(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- Serve(entryEnd{p}, rec, clock.NewSystem(), zerolog.Nop()) }()
+	go func() { served <- Serve(entryEnd{p}, rec, NewLimits(1000, 1<<20), clock.NewSystem(), zerolog.Nop()) }()
 	assert.NilError(t, leaderEnd{p}.Send(in))
 	var out []*workpb.Outcome
 	for len(out) < len(in.GetOrders()) {
--- a/internal/serve/proxy/pool.go
+++ b/internal/serve/proxy/pool.go
@@ -25,6 +25,9 @@
 	// maxDirect bounds the executors that are called directly for that reason. If more do not
 	// answer, they or the entry are overloaded, and calls by the leader would add to the load.
 	maxDirect = 16
+	// maxPeers bounds the entries that are remembered: any client can poll under new names. A deployment has at
+	// most some 150.
+	maxPeers = 1024
 )
 
 // Opener opens the stream to the entry at an address.
@@ -91,7 +94,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.peers[name]
+	c, ok := p.peers[name]
+	if !ok && len(p.peers) >= maxPeers {
+		p.forgetOldest()
+	}
 	if c.Addr != "" && c.Addr != addr {
 		c.ExcludedUntil = 0
 		p.removeLink(name, (*link).close)
@@ -99,6 +105,17 @@
 	p.peers[name] = fanout.Candidate{Name: name, Addr: addr, Centre: centre, Rank: rank, LastSeen: p.clk.Now(), ExcludedUntil: c.ExcludedUntil}
 }
 
+// forgetOldest forgets the entry that has not been recorded for the longest time. The caller holds mu.
+func (p *Pool) forgetOldest() {
+	oldest := ""
+	for name, c := range p.peers {
+		if oldest == "" || c.LastSeen < p.peers[oldest].LastSeen {
+			oldest = name
+		}
+	}
+	delete(p.peers, oldest)
+}
+
 // RemovePeer removes an entry that is stopping, so that it gets no new orders.
 func (p *Pool) RemovePeer(name string) {
 	p.mu.Lock()
--- a/internal/serve/proxy/proxy_test.go
+++ b/internal/serve/proxy/proxy_test.go
@@ -122,7 +122,7 @@
 		if mute {
 			return leaderEnd{w}, entryEnd{w}.Send(&workpb.Outcomes{Clock: clk.Now().Microseconds()})
 		}
-		served.Go(func() { _ = Serve(entryEnd{w}, p.remote, clk, zerolog.Nop()) })
+		served.Go(func() { _ = Serve(entryEnd{w}, p.remote, NewLimits(1000, 1<<20), clk, zerolog.Nop()) })
 		return leaderEnd{w}, nil
 	})
 	t.Cleanup(func() {
@@ -301,7 +301,7 @@
 	assert.Assert(t, specKeep > specResend+time.Second)
 	clk := clock.NewFake(time.Unix(0, 0))
 	l := &link{clk: clk, pending: map[uint64]*pendingOrder{}, specsSent: map[string]time.Duration{}}
-	c := &callServer{clk: clk, specs: map[string]cachedSpec{}}
+	c := &callServer{clk: clk, limits: NewLimits(10, 1<<20), specs: map[string]cachedSpec{}}
 	for i := range 200 {
 		job := fmt.Sprint("j", i%7)
 		po := &pendingOrder{order: &workpb.Order{Seq: uint64(i)}, job: job, spec: "text", expires: clk.Now() + time.Second, until: clk.Now() + time.Second}
--- a/internal/serve/proxy/remote_test.go
+++ b/internal/serve/proxy/remote_test.go
@@ -24,7 +24,7 @@
 	rec := &execRecorder{}
 	w := newPipe(t.Context())
 	served := make(chan error, 1)
-	go func() { served <- Serve(entryEnd{w}, rec, entryClock, zerolog.Nop()) }()
+	go func() { served <- Serve(entryEnd{w}, rec, NewLimits(1000, 1<<20), entryClock, zerolog.Nop()) }()
 	hello, err := leaderEnd{w}.Recv()
 	assert.NilError(t, err)
 	assert.Equal(t, len(hello.GetOutcomes()), 0)
--- a/internal/serve/proxy/server.go
+++ b/internal/serve/proxy/server.go
@@ -35,6 +35,7 @@
 type callServer struct {
 	execs    Executors
 	clk      clock.Clock
+	limits   *Limits
 	specs    map[string]cachedSpec
 	outcomes *batcher[*workpb.Outcome]
 	// late counts orders that had expired, and are not in the log yet.
@@ -48,10 +49,11 @@
 
 // Serve makes the calls that a leader sends on a stream, until the stream ends. It returns the
 // stream's error.
-func Serve(s ServerStream, execs Executors, clk clock.Clock, log zerolog.Logger) error {
+func Serve(s ServerStream, execs Executors, limits *Limits, clk clock.Clock, log zerolog.Logger) error {
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
-	c := &callServer{execs: execs, clk: clk, specs: map[string]cachedSpec{}, outcomes: newBatcher[*workpb.Outcome](clk)}
+	c := &callServer{execs: execs, clk: clk, limits: limits, specs: map[string]cachedSpec{}, outcomes: newBatcher[*workpb.Outcome](clk)}
+	defer c.releaseSpecs()
 	sent := make(chan error, 1)
 	go func() {
 		send := func(os []*workpb.Outcome) error {
@@ -83,7 +85,17 @@
 				c.outcomes.add(&workpb.Outcome{Seq: o.GetSeq(), Verdict: uint32(verdictRefused), Reason: uint32(platform.ReasonOther)})
 				continue
 			}
-			calls.Go(func() { c.outcomes.add(c.execute(ctx, o, spec.text, arrived)) })
+			if limits.calls.Acquire(ctx, 1) != nil {
+				break // the stream has ended
+			}
+			calls.Go(func() {
+				defer limits.calls.Release(1)
+				c.outcomes.add(c.execute(ctx, o, spec.text, arrived))
+			})
+		}
+		// Outcomes of a leader that does not read them must not pile up.
+		for ctx.Err() == nil && c.outcomes.len() > maxUnsent {
+			clock.Pause(ctx, clk, unsentPause)
 		}
 	}
 	cancel()
@@ -92,21 +104,37 @@
 }
 
 // storeSpecs stores specifications, and deletes those that the leader will send again before their
-// next use.
+// next use. Without memory for one, starts of its job are refused until the leader sends it again.
 func (c *callServer) storeSpecs(specs []*workpb.Spec, now time.Duration) {
-	for _, s := range specs {
-		c.specs[s.GetJob()] = cachedSpec{s.GetText(), now}
-	}
 	if len(specs) == 0 {
 		return
 	}
 	for job, s := range c.specs {
 		if now > s.receivedAt+specKeep {
-			delete(c.specs, job)
+			c.dropSpec(job)
+		}
+	}
+	for _, s := range specs {
+		c.dropSpec(s.GetJob())
+		if c.limits.specs.TryAcquire(specSize(s.GetJob(), s.GetText())) {
+			c.specs[s.GetJob()] = cachedSpec{s.GetText(), now}
 		}
 	}
 }
 
+func (c *callServer) dropSpec(job string) {
+	if s, ok := c.specs[job]; ok {
+		delete(c.specs, job)
+		c.limits.specs.Release(specSize(job, s.text))
+	}
+}
+
+func (c *callServer) releaseSpecs() {
+	for job := range c.specs {
+		c.dropSpec(job)
+	}
+}
+
 func jobOf(o *workpb.Order) string {
 	t, _ := model.ParseTaskID(o.GetTask())
 	return t.Job
@@ -124,7 +152,7 @@
 		}
 	}()
 	now := c.clk.Now()
-	limit, until := time.Duration(o.GetLimit())*time.Millisecond, time.Duration(o.GetUntil())*time.Microsecond
+	limit, until := min(time.Duration(o.GetLimit())*time.Millisecond, maxCallTime), time.Duration(o.GetUntil())*time.Microsecond
 	expires := fanout.Expiry(limit, arrived, until)
 	if now >= expires {
 		c.late.Add(1)
@@ -210,6 +238,13 @@
 	return out
 }
 
+// len returns the number of values that were not taken yet.
+func (b *batcher[T]) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.pending)
+}
+
 // run sends batches until the context ends or sending fails, and returns the error of sending.
 func (b *batcher[T]) run(ctx context.Context, send func([]T) error) error {
 	pause := batchDelay
