leader: deferred and repeated submissions hold a bounded number of bodies

While the state is loaded, and while an append is in progress, submissions stayed in the leader with their bodies after their connections were closed, when the guard does not count them any more. Deferred bodies are bounded by the budget for unanswered requests, without those whose entries have stopped waiting; repeats drop their bodies, and at most 512 wait for one submission, the others are answered that the outcome is not known.

Run: go test -race ./internal/serve/leader. The new tests cover both.

--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -111,12 +111,14 @@
 	unread         []*cancelRequest             // cancels that wait for the next read of leaderless records
 	memory         jobMemory
 
-	deferred  []event // requests that arrived before the state was loaded
-	planDue   map[string]bool
-	replanAt  map[string]time.Duration // by service
-	nextPlan  time.Duration
-	jobOrders map[string]*jobOrder // by service
-	shares    shareState
+	deferred []event // requests that arrived before the state was loaded
+	// deferredBytes is the size of the bodies in deferred.
+	deferredBytes int
+	planDue       map[string]bool
+	replanAt      map[string]time.Duration // by service
+	nextPlan      time.Duration
+	jobOrders     map[string]*jobOrder // by service
+	shares        shareState
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
 	window       window.Window
 	windowLogged time.Duration
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -216,7 +216,7 @@
 	for _, req := range l.deferred {
 		l.handle(req)
 	}
-	l.deferred = nil
+	l.deferred, l.deferredBytes = nil, 0
 }
 
 // resolveFormerRuns releases the unresolved tasks of jobs whose runs under earlier leaders are known:
--- a/internal/serve/leader/memory_test.go
+++ b/internal/serve/leader/memory_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"testing"
@@ -11,6 +12,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/guard"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 )
 
@@ -88,3 +90,69 @@
 	// Some 1,000 ordinary jobs of 64 tasks, ten seconds of the page's load, fit beside the largest one.
 	assert.Assert(t, usage{large: estimateBytes(1, 100_000, 0)}.fits(estimateBytes(4, 64, 4000), limit))
 }
+
+// Guards against a leader that runs out of memory, while it loads its state, by submissions whose connections were
+// closed: it keeps their bodies, and the guard does not count them any more. Guards also against sound ones that are
+// refused because of them, and against a refusal of one that is kept.
+func TestDeferredSubmissionsAreBounded(t *testing.T) {
+	l, _, _ := newTestLeader(t)
+	limit := int(guard.NewLimits(0, 0).Held)
+	submit := func(ctx context.Context) *submitRequest {
+		ev := &submitRequest{Submission: relay.Submission{ID: "a", Body: make([]byte, 256<<10)}, ctx: ctx, reply: make(chan relay.Answer, 1)}
+		l.onSubmit(ev)
+		return ev
+	}
+	kept := func() int {
+		n := 0
+		for _, ev := range l.deferred {
+			n += len(ev.(*submitRequest).Body)
+		}
+		return n
+	}
+	sound := submit(context.Background())
+	gone, cancel := context.WithCancel(context.Background())
+	for range 20 {
+		submit(gone)
+	}
+	cancel()
+	for range 500 {
+		submit(gone)
+		assert.Assert(t, kept() <= limit)
+	}
+	for range 20 {
+		assert.Equal(t, len(submit(context.Background()).reply), 0, "refused although the others have ended")
+	}
+	for range 100 {
+		submit(context.Background())
+	}
+	assert.Assert(t, kept() <= limit && kept() > limit-(256<<10))
+	refused := submit(context.Background())
+	assert.Equal(t, (<-refused.reply).Verdict, relay.Refused)
+	assert.Equal(t, l.deferred[0], event(sound))
+}
+
+// Guards against a leader that runs out of memory by repeats of a submission while the store is down.
+func TestRepeatsHoldNoBodies(t *testing.T) {
+	l, _, _ := newTestLeader(t)
+	l.ready = true
+	first := &submitRequest{Submission: relay.Submission{ID: "a", Body: []byte("first")}, reply: make(chan relay.Answer, 1)}
+	l.store.inFlight = map[string]*submitRequest{"a": first}
+	var all []*submitRequest
+	for range 2 * maxHeld {
+		ev := &submitRequest{Submission: relay.Submission{ID: "a", Body: make([]byte, 1<<10)}, reply: make(chan relay.Answer, 1)}
+		l.onSubmit(ev)
+		all = append(all, ev)
+	}
+	assert.Equal(t, len(first.repeats), maxHeld)
+	for _, r := range first.repeats {
+		assert.Equal(t, len(r.Body), 0)
+	}
+	first.answer(relay.Answer{Verdict: relay.Stored})
+	for i, ev := range all {
+		want := relay.Stored
+		if i >= maxHeld {
+			want = relay.Unknown
+		}
+		assert.Equal(t, (<-ev.reply).Verdict, want)
+	}
+}
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -185,7 +187,7 @@
 
 func (l *Leader) onSubmit(ev *submitRequest) {
 	if !l.ready {
-		l.deferred = append(l.deferred, ev)
+		l.deferSubmission(ev)
 		return
 	}
 	if ev.isAbandoned() {
@@ -197,6 +199,11 @@
 		return
 	}
 	if a := l.findUnstored(ev.ID); a != nil {
+		if len(a.repeats) >= maxHeld {
+			ev.answer(unknownAnswer)
+			return
+		}
+		ev.Body = nil // that of the first is stored
 		a.repeats = append(a.repeats, ev)
 		return
 	}
@@ -243,6 +250,36 @@
 	l.store.accepts = append(l.store.accepts, ev)
 }
 
+// deferSubmission keeps a submission until the state is loaded. Those whose entries have stopped waiting hold
+// memory that the guard does not count any more.
+func (l *Leader) deferSubmission(ev *submitRequest) {
+	limit := int(guard.NewLimits(l.Settings.Memory, l.Settings.MaxDescriptors).Held)
+	if l.deferredBytes+len(ev.Body) > limit {
+		l.dropAbandoned()
+	}
+	if l.deferredBytes+len(ev.Body) > limit {
+		l.Meters.refuse("memory")
+		ev.answer(noMemoryAnswer)
+		return
+	}
+	l.deferredBytes += len(ev.Body)
+	l.deferred = append(l.deferred, ev)
+}
+
+// dropAbandoned drops the deferred submissions whose entries have stopped waiting, and may have stored the job
+// themselves.
+func (l *Leader) dropAbandoned() {
+	l.deferred = slices.DeleteFunc(l.deferred, func(ev event) bool {
+		s, ok := ev.(*submitRequest)
+		if !ok || !s.isAbandoned() {
+			return false
+		}
+		l.abandon(s)
+		l.deferredBytes -= len(s.Body)
+		return true
+	})
+}
+
 // recordOverhead bounds the bytes of a job's record besides its body and names.
 const recordOverhead = 192
 
