peers: buffers for messages of up to 32 KB don't count

Some 100 connections with ordinary submissions would have used up the budget of the smallest instance. An unfinished packet that its sender gives up does not count for the next one either.

--- a/internal/serve/peers/limit.go
+++ b/internal/serve/peers/limit.go
@@ -19,9 +19,10 @@
 	maxFrameHeader = 1 + 3*10
 	// maxFrame bounds the data of a frame: drpc sends at most 64 KB in one.
 	maxFrame = 64 << 10
-	// leastKept is the size from which kept buffers are reported, and maxSmall the number of small packets after
-	// which drpc drops the buffer of a large one, and one more.
-	leastKept, maxSmall = 32 << 10, 12
+	// leastKept is the size from which kept buffers are reported: those for messages of 32 KB, which ordinary
+	// submissions do not exceed. maxSmall is the number of small packets after which drpc drops the buffer of a
+	// large one, and one more.
+	leastKept, maxSmall = 96 << 10, 12
 )
 
 var (
@@ -41,6 +42,7 @@
 	// packet is the size of the packet that is being received, and frame and largest those of the largest frame
 	// and of the largest packet whose buffer is kept. small counts the consecutive packets that need less of it.
 	packet, frame, largest uint64
+	id                     drpcwire.ID // of the packet that is being received
 	small                  int
 }
 
@@ -92,6 +94,9 @@
 // keep follows the buffers of the drpc reader. It keeps those for the largest frame and the largest packet;
 // the latter until maxSmall consecutive packets need less than a quarter of it.
 func (c *limitedConn) keep(h frameHeader) {
+	if h.id != c.id {
+		c.id, c.packet = h.id, 0 // the reader drops an unfinished packet
+	}
 	c.packet += h.length
 	before := c.frame + c.largest
 	c.frame, c.largest = max(c.frame, h.length), max(c.largest, c.packet)
@@ -105,12 +110,13 @@
 		}
 		c.packet = 0
 	}
-	if after := c.frame + c.largest; after != before && c.marked != nil && max(before, after) >= leastKept {
+	if after := c.frame + c.largest; after != before && c.marked != nil && max(before, after)+c.frame > leastKept {
 		c.marked.Keep(int(after + c.frame)) // a buffer of frames grows by doubling
 	}
 }
 
 type frameHeader struct {
+	id     drpcwire.ID
 	kind   drpcwire.Kind
 	length uint64
 	done   bool
@@ -118,14 +124,15 @@
 
 // parseHeader returns a frame's header, or false if it is not complete.
 func parseHeader(b []byte) (frameHeader, bool) {
-	rest, length, ok := b[1:], uint64(0), false
-	for range 3 { // the stream, the message and the length
+	h, rest := frameHeader{kind: drpcwire.Kind(b[0]&0x7e) >> 1, done: b[0]&1 != 0}, b[1:]
+	for _, field := range []*uint64{&h.id.Stream, &h.id.Message, &h.length} {
+		var ok bool
 		var err error
-		if rest, length, ok, err = drpcwire.ReadVarint(rest); !ok || err != nil {
+		if rest, *field, ok, err = drpcwire.ReadVarint(rest); !ok || err != nil {
 			return frameHeader{}, false
 		}
 	}
-	return frameHeader{kind: drpcwire.Kind(b[0]&0x7e) >> 1, length: length, done: b[0]&1 != 0}, true
+	return h, true
 }
 
 // boundedEncoding refuses messages with too many fields before it decodes them.
