--- a/internal/proof/crowd/messages_test.go
+++ b/internal/proof/crowd/messages_test.go
@@ -8,6 +8,8 @@
 	"google.golang.org/protobuf/encoding/protowire"
 	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcwire"
+
+	"chervilgauge.example/chervilgauge/internal/wire/workpb"
 )
 
 // largeMessage is a size below the limit of a message between entries, 4 MiB.
@@ -71,3 +73,23 @@
 		return inPieces(nil, packet(drpcwire.KindInvokeMetadata, 1, 1, meta), 64<<10)
 	})...)
 }
+
+// Guards against a process that runs out of memory by submissions that come from no entry, so that none has checked
+// their bodies: decoding one of very many empty objects allocates many times its size before it is found to be invalid.
+func TestUncheckedSubmissions(t *testing.T) {
+	for name, size := range map[string]int{"legal": legalBytes, "large": largeMessage} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			body := append([]byte(`{"phases":[`), bytes.Repeat([]byte(`{},`), size/3-10)...)
+			body = append(body, "{}]}"...)
+			var all []client
+			for i := range 40 {
+				call := packet(drpcwire.KindInvoke, 1, 1, []byte(relayService+"Submit"))
+				call = append(call, message(t, 2, &workpb.SubmitAsk{Id: fmt.Sprintf("%016x", i+1), Queue: "qa", Body: body, Wait: 5000})...)
+				call = append(call, packet(drpcwire.KindCloseSend, 1, 3, nil)...)
+				all = append(all, inPieces(nil, call, 64<<10))
+			}
+			r.withCrowd(r.peers, all...)
+		})
+	}
+}
--- a/internal/serve/guard/choose_test.go
+++ b/internal/serve/guard/choose_test.go
@@ -98,3 +98,27 @@
 	// Each of 41 other entries has some connections to the leader, and callers as many.
 	assert.Assert(t, min(smallest.Conns[Callers], smallest.Conns[Entries]) >= 600, "%v", smallest.Conns)
 }
+
+// Guards against a port that stays full of connections whose clients don't read, and against one that is closed for
+// that while others are idle.
+func TestChooseOldestAmongUnread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := drawStates(t, rapid.SampledFrom([]Kind{Callers, Entries, Readiness, Metrics}).Draw(t, "port"))
+		unread := false
+		for i := range all {
+			all[i].writing = rapid.Bool().Draw(t, "writing")
+			unread = unread || all[i].writing && all[i].idle >= progressTimeout
+		}
+		s, ok := chooseOldest(slices.Clone(all))
+		assert.Assert(t, ok || !unread)
+		if !ok {
+			return
+		}
+		assert.Assert(t, !s.complete || s.idle >= writeTimeout || s.writing && s.idle >= progressTimeout)
+		for _, o := range all {
+			if o.kind != Entries && !o.writing && !o.complete {
+				assert.Assert(t, !s.writing || s.idle < progressTimeout, "an unread answer is closed before an idle connection")
+			}
+		}
+	})
+}
