peers: messages of streams are never counted as being answered

The handler of the stream for calls to executors waits while too many calls are in progress or outcomes are not read. Its last message then counted as a whole request: the connection was never closed for a lack of progress, and submissions could be refused because the budget seemed full.

Run: go test -race ./internal/serve/{peers,relay}; TestMessagesOfStreamsAreNotComplete fails without the change.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -159,7 +159,7 @@
 	rank := elect.Rank(settings.Cores)
 	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.onDigest)
 	var err error
-	if a.peerServer, err = relay.Serve(ctx, a.guard.Listener(guard.Entries, a.traffic.Listener(links.Entries, listeners[2])), (*peerHandler)(a), peers.WithLog(log), peers.WithMessageMarks()); err != nil {
+	if a.peerServer, err = relay.Serve(ctx, a.guard.Listener(guard.Entries, a.traffic.Listener(links.Entries, listeners[2])), (*peerHandler)(a), peers.WithLog(log), peers.WithMessageMarks(relay.ProxyStream)); err != nil {
 		cancel()
 		return nil, Err.Wrap(err)
 	}
--- a/internal/serve/peers/mark.go
+++ b/internal/serve/peers/mark.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"storj.io/drpc"
@@ -21,8 +22,12 @@
 	Keep(n int)
 }
 
-// WithMessageMarks makes a Server without TLS report the messages on connections that implement Marked.
-func WithMessageMarks() Option { return func(o *options) { o.marksMessages = true } }
+// WithMessageMarks makes a Server without TLS report the messages on connections that implement Marked. The messages
+// of streams, which are given by the names of their RPCs, are never reported as complete: a client could make their
+// handling take any time.
+func WithMessageMarks(streams ...string) Option {
+	return func(o *options) { o.marksMessages, o.streams = true, streams }
+}
 
 // acceptPause is the time between attempts to accept connections after a failure, such as a lack of
 // descriptors.
@@ -30,7 +35,7 @@
 
 // serveMarked serves connections until the context ends, and then waits for them. The library's own loop
 // does not tell a handler which connection a call came on.
-func serveMarked(ctx context.Context, lis net.Listener, h traceExtractor) error {
+func serveMarked(ctx context.Context, lis net.Listener, o options) error {
 	tracker := drpcctx.NewTracker(ctx)
 	defer tracker.Wait()
 	defer tracker.Cancel()
@@ -38,7 +43,7 @@
 		<-ctx.Done()
 		_ = lis.Close() // it may be closed already
 	})
-	srv := drpcserver.New(markingHandler{h})
+	srv := drpcserver.New(markingHandler{o.traceExtractor, o.streams})
 	for {
 		conn, err := lis.Accept()
 		switch {
@@ -61,7 +66,10 @@
 }
 
 // markingHandler reports the messages of calls to their connections.
-type markingHandler struct{ drpc.Handler }
+type markingHandler struct {
+	drpc.Handler
+	streams []string
+}
 
 // HandleRPC handles one call.
 func (h markingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
@@ -70,7 +78,7 @@
 	if !ok || c.marked == nil {
 		return h.Handler.HandleRPC(stream, rpc)
 	}
-	s := &markingStream{Stream: stream, conn: c.marked}
+	s := &markingStream{Stream: stream, conn: c.marked, isUnary: !slices.Contains(h.streams, rpc)}
 	defer s.consume()
 	return h.Handler.HandleRPC(s, rpc)
 }
@@ -79,7 +87,8 @@
 // the call ends.
 type markingStream struct {
 	drpc.Stream
-	conn Marked
+	conn    Marked
+	isUnary bool
 	// size is the size of the last message, and received is set while it is held.
 	size     int
 	received bool
@@ -92,7 +101,9 @@
 		return err
 	}
 	s.received = true
-	s.conn.MarkComplete()
+	if s.isUnary {
+		s.conn.MarkComplete()
+	}
 	return nil
 }
 
--- a/internal/serve/peers/mark_test.go
+++ b/internal/serve/peers/mark_test.go
@@ -56,3 +56,19 @@
 	assert.Equal(t, conn.complete.Load(), int64(3))
 	assert.Equal(t, conn.consumed.Load(), int64(3))
 }
+
+// Guards against submissions that are refused for want of memory while the handler of a stream waits: its messages
+// count as requests that are being answered, and the connection is never closed.
+func TestMessagesOfStreamsAreNotComplete(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	conn := markedConn{complete: &atomic.Int64{}, consumed: &atomic.Int64{}, bytes: &atomic.Int64{}}
+	h := &gossipServer{spans: make(chan oteltrace.SpanContext, 10)}
+	s, err := Serve(context.Background(), markedListener{lis, conn}, h, nil, WithMessageMarks("/chervilgauge.peer.v1.Peer/Gossip"))
+	assert.NilError(t, err)
+	_, err = gossip(t, context.Background(), lis.Addr().String(), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+	assert.Equal(t, conn.complete.Load(), int64(0))
+	assert.Equal(t, conn.consumed.Load(), int64(1))
+}
--- a/internal/serve/peers/peers.go
+++ b/internal/serve/peers/peers.go
@@ -46,6 +46,7 @@
 type options struct {
 	traceExtractor
 	marksMessages bool
+	streams       []string
 }
 
 // WithTracer writes a span for each call that carries a trace context.
@@ -76,7 +77,7 @@
 		set(&o)
 	}
 	if o.marksMessages {
-		go func() { s.done <- serveMarked(ctx, lis, o.traceExtractor) }()
+		go func() { s.done <- serveMarked(ctx, lis, o) }()
 		return s
 	}
 	srv := drpcserver.New(o.traceExtractor)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -107,6 +107,9 @@
 	ProxyCalls(s proxy.ServerStream) error
 }
 
+// ProxyStream is the name of the RPC that opens the stream for calls to executors.
+const ProxyStream = "/chervilgauge.work.v1.Relay/Carry"
+
 type server struct {
 	workpb.DRPCRelayUnimplementedServer
 	handler Handler
