peers: large answers count while they are written, and their buffers are not kept

Any client can request the configuration, which has a megabyte with some thousand queues or accounts. drpc kept the buffer of each answer for its connection, and one that the client did not read was held too. Buffers over 16 KB are dropped now, and such an answer counts as an unfinished request until it is written, so that the connections of clients that don't read are closed when memory is short, or after 5 s from 64 KB on.

--- a/internal/serve/guard/conn.go
+++ b/internal/serve/guard/conn.go
@@ -191,6 +191,23 @@
 	}
 }
 
+// BeginAnswer reports that an answer of n bytes is being written, which is held until EndAnswer. The connection can be
+// closed meanwhile if its client does not read.
+func (c *Conn) BeginAnswer(n int) {
+	c.clearComplete()
+	c.last.Store(c.g.now.Load())
+	c.held.Add(int64(n))
+	total := c.g.held.Add(int64(n))
+	if c.closed.Load() {
+		c.release()
+	} else if total > c.g.limits.Held {
+		c.g.relieve()
+	}
+}
+
+// EndAnswer reports that an answer of n bytes is not held any more.
+func (c *Conn) EndAnswer(n int) { c.consume(int64(n)) }
+
 func (c *Conn) consume(n int64) {
 	for {
 		held := c.held.Load()
--- a/internal/serve/guard/conn_test.go
+++ b/internal/serve/guard/conn_test.go
@@ -123,3 +123,27 @@
 	c.server.Keep(0)
 	assert.Equal(t, g.held.Load(), int64(700<<10))
 }
+
+// Guards against large answers between entries that their clients don't read: they don't count, or their connections
+// are never closed.
+func TestAnswersBeingWrittenCount(t *testing.T) {
+	g := newTestGuard(t, testLimits)
+	all := []client{dial(g, Entries), dial(g, Entries), dial(g, Entries)}
+	for _, c := range all {
+		c.send(100)
+		c.server.MarkComplete()
+	}
+	all[0].server.BeginAnswer(600 << 10)
+	assert.Equal(t, g.held.Load(), int64(600<<10+300))
+	g.now.Store(int64(stallTime))
+	all[1].server.BeginAnswer(500 << 10)
+	assert.Assert(t, all[0].server.closed.Load(), "the client that does not read keeps its connection")
+	assert.Assert(t, !all[1].server.closed.Load() && !all[2].server.closed.Load())
+	all[0].server.EndAnswer(600 << 10)
+	all[1].server.EndAnswer(500 << 10)
+	assert.Equal(t, g.held.Load(), int64(200))
+	all[2].server.BeginAnswer(peerStallBytes)
+	g.now.Store(int64(stallTime + progressTimeout))
+	g.closeStalled()
+	assert.Assert(t, all[2].server.closed.Load() && !all[1].server.closed.Load())
+}
--- a/internal/serve/peers/limit_test.go
+++ b/internal/serve/peers/limit_test.go
@@ -20,6 +20,8 @@
 func (c *keptConn) MarkComplete() {}
 func (c *keptConn) Consume(int)   {}
 func (c *keptConn) Keep(n int)    { c.n = n }
+func (*keptConn) BeginAnswer(int) {}
+func (*keptConn) EndAnswer(int)   {}
 
 func frames(kind drpcwire.Kind, stream, message uint64, size, split int) []byte {
 	var out []byte
--- a/internal/serve/peers/mark.go
+++ b/internal/serve/peers/mark.go
@@ -9,7 +9,9 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
 )
 
 // Marked is a connection that is told when a whole message has been received on it and when the message
@@ -20,6 +22,9 @@
 	Consume(n int)
 	// Keep reports that buffers of n bytes in all are kept for further messages.
 	Keep(n int)
+	// BeginAnswer reports that n bytes are held until the client has read them, and EndAnswer that it has.
+	BeginAnswer(n int)
+	EndAnswer(n int)
 }
 
 // WithMessageMarks makes a Server without TLS report the messages on connections that implement Marked. The messages
@@ -43,7 +48,10 @@
 		<-ctx.Done()
 		_ = lis.Close() // it may be closed already
 	})
-	srv := drpcserver.New(markingHandler{o.traceExtractor, o.streams})
+	srv := drpcserver.NewWithOptions(markingHandler{o.traceExtractor, o.streams}, drpcserver.Options{
+		// Larger buffers of answers are not kept for further ones.
+		Manager: drpcmanager.Options{Stream: drpcstream.Options{MaximumBufferSize: leastAnswer}},
+	})
 	for {
 		conn, err := lis.Accept()
 		switch {
@@ -107,6 +115,40 @@
 	return nil
 }
 
+// leastAnswer is the size from which an answer is reported: the configuration can have a megabyte, and a client may
+// not read it.
+const leastAnswer = 16 << 10
+
+// MsgSend sends a message.
+func (s *markingStream) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
+	a := &answerEncoding{enc, s.conn, 0}
+	defer a.end()
+	return s.Stream.MsgSend(msg, a)
+}
+
+// answerEncoding reports the size of a large message once it is encoded.
+type answerEncoding struct {
+	drpc.Encoding
+	conn Marked
+	size int
+}
+
+// Marshal encodes a message.
+func (e *answerEncoding) Marshal(msg drpc.Message) ([]byte, error) {
+	buf, err := e.Encoding.Marshal(msg)
+	if err == nil && len(buf) >= leastAnswer {
+		e.size = len(buf)
+		e.conn.BeginAnswer(e.size)
+	}
+	return buf, err
+}
+
+func (e *answerEncoding) end() {
+	if e.size > 0 {
+		e.conn.EndAnswer(e.size)
+	}
+}
+
 func (s *markingStream) consume() {
 	if s.received {
 		s.received = false
--- a/internal/serve/peers/mark_test.go
+++ b/internal/serve/peers/mark_test.go
@@ -20,7 +20,9 @@
 func (c markedConn) MarkComplete() { c.complete.Add(1) }
 func (c markedConn) Consume(n int) { c.consumed.Add(1); c.bytes.Add(int64(n)) }
 
-func (c markedConn) Keep(int) {}
+func (c markedConn) Keep(int)          {}
+func (c markedConn) BeginAnswer(n int) { c.bytes.Add(int64(n)) }
+func (c markedConn) EndAnswer(n int)   { c.bytes.Add(-int64(n)) }
 
 // markedListener accepts marked connections.
 type markedListener struct {
