--- a/internal/jobs/assign/harness_test.go
+++ b/internal/jobs/assign/harness_test.go
@@ -28,6 +28,14 @@
 	account string
 	// order replaces OrderJobs if it is set.
 	order func([]*track.Job) []*track.Job
+	// fails decides whether a run fails; nil if none does. failed and failedJobs count them
+	// and the jobs that they end.
+	fails              func(*track.Run) bool
+	failed, failedJobs int
+	// takes returns the run time; nil if it is the estimate.
+	takes func(*track.Run) time.Duration
+	// detects is set if failures are evidence against jobs.
+	detects bool
 }
 
 func newHarness(t *testing.T, executors int, room model.Amount) *harness {
@@ -90,6 +98,9 @@
 		}
 		if !s.Task.Step.LongRunning {
 			h.ends[run] = h.now + s.Task.Step.Estimate
+			if h.takes != nil {
+				h.ends[run] = h.now + h.takes(run)
+			}
 		}
 	}
 	return starts
@@ -120,6 +131,35 @@
 	m := h.byKey[run.Executor]
 	m.RemoveRun(run.Task.Step)
 	id := run.Task.ID
+	if h.fails != nil && h.fails(run) {
+		h.failed++
+		h.tracker.ApplyEnd(run.Executor, model.End{Task: id, Attempt: run.Attempt, Ending: model.EndedFailed}, false, h.now)
+		j := run.Task.Step.Occ.Job
+		if h.detects && m.Blame(j.ID) {
+			j.RecordFailureOn(m.Key)
+		}
+		if !j.FailsEverywhere() {
+			m.RecordFailure(j.ID, h.now)
+		}
+		for _, key := range j.FailedOn() {
+			if j.FailsEverywhere() {
+				h.byKey[key].Exonerate(j.ID)
+			}
+		}
+		if h.tracker.ConfirmFailure(id, run.Attempt, h.now) {
+			h.ended[id.Job] = h.now
+			h.failedJobs++
+		}
+		return
+	}
+	m.RecordSuccess(run.OrderedAt)
+	for _, other := range run.Task.Runs {
+		if !run.Task.Step.Gang && other != run {
+			delete(h.ends, other)
+			h.byKey[other.Executor].RemoveRun(other.Task.Step)
+			defer h.tracker.RemoveRun(other)
+		}
+	}
 	if h.tracker.ApplyEnd(run.Executor, model.End{Task: id, Attempt: run.Attempt, Ending: model.EndedDone}, false, h.now).Over {
 		h.ended[id.Job] = h.now
 	}
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -47,6 +47,10 @@
 	Pace int
 	// LastProgress is when Percent last grew.
 	LastProgress time.Duration
+	// rateFrom is when progress was first listed, and ratePercent that progress.
+	rateFrom     time.Duration
+	ratePercent  float64
+	savedPercent float64
 	// MissedLists counts the lists of its executor that did not contain it.
 	MissedLists int
 	Task        *Task
@@ -76,6 +80,8 @@
 	LastFailure time.Duration
 	// NotBefore is the earliest time of the next start, after a refusal.
 	NotBefore time.Duration
+	// SlowMoves is how often it was moved by this leader because its run was slow.
+	SlowMoves int
 }
 
 // failure is a run that failed. It counts permanently once the executor was told that its end is
@@ -109,6 +115,10 @@
 	return !t.Step.LongRunning && len(t.owner().failures)+1 >= t.Step.Occ.Job.maxFailures()
 }
 
+// Failures returns the number of runs of the task, or of its gang, that failed, including unconfirmed
+// failures.
+func (t *Task) Failures() int { return len(t.owner().failures) }
+
 // confirmedFailures returns the number of failures that count permanently.
 func (t *Task) confirmedFailures() int {
 	n := 0
@@ -222,6 +232,7 @@
 	// left is what its runs may have needed when it ended, and unlisted the part of it for runs that no
 	// executor has listed to this leader.
 	left, unlisted Left
+	evidence       evidence
 }
 
 // State returns the state that callers may see.
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -206,6 +206,7 @@
 	}
 	t.Runs = append(t.Runs, r)
 	t.Step.Running++
+	t.Step.Occ.Job.evidence.started++
 	tr.runSet(executor)[r] = struct{}{}
 	tr.usage.RunBegins(t.Step)
 	return r
@@ -345,6 +346,7 @@
 // setDone marks a task, or all tasks of a gang, as done.
 func (tr *Tracker) setDone(t *Task, wall time.Duration) {
 	s, o := t.Step, t.Step.Occ
+	o.Job.evidence.succeeded = true
 	mark := func(t *Task) {
 		if !t.Done {
 			t.Done = true
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -105,6 +105,9 @@
 			l.startRun(st)
 		}
 		room -= len(starts)
+		if len(starts) < limit {
+			l.explainWaits(s, order)
+		}
 		if len(starts) >= limit || order.madeAt < l.now {
 			// More tasks may be startable, or jobs have arrived since the order was computed.
 			l.planDue[s] = true
@@ -113,6 +116,10 @@
 		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
 			l.replanAt[s] = l.now + replanInterval
 		}
+		if slices.ContainsFunc(order.jobs, needsCapacity) {
+			continue
+		}
+		l.moveSlow(s, members[s], policy, rare)
 	}
 }
 
@@ -135,6 +142,15 @@
 	})
 }
 
+// needsCapacity reports whether tasks of a job would take capacity now. The other tasks of a poison job
+// wait for the outcome of the one that is tried.
+func needsCapacity(j *track.Job) bool {
+	if j.IsPoison() {
+		return !j.IsOver() && j.Probe() != nil
+	}
+	return hasWaitingTasks(j)
+}
+
 // replan makes a round of placement due for services with waiting tasks that had none for a while.
 func (l *Leader) replan() {
 	for s, at := range l.replanAt {
@@ -150,6 +166,8 @@
 	jobs []*track.Job
 	// needsAdvice is set if starts for some of the jobs need tickets.
 	needsAdvice bool
+	// above are the accounts that used clearly more than their share when the order was computed.
+	above map[string]bool
 	// madeAt is when the order was computed, and validUntil when it must be computed again.
 	madeAt, validUntil time.Duration
 }
@@ -310,7 +328,9 @@
 		m.QuarantinedUntil = max(m.QuarantinedUntil, l.now+startRetryDelay)
 		m.due = l.now
 	case platform.ReasonUnhealthy:
+		was := m.IsSuspect()
 		m.RecordUnhealthy(l.now)
+		l.noteSuspect(m, was, "it refuses starts as unhealthy")
 	case platform.ReasonTicket:
 		if a := l.advice[t.Step]; a != nil {
 			a.expire(m.Key)
@@ -387,8 +407,9 @@
 }
 
 // retryStops repeats stops whose end was not reported in time. It also stops runs of jobs that
-// are over and stalled runs.
+// are over and stalled runs, and collects slow ones.
 func (l *Leader) retryStops() {
+	l.slow = map[string][]*track.Run{}
 	for _, m := range l.members {
 		for r := range l.tracker.RunsOn(m.Key) {
 			l.tracker.RenewLeft(r.Task.Step.Occ.Job, l.wall)
@@ -401,11 +422,10 @@
 				l.stop(r, "job is over")
 			case execs.IsStalled(r, m.clockAt, l.expectedRuntime(m, r)):
 				r.Task.Avoid(m.Key)
-				if m.RecordStall(r.Task.ID.Job, l.now) {
-					l.Meters.quarantines.Inc(1)
-					l.Log.Warn().Str("executor", m.ID).Dur("until", m.QuarantinedUntil-l.now).Msg("executor quarantined because its runs stall")
-				}
+				l.recordFault(m, r.Task.Step.Occ.Job, "its runs stall")
 				l.stop(r, "run is stalled")
+			default:
+				l.observeSlow(m, r)
 			}
 		}
 	}
