--- a/internal/serve/guard/limits.go
+++ b/internal/serve/guard/limits.go
@@ -34,6 +34,12 @@
 	// auxConns is the number of connections on the readiness port, and on the metrics port. The
 	// platform needs one or two on each.
 	auxConns = 32
+	// callShare is the share of the other descriptors for calls to executors that other entries order, and
+	// minCalls the least number of such calls at a time.
+	callShare, minCalls = 0.75, 64
+	// specShare is the share of the memory for the specifications of jobs that other entries order to start. It
+	// is part of what jobs may take in the leader, which makes such calls through other entries.
+	specShare = 0.12
 	// minConns is the least number of connections on the ports of callers and of entries.
 	minConns = 64
 
@@ -46,13 +52,18 @@
 	// checkedSize is the size of a body from which the number of its objects is checked.
 	checkedSize = 16 << 10
 
-	// progressTimeout is how long an unfinished request may go without a byte. A client within the
+	// fieldBytes is what a field of a header takes besides its text, and maxHeaderScan bounds the headers in
+	// which fields are counted: net/http allows 4 KB more than the 16 KB of its limit.
+	fieldBytes, maxHeaderScan = 128, 24 << 10
+
+	// progressTimeout is how long an unfinished request may go without a byte, and an answer without being
+	// read if connections are short. A client within the
 	// page's limits sends its request at once; 5 s cover a lost packet's retransmissions.
 	progressTimeout = 5 * time.Second
 	// stallTime is the time without progress from which an unfinished request is closed before
 	// larger ones that still make progress, if memory is short.
 	stallTime = 1 * time.Second
-	// writeTimeout is how long a client may leave its answer unread when connections are short. No
+	// writeTimeout is how long a request may take to be answered when connections are short. No
 	// answer takes longer than a call to the leader and an append, 3.2 s, unless nothing is known.
 	writeTimeout = 30 * time.Second
 	// peerIdleTime is the time without a byte from which a connection between entries that has served
@@ -83,6 +94,10 @@
 	// Held is the number of bytes received for requests that are not answered, Decode that of decoded
 	// forms at the same time, and Jobs that of the leader's accepted jobs.
 	Held, Decode, Jobs int64
+	// Calls is the number of calls to executors in progress for other entries, and Specs the number of bytes of
+	// the specifications for them.
+	Calls int
+	Specs int64
 }
 
 // NewLimits returns the limits of an entry with a memory in MiB and a number of descriptors, each 0 if
@@ -100,6 +115,8 @@
 	l := Limits{Held: share(heldShare, maxHeldBytes), Decode: share(decodeShare, maxDecodeBytes)}
 	rest := softShare*bytes - float64(baseBytes+conns+l.Held+l.Decode)
 	l.Jobs = share(jobShare, rest)
+	l.Specs = min(share(specShare, bytes), l.Jobs)
+	l.Calls = max(int(callShare*(1-descriptorShare)*float64(descriptors)), minCalls)
 	n := min(int(conns/connBytes), int(descriptorShare*float64(descriptors)))
 	each := max((n-2*auxConns)/2, minConns)
 	l.Conns = [Kinds]int{Callers: each, Entries: each, Readiness: auxConns, Metrics: auxConns}
