--- a/internal/serve/guard/guard_test.go
+++ b/internal/serve/guard/guard_test.go
@@ -161,6 +161,8 @@
 // Guards against a decoded form that is larger than what is reserved for it, and against a body whose decoding
 // allocates much more than that of any valid one.
 func TestDecodeEstimate(t *testing.T) {
+	// The rest of the process allocates as well, which exceeded the estimate of a small body once.
+	const decodings = 64
 	body := func(first, next string, size int) []byte {
 		out := []byte(`{"phases":[` + first)
 		for len(out) < size {
@@ -177,10 +179,12 @@
 	} {
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		_, err := platform.DecodeJob(b)
+		for range decodings {
+			_, err := platform.DecodeJob(b)
+			assert.NilError(t, err)
+		}
 		runtime.ReadMemStats(&after)
-		assert.NilError(t, err)
-		took := int64(after.TotalAlloc - before.TotalAlloc)
+		took := int64(after.TotalAlloc-before.TotalAlloc) / decodings
 		t.Logf("%s: %d bytes allocated for %d, estimate %d", name, took, len(b), decodeBytes(b))
 		assert.Assert(t, took <= decodeBytes(b)*5/4, name)
 		assert.Assert(t, !HasTooManyObjects(b), name)
