--- a/internal/serve/leader/quota.go
+++ b/internal/serve/leader/quota.go
@@ -209,11 +209,8 @@
 // a gang needs more than the limit, and could never start. It returns false if there is no memory to decode
 // the body.
 func LimitRefusal(ctx context.Context, g *guard.Guard, c *model.Config, account string, body []byte) (string, bool) {
-	if c == nil {
-		return "", true
-	}
-	a := c.AccountByName(account)
-	if a == nil || !a.IsLimited() {
+	a := limitedAccount(c, account)
+	if a == nil {
 		return "", true
 	}
 	release, ok := g.Decode(ctx, body)
@@ -228,6 +225,18 @@
 	return quota.Refusal(a, spec.Steps), true
 }
 
+// limitedAccount returns an account with a limit, or nil.
+func limitedAccount(c *model.Config, name string) *model.Account {
+	if c == nil {
+		return nil
+	}
+	a := c.AccountByName(name)
+	if a == nil || !a.IsLimited() {
+		return nil
+	}
+	return a
+}
+
 // isAtLimit reports whether a step could start but for its account's limit.
 func (l *Leader) isAtLimit(s *track.Step) bool {
 	j, c := s.Occ.Job, l.Orders.Config()
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/quota"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/guard"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
@@ -120,12 +121,8 @@
 // checkBody decodes what the control goroutine needs of a submission. A large body takes milliseconds, which
 // that goroutine must not spend.
 func (l *Leader) checkBody(ctx context.Context, ev *submitRequest) {
-	ok := false
-	if ev.refusal, ok = LimitRefusal(ctx, l.Guard, l.Orders.Config(), ev.Account, ev.Body); !ok {
-		ev.unchecked = true
-		return
-	}
-	if !l.sharesApply(ev.Account) {
+	a, applies := limitedAccount(l.Orders.Config(), ev.Account), l.sharesApply(ev.Account)
+	if a == nil && !applies {
 		return
 	}
 	release, ok := l.Guard.Decode(ctx, ev.Body)
@@ -133,8 +130,17 @@
 		ev.unchecked = true
 		return
 	}
-	ev.timing = timingOf(ev.Body)
-	release()
+	defer release()
+	spec, err := platform.DecodeJob(ev.Body)
+	if err != nil {
+		return // the entry that received the job has checked it
+	}
+	if a != nil {
+		ev.refusal = quota.Refusal(a, spec.Steps)
+	}
+	if applies {
+		ev.timing = timingOf(&spec)
+	}
 }
 
 // Query returns the state of a job. It returns false if this leader can't answer for the job.
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -12,7 +12,6 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/share"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
-	"chervilgauge.example/chervilgauge/platform"
 )
 
 const (
@@ -212,12 +211,7 @@
 	chain          time.Duration // the estimate of the longest chain of steps
 }
 
-// timingOf decodes a job. It is called outside of the control goroutine.
-func timingOf(body []byte) *jobTiming {
-	spec, err := platform.DecodeJob(body)
-	if err != nil {
-		return &jobTiming{hasNoObjective: true} // the entry that received the job has checked it
-	}
+func timingOf(spec *model.JobSpec) *jobTiming {
 	t := &jobTiming{hasNoObjective: spec.IsLongRunning(), chain: spec.LongestChain(func(i int) time.Duration { return spec.Steps[i].Estimate })}
 	if spec.Scheduled {
 		t.start = spec.Start
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -40,7 +40,7 @@
 // submitAs submits a job and returns the answer, or nil if it is to be stored. It stores the job at once. A read of leaderless
 // records before a refusal returns some.
 func submitAs(l *Leader, account, id string, records ...platform.Record) *relay.Answer {
-	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
+	ev := &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: account, Body: []byte(sharedBody)}, timing: timingOfBody([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
 	l.onSubmit(ev)
 	if len(l.shares.held) > 0 {
 		l.leaderlessTail.sent = l.now
@@ -113,7 +113,7 @@
 	a := submitAs(l, "small", "stored", platform.Record{Key: r.Key, Value: r.Value})
 	assert.Equal(t, a.Verdict, relay.Stored)
 	assert.Equal(t, submitAs(l, "small", "other").Verdict, relay.Limited)
-	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 1)}
+	ev := &submitRequest{Submission: relay.Submission{ID: "unread", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOfBody([]byte(sharedBody)), reply: make(chan relay.Answer, 1)}
 	l.onSubmit(ev)
 	l.onLeaderless(leaderlessRead{err: errors.New("store is down")})
 	assert.Equal(t, (<-ev.reply).Verdict, relay.NotLeader)
@@ -192,7 +192,7 @@
 	}
 	l.orderNow(m)
 	ctx, cancel := context.WithCancel(context.Background())
-	first := &submitRequest{Submission: relay.Submission{ID: "x", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOf([]byte(sharedBody)), ctx: ctx, reply: make(chan relay.Answer, 1)}
+	first := &submitRequest{Submission: relay.Submission{ID: "x", Queue: "q", Account: "small", Body: []byte(sharedBody)}, timing: timingOfBody([]byte(sharedBody)), ctx: ctx, reply: make(chan relay.Answer, 1)}
 	l.onSubmit(first)
 	assert.Equal(t, len(l.shares.held), 1)
 	cancel()
@@ -218,7 +218,7 @@
 		body := []byte(fmt.Sprintf("%-*s", size, sharedBody))
 		var evs []*submitRequest
 		for i := range most + 10 {
-			ev := &submitRequest{Submission: relay.Submission{ID: fmt.Sprint("x", i), Queue: "q", Account: "small", Body: body}, timing: timingOf(body), reply: make(chan relay.Answer, 2)}
+			ev := &submitRequest{Submission: relay.Submission{ID: fmt.Sprint("x", i), Queue: "q", Account: "small", Body: body}, timing: timingOfBody(body), reply: make(chan relay.Answer, 2)}
 			l.onSubmit(ev)
 			evs = append(evs, ev)
 		}
@@ -237,6 +237,15 @@
 	}
 }
 
+// timingOfBody returns the timing of a submission, which a body that can't be decoded does not have.
+func timingOfBody(body []byte) *jobTiming {
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return nil
+	}
+	return timingOf(&spec)
+}
+
 // Guards against large bodies that the control goroutine decodes to decide about their submissions, and against a submission
 // whose objective is not known by then.
 func TestSubmissionsAreDecodedOutsideOfTheControlGoroutine(t *testing.T) {
@@ -271,7 +280,7 @@
 }
 
 func newSubmission(ctx context.Context, id string) *submitRequest {
-	return &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: "small", Body: []byte(sharedBody)}, ctx: ctx, timing: timingOf([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
+	return &submitRequest{Submission: relay.Submission{ID: id, Queue: "q", Account: "small", Body: []byte(sharedBody)}, ctx: ctx, timing: timingOfBody([]byte(sharedBody)), reply: make(chan relay.Answer, 2)}
 }
 
 // Guards against a job that is refused to one caller and accepted for another that repeated its submission, because a token
