soak: limits and floods of accounts, and revocations while an entry is paused

Cause: nothing checked quotas and shares under faults, and no fault outlasted a revocation. Change: three new faults of accounts, in series of their own, so that the others of a seed stay: limits that are lowered, raised and removed (two accounts), floods of a hot account, and a pause of an entry in which a key is removed. The stand-in's QUOTA gets the limits; FIT checks which jobs are refused with 429. Callers don't submit a job again after 429.

--- a/internal/bench/soak/caller.go
+++ b/internal/bench/soak/caller.go
@@ -43,11 +43,11 @@
 	http *http.Client
 	key  string
 	// account is the one that the key belongs to.
-	account string
+	account int
 }
 
 func (r *run) newCaller(n int) *caller {
-	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}, keptKey(n % accounts), accountName(n % accounts)}
+	return &caller{r, rand.New(rand.NewPCG(r.cfg.Seed, callerStream+uint64(n))), &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: r.net.Dial}}, keptKey(n % accounts), n % accounts}
 }
 
 // callerStream is the first random stream of callers. Those below are the series of faults.
@@ -87,6 +87,9 @@
 // submit submits a new job, at one entry after the other until it is accepted.
 func (c *caller) submit(ctx context.Context) {
 	j := newJob(c.rng, c.r.cfg.delegates())
+	for j.long && isLimited(c.account) {
+		j = newJob(c.rng, c.r.cfg.delegates()) // the limit would be in use until the job is cancelled
+	}
 	j.submitted, j.account = c.r.clk.Now(), c.account
 	c.r.jobs.add(j)
 	timeout := callTimeout
@@ -98,12 +101,13 @@
 		j.beginSubmit()
 		status, _ := c.call(at, http.MethodPost, j.path, j.body, timeout)
 		j.recordSubmit(status, c.r.clk.Now())
+		c.r.checkFit(j, c.r.entries[at].name, status)
 		if status/100 == 2 {
 			c.r.submits.record(c.r.clk.Now() - j.submitted)
 			return
 		}
-		if timeout < callTimeout || ctx.Err() != nil {
-			return // left early
+		if timeout < callTimeout || ctx.Err() != nil || status == http.StatusTooManyRequests {
+			return // left early, or the job must never start
 		}
 		at = (at + 1 + c.rng.IntN(len(c.r.entries)-1)) % len(c.r.entries)
 		clock.Pause(ctx, c.r.clk, time.Duration(c.rng.ExpFloat64()*float64(retryDelay)))
--- a/internal/bench/soak/inject.go
+++ b/internal/bench/soak/inject.go
@@ -140,6 +140,13 @@
 			r.operator.configure(r.clk.Now())
 			clock.Pause(ctx, r.clk, f.For/time.Duration(a.Changes))
 		}
+	case Limit:
+		r.operator.setLimit(a.Account, a.Cores, r.clk.Now())
+		return func() { r.operator.setLimit(a.Account, baseLimit, r.clk.Now()) }
+	case Flood:
+		return during(func() { r.flood(ctx, a, f.For) })
+	case Revoke:
+		return during(func() { r.revoke(ctx, a) })
 	case Wave:
 		w := model.Wave{Number: r.waves.Add(1), Instances: a.Machines, Window: waveWindow, MaxConcurrent: a.MaxConcurrent}
 		r.platform.Store.Put(platform.OperatorTopic, waveKey(w.Number), fake.EncodeWave(w))
@@ -147,6 +154,16 @@
 	return func() {}
 }
 
+// during starts a function and returns one that waits for its end.
+func during(f func()) func() {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f()
+	}()
+	return func() { <-ended }
+}
+
 func (r *run) beginMachine(a MachineFault, d time.Duration) func() {
 	switch a.Kind {
 	case Crash:
--- a/internal/bench/soak/job.go
+++ b/internal/bench/soak/job.go
@@ -32,7 +32,7 @@
 	spec     model.JobSpec
 	body     []byte
 	tasks    int
-	account  string // set before the job is submitted
+	account  int // set before the job is submitted
 	// index is the task that always fails in a hopeless job.
 	long, hopeless, flaky bool
 	runtime               time.Duration
@@ -100,7 +100,7 @@
 		return fake.RunPlan{Result: "failed", Unasked: true}
 	}
 	s := j.spec.Steps[t.Step]
-	p := fake.RunPlan{Duration: j.runtime, Result: "done", Service: j.service, Account: j.account, Cores: int(s.Need.Cores), MaxFailures: maxAttempts}
+	p := fake.RunPlan{Duration: j.runtime, Result: "done", Service: j.service, Account: accountName(j.account), Cores: int(s.Need.Cores), MaxFailures: maxAttempts}
 	for _, before := range s.After {
 		for i := range j.spec.Steps[before].Count {
 			p.After = append(p.After, model.TaskID{Job: j.id, Step: before, Index: i}.String())
@@ -180,6 +180,8 @@
 	mu   sync.Mutex
 	byID map[string]*job
 	all  []*job
+	// limit returns what the running tasks of an account may take, 0 for no limit. It may be nil.
+	limit func(account int) int
 }
 
 func (g *registry) add(j *job) {
@@ -204,5 +206,9 @@
 	if j == nil || !strings.HasPrefix(task, j.id+".") {
 		return fake.RunPlan{Result: "failed", Unasked: true}
 	}
-	return j.plan(task)
+	p := j.plan(task)
+	if g.limit != nil {
+		p.AccountCores = g.limit(j.account)
+	}
+	return p
 }
--- a/internal/bench/soak/keys.go
+++ b/internal/bench/soak/keys.go
@@ -8,7 +8,7 @@
 
 const (
 	// accounts is the number of client accounts.
-	accounts = 3
+	accounts = 4
 	// revoke is the time from which on no call with a removed key may succeed. It is shorter than on the
 	// platform, so that the faults of a plan, of up to some 4 s, outlast it.
 	revoke = 2500 * time.Millisecond
@@ -25,7 +25,11 @@
 // account, and checks the answer. An entry that was suspended gets the state from the leader even if its
 // own configuration is old.
 func (r *run) probeKey(c *caller, e *entry) {
-	account := c.rng.IntN(accounts)
+	r.probeAccountKey(c, e, c.rng.IntN(accounts))
+}
+
+// probeAccountKey does so with the changing key of a given account.
+func (r *run) probeAccountKey(c *caller, e *entry, account int) {
 	with := *c
 	with.key = changingKey(account)
 	path := queues[0].Prefix
--- a/internal/bench/soak/operator.go
+++ b/internal/bench/soak/operator.go
@@ -52,6 +52,8 @@
 	at      time.Duration
 	// keys reports for each account whether it has its changing key.
 	keys [accounts]bool
+	// limits holds the limit of each account in thousandths of a core, 0 for none.
+	limits [accounts]int64
 }
 
 // operator changes the configuration.
@@ -60,23 +62,61 @@
 	mu    sync.Mutex
 	rng   *rand.Rand
 	all   []written
+	// limits are those of the next version.
+	limits [accounts]int64
 }
 
-// configure writes the next version.
+// newOperator returns an operator that draws from a seed.
+func newOperator(store *fake.Store, seed uint64) *operator {
+	o := &operator{store: store, rng: rand.New(rand.NewPCG(seed, operatorStream))}
+	for _, account := range limitedAccounts {
+		o.limits[account] = baseLimit
+	}
+	return o
+}
+
+// configure writes the next version, with changing keys drawn at random.
 func (o *operator) configure(now time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.write(now, func(*written) {})
+}
+
+// setLimit writes the next version with another limit of an account, which later versions keep.
+func (o *operator) setLimit(account int, cores int64, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.limits[account] = cores
+	o.write(now, func(*written) {})
+}
+
+// setKey writes the next version, in which an account has its changing key or not.
+func (o *operator) setKey(account int, has bool, now time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.write(now, func(w *written) { w.keys[account] = has })
+}
+
+// write writes the next version after a change to what was drawn. The caller holds mu.
+func (o *operator) write(now time.Duration, change func(*written)) {
 	version := int64(1)
 	if n := len(o.all); n > 0 {
 		version = o.all[n-1].version + 1 + o.rng.Int64N(3)
 	}
 	c := model.Config{Version: version, Services: services, BodyLimit: 1 << 16}
 	c.Queues = append(append(c.Queues, queues...), queue("marker", markerPath(version), "pool-a", 1))
-	w := written{version: version, at: now}
-	var all []fake.AccountKeys
+	w := written{version: version, at: now, limits: o.limits}
+	for i := range w.keys {
+		w.keys[i] = o.rng.IntN(2) == 0
+	}
+	change(&w)
+	var all []fake.Account
 	for i := range w.keys {
-		a := fake.AccountKeys{Name: accountName(i), Keys: []string{keptKey(i)}}
-		if w.keys[i] = o.rng.IntN(2) == 0; w.keys[i] {
+		a := fake.Account{Name: accountName(i), Keys: []string{keptKey(i)}, Weight: otherWeight, Cores: w.limits[i]}
+		if i == hotAccount {
+			a.Weight = hotWeight
+		}
+		if w.keys[i] {
 			a.Keys = append(a.Keys, changingKey(i))
 		}
 		all = append(all, a)
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -151,7 +151,7 @@
 const maxDraws = 10_000
 
 // NewPlan returns the plan of faults for a seed, sorted by time. The faults of each series follow one
-// another; the series overlap. The description of each fault contains only.
+// another; the series overlap, also with those of the accounts. The description of each fault contains only.
 func NewPlan(seed uint64, length time.Duration, series, entries int, machines []string, only string) []Fault {
 	var out []Fault
 	for s := range series {
@@ -170,6 +170,11 @@
 			at += f.For + p.exp(meanPause)
 		}
 	}
+	for _, f := range accountFaults(seed, length, entries) {
+		if strings.Contains(f.String(), only) {
+			out = append(out, f)
+		}
+	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -202,7 +202,8 @@
 		opts = append(opts, fake.WithListen(r.listen))
 	}
 	r.platform = fake.NewPlatform(pools(r.cfg.Executors), opts...)
-	r.operator = &operator{store: r.platform.Store, rng: rand.New(rand.NewPCG(r.cfg.Seed, operatorStream))}
+	r.operator = newOperator(r.platform.Store, r.cfg.Seed)
+	r.jobs.limit = func(account int) int { return r.operator.limitOf(account, r.clk.Now()) }
 	r.operator.configure(0)
 	ports, err := r.ports(portsPerEntry * r.cfg.Entries)
 	if err != nil {
