--- a/internal/bench/soak/accounts.go
+++ b/internal/bench/soak/accounts.go
@@ -40,8 +40,8 @@
 	// hotWeight is the weight of the hot account. otherWeight is more than the other accounts send, so that
 	// they are never refused for their share.
 	hotWeight, otherWeight = 3, 100
-	// baseLimit is the limit of the limited accounts outside of Limit faults. It is twice what their callers
-	// need on average, so that what waits at the end of the faults is served in time.
+	// baseLimit is the limit of the limited accounts outside of Limit faults. By an estimate the two callers of an
+	// account need 9 cores: with twice as many, what waits at the end of the faults is served in time.
 	baseLimit = 20_000
 	// minLow and maxLow bound a lowered limit. The largest tasks take 2,500 and don't fit under the lowest ones.
 	minLow, maxLow = 1500, 6000
@@ -50,7 +50,7 @@
 	// limitWindow is how long after a change the previous limit may have an effect: a start order may be
 	// held back on its way to the executor for as long as a fault lasts.
 	limitWindow = maxFault + configApply
-	// minLimit and maxLimit bound the time that a changed limit lasts. It may exceed limitWindow, since a
+	// minLimit and maxLimit bound the time that a changed limit lasts. maxLimit exceeds limitWindow, since a
 	// lowered limit is checked only from then on.
 	minLimit, maxLimit = 1 * time.Second, 15 * time.Second
 	// minFlood and maxFlood bound the rate of a flood in jobs per second: 3 to 6 times the weight.
