--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -77,7 +77,7 @@
 func encodeJob(q model.Queue, account string, body []byte, accepted time.Duration) []byte {
 	w := &workpb.Work{
 		Queue: q.Name, Accepted: accepted.Milliseconds(), Body: body, Service: q.Service,
-		Attempts: uint32(q.Attempts), Priority: int32(q.Priority), Slack: q.Slack, Objective: q.Objective.Milliseconds(), Tenant: account,
+		Attempts: uint32(q.Attempts), Priority: int32(q.Priority), Slack: q.Slack, Objective: q.Objective.Milliseconds(), Account: account,
 	}
 	if a := q.Advice; a != nil {
 		w.Advice = &workpb.Advice{
@@ -135,7 +135,7 @@
 
 func endRecord(j *Job) Record {
 	return Record{j.ID, encode(&workpb.Ended{
-		State: uint32(j.state), At: j.endedAt.Milliseconds(), Queue: j.Queue, Tenant: j.Account,
+		State: uint32(j.state), At: j.endedAt.Milliseconds(), Queue: j.Queue, Account: j.Account,
 		Cores: j.left.Reserved.Cores, Memory: j.left.Reserved.Memory, Accelerators: j.left.Reserved.Accelerators, Spare: j.left.Spare,
 	})}
 }
@@ -187,7 +187,7 @@
 		if err != nil {
 			return LeaderlessRecord{}, ErrRecord.Wrap(err)
 		}
-		spec.Account = x.Work.GetTenant()
+		spec.Account = x.Work.GetAccount()
 		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted())}, nil
 	case *workpb.Record_Cancel:
 		if !isCancel {
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -114,7 +114,7 @@
 	var bad []string
 	for id, e := range l.ended {
 		s := model.State(e.GetState())
-		j := &Job{ID: id, Queue: e.GetQueue(), Account: e.GetTenant(), state: s, visible: s, endedAt: millis(e.GetAt())}
+		j := &Job{ID: id, Queue: e.GetQueue(), Account: e.GetAccount(), state: s, visible: s, endedAt: millis(e.GetAt())}
 		tr.jobs[id] = j
 		tr.loadLeft(j, e, wall)
 	}
@@ -124,7 +124,7 @@
 			bad = append(bad, id)
 			continue
 		}
-		spec.Account = w.GetTenant()
+		spec.Account = w.GetAccount()
 		j := tr.Accept(id, settingsOf(w), spec, millis(w.GetAccepted()), now)
 		tr.restoreJob(j, l.progress[id], wall)
 	}
--- a/internal/serve/agent/keys_test.go
+++ b/internal/serve/agent/keys_test.go
@@ -175,7 +175,7 @@
 		for _, record := range rs {
 			var w workpb.Record
 			if proto.Unmarshal(record.Value, &w) == nil && w.GetWork() != nil {
-				stored[track.JobID(record.Key)] = w.GetWork().GetTenant()
+				stored[track.JobID(record.Key)] = w.GetWork().GetAccount()
 			}
 		}
 	}
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -126,7 +126,7 @@
 
 func (s *server) Submit(ctx context.Context, a *workpb.SubmitAsk) (*workpb.SubmitReply, error) {
 	r := s.handler.Submit(ctx, Submission{
-		ID: a.GetId(), Queue: a.GetQueue(), Body: a.GetBody(), Timeout: time.Duration(a.GetWait()) * time.Millisecond, Account: a.GetTenant(),
+		ID: a.GetId(), Queue: a.GetQueue(), Body: a.GetBody(), Timeout: time.Duration(a.GetWait()) * time.Millisecond, Account: a.GetAccount(),
 	})
 	return &workpb.SubmitReply{
 		Leads: r.Verdict != NotLeader, Verdict: uint32(r.Verdict), After: uint32(r.RetryAfter.Milliseconds()), Cause: r.Cause,
@@ -196,7 +196,7 @@
 // Submit submits a job to the leader. It returns an Err.
 func (c *Client) Submit(ctx context.Context, addr string, s Submission) (Answer, error) {
 	r, err := c.rpc(ctx, addr).Submit(ctx, &workpb.SubmitAsk{
-		Id: s.ID, Queue: s.Queue, Body: s.Body, Wait: uint32(s.Timeout.Milliseconds()), Tenant: s.Account,
+		Id: s.ID, Queue: s.Queue, Body: s.Body, Wait: uint32(s.Timeout.Milliseconds()), Account: s.Account,
 	})
 	if err != nil {
 		return Answer{}, Err.Wrap(err)
