share: demand that can't start counts neither as need nor as waiting work

Claims.Above and Load.Add counted all waiting tasks of an account, also those that its limit keeps from starting and those of a poison job that wait for one outcome. Other accounts then counted as above their share, and their excess submissions were refused for work that never takes their capacity.

Need is now what could start within the limit. The work that a limit holds back delays others only as far as the cores that the account's tasks use serve it within the wait.

--- a/internal/jobs/share/admit.go
+++ b/internal/jobs/share/admit.go
@@ -1,7 +1,9 @@
 package share
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
@@ -40,6 +42,44 @@
 	return max(wait-max(now-p.At, 0), 0)
 }
 
+// Limited is the waiting work of an account whose limit holds back some of it.
+type Limited struct {
+	// Work is in core-seconds, and Cores is what the account's tasks use at the same time, in thousandths.
+	Work  float64
+	Cores int64
+}
+
+// WorkBefore returns the work that a pool of some cores, in thousandths, does before all waiting work is done that
+// limits don't hold back, in core-seconds. Meanwhile each limited account uses no more than its cores, so that
+// the rest of its work does not delay others.
+func WorkBefore(unlimited float64, limited []Limited, cores int64) float64 {
+	sum, total := unlimited, float64(cores)/1000
+	for _, a := range limited {
+		sum += a.Work
+	}
+	if total <= 0 {
+		return sum
+	}
+	// The time until the work of an account is done if it always uses its cores.
+	alone := func(a Limited) float64 {
+		if a.Cores <= 0 {
+			return math.Inf(1)
+		}
+		return a.Work * 1000 / float64(a.Cores)
+	}
+	limited = slices.Clone(limited)
+	slices.SortFunc(limited, func(a, b Limited) int { return cmp.Compare(alone(b), alone(a)) })
+	rate := total
+	for _, a := range limited {
+		used := float64(a.Cores) / 1000
+		if sum/rate >= alone(a) || used >= rate {
+			break // the work of this account and those after it is done by then
+		}
+		sum, rate = max(sum-a.Work, 0), rate-used
+	}
+	return total * sum / rate
+}
+
 // Decision is the decision about a submission.
 type Decision struct {
 	Admitted bool
--- a/internal/serve/leader/accounts.go
+++ b/internal/serve/leader/accounts.go
@@ -169,7 +169,7 @@
 		if capacity.Cores == 0 {
 			continue
 		}
-		above := claims.Above(js, l.weightOf, capacity)
+		above := claims.Above(js, l.weightOf, capacity, l.isBlockedAfter)
 		part := float64(max(claims.Capacity().Cores, 0)) / float64(total)
 		for name := range claims.Accounts() {
 			a := byName[name]
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -39,6 +39,8 @@
 	buckets share.Buckets
 	claims  assign.Claims
 	loads   map[string]*share.Load // by service
+	// backlogs are what the waiting work in loads was computed from.
+	backlogs map[string]*assign.Backlog
 	// refusals are those of accounts with refused submissions lately.
 	refusals map[string]*refusal
 	// held are submissions that are refused unless the next read of leaderless records has their jobs.
@@ -243,8 +245,9 @@
 // countStored marks a stored job as excess if its submission was, and adds its work to the load of its pool.
 func (l *Leader) countStored(j *track.Job, isExcess bool) {
 	j.Excess = isExcess
-	if load := l.shares.loads[l.queueOf(j).Service]; load != nil {
-		load.Add(assign.WaitingWork(j))
+	service := l.queueOf(j).Service
+	if load := l.shares.loads[service]; load != nil {
+		load.Add(l.shares.backlogs[service].Accept(j))
 	}
 }
 
@@ -291,14 +294,16 @@
 			used, usable = used.Plus(m.Used), usable.Plus(m.Capacity)
 		}
 	}
-	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity)
+	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity, l.isBlockedAfter)
 	order.above = maps.Clone(above)
 	load := &share.Load{Cores: usable.Cores, Full: share.IsFull(used, usable), At: l.now}
-	order.jobs, load.Waiting = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
+	var backlog *assign.Backlog
+	order.jobs, backlog = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
+	load.Waiting = backlog.Work(usable.Cores)
 	if l.shares.loads == nil {
-		l.shares.loads = map[string]*share.Load{}
+		l.shares.loads, l.shares.backlogs = map[string]*share.Load{}, map[string]*assign.Backlog{}
 	}
-	l.shares.loads[service] = load
+	l.shares.loads[service], l.shares.backlogs[service] = load, backlog
 }
 
 // settleExcess makes the oldest excess job of each account a regular one if the account has tokens to spare.
@@ -332,6 +337,7 @@
 	for service := range l.shares.loads {
 		if c == nil || c.Service(service) == nil {
 			delete(l.shares.loads, service)
+			delete(l.shares.backlogs, service)
 		}
 	}
 	for account, r := range l.shares.refusals {
