--- a/internal/serve/leader/bench_test.go
+++ b/internal/serve/leader/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,8 +11,11 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/scale"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
+	"chervilgauge.example/chervilgauge/internal/serve/relay"
+	"chervilgauge.example/chervilgauge/platform"
 )
 
 // BenchmarkSweep measures the sweep over all runs, which is made five times a second.
@@ -34,3 +38,46 @@
 		l.retryStops()
 	}
 }
+
+// storedBodies are bodies of an ordinary job and of the largest ones.
+var storedBodies = []struct{ name, body string }{
+	{"8 tasks", `{"phases":[{"count":8,"cpu":2000,"estimate_ms":400}]}`},
+	{"100000 tasks", `{"phases":[{"count":100000,"cpu":1}]}`},
+	{"20000 steps of 5 tasks", `{"phases":[` + strings.Repeat(`{"count":5},`, 19_999) + `{"count":5}]}`},
+}
+
+// BenchmarkJobStored measures how long the control goroutine takes for a job that was stored.
+func BenchmarkJobStored(b *testing.B) {
+	for _, c := range storedBodies {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				l := &Leader{
+					Deps: Deps{Orders: &orders.Orders{}, Log: zerolog.Nop(), Meters: NewMeters(tally.NoopScope)}, tracker: track.New(0), planDue: map[string]bool{},
+				}
+				l.fleet.arrivals = map[string]*scale.Arrivals{}
+				ev := &submitRequest{Submission: relay.Submission{ID: "x", Body: []byte(c.body)}, settings: model.Queue{Service: "s"}, reply: make(chan relay.Answer, 1)}
+				b.StartTimer()
+				l.onJobStored(ev)
+				if a := <-ev.reply; a.Verdict != relay.Stored {
+					b.Fatal(a)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDecodeJob measures what of that is the decoding of the body.
+func BenchmarkDecodeJob(b *testing.B) {
+	for _, c := range storedBodies {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := platform.DecodeJob([]byte(c.body)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
