leader: stored jobs are decoded and built outside of the control goroutine

A job of 20,000 steps took the control goroutine 43 to 47 ms, and one of 100,000 tasks in one step 7.5 ms, nearly all of it to build the tasks. Both are now done beside the append, and the outcome of the append comes after that, so that records keep their order and cancels and repeats find the job in flight as before.

The form that a check decodes before the append is not reused, since nothing counts its memory while the submission waits for its turn, is held or deferred.

--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -64,17 +64,32 @@
 	if j := tr.jobs[id]; j != nil {
 		return j
 	}
-	j := &Job{ID: id, Queue: settings.Name, Account: spec.Account, Spec: spec, Accepted: accepted, SeenAt: now, Settings: settings, storedProgress: map[progressID]struct{}{}}
+	return tr.AcceptPrepared(tr.Prepare(id, settings, spec, accepted), now)
+}
+
+// Prepare returns a job for AcceptPrepared, which it does not add. Building 100,000 tasks takes milliseconds.
+// Unlike other methods it may be called by any goroutine at any time.
+func (tr *Tracker) Prepare(id string, settings model.Queue, spec model.JobSpec, accepted time.Duration) *Job {
+	j := &Job{ID: id, Queue: settings.Name, Account: spec.Account, Spec: spec, Accepted: accepted, Settings: settings, storedProgress: map[progressID]struct{}{}}
 	j.layout = newProgressLayout(tr.recordBytes, spec.TaskCount(), j.maxFailures(), 0)
-	tr.jobs[id] = j
-	tr.active[id] = j
 	if !spec.Scheduled {
 		j.Open = append(j.Open, j.newOccurrence(0))
 		j.nextOccurrence = 1
 	}
-	if at, ok := tr.earlyCancels[id]; ok {
-		delete(tr.earlyCancels, id)
-		tr.Cancel(id, at)
+	return j
+}
+
+// AcceptPrepared adds a stored job and returns it. If the job is known already, the known one is returned unchanged.
+func (tr *Tracker) AcceptPrepared(j *Job, now time.Duration) *Job {
+	if known := tr.jobs[j.ID]; known != nil {
+		return known
+	}
+	j.SeenAt = now
+	tr.jobs[j.ID] = j
+	tr.active[j.ID] = j
+	if at, ok := tr.earlyCancels[j.ID]; ok {
+		delete(tr.earlyCancels, j.ID)
+		tr.Cancel(j.ID, at)
 	}
 	return j
 }
--- a/internal/serve/leader/bench_test.go
+++ b/internal/serve/leader/bench_test.go
@@ -15,7 +15,6 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
-	"chervilgauge.example/chervilgauge/platform"
 )
 
 // BenchmarkSweep measures the sweep over all runs, which is made five times a second.
@@ -58,8 +57,9 @@
 				}
 				l.fleet.arrivals = map[string]*scale.Arrivals{}
 				ev := &submitRequest{Submission: relay.Submission{ID: "x", Body: []byte(c.body)}, settings: model.Queue{Service: "s"}, reply: make(chan relay.Answer, 1)}
+				p := prepareJob(l.tracker, ev)
 				b.StartTimer()
-				l.onJobStored(ev)
+				l.onJobStored(ev, p)
 				if a := <-ev.reply; a.Verdict != relay.Stored {
 					b.Fatal(a)
 				}
@@ -68,14 +68,15 @@
 	}
 }
 
-// BenchmarkDecodeJob measures what of that is the decoding of the body.
-func BenchmarkDecodeJob(b *testing.B) {
+// BenchmarkPrepareJob measures the decoding of the body and the building of the tasks, which other goroutines do.
+func BenchmarkPrepareJob(b *testing.B) {
 	for _, c := range storedBodies {
 		b.Run(c.name, func(b *testing.B) {
+			tr, ev := track.New(0), &submitRequest{Submission: relay.Submission{ID: "x", Body: []byte(c.body)}}
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, err := platform.DecodeJob([]byte(c.body)); err != nil {
-					b.Fatal(err)
+				if p := prepareJob(tr, ev); p.err != nil {
+					b.Fatal(p.err)
 				}
 			}
 		})
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -291,20 +291,20 @@
 const recordOverhead = 192
 
 // onJobStored adds a job that was stored to the tracker.
-func (l *Leader) onJobStored(ev *submitRequest) {
-	spec, err := platform.DecodeJob(ev.Body)
-	if err != nil {
-		// The entry has checked it, but it may run another version of the program that checks less.
-		l.Log.Error().Err(err).Str("job", ev.ID).Msg("accepted job can't be decoded")
+func (l *Leader) onJobStored(ev *submitRequest, p preparedJob) {
+	if p.job == nil {
+		if p.err != nil {
+			// The entry has checked it, but it may run another version of the program that checks less.
+			l.Log.Error().Err(p.err).Str("job", ev.ID).Msg("accepted job can't be decoded")
+		}
 		ev.answer(unknownAnswer)
 		return
 	}
-	spec.Account = ev.Account
-	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
+	j := l.tracker.AcceptPrepared(p.job, l.now)
 	l.countStored(j, ev.excess)
 	l.memory.add(j)
 	l.Meters.accepted.Inc(1)
-	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", spec.TaskCount()).Bool("lasts", spec.IsLongRunning()).Msg("job is accepted")
+	l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Int("tasks", j.Spec.TaskCount()).Bool("lasts", j.Spec.IsLongRunning()).Msg("job is accepted")
 	l.planDue[l.queueOf(j).Service] = true
 	l.recordArrival(j)
 	ev.answer(relay.Answer{Verdict: relay.Stored})
--- a/internal/serve/leader/share_test.go
+++ b/internal/serve/leader/share_test.go
@@ -53,7 +53,7 @@
 	}
 	for _, a := range l.store.accepts {
 		a.accepted = l.wall
-		l.onJobStored(a)
+		l.onJobStored(a, prepareJob(l.tracker, a))
 	}
 	l.store.accepts = nil
 	return nil
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -53,6 +53,7 @@
 	report
 	batch       track.Batch
 	accepts     []*submitRequest
+	prepared    []preparedJob // of accepts, if the append was stored
 	cancels     []*cancelRequest
 	appliedSeqs map[*member]int64
 	operations  []*operation
@@ -112,12 +113,19 @@
 	}
 	ev.entries = len(records)
 	seq := s.seq
-	l.call(func(ctx context.Context) event { return l.appendRecords(ctx, ev, records, seq) })
+	tr := l.tracker
+	l.call(func(ctx context.Context) event {
+		prepared := make(chan []preparedJob, 1)
+		go func() { prepared <- l.prepareJobs(ctx, tr, ev.accepts) }()
+		ev := l.appendRecords(ctx, ev, records, seq)
+		ev.prepared = <-prepared
+		return ev
+	})
 }
 
 // appendRecords retries until the records are stored, the store has fenced this leader or the
 // context has ended. The store keeps repeated appends with the same sequence number once.
-func (l *Leader) appendRecords(ctx context.Context, ev appended, records [][]byte, seq int64) event {
+func (l *Leader) appendRecords(ctx context.Context, ev appended, records [][]byte, seq int64) appended {
 	chunks := splitRecords(records, min(l.Settings.Store.CallBytes, maxAppendBytes))
 	for _, chunk := range chunks {
 		seq++
@@ -208,8 +216,8 @@
 			l.advanceOperation(op)
 		}
 	}
-	for _, a := range ev.accepts {
-		l.onJobStored(a)
+	for i, a := range ev.accepts {
+		l.onJobStored(a, ev.prepared[i])
 	}
 	for _, c := range ev.cancels {
 		l.onCancelStored(c)
