--- a/internal/jobs/assign/bench_test.go
+++ b/internal/jobs/assign/bench_test.go
@@ -7,6 +7,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/quota"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
@@ -64,3 +65,91 @@
 		})
 	}
 }
+
+// newLimitedPool returns jobs of 8 tasks of 2 cores of some accounts, and a ledger in which half of the accounts are at their limit
+// and the others have room for 4 tasks, with a pool of 350 executors that have room for two tasks each.
+func newLimitedPool(accounts, jobs int) ([]*track.Job, []*execs.Member, *model.Config, *quota.Ledger) {
+	var c model.Config
+	ledger, tr := &quota.Ledger{}, track.New(0)
+	for i := range accounts {
+		a := model.Account{Name: fmt.Sprintf("account%04d", i), Weight: 1, Limit: cores(100)}
+		c.Accounts = append(c.Accounts, a)
+		ledger.Charge(a.Name, cores(100-int64(i%2)*8))
+	}
+	var out []*track.Job
+	for i := range jobs {
+		spec := model.JobSpec{Repeats: 1, Account: c.Accounts[i%accounts].Name, Steps: []model.Step{{Count: 8, Need: cores(2), Estimate: 640 * time.Millisecond}}}
+		out = append(out, tr.Accept(fmt.Sprint(i), model.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 1.6, Objective: 600 * time.Millisecond}, spec, time.Duration(i)*time.Millisecond, 0))
+	}
+	var members []*execs.Member
+	for i := range 350 {
+		members = append(members, &execs.Member{Executor: model.Executor{Capacity: cores(32)}, Key: fmt.Sprint(i), Contact: execs.Live, Listed: true, Slowness: 1, Used: cores(28)})
+	}
+	return out, members, c.Indexed(), ledger
+}
+
+var limitedSizes = []struct{ accounts, jobs int }{{20, 2000}, {200, 2000}, {2000, 2000}, {20, 8000}, {2000, 8000}}
+
+// BenchmarkOrderLimited measures the order and the backlog with limits in force.
+func BenchmarkOrderLimited(b *testing.B) {
+	for _, size := range limitedSizes {
+		b.Run(fmt.Sprintf("%d/%d", size.accounts, size.jobs), func(b *testing.B) {
+			jobs, _, config, ledger := newLimitedPool(size.accounts, size.jobs)
+			isBlocked := func(s *track.Step, starts model.Amount) bool {
+				return ledger.BlocksAfter(config.AccountByName(s.Occ.Job.Account), s, starts)
+			}
+			var c Claims
+			var backlog Backlog
+			b.ReportAllocs()
+			for b.Loop() {
+				above := c.Above(jobs, func(string) float64 { return 1 }, cores(350*32), isBlocked)
+				backlog.Order(jobs, settingsOf, 350*32_000, 2*time.Second, above, isBlocked)
+				backlog.Work(350 * 32_000)
+			}
+		})
+	}
+}
+
+// BenchmarkPlanGangs measures a round with waiting gangs of 8 members that are within the limits, for which the pool has no
+// room.
+func BenchmarkPlanGangs(b *testing.B) {
+	for _, size := range limitedSizes {
+		b.Run(fmt.Sprintf("%d/%d", size.accounts, size.jobs), func(b *testing.B) {
+			jobs, members, config, _ := newLimitedPool(size.accounts, size.jobs)
+			ledger := &quota.Ledger{}
+			for i, j := range jobs {
+				s := j.Open[0].Steps[0]
+				s.Step.Gang, s.Step.Need = true, cores(4+int64(i%2))
+			}
+			for i := range members {
+				members[i].Used = cores(29 + int64(min(i%60, 2)))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				round := ledger.Begin(config, "s", 0)
+				if n := len(Plan(jobs, members, Unrestricted, nil, round, 0, 350)); n > 0 {
+					b.Fatal(n)
+				}
+				round.End()
+			}
+		})
+	}
+}
+
+// BenchmarkPlanLimited measures a round of placement with limits in force, and the time of each start.
+func BenchmarkPlanLimited(b *testing.B) {
+	for _, size := range limitedSizes {
+		b.Run(fmt.Sprintf("%d/%d", size.accounts, size.jobs), func(b *testing.B) {
+			jobs, members, config, ledger := newLimitedPool(size.accounts, size.jobs)
+			starts := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				round := ledger.Begin(config, "s", 0)
+				starts = len(Plan(jobs, members, Unrestricted, nil, round, 0, 350))
+				round.End()
+			}
+			b.ReportMetric(float64(starts), "starts")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*starts), "ns/start")
+		})
+	}
+}
--- a/internal/jobs/assign/demand.go
+++ b/internal/jobs/assign/demand.go
@@ -32,9 +32,6 @@
 }
 
 func (d *demand) reset(isBlocked Blocked) {
-	if d.index == nil {
-		d.index = map[string]int{}
-	}
 	d.isBlocked, d.accounts = isBlocked, d.accounts[:0]
 	clear(d.index)
 }
@@ -43,6 +40,9 @@
 func (d *demand) of(account string) int {
 	i, ok := d.index[account]
 	if !ok {
+		if d.index == nil {
+			d.index = map[string]int{}
+		}
 		i = len(d.accounts)
 		d.index[account] = i
 		d.accounts = append(d.accounts, accountDemand{})
@@ -105,6 +105,9 @@
 	demand
 	// unlimited is the work of the jobs without an account, in core-seconds.
 	unlimited float64
+	// promoted are the starts of promoted jobs, and limited is memory for Work.
+	promoted demand
+	limited  []share.Limited
 }
 
 // count counts the waiting work of a job, unless it is served after another excess job, and what it runs.
@@ -144,17 +147,17 @@
 // core-seconds.
 func (b *Backlog) Work(cores int64) float64 {
 	unlimited, startable := b.unlimited, 0.0
-	var limited []share.Limited
+	b.limited = b.limited[:0]
 	for _, u := range b.accounts {
 		if u.held {
-			limited = append(limited, share.Limited{Work: u.work, Cores: u.cores})
+			b.limited = append(b.limited, share.Limited{Work: u.work, Cores: u.cores})
 			startable += u.startable
 		} else {
 			unlimited += u.work
 		}
 	}
 	// However short that takes, tasks that could start go first.
-	return max(share.WorkBefore(unlimited, limited, cores), unlimited+startable)
+	return max(share.WorkBefore(unlimited, b.limited, cores), unlimited+startable)
 }
 
 // Accept counts a job that was accepted since the order was computed, and returns the work of its tasks that could start
--- a/internal/jobs/assign/share.go
+++ b/internal/jobs/assign/share.go
@@ -14,7 +14,7 @@
 // OrderJobs returns jobs in the order in which they get capacity. cores is the size of the pool in
 // thousandths of a core, wall is in Unix time.
 func OrderJobs(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration) []*track.Job {
-	return order(jobs, settings, cores, wall, nil, nil, nil)
+	return order(jobs, settings, cores, wall, nil, nil)
 }
 
 // OrderShared is OrderJobs with accounts that are above their fair share, whose jobs go behind those of the
@@ -22,11 +22,19 @@
 // that is served before another excess job.
 func OrderShared(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool, isBlocked Blocked) ([]*track.Job, *Backlog) {
 	b := &Backlog{}
+	return b.Order(jobs, settings, cores, wall, above, isBlocked), b
+}
+
+// Order is OrderShared that reuses the memory of an earlier backlog.
+func (b *Backlog) Order(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool, isBlocked Blocked) []*track.Job {
 	b.reset(isBlocked)
-	return order(jobs, settings, cores, wall, above, isBlocked, b), b
+	b.promoted.reset(isBlocked)
+	b.unlimited = 0
+	return order(jobs, settings, cores, wall, above, b)
 }
 
-func order(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool, isBlocked Blocked, backlog *Backlog) []*track.Job {
+// order orders jobs and counts those that wait in a backlog, which is nil if there are no accounts.
+func order(jobs []*track.Job, settings func(*track.Job) *model.Queue, cores int64, wall time.Duration, above map[string]bool, backlog *Backlog) []*track.Job {
 	ranks := make([]rank, 0, len(jobs))
 	for _, j := range jobs {
 		r := rankOf(j, settings(j), wall)
@@ -37,7 +45,11 @@
 		}
 	}
 	slices.SortFunc(ranks, compareRanks)
-	if promoteUrgent(ranks, int64(promoteShare*float64(cores)), isBlocked) {
+	starts := &demand{}
+	if backlog != nil {
+		starts = &backlog.promoted
+	}
+	if promoteUrgent(ranks, int64(promoteShare*float64(cores)), starts) {
 		slices.SortFunc(ranks, compareRanks)
 	}
 	out := make([]*track.Job, len(ranks))
@@ -66,17 +78,16 @@
 
 // promoteUrgent promotes the late jobs that would soon be of no use, in order, as long as their
 // total need is at most cores, in thousandths. A job that its account's limit keeps from starting is not
-// promoted, since it would use up what other accounts' late jobs need. It reports whether it promoted any.
-func promoteUrgent(ranks []rank, cores int64, isBlocked Blocked) bool {
+// promoted, since it would use up what other accounts' late jobs need. starts counts what the promoted jobs of each
+// account may start. It reports whether it promoted any.
+func promoteUrgent(ranks []rank, cores int64, starts *demand) bool {
 	found := false
-	var starts demand // what the promoted jobs of each account may start
-	starts.reset(isBlocked)
 	for i := range ranks {
 		r := &ranks[i]
 		if r.class != late || r.laxity > promoteWithin {
 			continue
 		}
-		need, ok := neededCores(r.job, &starts)
+		need, ok := neededCores(r.job, starts)
 		if !ok {
 			continue
 		}
--- a/internal/jobs/share/admit.go
+++ b/internal/jobs/share/admit.go
@@ -51,7 +51,7 @@
 
 // WorkBefore returns the work that a pool of some cores, in thousandths, does before all waiting work is done that
 // limits don't hold back, in core-seconds. Meanwhile each limited account uses no more than its cores, so that
-// the rest of its work does not delay others.
+// the rest of its work does not delay others. It reorders limited.
 func WorkBefore(unlimited float64, limited []Limited, cores int64) float64 {
 	sum, total := unlimited, float64(cores)/1000
 	for _, a := range limited {
@@ -67,7 +67,6 @@
 		}
 		return a.Work * 1000 / float64(a.Cores)
 	}
-	limited = slices.Clone(limited)
 	slices.SortFunc(limited, func(a, b Limited) int { return cmp.Compare(alone(b), alone(a)) })
 	rate := total
 	for _, a := range limited {
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -297,13 +297,17 @@
 	above := l.shares.claims.Above(order.jobs, l.weightOf, capacity, l.isBlockedAfter)
 	order.above = maps.Clone(above)
 	load := &share.Load{Cores: usable.Cores, Full: share.IsFull(used, usable), At: l.now}
-	var backlog *assign.Backlog
-	order.jobs, backlog = assign.OrderShared(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
-	load.Waiting = backlog.Work(usable.Cores)
 	if l.shares.loads == nil {
 		l.shares.loads, l.shares.backlogs = map[string]*share.Load{}, map[string]*assign.Backlog{}
 	}
-	l.shares.loads[service], l.shares.backlogs[service] = load, backlog
+	backlog := l.shares.backlogs[service]
+	if backlog == nil {
+		backlog = &assign.Backlog{}
+		l.shares.backlogs[service] = backlog
+	}
+	order.jobs = backlog.Order(order.jobs, l.queueOf, cores, l.wall, above, l.isBlockedAfter)
+	load.Waiting = backlog.Work(usable.Cores)
+	l.shares.loads[service] = load
 }
 
 // settleExcess makes the oldest excess job of each account a regular one if the account has tokens to spare.
