assign: gangs that don't fit cost no search of all executors each

Placing a gang copied all executors, and a gang whose first member found no capacity discarded that knowledge. Only the executors that its members took are saved, and what is unfit without any member of the gang stays known. Decisions are the same.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -199,6 +199,8 @@
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
+	// undo are the slots of the gang that is being placed.
+	undo []savedSlot
 	// bounded is set if the bounds of suspects apply.
 	bounded bool
 	// unfit are amounts for which no executor has enough free capacity, or only suspects that hold as
@@ -305,27 +307,40 @@
 		p.allow.Yield(s)
 		return
 	}
-	saved := make([]slot, len(p.slots))
-	for i, sl := range p.slots {
-		saved[i] = *sl
-	}
 	n, savedUnfit := len(p.out), slices.Clone(p.unfit)
+	p.undo = p.undo[:0]
 	placed := runsByExecutor(s)
 	for _, t := range s.Tasks {
 		sl := p.bestSlot(s, t, placed)
 		if sl == nil {
-			p.out, p.unfit = p.out[:n], savedUnfit
-			for i, sl := range p.slots {
-				*sl = saved[i]
-			}
+			p.undoGang(n, savedUnfit)
 			p.allow.Yield(s)
 			return
 		}
+		p.undo = append(p.undo, savedSlot{sl, *sl})
 		p.placeTask(sl, s, t, placed, attempt+1)
 	}
 	p.allow.Take(s)
 }
 
+// savedSlot is a slot before a member of a gang was placed there.
+type savedSlot struct {
+	at    *slot
+	saved slot
+}
+
+// undoGang takes back the members of a gang that were placed after the first n starts, and what is known to be
+// unfit because of them. If there are none, that holds without the gang too, and spares the next gang a search.
+func (p *plan) undoGang(n int, unfit []model.Amount) {
+	if len(p.out) == n {
+		return
+	}
+	p.out, p.unfit = p.out[:n], unfit
+	for _, u := range slices.Backward(p.undo) {
+		*u.at = u.saved
+	}
+}
+
 // runsByExecutor counts the runs of a step on each executor.
 func runsByExecutor(s *track.Step) map[string]int {
 	placed := map[string]int{}
--- a/internal/jobs/assign/assign_test.go
+++ b/internal/jobs/assign/assign_test.go
@@ -368,3 +368,40 @@
 		assert.Equal(t, len(h.plan()) == 0, c.reserves, "permission %d", c.others)
 	}
 }
+
+// Guards against a gang without capacity that changes what is placed after it: members that are not taken back, or needs
+// that are taken for unfit because of them.
+func TestGangWithoutCapacityChangesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr, q := track.New(0), model.Queue{Name: "q", Service: "s", Attempts: 2}
+		var members []*execs.Member
+		for i := range rapid.IntRange(1, 6).Draw(t, "executors") {
+			members = append(members, &execs.Member{
+				Executor: model.Executor{Capacity: cores(16)}, Key: fmt.Sprint(i), Contact: execs.Live, Listed: true, Slowness: 1,
+				Used: cores(rapid.Int64Range(0, 16).Draw(t, "used")),
+			})
+		}
+		var all, others []*track.Job
+		for i := range rapid.IntRange(1, 12).Draw(t, "jobs") {
+			step := model.Step{Count: rapid.IntRange(1, 8).Draw(t, "tasks"), Need: cores(rapid.Int64Range(1, 12).Draw(t, "need")), Gang: rapid.Bool().Draw(t, "gang")}
+			step.MaxPerExecutor, step.LongRunning = rapid.IntRange(0, 2).Draw(t, "most"), !step.Gang && rapid.IntRange(0, 9).Draw(t, "lasts") == 0
+			all = append(all, tr.Accept(fmt.Sprint(i), q, model.JobSpec{Repeats: 1, Steps: []model.Step{step}}, 0, 0))
+		}
+		plan := func(jobs []*track.Job) (starts []string, placed map[*track.Job]bool) {
+			placed = map[*track.Job]bool{}
+			for _, st := range Plan(jobs, members, Unrestricted, nil, nil, 0, 1000) {
+				starts = append(starts, fmt.Sprint(st.Task.ID, st.Member.Key))
+				placed[st.Task.Step.Occ.Job] = true
+			}
+			return starts, placed
+		}
+		with, placed := plan(all)
+		for _, j := range all {
+			if placed[j] || !j.Open[0].Steps[0].Gang {
+				others = append(others, j)
+			}
+		}
+		without, _ := plan(others)
+		assert.DeepEqual(t, with, without)
+	})
+}
