--- a/internal/jobs/assign/bench_test.go
+++ b/internal/jobs/assign/bench_test.go
@@ -88,7 +88,7 @@
 	return out, members, c.Indexed(), ledger
 }
 
-var limitedSizes = []struct{ accounts, jobs int }{{20, 2000}, {200, 2000}, {2000, 2000}, {20, 8000}, {2000, 8000}}
+var limitedSizes = []struct{ accounts, jobs int }{{20, 2000}, {200, 2000}, {2000, 2000}, {20, 4000}, {20, 8000}, {20, 16000}, {2000, 8000}}
 
 // BenchmarkOrderLimited measures the order and the backlog with limits in force.
 func BenchmarkOrderLimited(b *testing.B) {
