--- a/internal/jobs/assign/share.go
+++ b/internal/jobs/assign/share.go
@@ -141,7 +141,8 @@
 
 // Above returns the accounts that use clearly more than their fair share of a pool, which weights and the
 // needs of the pool's jobs determine. What an account's limit keeps from starting is no need, and what
-// long-running tasks and jobs without an account use is not divided. The result is valid until the next call, and nil if no job has an account.
+// long-running tasks and jobs without an account use is not divided. The result is valid until the next call,
+// and nil if no job has an account.
 func (c *Claims) Above(jobs []*track.Job, weight func(account string) float64, capacity model.Amount, isBlocked Blocked) map[string]bool {
 	if c.above == nil {
 		c.above = map[string]bool{}
