--- a/internal/proof/crowd/rig_test.go
+++ b/internal/proof/crowd/rig_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/fake/local"
+	"chervilgauge.example/chervilgauge/internal/proof/built"
 	"chervilgauge.example/chervilgauge/platform"
 	"chervilgauge.example/chervilgauge/platform/fake"
 )
@@ -42,20 +43,7 @@
 // programPath is the path of the program under test, which TestMain builds.
 var programPath string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "crowd")
-	if err != nil {
-		panic(err)
-	}
-	programPath = filepath.Join(dir, "chervilgauge")
-	out, err := exec.Command("go", "build", "-o", programPath, "../../../cmd/chervilgauge").CombinedOutput()
-	if err != nil {
-		panic(string(out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { built.Main(m, &programPath) }
 
 // rig is a simulated platform and one entry, which leads, as a process.
 type rig struct {
--- a/internal/proof/procs/cluster_test.go
+++ b/internal/proof/procs/cluster_test.go
@@ -24,6 +24,7 @@
 
 	"chervilgauge.example/chervilgauge/internal/bench/inproc"
 	"chervilgauge.example/chervilgauge/internal/fake/local"
+	"chervilgauge.example/chervilgauge/internal/proof/built"
 	"chervilgauge.example/chervilgauge/internal/wire/opspb"
 	"chervilgauge.example/chervilgauge/internal/wire/recpb"
 )
@@ -31,20 +32,7 @@
 // programPath is the path of the program under test, which TestMain builds.
 var programPath string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "procs")
-	if err != nil {
-		panic(err)
-	}
-	programPath = filepath.Join(dir, "chervilgauge")
-	out, err := exec.Command("go", "build", "-o", programPath, "../../../cmd/chervilgauge").CombinedOutput()
-	if err != nil {
-		panic(string(out))
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { built.Main(m, &programPath) }
 
 // process is a running process of the program under test.
 type process struct {
