--- a/internal/serve/agent/config.go
+++ b/internal/serve/agent/config.go
@@ -8,9 +8,12 @@
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
+	"chervilgauge.example/chervilgauge/internal/serve/front"
+	"chervilgauge.example/chervilgauge/internal/serve/orders"
 	"chervilgauge.example/chervilgauge/internal/serve/peers"
 	"chervilgauge.example/chervilgauge/internal/serve/relay"
 	"chervilgauge.example/chervilgauge/internal/watch/links"
+	"chervilgauge.example/chervilgauge/platform"
 )
 
 const (
@@ -61,38 +64,57 @@
 	if elected.Addr == "" || elected.IsSelf {
 		return
 	}
-	sent := a.clk.Now()
-	// Without a name, the request does not count as a poll of a follower.
-	d, err := a.configClient.Digest(ctx, elected.Addr, relay.Follower{Version: version, Rank: elect.Rank(a.settings.Cores)})
-	if err != nil {
+	err := FetchConfig(a.orders, a.clk, func() (relay.Digest, error) {
+		// Without a name, the request does not count as a poll of a follower.
+		return a.configClient.Digest(ctx, elected.Addr, relay.Follower{Version: version, Rank: elect.Rank(a.settings.Cores)})
+	})
+	switch {
+	case platform.ErrFormat.Has(err):
+		a.log.Error().Err(err).Msg("configuration from the leader can't be decoded")
+	case err != nil:
 		a.log.Debug().Err(err).Msg("requesting the configuration from the leader failed")
-		return
 	}
-	a.applyConfig(d, sent)
 }
 
-// applyConfig puts the configuration in an answer into force. It then extends the view of the
+// FetchConfig asks another entry for its digest and applies the configuration and the view in it.
+func FetchConfig(o *orders.Orders, clk clock.Clock, ask func() (relay.Digest, error)) error {
+	sent := clk.Now()
+	d, err := ask()
+	if err != nil {
+		return err
+	}
+	return applyDigest(o, d, sent)
+}
+
+// applyDigest puts the configuration in an answer into force. It then extends the view of the
 // configuration by the answer's, whose age counts from when the request was sent: the answer may be late.
-func (a *Agent) applyConfig(d relay.Digest, sent time.Duration) {
+func applyDigest(o *orders.Orders, d relay.Digest, sent time.Duration) error {
 	if len(d.Config) > 0 {
-		if err := a.orders.SetConfig(d.Config); err != nil {
-			a.log.Error().Err(err).Msg("configuration from the leader can't be decoded")
-			return
+		if err := o.SetConfig(d.Config); err != nil {
+			return err
 		}
 	}
 	if d.HasView {
-		a.orders.ExtendView(sent - d.ViewAge)
+		o.ExtendView(sent - d.ViewAge)
 	}
+	return nil
 }
 
-// configDigest returns a digest with the age of this entry's view, and with its configuration if that is
+// ConfigDigest returns a digest with the age of an entry's view, and with its configuration if that is
 // above a version.
-func (a *Agent) configDigest(version int64) relay.Digest {
+func ConfigDigest(o *orders.Orders, version int64) relay.Digest {
 	var out relay.Digest
 	// The age comes first, so that the configuration is at least as new as the age says.
-	out.ViewAge, out.HasView = a.orders.ViewAge()
-	if a.configVersion() > version {
-		out.Config = a.orders.RawConfig()
+	out.ViewAge, out.HasView = o.ViewAge()
+	if c := o.Config(); c != nil && c.Version > version {
+		out.Config = o.RawConfig()
 	}
 	return out
 }
+
+// ViewOf returns the configuration in force and the age of the view of it.
+func ViewOf(o *orders.Orders, b platform.Bounds) front.View {
+	// The age comes first, so that the configuration is at least as new as the age says.
+	age, ok := o.ViewAge()
+	return front.View{Config: o.Config(), Age: age, HasAge: ok, Strict: b.StrictRevoke, Revoke: b.Revoke}
+}
--- a/internal/serve/agent/route.go
+++ b/internal/serve/agent/route.go
@@ -51,9 +51,7 @@
 
 // View returns the configuration in force and the age of the view of it.
 func (a *Agent) View() front.View {
-	// The age comes first, so that the configuration is at least as new as the age says.
-	age, ok := a.orders.ViewAge()
-	return front.View{Config: a.orders.Config(), Age: age, HasAge: ok, Strict: a.settings.Bounds.StrictRevoke, Revoke: a.settings.Bounds.Revoke}
+	return ViewOf(a.orders, a.settings.Bounds)
 }
 
 // Submit has a job stored by the leader, or stores a leaderless record if there is no leader. While
@@ -318,7 +316,7 @@
 		}
 	}
 	elected := a.elector.Leader()
-	out := a.configDigest(f.Version)
+	out := ConfigDigest(a.orders, f.Version)
 	out.Token, out.Addr = elected.Token, elected.Addr
 	l := a.localLeader()
 	if l == nil {
--- a/internal/serve/agent/view_rapid_test.go
+++ b/internal/serve/agent/view_rapid_test.go
@@ -114,7 +114,7 @@
 	case !m.isDone && m.isRead:
 		m.version = len(s.versions) - 1
 	case !m.isDone:
-		m.fromLeader = s.entries[0].configDigest(e.configVersion())
+		m.fromLeader = ConfigDigest(s.entries[0].orders, e.configVersion())
 	default:
 		s.messages = append(s.messages[:i], s.messages[i+1:]...)
 		if e.life == m.life {
@@ -127,7 +127,7 @@
 
 func (s *keySim) answer(m *simMessage, e *simEntry) {
 	if !m.isRead {
-		e.applyConfig(m.fromLeader, m.sentLocal)
+		assert.NilError(s.t, applyDigest(e.orders, m.fromLeader, m.sentLocal))
 	} else {
 		// As Orders does with the records of a read.
 		assert.NilError(s.t, e.orders.SetConfig(s.encoded(m.version)))
--- a/internal/serve/orders/orders.go
+++ b/internal/serve/orders/orders.go
@@ -31,6 +31,12 @@
 	retryPause = 100 * time.Millisecond
 )
 
+// Store is the part of the platform's store that Orders read, see platform.Client.
+type Store interface {
+	Newest(ctx context.Context, topic string, part int, after string, stall time.Duration) ([]platform.Record, bool, int64, error)
+	Read(ctx context.Context, topic string, part int, from int64, wait, stall time.Duration) ([]platform.Record, int64, error)
+}
+
 // Wave is a wave that an operator ordered.
 type Wave struct {
 	model.Wave
@@ -40,7 +46,7 @@
 
 // Orders holds the operators' orders read so far. It is safe for concurrent use.
 type Orders struct {
-	client *platform.Client
+	client Store
 	log    zerolog.Logger
 	clk    clock.Clock
 
@@ -73,7 +79,7 @@
 }
 
 // Start follows the operators' orders until Close.
-func Start(ctx context.Context, c *platform.Client, clk clock.Clock, log zerolog.Logger) *Orders {
+func Start(ctx context.Context, c Store, clk clock.Clock, log zerolog.Logger) *Orders {
 	ctx, cancel := context.WithCancel(ctx)
 	o := &Orders{client: c, log: log, clk: clk, waves: map[int64]Wave{}, moved: map[string]map[string]time.Duration{}, cancel: cancel, done: make(chan struct{})}
 	go o.run(ctx)
@@ -116,13 +122,13 @@
 		var err error
 		begin := o.clk.Now()
 		if !ok {
-			from, err = o.readAll(ctx)
+			from, err = o.ReadAll(ctx)
 		} else {
 			wait := readWait
 			if slow {
 				wait = 0
 			}
-			from, err = o.readNext(ctx, from, wait)
+			from, err = o.ReadNext(ctx, from, wait)
 		}
 		slow = err != nil || slow && o.clk.Now()-begin > slowAnswer
 		ok = err == nil
@@ -146,8 +152,9 @@
 	}
 }
 
-// readAll reads the newest record of each key. It returns the offset from which reading continues.
-func (o *Orders) readAll(ctx context.Context) (int64, error) {
+// ReadAll reads the newest record of each key. It returns the offset from which reading continues. Only the
+// reader, or the caller of Restore, may call it.
+func (o *Orders) ReadAll(ctx context.Context) (int64, error) {
 	from, after, sent := int64(-1), "", o.clk.Now()
 	o.hasBehind = false
 	for {
@@ -173,11 +180,11 @@
 	}
 }
 
-// readNext reads the records from an offset on, or waits for one, and returns the offset from which reading
-// continues.
+// ReadNext reads the records from an offset on, or waits for one, and returns the offset from which reading
+// continues. Only the reader, or the caller of Restore, may call it.
 // The store may answer with a part of the records; the view is extended to a read once the end that it
 // reported is reached. Reads may never reach their own end while much is written.
-func (o *Orders) readNext(ctx context.Context, from int64, wait time.Duration) (int64, error) {
+func (o *Orders) ReadNext(ctx context.Context, from int64, wait time.Duration) (int64, error) {
 	sent := o.clk.Now()
 	rs, end, err := o.client.Read(ctx, platform.OperatorTopic, 0, from, wait, readWait+readStall-wait)
 	if err != nil {
--- a/internal/serve/orders/orders_test.go
+++ b/internal/serve/orders/orders_test.go
@@ -29,9 +29,9 @@
 	}
 	o := &Orders{client: c, log: zerolog.Nop(), clk: clock.NewFake(time.Unix(0, 0)), waves: map[int64]Wave{}}
 	read := func() int64 {
-		_, err := o.readAll(context.Background())
+		_, err := o.ReadAll(context.Background())
 		assert.NilError(t, err)
-		_, err = o.readNext(context.Background(), 0, readWait)
+		_, err = o.ReadNext(context.Background(), 0, readWait)
 		assert.NilError(t, err)
 		return o.Config().Version
 	}
--- a/internal/serve/orders/view.go
+++ b/internal/serve/orders/view.go
@@ -8,7 +8,12 @@
 // viewTime is the moment as of which the configuration in force is known to be the newest one. The
 // zero value has no such moment. It is safe for concurrent use.
 type viewTime struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	viewState
+}
+
+// viewState is the state of a viewTime.
+type viewState struct {
 	asOf  time.Duration
 	known bool
 	// hasGap is set while configurations may have been missed that were in the store at gapAt.
--- a/internal/serve/orders/view_test.go
+++ b/internal/serve/orders/view_test.go
@@ -76,13 +76,13 @@
 	r.put(platform.ConfigKey, `{"version":1}`)
 	_, ok := r.ViewAge()
 	assert.Assert(t, !ok)
-	from, err := r.readAll(context.Background())
+	from, err := r.ReadAll(context.Background())
 	assert.NilError(t, err)
 	r.assertAge(answerTime)
 	r.clk.Advance(time.Hour) // the entry is suspended
 	r.assertAge(time.Hour + answerTime)
 	r.put(platform.ConfigKey, `{"version":2}`)
-	_, err = r.readNext(context.Background(), from, readWait)
+	_, err = r.ReadNext(context.Background(), from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(answerTime)
 	r.ExtendView(r.clk.Now() - time.Second)
@@ -102,35 +102,35 @@
 	}
 	r.put(platform.ConfigKey, `{"version":1}`)
 	r.failAfter = 1
-	_, err := r.readAll(ctx)
+	_, err := r.ReadAll(ctx)
 	assert.Assert(t, err != nil)
 	_, ok := r.ViewAge()
 	assert.Assert(t, !ok, "only the first page was read")
 
 	r.failAfter = 0
-	from, err := r.readNext(ctx, 0, readWait)
+	from, err := r.ReadNext(ctx, 0, readWait)
 	assert.NilError(t, err)
 	assert.Assert(t, from < keys+1)
 	_, ok = r.ViewAge()
 	assert.Assert(t, !ok, "a part of the records was read")
 	for from < keys+1 {
-		from, err = r.readNext(ctx, from, readWait)
+		from, err = r.ReadNext(ctx, from, readWait)
 		assert.NilError(t, err)
 	}
 	r.assertAge(answerTime)
 
 	r.put(platform.ConfigKey, `{"version":2}`)
 	r.store.Set(fake.Faults{Busy: true})
-	_, err = r.readNext(ctx, from, readWait)
+	_, err = r.ReadNext(ctx, from, readWait)
 	assert.Assert(t, err != nil)
 	r.assertAge(2 * answerTime)
 	r.store.Set(fake.Faults{})
 	r.store.Truncate(platform.OperatorTopic, 0)
-	_, err = r.readNext(ctx, from, readWait)
+	_, err = r.ReadNext(ctx, from, readWait)
 	gone := (*platform.GoneError)(nil)
 	assert.Assert(t, errors.As(err, &gone))
 	r.assertAge(3 * answerTime)
-	_, err = r.readAll(ctx)
+	_, err = r.ReadAll(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, r.Config().Version, int64(2))
 	r.assertAge(2 * answerTime) // two pages
@@ -142,14 +142,14 @@
 	r := newViewRig(t)
 	const key = "the-key-of-an-account"
 	r.put(platform.ConfigKey, `{"version":1,"tenants":[{"name":"a","api_keys":["`+key+`"]}]}`)
-	from, err := r.readAll(context.Background())
+	from, err := r.ReadAll(context.Background())
 	assert.NilError(t, err)
 	for i, accounts := range []string{
 		`[{"name":"a","api_keys":["` + key + `","` + key + `"]}]`, `[{"name":"a","API_KEYS":["` + key + `"]}]`,
 		`[{"name":"a","api_keys":"` + key + `"}]`, `["` + key + `"]`, `"` + key, `{"` + key + `":1}`,
 	} {
 		r.put(platform.ConfigKey, fmt.Sprintf(`{"version":%d,"tenants":%s}`, i+2, accounts))
-		from, err = r.readNext(context.Background(), from, readWait)
+		from, err = r.ReadNext(context.Background(), from, readWait)
 		assert.NilError(t, err)
 		assert.Equal(t, strings.Count(r.log.String(), "can't be decoded"), i+1)
 		r.assertAge(answerTime)
@@ -171,24 +171,24 @@
 	ctx := context.Background()
 	r := newViewRig(t)
 	r.put(platform.ConfigKey, `{"version":1,"tenants":[{"name":"a","api_keys":["k"]}]}`)
-	from, err := r.readAll(ctx)
+	from, err := r.ReadAll(ctx)
 	assert.NilError(t, err)
 	r.put(platform.ConfigKey, `{"version":2,"tenants":[{"name":"a","api_keys":["other"]}]}`)
 	r.put(platform.ConfigKey, faulty)
 	r.store.Compact()
-	_, err = r.readNext(ctx, from, readWait)
+	_, err = r.ReadNext(ctx, from, readWait)
 	gone := (*platform.GoneError)(nil)
 	assert.Assert(t, errors.As(err, &gone))
-	from, err = r.readAll(ctx)
+	from, err = r.ReadAll(ctx)
 	assert.NilError(t, err)
 	r.assertAge(3 * answerTime)
 	assert.Assert(t, r.MayLackConfig())
-	_, err = r.readNext(ctx, from, readWait)
+	_, err = r.ReadNext(ctx, from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(4 * answerTime)
 
 	started := &Orders{client: r.client, log: zerolog.Nop(), clk: r.clk, waves: map[int64]Wave{}}
-	from, err = started.readAll(ctx)
+	from, err = started.ReadAll(ctx)
 	assert.NilError(t, err)
 	_, ok := started.ViewAge()
 	assert.Assert(t, !ok && started.MayLackConfig())
@@ -199,15 +199,15 @@
 	started.ExtendView(r.clk.Now())
 	assert.Assert(t, !started.MayLackConfig())
 	r.store.Compact()
-	from, err = started.readNext(ctx, from, readWait)
+	from, err = started.ReadNext(ctx, from, readWait)
 	assert.NilError(t, err)
-	_, err = started.readAll(ctx)
+	_, err = started.ReadAll(ctx)
 	assert.NilError(t, err)
 	age, _ := started.ViewAge()
 	assert.Equal(t, age, answerTime, "nothing was missed")
 
 	r.put(platform.ConfigKey, `{"version":4}`)
-	_, err = r.readNext(ctx, from, readWait)
+	_, err = r.ReadNext(ctx, from, readWait)
 	assert.NilError(t, err)
 	r.assertAge(answerTime)
 	assert.Assert(t, !r.MayLackConfig())
@@ -218,7 +218,7 @@
 func TestViewIsExtendedWhileReadsDontReachTheEnd(t *testing.T) {
 	ctx := context.Background()
 	r := newViewRig(t)
-	from, err := r.readAll(ctx)
+	from, err := r.ReadAll(ctx)
 	assert.NilError(t, err)
 	large := strings.Repeat("x", 600<<10) // two records are an answer
 	for i := range 30 {
@@ -228,7 +228,7 @@
 		if i == 0 {
 			r.put("other/", large)
 		}
-		next, err := r.readNext(ctx, from, readWait)
+		next, err := r.ReadNext(ctx, from, readWait)
 		assert.NilError(t, err)
 		assert.Equal(t, next, from+2)
 		from = next
--- a/internal/serve/relay/fuzz_test.go
+++ b/internal/serve/relay/fuzz_test.go
@@ -24,7 +24,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if r := (&workpb.DigestReply{}); proto.Unmarshal(data, r) == nil {
-			d := decodeDigest(r)
+			d := DecodeDigest(r)
 			assert.Equal(t, d.Pending != nil, r.GetCounted())
 			assert.Assert(t, d.ViewAge >= 0 && d.HasView == (r.GetView() > 0))
 			assert.Assert(t, d.LeaseAge >= 0 && d.PollInterval >= 0 && d.PollInterval <= maxPollInterval)
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -147,6 +147,11 @@
 	d := s.handler.Digest(ctx, Follower{
 		Name: a.GetName(), Addr: a.GetAddr(), Version: a.GetVersion(), Rank: int(a.GetPlace()), Centre: a.GetZone(), Leaving: a.GetLeaving(),
 	})
+	return EncodeDigest(d), nil
+}
+
+// EncodeDigest encodes a digest.
+func EncodeDigest(d Digest) *workpb.DigestReply {
 	out := &workpb.DigestReply{
 		Leads: d.Leads, Token: d.Token, Age: uint32(d.LeaseAge.Milliseconds()), Config: d.Config, Addr: d.Addr,
 		Counted: d.Pending != nil, Pause: uint32(d.PollInterval.Milliseconds()), View: encodeView(d.ViewAge, d.HasView),
@@ -154,7 +159,7 @@
 	for q, n := range d.Pending {
 		out.Backlog = append(out.Backlog, &workpb.Backlog{Queue: q, N: uint32(n)})
 	}
-	return out, nil
+	return out
 }
 
 // encodeView encodes the age of a view as milliseconds, rounded up, plus 1. No view, and one that is too
@@ -248,14 +253,15 @@
 	if err != nil {
 		return Digest{}, Err.Wrap(err)
 	}
-	return decodeDigest(r), nil
+	return DecodeDigest(r), nil
 }
 
 // maxPollInterval bounds the time between two polls. A leader asks for at most 1 s, and an entry that
 // polls more rarely detects too late that its leader has failed.
 const maxPollInterval = 2 * time.Second
 
-func decodeDigest(r *workpb.DigestReply) Digest {
+// DecodeDigest decodes a digest.
+func DecodeDigest(r *workpb.DigestReply) Digest {
 	d := Digest{
 		Leads: r.GetLeads(), Token: r.GetToken(), LeaseAge: time.Duration(r.GetAge()) * time.Millisecond,
 		Config: r.GetConfig(), Addr: r.GetAddr(), PollInterval: min(time.Duration(r.GetPause())*time.Millisecond, maxPollInterval),
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -26,9 +26,9 @@
 // Guards against an entry that ends because a digest has pending jobs but says that they were not
 // counted: they were written to a nil map.
 func TestUncountedPendingJobsAreIgnored(t *testing.T) {
-	d := decodeDigest(&workpb.DigestReply{Leads: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
+	d := DecodeDigest(&workpb.DigestReply{Leads: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
 	assert.Assert(t, d.Pending == nil)
-	d = decodeDigest(&workpb.DigestReply{Counted: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
+	d = DecodeDigest(&workpb.DigestReply{Counted: true, Backlog: []*workpb.Backlog{{Queue: "q", N: 3}}})
 	assert.Equal(t, d.Pending["q"], 3)
 }
 
@@ -46,10 +46,10 @@
 // that sends none: one of an earlier version, or without a view.
 func TestViewAgesAreRoundedUp(t *testing.T) {
 	for _, age := range []time.Duration{0, 1, time.Millisecond, time.Millisecond + 1, 5 * time.Second} {
-		d := decodeDigest(&workpb.DigestReply{View: encodeView(age, true)})
+		d := DecodeDigest(&workpb.DigestReply{View: encodeView(age, true)})
 		assert.Assert(t, d.HasView && d.ViewAge >= age && d.ViewAge < age+time.Millisecond, "%v %v", age, d.ViewAge)
 	}
 	for _, view := range []uint32{encodeView(time.Second, false), encodeView(math.MaxInt64, true), 0} {
-		assert.Assert(t, !decodeDigest(&workpb.DigestReply{View: view}).HasView)
+		assert.Assert(t, !DecodeDigest(&workpb.DigestReply{View: view}).HasView)
 	}
 }
