orders: a leader's view ends a gap only if it is certainly later

A new process whose list of records has a configuration that can't be decoded in place of the one that removed a key waits for a leader's view of after that. The age of the leader's view is wrong by the difference between the rates of the clocks, so that a view from just before the removal could appear to be later: after that, reads extended the view of a configuration with the removed key. Found by the model check of revocation.

TestMissedConfigurationsStopTheView took a view of the same instant as the gap for later; such a view does not show what was written before the gap. The test now also requires that this and a view that a slow clock makes 3 ms later don't end the gap; it failed before the change.

--- a/internal/serve/orders/view.go
+++ b/internal/serve/orders/view.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// rateShare is the share of the age of another entry's view by which that may be wrong: the clocks of both
+// have rates that differ by less than 0.1%.
+const rateShare = 500
+
 // viewTime is the moment as of which the configuration in force is known to be the newest one. The
 // zero value has no such moment. It is safe for concurrent use.
 type viewTime struct {
@@ -22,11 +26,11 @@
 }
 
 // extend moves the moment forward, and never back: answers can arrive in another order than they were
-// requested. It ends a gap that began before.
-func (v *viewTime) extend(asOf time.Duration) {
+// requested. It ends a gap that certainly began before.
+func (v *viewTime) extend(asOf, now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.hasGap = v.hasGap && asOf < v.gapAt
+	v.hasGap = v.hasGap && asOf-(now-asOf)/rateShare <= v.gapAt
 	v.extendLocked(asOf)
 }
 
@@ -79,7 +83,7 @@
 
 // ExtendView records that the configuration in force was the newest one at a time on the entry's clock.
 // It has no effect if this is known of a later time.
-func (o *Orders) ExtendView(asOf time.Duration) { o.view.extend(asOf) }
+func (o *Orders) ExtendView(asOf time.Duration) { o.view.extend(asOf, o.clk.Now()) }
 
 // MayLackConfig reports whether the newest configuration in the store can't be decoded and an earlier one
 // may have been missed, so that reads of the store don't extend the view.
--- a/internal/serve/orders/view_test.go
+++ b/internal/serve/orders/view_test.go
@@ -196,6 +196,12 @@
 	started.ExtendView(r.clk.Now() - time.Second)
 	assert.Assert(t, started.MayLackConfig())
 	assert.NilError(t, started.SetConfig([]byte(`{"version":2}`)))
+	// So doesn't one that is of the time of the gap or appears to be later only by the rate of a slow clock.
+	started.ExtendView(r.clk.Now())
+	assert.Assert(t, started.MayLackConfig())
+	r.clk.Advance(3 * time.Second)
+	started.ExtendView(r.clk.Now() - 3*time.Second + 3*time.Millisecond)
+	assert.Assert(t, started.MayLackConfig())
 	started.ExtendView(r.clk.Now())
 	assert.Assert(t, !started.MayLackConfig())
 	r.store.Compact()
