proof: model check of revocation in strict mode

The explorer of the leadership model now searches any state type. KeyModel restores an entry's orders for each step and runs the product's reads, requests to the leader, digests and checks of keys: a key that was removed 5 s before a call is sent is never accepted, a valid one is accepted with recent knowledge, and versions don't go back.

--- a/internal/proof/built/built.go
+++ b/internal/proof/built/built.go
@@ -8,8 +8,8 @@
 	"testing"
 )
 
-// Main builds the program from a directory two levels below internal, sets path to where it is, runs the tests and
-// ends the process with their exit code. It removes the program before.
+// Main builds the program and sets path to its path, runs the tests and removes the program, and ends the process
+// with the tests' exit code. The package under test must be two levels below internal.
 func Main(m *testing.M, path *string) {
 	dir, err := os.MkdirTemp("", "chervilgauge")
 	if err != nil {
--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -175,7 +175,7 @@
 }
 
 // Breach is a set of broken promises.
-type Breach uint8
+type Breach uint16
 
 // Promises that can be broken.
 const (
@@ -193,12 +193,18 @@
 	Denied
 	// Quota is more running tasks of an account than its limit.
 	Quota
+	// Removed is a call that is accepted with a key, although it was sent after its removal had to be in force.
+	Removed
+	// Unserved is a call that is refused with a valid key, although the entry's view is recent enough.
+	Unserved
+	// Reverted is an older configuration in force than before in the same process.
+	Reverted
 )
 
 // String returns the names of the promises.
 func (b Breach) String() string {
 	var out []string
-	for i, s := range [...]string{"twice", "fence", "lost", "refused", "early", "denied", "quota"} {
+	for i, s := range [...]string{"twice", "fence", "lost", "refused", "early", "denied", "quota", "removed", "unserved", "reverted"} {
 		if b&(1<<i) != 0 {
 			out = append(out, s)
 		}
@@ -236,32 +242,40 @@
 
 // Search visits all states breadth-first, until a promise is broken.
 func (m *Model) Search() Result {
-	first := m.initial()
-	index := map[state]struct{}{first: {}}
+	normalize := func(s *state) {
+		m.normalize(s)
+		s.broken &^= m.unchecked
+	}
+	return explore(m.initial(), m.limits.States, m.expand, normalize, func(s *state) Breach { return s.broken })
+}
+
+// explore visits all states that expand leads to, breadth-first, until one is a breach or there are more than
+// limit of them, 0 for no limit. broken returns the promises that a new, normalized state breaks.
+func explore[S comparable](first S, limit int, expand func(S, func(step, S)), normalize func(*S), broken func(*S) Breach) Result {
+	index := map[S]struct{}{first: {}}
 	origins := []origin{{parent: -1}}
-	level, levelAt := []state{first}, 0
+	level, levelAt := []S{first}, 0
 	res := Result{Seen: map[string]int{}}
 	for len(level) > 0 && res.Breach == 0 {
-		if m.limits.States > 0 && len(origins) > m.limits.States {
+		if limit > 0 && len(origins) > limit {
 			break
 		}
-		var next []state
+		var next []S
 		nextAt := len(origins)
 		for i, s := range level {
-			m.expand(s, func(by step, n state) {
+			expand(s, func(by step, n S) {
 				if res.Breach != 0 {
 					return
 				}
 				res.Seen[by.name]++
-				m.normalize(&n)
-				n.broken &^= m.unchecked
+				normalize(&n)
 				if _, ok := index[n]; ok {
 					return
 				}
 				index[n] = struct{}{}
 				origins = append(origins, origin{levelAt + i, by})
 				next = append(next, n)
-				res.Breach = n.broken
+				res.Breach = broken(&n)
 			})
 			if res.Breach != 0 {
 				break
