execs, leader: restarts that end runs are evidence against an executor

An executor that restarts under its id again and again lost its runs each time and left no evidence for the bound on suspects. A restart without a planned cause now counts as a fault that later incarnations inherit. A single crash makes no suspect, and restarts of many executors of a data centre at once count for none of them. Long-running tasks prefer executors that don't keep restarting.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -346,6 +346,9 @@
 	slownessWeight = 2.0
 	// pastBoundWeight is the cost of a long-running task on a suspect that holds as many runs as it may.
 	pastBoundWeight = 10.0
+	// flapWeight is the cost of a long-running task on an executor that keeps restarting. The task would
+	// be interrupted at each restart, which is worse than any poor spread or slowness.
+	flapWeight = 10.0
 	// rareLabelWeight keeps work that needs no label off executors with a label that other work
 	// needs. It outweighs packing where a quarter of the instances or fewer have the label.
 	rareLabelWeight = 1.4
@@ -415,6 +418,9 @@
 				// The bound is for runs that end, and must not delay the restart of a serving task.
 				cost += pastBoundWeight
 			}
+			if sl.m.Flaps(p.now) {
+				cost += flapWeight
+			}
 		}
 		if s.Rack != "" && s.Rack != sl.m.Rack {
 			cost += otherRackWeight
--- a/internal/jobs/execs/member.go
+++ b/internal/jobs/execs/member.go
@@ -66,6 +66,7 @@
 	quarantine    time.Duration
 	failedJobs    []string
 	probation     probation
+	restarts      restarts
 	// shortRuns is the number of runs there that don't last until they are cancelled.
 	shortRuns int
 }
--- a/internal/jobs/execs/suspect.go
+++ b/internal/jobs/execs/suspect.go
@@ -145,15 +145,9 @@
 	}
 }
 
-// Inherit takes over the probation of the executor's former incarnation. Jobs are not remembered: the
-// restart may have ended the fault.
-func (m *Member) Inherit(former *Member) {
-	if !former.IsSuspect() {
-		return
-	}
-	p := former.probation
-	m.probation = probation{runs: p.runs, faults: p.faults, bound: firstBound}
+// RecordLapse records that the leases of runs there expired without an answer, and returns the weight of
+// that fault.
+func (m *Member) RecordLapse() float64 {
+	m.probation.fail("", lapseFault)
+	return lapseFault
 }
-
-// RecordLapse records that the leases of runs there expired without an answer.
-func (m *Member) RecordLapse() { m.probation.fail("", lapseFault) }
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -72,6 +72,10 @@
 	missingLists int
 	// startsInFlight counts unanswered starts; an instance with any of them is not drained yet.
 	startsInFlight int
+	// lost is the number of its runs that were given up since its last answer, and lostFault the weight
+	// of the faults that were recorded for that.
+	lost      int
+	lostFault float64
 	// reportOffset is the offset of the newest report of its id that was applied.
 	reportOffset int64
 }
@@ -173,7 +177,7 @@
 		if old != nil && old.StartMillis > e.StartMillis {
 			return // a late report of an earlier incarnation
 		}
-		m = &member{Member: execs.Member{Key: key, Slowness: 1}, firstListed: l.now, visible: l.isSole()}
+		m = &member{Member: execs.Member{Executor: model.Executor{ID: e.ID}, Key: key, Slowness: 1}, firstListed: l.now, visible: l.isSole()}
 		l.members[key] = m
 		l.byService = nil
 		l.queuePoll(m)
@@ -214,6 +218,7 @@
 	if m.Contact == execs.Dead {
 		return
 	}
+	l.countLost(m)
 	m.Contact = execs.Dead
 	m.Listed = false
 	l.byService = nil
@@ -270,11 +275,13 @@
 	next.fenceRaises, next.reportOffset = max(next.fenceRaises, old.fenceRaises+1), max(next.reportOffset, old.reportOffset)
 	// A deadline on the clock of the former incarnation grants up to the longest lease.
 	next.leaseEnd = max(next.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
+	l.countLost(old)
 	for r := range l.tracker.RunsOn(old.Key) {
 		l.tracker.MoveRun(r, next.Key, l.now)
 		next.AddRun(r.Task.Step)
 	}
 	next.Inherit(&old.Member)
+	l.recordRestart(old, next)
 	l.markDead(old, "it restarted")
 }
 
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -127,6 +127,8 @@
 	// window limits the starts in flight, and windowLogged is when a lower limit was last logged.
 	window       window.Window
 	windowLogged time.Duration
+	// restarts are the last unplanned restarts that ended runs, oldest first.
+	restarts []restart
 	// nextSweep is when all runs and leases are checked next.
 	nextSweep   time.Duration
 	nextPurge   time.Duration
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -150,6 +150,7 @@
 		l.planDue[m.Service] = true
 	}
 	m.Contact, m.pollFailures = execs.Live, 0
+	m.lost, m.lostFault = 0, 0
 	m.clock, m.clockAt = ev.list.Clock, l.now
 	m.confirmedSeq = max(m.confirmedSeq, ev.ackedSeq)
 	if ev.sent >= m.restartSeenAt {
--- a/internal/serve/leader/suspect.go
+++ b/internal/serve/leader/suspect.go
@@ -42,8 +42,9 @@
 	if !m.adopted {
 		return // it has never answered this leader
 	}
+	l.countLost(m)
 	was := m.IsSuspect()
-	m.RecordLapse()
+	m.lostFault += m.RecordLapse()
 	l.noteSuspect(m, was, "its leases expired")
 }
 
