--- a/internal/jobs/execs/restart.go
+++ b/internal/jobs/execs/restart.go
@@ -66,15 +66,17 @@
 func (m *Member) Flaps(now time.Duration) bool { return now < m.restarts.flapsUntil }
 
 // Inherit takes over what counts against the executor's former incarnation: its probation, and its
-// restarts that ended runs. Jobs are not remembered: the restart may have ended the fault.
-func (m *Member) Inherit(former *Member) {
+// restarts that ended runs. Jobs are not remembered: the restart may have ended the fault. It reports whether
+// there was anything; other faults of a sound executor are forgotten.
+func (m *Member) Inherit(former *Member) bool {
 	m.restarts = former.restarts
 	if !former.IsSuspect() && former.restarts.last == 0 {
-		return
+		return false
 	}
 	p := former.probation
 	m.probation = probation{runs: p.runs, faults: p.faults}
 	if former.IsSuspect() {
 		m.probation.bound = firstBound
 	}
+	return true
 }
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -280,7 +280,9 @@
 		l.tracker.MoveRun(r, next.Key, l.now)
 		next.AddRun(r.Task.Step)
 	}
-	next.Inherit(&old.Member)
+	if !next.Inherit(&old.Member) {
+		old.lostFault = 0
+	}
 	l.recordRestart(old, next)
 	l.markDead(old, "it restarted")
 }
