execs: slow runs of steps that allow copies move as well

Such steps were left out of moves while late runs were copied instead, which is no longer done. TestMovesAreBounded required no move there and now requires one; a task with another run, which a former leader may have started, is still not moved.

--- a/internal/jobs/execs/move.go
+++ b/internal/jobs/execs/move.go
@@ -21,12 +21,12 @@
 
 // ShouldMove reports whether a run should be stopped and continued elsewhere from its checkpoint:
 // by its rate of progress, the time left is clearly longer than elsewhere, where the whole task
-// takes the expected time.
+// takes the expected time. A task of which a former leader has started another run keeps both.
 func ShouldMove(r *track.Run, now, expected time.Duration) bool {
 	t := r.Task
 	s := t.Step
-	if r.Phase != track.Running || !s.WritesCheckpoints || s.AllowsCopies || s.Gang || s.LongRunning || s.BestEffort ||
-		r.Checkpoint == "" || t.SlowMoves >= maxMoves || t.Done || s.Occ.Job.IsOver() || r.Pace < 100 {
+	if r.Phase != track.Running || !s.WritesCheckpoints || s.Gang || s.LongRunning || s.BestEffort ||
+		r.Checkpoint == "" || len(t.Runs) > 1 || t.SlowMoves >= maxMoves || t.Done || s.Occ.Job.IsOver() || r.Pace < 100 {
 		return false
 	}
 	whole := r.Duration(minRateSpan)
