assign: the panic threshold holds for the executors that can host a task

It was computed over the pool, so that a label's few executors, all suspects, were bounded while the pool had others. It now counts the executors that have the label, the capacity and no refusal by the queue's policy. Amounts for which only bounded suspects have capacity are remembered apart, since they don't matter to other steps. The former executors of the harness that set the bounds aside have a capacity now: without one they can host nothing and don't count.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -152,11 +152,10 @@
 // returns limit tasks at most, or a single gang that has more members. A nil Allowance limits no
 // account.
 func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, allow Allowance, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), bounded: execs.BoundsApply(members)}
-	room := roomOf(p.bounded)
+	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), pool: execs.NewPool(members)}
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
-			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: room(m), rarity: rarity.Of(m.Labels)})
+			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: m.Room(), rarity: rarity.Of(m.Labels)})
 		}
 	}
 	p.all = slices.Clone(p.slots)
@@ -199,29 +198,18 @@
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
-	// bounded is set if the bounds of suspects apply.
-	bounded bool
-	// unfit are amounts for which no executor has enough free capacity, or only suspects that hold as
-	// many runs as they may, which does not matter to long-running tasks. Free capacity only shrinks
+	// pool is the division of the executors. bounded is set if the bounds of suspects apply to boundsOf, the
+	// last step for which that was computed.
+	pool     execs.Pool
+	boundsOf *track.Step
+	bounded  bool
+	// unfit are amounts for which no executor has enough free capacity. Free capacity only shrinks
 	// during a plan, so tasks that need as much or more are skipped without a search. In a burst
 	// these are most of the backlog.
-	unfit []model.Amount
-}
-
-// maxUnfit is the largest number of amounts in unfit.
-const maxUnfit = 16
-
-// isUnfit reports whether it is known that no executor has capacity for a need.
-func (p *plan) isUnfit(need model.Amount) bool {
-	return slices.ContainsFunc(p.unfit, func(t model.Amount) bool { return t.FitsIn(need) })
-}
-
-// recordUnfit records that no executor has capacity for a need.
-func (p *plan) recordUnfit(need model.Amount) {
-	p.unfit = slices.DeleteFunc(p.unfit, func(t model.Amount) bool { return need.FitsIn(t) })
-	if len(p.unfit) < maxUnfit {
-		p.unfit = append(p.unfit, need)
-	}
+	unfit amounts
+	// unfitBounded are amounts for which only suspects that hold as many runs as they may have enough. That
+	// does not matter to steps to which no bounds apply.
+	unfitBounded amounts
 }
 
 // placeStep places the waiting tasks of a step while there is capacity.
@@ -309,12 +297,12 @@
 	for i, sl := range p.slots {
 		saved[i] = *sl
 	}
-	n, savedUnfit := len(p.out), slices.Clone(p.unfit)
+	n, unfit, unfitBounded := len(p.out), slices.Clone(p.unfit), slices.Clone(p.unfitBounded)
 	placed := runsByExecutor(s)
 	for _, t := range s.Tasks {
 		sl := p.bestSlot(s, t, placed)
 		if sl == nil {
-			p.out, p.unfit = p.out[:n], savedUnfit
+			p.out, p.unfit, p.unfitBounded = p.out[:n], unfit, unfitBounded
 			for i, sl := range p.slots {
 				*sl = saved[i]
 			}
@@ -364,7 +352,7 @@
 // its last. A suspect is no alternative to a sound executor for a task that avoids suspects: it would
 // wait for each because of the other.
 func (p *plan) hasAlternative(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
-	onlySound := p.bounded && t.Failures() > 0 && !m.IsSuspect()
+	onlySound := t.Failures() > 0 && !m.IsSuspect() && p.isBounded(s)
 	return slices.ContainsFunc(p.all, func(sl *slot) bool {
 		return !(onlySound && sl.m.IsSuspect()) && !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
 	})
@@ -394,12 +382,16 @@
 	var best *slot
 	var least float64
 	need := s.Reservation()
-	if !s.LongRunning && p.isUnfit(need) {
+	if !s.LongRunning && p.isUnfit(s, need) {
 		return nil
 	}
-	fitsAny := false
+	fitsAny, isFull := false, false // whether any slot has capacity, or only suspects at their bound
 	for _, sl := range p.slots {
-		if sl.room <= 0 && usesRoom(s, sl.m, placed) || !need.FitsIn(sl.free) {
+		if !need.FitsIn(sl.free) {
+			continue
+		}
+		if sl.room <= 0 && usesRoom(s, sl.m, placed) && p.isBounded(s) {
+			isFull = true
 			continue
 		}
 		fitsAny = true
@@ -414,7 +406,7 @@
 			// Serving tasks compete for resources that are not accounted for, so they are spread
 			// out.
 			cost = -cost
-			if sl.room <= 0 {
+			if sl.room <= 0 && p.isBounded(s) {
 				// The bound is for runs that end, and must not delay the restart of a serving task.
 				cost += pastBoundWeight
 			}
@@ -428,13 +420,17 @@
 		if s.Label == "" {
 			cost += rareLabelWeight * sl.rarity
 		}
-		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(sl.m)
+		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(s, sl.m)
 		if best == nil || cost < least {
 			best, least = sl, cost
 		}
 	}
-	if !fitsAny {
-		p.recordUnfit(need)
+	switch {
+	case fitsAny:
+	case isFull:
+		p.unfitBounded.add(need)
+	default:
+		p.unfit.add(need)
 	}
 	return best
 }
--- a/internal/jobs/assign/policy.go
+++ b/internal/jobs/assign/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -44,8 +45,13 @@
 		missing = len(s.Tasks)
 	}
 	var ask, full []*execs.Member
-	bounded := execs.BoundsApply(members)
-	room := roomOf(bounded)
+	bounded := boundsApply(execs.NewPool(members), s, policy)
+	room := func(m *execs.Member) int {
+		if bounded {
+			return m.Room()
+		}
+		return math.MaxInt
+	}
 	avoidSuspects := bounded && !slices.ContainsFunc(tasks, func(t *track.Task) bool { return t.Failures() == 0 }) &&
 		slices.ContainsFunc(members, func(m *execs.Member) bool {
 			return !m.IsSuspect() && m.CanAcceptTasks(now) && canHost(s, m, placed) && policy(s, m) != Denied
--- a/internal/jobs/assign/suspect.go
+++ b/internal/jobs/assign/suspect.go
@@ -1,7 +1,6 @@
 package assign
 
 import (
-	"math"
 	"slices"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
@@ -12,13 +11,24 @@
 // twice the usual time does, and an attempt as well.
 const failureWeight = 2 * slownessWeight
 
-// roomOf returns a function that says how many more runs an executor may hold, given whether bounds
-// apply.
-func roomOf(bounded bool) func(*execs.Member) int {
-	if bounded {
-		return (*execs.Member).Room
+// boundsApply reports whether the bounds of suspects apply to a step. They don't if most of the executors
+// that can host it are suspects, such as the few with its label.
+func boundsApply(pool execs.Pool, s *track.Step, policy Policy) bool {
+	if !pool.HasSuspects() {
+		return false
+	}
+	need := s.Reservation()
+	return pool.BoundsApply(func(m *execs.Member) bool {
+		return m.HasLabel(s.Label) && need.FitsIn(m.Capacity) && policy(s, m) != Denied
+	})
+}
+
+// isBounded reports whether the bounds of suspects apply to a step.
+func (p *plan) isBounded(s *track.Step) bool {
+	if p.boundsOf != s {
+		p.boundsOf, p.bounded = s, boundsApply(p.pool, s, p.policy)
 	}
-	return func(*execs.Member) int { return math.MaxInt }
+	return p.bounded
 }
 
 // usesRoom reports whether a run of a step counts against the bound of a suspect. The placed members of a
@@ -29,8 +39,8 @@
 }
 
 // suspectCost returns the cost of a suspect's failure rate, 0 for other executors.
-func (p *plan) suspectCost(m *execs.Member) float64 {
-	if !p.bounded || !m.IsSuspect() {
+func (p *plan) suspectCost(s *track.Step, m *execs.Member) float64 {
+	if !m.IsSuspect() || !p.isBounded(s) {
 		return 0
 	}
 	return failureWeight * m.FailureRate()
@@ -39,7 +49,7 @@
 // avoidsSuspect reports whether a task that has failed before is kept away from a suspect because
 // another executor can host it: a second failure there could end its job.
 func (p *plan) avoidsSuspect(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
-	if !p.bounded || !m.IsSuspect() || t.Failures() == 0 {
+	if !m.IsSuspect() || t.Failures() == 0 || !p.isBounded(s) {
 		return false
 	}
 	return slices.ContainsFunc(p.all, func(sl *slot) bool {
--- a/internal/jobs/assign/suspect_test.go
+++ b/internal/jobs/assign/suspect_test.go
@@ -20,7 +20,7 @@
 	if !bounded {
 		// With more suspects than others in the pool, no bounds apply.
 		for i := range 11 {
-			m := &execs.Member{Key: fmt.Sprint("gone", i), Contact: execs.Dead}
+			m := &execs.Member{Executor: model.Executor{Capacity: cores(16)}, Key: fmt.Sprint("gone", i), Contact: execs.Dead}
 			for n := range 3 {
 				m.RecordFailure(fmt.Sprint(n), 0)
 			}
--- a/internal/jobs/execs/suspect.go
+++ b/internal/jobs/execs/suspect.go
@@ -29,7 +29,7 @@
 	passedBound = 18
 	// maxFaultJobs is the number of recent faults whose jobs are remembered.
 	maxFaultJobs = 8
-	// maxSuspectShare is the share of a pool's executors up to which bounds apply. If more are
+	// maxSuspectShare is the share of the executors that can host a task up to which bounds apply. If more are
 	// suspects, the cause is probably not the executors, and bounds would only lose capacity.
 	maxSuspectShare = 0.5
 )
@@ -78,15 +78,51 @@
 	return max(m.probation.bound-m.shortRuns, 0)
 }
 
-// BoundsApply reports whether the bounds of suspects among the executors of a pool apply.
-func BoundsApply(members []*Member) bool {
-	suspects := 0
+// Pool divides the executors of a pool by whether they are on probation.
+type Pool struct{ suspects, sound []*Member }
+
+// NewPool returns the division of a pool's executors. It allocates nothing if none is a suspect.
+func NewPool(members []*Member) Pool {
+	if !slices.ContainsFunc(members, (*Member).IsSuspect) {
+		return Pool{}
+	}
+	var p Pool
 	for _, m := range members {
 		if m.IsSuspect() {
+			p.suspects = append(p.suspects, m)
+		} else {
+			p.sound = append(p.sound, m)
+		}
+	}
+	return p
+}
+
+// HasSuspects reports whether any executor of the pool is a suspect.
+func (p Pool) HasSuspects() bool { return len(p.suspects) > 0 }
+
+// BoundsApply reports whether the bounds of suspects apply to work that some executors of the pool can
+// host: at most maxSuspectShare of these are suspects. It looks at few more sound executors than there
+// are suspects.
+func (p Pool) BoundsApply(canHost func(*Member) bool) bool {
+	suspects := 0
+	for _, m := range p.suspects {
+		if canHost(m) {
 			suspects++
 		}
 	}
-	return suspects > 0 && float64(suspects) <= maxSuspectShare*float64(len(members))
+	if suspects == 0 {
+		return false
+	}
+	all := suspects
+	for _, m := range p.sound {
+		if float64(suspects) <= maxSuspectShare*float64(all) {
+			break
+		}
+		if canHost(m) {
+			all++
+		}
+	}
+	return float64(suspects) <= maxSuspectShare*float64(all)
 }
 
 // succeed records a successful run.
