assign, leader: tests of flapping executors without probation, and of reports

Guards against serving tasks that start on an executor that keeps restarting after its bound has ended, against labelled tasks that wait because of bounded ones, and against restarts that are learned from a report and leave no evidence.

--- a/internal/jobs/assign/panic_test.go
+++ b/internal/jobs/assign/panic_test.go
@@ -81,12 +81,17 @@
 }
 
 // Guards against callers of a label's few executors who wait for the bound to grow after a fault all of
-// them had, while the pool has sound executors that can't host their tasks.
+// them had, while the pool has sound executors that can't host their tasks, or because tasks that are bounded wait.
 func TestLabelledJobsAreServedThoughAllTheirExecutorsAreSuspects(t *testing.T) {
 	h := newHarness(t, 10, cores(16))
 	h.label("l", 0, 1)
 	h.suspect("a")
 	h.suspect("b")
+	// Jobs to which the bound applies have filled the pool and still wait.
+	h.accept("any", model.Step{Count: 400, Need: cores(1), Estimate: time.Second})
+	for range 4 {
+		h.plan()
+	}
 	var jobs []*track.Job
 	for i := range 100 {
 		jobs = append(jobs, h.accept(fmt.Sprint("job", i), model.Step{Need: cores(1), Label: "l", Estimate: time.Second}))
--- a/internal/jobs/assign/restart_test.go
+++ b/internal/jobs/assign/restart_test.go
@@ -82,3 +82,26 @@
 		}
 	}
 }
+
+// Guards against a serving task that starts on an executor that keeps restarting, because its probation has
+// ended with short runs between two restarts and it is empty.
+func TestServingTasksPreferExecutorsThatDoNotFlap(t *testing.T) {
+	h := newHarness(t, 2, cores(16))
+	for i := range 2 {
+		h.now = time.Duration(i+1) * time.Second
+		h.byKey["a"].RecordRestart(9, 0, h.now)
+	}
+	m := h.byKey["a"]
+	for range 200 {
+		m.RecordSuccess(h.now)
+	}
+	assert.Assert(t, !m.IsSuspect())
+	h.byKey["b"].AddRun(&track.Step{Step: &model.Step{Need: cores(8)}})
+	for _, key := range []string{"b", "a"} {
+		h.accept("serving "+key, model.Step{Need: cores(2), LongRunning: true})
+		starts := h.plan()
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Member.Key, key)
+		h.now += time.Minute
+	}
+}
--- a/internal/serve/leader/restart_test.go
+++ b/internal/serve/leader/restart_test.go
@@ -44,7 +44,11 @@
 		m.Contact, m.leaseEnd = execs.Unresponsive, l.now
 		l.expireLeases()
 	}
-	l.replaceIncarnation(m, m.StartMillis+1)
+	if born := m.StartMillis + 1; id == "x" && born%2 == 0 {
+		l.applyReport(reportOf(born, born, "ready"))
+	} else {
+		l.replaceIncarnation(m, born)
+	}
 	next := l.byID[id]
 	l.dropRuns(next, "test")
 	return next
