--- a/internal/jobs/execs/restart.go
+++ b/internal/jobs/execs/restart.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// restartMemory is the time within which a second restart that ends runs counts in full. Sound
-	// executors crash once in a day of the bench, some 30 s, at most; flapping ones restart every few
-	// seconds.
+	// restartMemory is the time within which a second restart that ends runs counts in full. In the
+	// days of deploy/days, some 30 s each, an executor that does not flap crashes once at most; those that
+	// flap restart every 1.4 s.
 	restartMemory = 30 * time.Second
 	// restartFault is the weight of a single restart, that of a lapse: it is less than minFaults, so one
 	// crash makes no suspect.
--- a/internal/serve/leader/restart.go
+++ b/internal/serve/leader/restart.go
@@ -11,16 +11,16 @@
 )
 
 const (
-	// commonRestartWindow is the time within which restarts may have a cause in common. After a power
-	// failure executors are up again within a few seconds of one another.
+	// commonRestartWindow is the time within which restarts may have a cause in common. That executors
+	// return within it after a power failure is an assumption, not measured.
 	commonRestartWindow = 5 * time.Second
 	// commonRestartShare is the share of a data centre's executors, and minCommonRestarts their least
-	// number, that restart within that time because of a common cause. The bench lets up to 15% of
-	// the executors flap on their own account, and a failure of a domain takes 30%.
+	// number, that restart within that time because of a common cause. In the days of deploy/days up to
+	// 15% of the executors flap on their own account, and the failure of a domain takes 30%.
 	commonRestartShare = 0.25
 	minCommonRestarts  = 3
 	// lateOrderTime is how long after an order for an instance its executor's restart counts as planned.
-	// Orders have been carried out 12 s late, and maintenance takes some seconds.
+	// An order was carried out after 12 s in a review (KNOWN-RED.txt), and maintenance takes some seconds.
 	lateOrderTime = 30 * time.Second
 )
 
