--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -152,11 +152,10 @@
 // returns limit tasks at most, or a single gang that has more members. A nil Allowance limits no
 // account.
 func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, allow Allowance, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), bounded: execs.BoundsApply(members)}
-	room := roomOf(p.bounded)
+	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), pool: execs.NewPool(members)}
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
-			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: room(m), rarity: rarity.Of(m.Labels)})
+			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: m.Room(), rarity: rarity.Of(m.Labels)})
 		}
 	}
 	p.all = slices.Clone(p.slots)
@@ -201,29 +200,18 @@
 	out []Start
 	// undo are the slots of the gang that is being placed.
 	undo []savedSlot
-	// bounded is set if the bounds of suspects apply.
-	bounded bool
-	// unfit are amounts for which no executor has enough free capacity, or only suspects that hold as
-	// many runs as they may, which does not matter to long-running tasks. Free capacity only shrinks
+	// pool is the division of the executors. bounded is set if the bounds of suspects apply to boundsOf, the
+	// last step for which that was computed.
+	pool     execs.Pool
+	boundsOf *track.Step
+	bounded  bool
+	// unfit are amounts for which no executor has enough free capacity. Free capacity only shrinks
 	// during a plan, so tasks that need as much or more are skipped without a search. In a burst
 	// these are most of the backlog.
-	unfit []model.Amount
-}
-
-// maxUnfit is the largest number of amounts in unfit.
-const maxUnfit = 16
-
-// isUnfit reports whether it is known that no executor has capacity for a need.
-func (p *plan) isUnfit(need model.Amount) bool {
-	return slices.ContainsFunc(p.unfit, func(t model.Amount) bool { return t.FitsIn(need) })
-}
-
-// recordUnfit records that no executor has capacity for a need.
-func (p *plan) recordUnfit(need model.Amount) {
-	p.unfit = slices.DeleteFunc(p.unfit, func(t model.Amount) bool { return need.FitsIn(t) })
-	if len(p.unfit) < maxUnfit {
-		p.unfit = append(p.unfit, need)
-	}
+	unfit amounts
+	// unfitBounded are amounts for which only suspects that hold as many runs as they may have enough. That
+	// does not matter to steps to which no bounds apply.
+	unfitBounded amounts
 }
 
 // placeStep places the waiting tasks of a step while there is capacity.
@@ -291,56 +279,6 @@
 	p.out = append(p.out, Start{t, sl.m, attempt})
 }
 
-// placeGang places all members of a gang or none.
-func (p *plan) placeGang(s *track.Step) {
-	attempt := 0
-	for _, t := range s.Tasks {
-		if !t.IsWaiting() || p.now < t.NotBefore {
-			return
-		}
-		attempt = max(attempt, t.Attempt)
-	}
-	if !p.allow.Fits(s) {
-		return
-	}
-	if len(p.out)+len(s.Tasks) > max(p.limit, len(s.Tasks)) {
-		p.allow.Yield(s)
-		return
-	}
-	n, savedUnfit := len(p.out), slices.Clone(p.unfit)
-	p.undo = p.undo[:0]
-	placed := runsByExecutor(s)
-	for _, t := range s.Tasks {
-		sl := p.bestSlot(s, t, placed)
-		if sl == nil {
-			p.undoGang(n, savedUnfit)
-			p.allow.Yield(s)
-			return
-		}
-		p.undo = append(p.undo, savedSlot{sl, *sl})
-		p.placeTask(sl, s, t, placed, attempt+1)
-	}
-	p.allow.Take(s)
-}
-
-// savedSlot is a slot before a member of a gang was placed there.
-type savedSlot struct {
-	at    *slot
-	saved slot
-}
-
-// undoGang takes back the members of a gang that were placed after the first n starts, and what is known to be
-// unfit because of them. If there are none, that holds without the gang too, and spares the next gang a search.
-func (p *plan) undoGang(n int, unfit []model.Amount) {
-	if len(p.out) == n {
-		return
-	}
-	p.out, p.unfit = p.out[:n], unfit
-	for _, u := range slices.Backward(p.undo) {
-		*u.at = u.saved
-	}
-}
-
 // runsByExecutor counts the runs of a step on each executor.
 func runsByExecutor(s *track.Step) map[string]int {
 	placed := map[string]int{}
@@ -361,6 +299,9 @@
 	slownessWeight = 2.0
 	// pastBoundWeight is the cost of a long-running task on a suspect that holds as many runs as it may.
 	pastBoundWeight = 10.0
+	// flapWeight is the cost of a long-running task on an executor that keeps restarting. The task would
+	// be interrupted at each restart, which is worse than any poor spread or slowness.
+	flapWeight = 10.0
 	// rareLabelWeight keeps work that needs no label off executors with a label that other work
 	// needs. It outweighs packing where a quarter of the instances or fewer have the label.
 	rareLabelWeight = 1.4
@@ -376,7 +317,7 @@
 // its last. A suspect is no alternative to a sound executor for a task that avoids suspects: it would
 // wait for each because of the other.
 func (p *plan) hasAlternative(s *track.Step, t *track.Task, m *execs.Member, placed map[string]int) bool {
-	onlySound := p.bounded && t.Failures() > 0 && !m.IsSuspect()
+	onlySound := t.Failures() > 0 && !m.IsSuspect() && p.isBounded(s)
 	return slices.ContainsFunc(p.all, func(sl *slot) bool {
 		return !(onlySound && sl.m.IsSuspect()) && !slices.Contains(t.Avoided, sl.m.Key) && canHost(s, sl.m, placed) && p.policy(s, sl.m) != Denied
 	})
@@ -406,12 +347,16 @@
 	var best *slot
 	var least float64
 	need := s.Reservation()
-	if !s.LongRunning && p.isUnfit(need) {
+	if !s.LongRunning && p.isUnfit(s, need) {
 		return nil
 	}
-	fitsAny := false
+	fitsAny, isFull := false, false // whether any slot has capacity, or only suspects at their bound
 	for _, sl := range p.slots {
-		if sl.room <= 0 && usesRoom(s, sl.m, placed) || !need.FitsIn(sl.free) {
+		if !need.FitsIn(sl.free) {
+			continue
+		}
+		if sl.room <= 0 && usesRoom(s, sl.m, placed) && p.isBounded(s) {
+			isFull = true
 			continue
 		}
 		fitsAny = true
@@ -426,10 +371,13 @@
 			// Serving tasks compete for resources that are not accounted for, so they are spread
 			// out.
 			cost = -cost
-			if sl.room <= 0 {
+			if sl.room <= 0 && p.isBounded(s) {
 				// The bound is for runs that end, and must not delay the restart of a serving task.
 				cost += pastBoundWeight
 			}
+			if sl.m.Flaps(p.now) {
+				cost += flapWeight
+			}
 		}
 		if s.Rack != "" && s.Rack != sl.m.Rack {
 			cost += otherRackWeight
@@ -437,13 +385,17 @@
 		if s.Label == "" {
 			cost += rareLabelWeight * sl.rarity
 		}
-		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(sl.m)
+		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(s, sl.m)
 		if best == nil || cost < least {
 			best, least = sl, cost
 		}
 	}
-	if !fitsAny {
-		p.recordUnfit(need)
+	switch {
+	case fitsAny:
+	case isFull:
+		p.unfitBounded.add(need)
+	default:
+		p.unfit.add(need)
 	}
 	return best
 }
