--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -152,6 +152,13 @@
 
 // Start starts a leader under a fencing token. It loads the state that earlier leaders stored.
 func Start(ctx context.Context, d Deps, token uint64) *Leader {
+	l := newLeader(ctx, d, token)
+	go l.run()
+	return l
+}
+
+// newLeader returns a leader whose control goroutine does not run yet.
+func newLeader(ctx context.Context, d Deps, token uint64) *Leader {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Leader{
 		Deps: d, token: token, events: make(chan event, eventBuffer), ctx: ctx, cancel: cancel, done: make(chan struct{}),
@@ -161,7 +168,6 @@
 	}
 	l.start = d.Clock.Now()
 	l.Log = d.Log.With().Uint64("token", token).Logger()
-	go l.run()
 	return l
 }
 
