assign: a long-running step reserves executors only within its account's limit

Each waiting task of a long-running step that found no capacity reserved an executor, although its account's limit allowed fewer of them to start. Other accounts could start nothing on the reserved executors. A reservation counts as a start in the round now.

--- a/internal/jobs/assign/allowance_test.go
+++ b/internal/jobs/assign/allowance_test.go
@@ -205,3 +205,17 @@
 	assert.Assert(t, !gang.HasBegun())
 	assert.Assert(t, small.HasBegun())
 }
+
+// Guards against a long-running step that reserves executors for more tasks than its account's limit allows:
+// other accounts' tasks could not start there.
+func TestReservationsStayWithinTheLimit(t *testing.T) {
+	h := newLimitedHarness(t, 3, 2, 0)
+	h.account = "b"
+	h.accept("full", model.Step{Count: 3, Need: cores(7), Estimate: time.Minute})
+	assert.Equal(t, len(h.plan()), 3)
+	h.account = "a"
+	h.accept("lasts", model.Step{Count: 3, Need: cores(2), LongRunning: true})
+	h.account = "b"
+	h.accept("small", model.Step{Count: 3, Need: cores(1), Estimate: time.Second})
+	assert.Equal(t, len(h.plan()), 2, "one executor is reserved")
+}
--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -243,7 +243,10 @@
 		}
 		sl := p.bestSlot(s, t, placed)
 		if sl == nil && s.LongRunning {
-			p.reserve(s, t, placed)
+			if p.reserve(s, t, placed) {
+				// It counts as a start, or a step would reserve executors for more tasks than its account's limit allows.
+				p.allow.Take(s)
+			}
 			continue
 		}
 		if sl == nil {
@@ -261,8 +264,8 @@
 // reserve excludes an executor from the rest of the plan, so that a long-running task can start
 // there later. Otherwise smaller tasks of less urgent jobs would take each core that becomes free.
 // It chooses the executor with the most free capacity among those where the task may run and fits
-// once other work has ended.
-func (p *plan) reserve(s *track.Step, t *track.Task, placed map[string]int) {
+// once other work has ended. It returns false if there is none.
+func (p *plan) reserve(s *track.Step, t *track.Task, placed map[string]int) bool {
 	best := -1
 	need := s.Reservation()
 	for i, sl := range p.slots {
@@ -273,9 +276,11 @@
 			best = i
 		}
 	}
-	if best >= 0 {
-		p.slots = slices.Delete(p.slots, best, best+1)
+	if best < 0 {
+		return false
 	}
+	p.slots = slices.Delete(p.slots, best, best+1)
+	return true
 }
 
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
