leader: tasks that wait for their account's limit don't keep slow runs from being moved

Slow runs were moved only while no job of the service waited, so an account that was at its limit all the time, or a job above a lowered limit, ended all moves of the service. Only work that would take capacity counts now. A run stays if a waiting task of its own account would take its room.

--- a/internal/serve/leader/move.go
+++ b/internal/serve/leader/move.go
@@ -1,10 +1,12 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
@@ -41,7 +43,29 @@
 	return d
 }
 
-// moveSlow stops slow runs of a service, none of whose work waits, where other executors have capacity
+// losesRoom reports whether a task that waits for the limit of a run's account would take the room of the run once it
+// is stopped. The run could not continue then.
+func (l *Leader) losesRoom(r *track.Run) bool {
+	account := r.Task.Step.Occ.Job.Account
+	if limitedAccount(l.Orders.Config(), account) == nil {
+		return false
+	}
+	freed := model.Amount{}.Minus(r.Task.Step.Need)
+	takes := func(s *track.Step) bool { return l.isAtLimit(s) && hasWaiting(s) && !l.isBlockedAfter(s, freed) }
+	for _, j := range l.tracker.Active() {
+		if j.Account != account {
+			continue
+		}
+		for _, o := range j.Open {
+			if slices.ContainsFunc(o.Steps, takes) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// moveSlow stops slow runs of a service, none of whose work waits for capacity, where other executors have capacity
 // to continue them. Their tasks start again once the ends are listed.
 func (l *Leader) moveSlow(service string, members []*execs.Member, policy assign.Policy, rare assign.Rarity) {
 	if len(l.slow[service]) == 0 || l.now < l.nextMove {
@@ -49,7 +73,7 @@
 	}
 	var slow []*track.Run
 	for _, r := range l.slow[service] {
-		if m := l.members[r.Executor]; l.isTracked(r) && m != nil && execs.ShouldMove(r, l.now, l.usualRuntime(m, r)) {
+		if m := l.members[r.Executor]; l.isTracked(r) && m != nil && execs.ShouldMove(r, l.now, l.usualRuntime(m, r)) && !l.losesRoom(r) {
 			slow = append(slow, r)
 		}
 	}
--- a/internal/serve/leader/move_test.go
+++ b/internal/serve/leader/move_test.go
@@ -47,3 +47,31 @@
 	assert.Equal(t, r.Task.Checkpoint, "saved")
 	assert.DeepEqual(t, r.Task.Avoided, []string{x.Key})
 }
+
+// Guards against slow runs that are not moved as long as any account waits for its limit, and against a run
+// whose room is taken by a waiting task of its account once it is stopped for a move.
+func TestTasksThatWaitForALimitDelayNoMoveOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		account string
+		waiting int64 // cores of the task that waits
+		moves   bool
+	}{{"none", 1, true}, {"a", 1, false}, {"a", 2, true}} {
+		l, m, _ := newLimitedLeader(t, 2000)
+		l.members["z"] = &member{Member: execs.Member{Executor: model.Executor{ID: "z", Service: "s", Capacity: m.Capacity}, Key: "z", Contact: execs.Live, Listed: true, Slowness: 1}, adopted: true, visible: true}
+		m.Slowness, l.slow = 1, map[string][]*track.Run{}
+		slow := acceptFor(l, "slow", "q", c.account, model.Step{Count: 1, Need: need(1), Estimate: time.Second, WritesCheckpoints: true})
+		l.startRun(assign.Start{Task: slow.Open[0].Steps[0].Tasks[0], Member: &m.Member})
+		r := slow.Open[0].Steps[0].Tasks[0].Runs[0]
+		l.confirmRun(r)
+		l.quota.ledger.Charge("a", need(2).Minus(l.quota.ledger.Used("a"))) // it is at its limit
+		acceptFor(l, "waits", "q", "a", model.Step{Count: 1, Need: need(c.waiting)})
+		for i := range 6 {
+			l.now += time.Second
+			r.ObservePercent(float64(2*i+2), l.now)
+			l.tracker.ObserveCheckpoint(r, "saved")
+		}
+		l.observeSlow(m, r)
+		planAll(l, slow)
+		assert.Equal(t, r.Phase == track.Stopping, c.moves, "%+v", c)
+	}
+}
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -111,7 +111,7 @@
 		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
 			l.replanAt[s] = l.now + replanInterval
 		}
-		if slices.ContainsFunc(order.jobs, needsCapacity) {
+		if slices.ContainsFunc(order.jobs, l.needsCapacity) {
 			continue
 		}
 		l.moveSlow(s, members[s], policy, rare)
@@ -137,13 +137,16 @@
 	})
 }
 
-// needsCapacity reports whether tasks of a job would take capacity now. The other tasks of a poison job
-// wait for the outcome of the one that is tried.
-func needsCapacity(j *track.Job) bool {
+// needsCapacity reports whether tasks of a job would take capacity now. Tasks that wait for the limit of their
+// account would not, and of a poison job only the task that is tried would.
+func (l *Leader) needsCapacity(j *track.Job) bool {
 	if j.IsPoison() {
-		return !j.IsOver() && j.Probe() != nil
+		t := j.Probe()
+		return !j.IsOver() && t != nil && !l.isAtLimit(t.Step)
 	}
-	return hasWaitingTasks(j)
+	return slices.ContainsFunc(j.Open, func(o *track.Occurrence) bool {
+		return slices.ContainsFunc(o.Steps, func(s *track.Step) bool { return s.IsReady() && hasWaiting(s) && !l.isAtLimit(s) })
+	})
 }
 
 // replan makes a round of placement due for services with waiting tasks that had none for a while.
