assign: a task that failed under an earlier leader delays no other task of its step

Such a task waits for a sound executor, but where it failed is not known to a new leader, so placement took it for a lack of capacity and left out the rest of the step while a suspect had room for it.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -250,8 +250,8 @@
 			continue
 		}
 		if sl == nil {
-			if len(t.Avoided) == 0 {
-				// The other tasks of the step need as much.
+			if len(t.Avoided) == 0 && t.Failures() == 0 {
+				// The other tasks of the step need as much, and may start on no other executors.
 				return
 			}
 			continue
--- a/internal/jobs/assign/suspect_test.go
+++ b/internal/jobs/assign/suspect_test.go
@@ -90,3 +90,19 @@
 		assert.Equal(t, len(h.tracker.RunsOn("b")), 16)
 	}
 }
+
+// Guards against tasks that wait for a sound executor because a task of their step must, which has failed under an
+// earlier leader.
+func TestFailureBeforeATakeoverDelaysNoOtherTask(t *testing.T) {
+	h := newHarness(t, 2, cores(8))
+	h.suspect("b")
+	h.accept("full", model.Step{Need: cores(8), Estimate: time.Minute})
+	assert.Equal(t, h.plan()[0].Member.Key, "a")
+	j := h.accept("job", model.Step{Count: 2, Need: cores(2), Estimate: time.Second})
+	first := j.Open[0].Steps[0].Tasks[0]
+	run := h.tracker.BeginRun(first, "gone", 0, h.now)
+	h.tracker.ApplyEnd("gone", model.End{Task: first.ID, Attempt: run.Attempt, Ending: model.EndedFailed}, false, h.now)
+	first.Avoided = nil // a new leader does not know where it failed
+	assert.Equal(t, len(h.plan()), 1)
+	assert.Assert(t, first.IsWaiting())
+}
