--- a/internal/serve/leader/accounts_test.go
+++ b/internal/serve/leader/accounts_test.go
@@ -108,6 +108,25 @@
 	assert.Equal(t, len(l.waits.logged), 2)
 }
 
+// Guards against tasks of a poison job that are explained by a limit, or make the pool grow and end all moves,
+// although they wait for the outcome of another task.
+func TestTasksThatWaitForATrialAreNotBlocked(t *testing.T) {
+	for _, limit := range []int{2000, 9000} {
+		l, _, _ := newLimitedLeader(t, limit)
+		find := waitLog(t, l)
+		j := acceptFor(l, "poison", "q", "a", model.Step{Count: 3, Need: need(2)})
+		j.RecordFailureOn("x@1")
+		j.RecordFailureOn("z@1")
+		assert.Assert(t, j.IsPoison() && l.takesCapacity(j.Open[0].Steps[0]))
+		for range 3 {
+			l.now += waitInterval
+			assert.Equal(t, planAll(l, j), 1)
+		}
+		assert.Equal(t, len(find(j.ID)), 0)
+		assert.Assert(t, !l.takesCapacity(j.Open[0].Steps[0]))
+	}
+}
+
 // Guards against a flood of jobs that fills the log, and against one whose jobs never get their line.
 func TestWaitLinesAreLimited(t *testing.T) {
 	l, _, _ := newLimitedLeader(t, 1000)
--- a/internal/serve/leader/rebalance.go
+++ b/internal/serve/leader/rebalance.go
@@ -58,9 +58,8 @@
 					l.fleet.neededLabels[st.Label] = true
 				}
 				// Its account's limit keeps its tasks waiting, not the pool.
-				atLimit := l.isAtLimit(st)
-				addDemand(d, st, atLimit)
-				if st.IsReady() && !atLimit && hasWaiting(st) {
+				addDemand(d, st, l.isAtLimit(st))
+				if l.takesCapacity(st) {
 					kind := workKind{s, st.Label, st.LongRunning}
 					waiting[kind] = growAfter
 					if st.LongRunning {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -137,16 +137,25 @@
 	})
 }
 
-// needsCapacity reports whether tasks of a job would take capacity now. Tasks that wait for the limit of their
-// account would not, and of a poison job only the task that is tried would.
+// needsCapacity reports whether tasks of a job would take capacity now.
 func (l *Leader) needsCapacity(j *track.Job) bool {
-	if j.IsPoison() {
-		t := j.Probe()
-		return !j.IsOver() && t != nil && !l.isAtLimit(t.Step)
+	return !j.IsOver() && slices.ContainsFunc(j.Open, func(o *track.Occurrence) bool { return slices.ContainsFunc(o.Steps, l.takesCapacity) })
+}
+
+// takesCapacity reports whether tasks of a step would take capacity now. Tasks that wait for the limit of their
+// account would not.
+func (l *Leader) takesCapacity(s *track.Step) bool {
+	return s.IsReady() && hasWaiting(s) && mayBeTried(s) && !l.isAtLimit(s)
+}
+
+// mayBeTried returns false for the steps of a poison job whose tasks wait for the outcome of the one that is tried.
+func mayBeTried(s *track.Step) bool {
+	j := s.Occ.Job
+	if !j.IsPoison() {
+		return true
 	}
-	return slices.ContainsFunc(j.Open, func(o *track.Occurrence) bool {
-		return slices.ContainsFunc(o.Steps, func(s *track.Step) bool { return s.IsReady() && hasWaiting(s) && !l.isAtLimit(s) })
-	})
+	t := j.Probe()
+	return t != nil && t.Step == s
 }
 
 // replan makes a round of placement due for services with waiting tasks that had none for a while.
--- a/internal/serve/leader/waits.go
+++ b/internal/serve/leader/waits.go
@@ -72,7 +72,7 @@
 func (l *Leader) waitsOf(j *track.Job, a *model.Account) (limit, share bool) {
 	for _, o := range j.Open {
 		for _, s := range o.Steps {
-			if s.Left <= s.Running || !s.IsReady() || !hasWaiting(s) {
+			if s.Left <= s.Running || !s.IsReady() || !hasWaiting(s) || !mayBeTried(s) {
 				continue
 			}
 			if l.quota.ledger.Blocks(a, s) {
