share: buckets fill at the new rate as soon as a weight changes

A bucket kept the rate at which its last token was taken until the next one was taken, so an account whose weight was raised could be refused for a while within its new weight.

--- a/internal/jobs/share/bucket.go
+++ b/internal/jobs/share/bucket.go
@@ -110,6 +110,16 @@
 	return true
 }
 
+// Reweigh applies a change of weights: from now on, buckets fill at the new rates. Without it a bucket fills at the
+// rate at which its last token was taken.
+func (b *Buckets) Reweigh(weight func(name string) float64, now time.Duration) {
+	for name, k := range b.byName {
+		if interval := intervalOf(weight(name)); interval > 0 && interval != k.interval {
+			b.byName[name] = bucket{full: b.fullAt(name, interval, now), interval: interval}
+		}
+	}
+}
+
 // Return gives back the token of a submission that was not accepted.
 func (b *Buckets) Return(name string) {
 	if k, ok := b.byName[name]; ok {
--- a/internal/jobs/share/share_test.go
+++ b/internal/jobs/share/share_test.go
@@ -284,3 +284,14 @@
 		}
 	})
 }
+
+// Guards against an account that is refused within its new weight because its bucket still fills at the old rate.
+func TestBucketFillsAtTheNewRateFromTheChangeOn(t *testing.T) {
+	var b Buckets
+	for range minBurst {
+		assert.Assert(t, b.Take("a", 0.5, 0))
+	}
+	b.Reweigh(func(string) float64 { return 1 }, 0)
+	assert.Assert(t, !b.Take("a", 1, 900*time.Millisecond))
+	assert.Assert(t, b.Take("a", 1, time.Second))
+}
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -321,6 +321,7 @@
 	if !l.ready {
 		return
 	}
+	l.applyWeights()
 	l.returnQueued()
 	l.openDue()
 	l.planNewlyVisible()
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -37,6 +37,8 @@
 // with full buckets, less the tokens of the jobs that it loads.
 type shareState struct {
 	buckets share.Buckets
+	// version is that of the configuration whose weights the buckets have.
+	version int64
 	claims  assign.Claims
 	loads   map[string]*share.Load // by service
 	// refusals are those of accounts with refused submissions lately.
@@ -76,6 +78,14 @@
 	return account != "" && c != nil && c.ChecksKeys
 }
 
+// applyWeights has the buckets fill at the rates of the configuration in force.
+func (l *Leader) applyWeights() {
+	if c := l.Orders.Config(); c != nil && c.Version != l.shares.version {
+		l.shares.version = c.Version
+		l.shares.buckets.Reweigh(l.weightOf, l.now)
+	}
+}
+
 // admit decides whether a submission is accepted, and refuses it if not. Nothing of a refused one is kept.
 // A submission of an account that this leader's configuration does not have is always accepted: the entry
 // may have a newer one.
