leader: polls of a silent executor don't put off the end of its leases for ever

Each poll may arrive and extend the leases, so the leader assumed that they went on, and a run on an executor that is cut off was never given up, nor its account's room.

--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -21,6 +21,10 @@
 	pollSlack = 600 * time.Millisecond
 	// pollRetryInterval is the time to the next poll after a failed one.
 	pollRetryInterval = 150 * time.Millisecond
+	// silentExtension is how long after its last answer polls of a silent executor extend its leases. Each poll may
+	// arrive, so a run on an executor that is cut off would otherwise count as running for as long as it is. In a shorter
+	// outage no run ends that the executor does not end itself.
+	silentExtension = elect.RunLease
 	// maxPollDelay is how long a poll is delayed so that it can announce ends that are being
 	// stored.
 	maxPollDelay = 400 * time.Millisecond
--- a/internal/serve/leader/incarnation_test.go
+++ b/internal/serve/leader/incarnation_test.go
@@ -134,6 +134,24 @@
 	assert.Assert(t, m.CanAcceptTasks(l.now))
 }
 
+// Guards against a task that waits for as long as its executor is cut off: each poll, which might have arrived, put
+// off the end of the leases.
+func TestPollsOfASilentExecutorDontPutOffTheEndOfItsLeases(t *testing.T) {
+	l, m, r, _ := newRunningLeader(t)
+	l.onStarted(startedRun{m: m, run: r})
+	answerPoll(l, m, 1, platform.PollResult{Running: []model.Run{{Task: r.Task.ID, Attempt: r.Attempt}}})
+	answered := l.now
+	for !r.Task.IsWaiting() {
+		l.poll(m)
+		sent := l.now
+		l.now += immediatePollTimeout + pollRetryInterval
+		l.onPolled(polled{m: m, sent: sent, err: platform.ErrUnknown.New("lost")})
+		l.expireLeases()
+		assert.Assert(t, l.now < answered+3*elect.RunLease)
+	}
+	assert.Assert(t, l.now >= answered+2*elect.RunLease, "the last poll that extended the leases may have arrived")
+}
+
 // Guards against the use of an executor whose address now belongs to another service: its report is
 // read again, and starts and polls are answered by the other one.
 func TestExecutorWhoseAddressAnotherServiceUsesIsNotUsed(t *testing.T) {
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -83,7 +83,7 @@
 	ev := polled{m: m, sent: l.now, voidsOrders: m.hasUnanswered, fence: elect.FencingToken(l.token, m.fenceRaises)}
 	m.hasUnanswered = false
 	var deadline time.Duration
-	if m.clockAt > 0 && m.adopted {
+	if m.clockAt > 0 && m.adopted && (m.Contact == execs.Live || l.now < m.clockAt+silentExtension) {
 		deadline = m.deadline(l.now)
 		m.extend(deadline)
 	}
