--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -233,12 +233,15 @@
 		}
 		sl := p.bestSlot(s, t, placed)
 		if sl == nil && s.LongRunning {
-			p.reserve(s, t, placed)
+			if p.reserve(s, t, placed) {
+				// It counts as a start, or a step would reserve executors for more tasks than its account's limit allows.
+				p.allow.Take(s)
+			}
 			continue
 		}
 		if sl == nil {
-			if len(t.Avoided) == 0 {
-				// The other tasks of the step need as much.
+			if len(t.Avoided) == 0 && t.Failures() == 0 {
+				// The other tasks of the step need as much, and may start on no other executors.
 				return
 			}
 			continue
@@ -251,8 +254,8 @@
 // reserve excludes an executor from the rest of the plan, so that a long-running task can start
 // there later. Otherwise smaller tasks of less urgent jobs would take each core that becomes free.
 // It chooses the executor with the most free capacity among those where the task may run and fits
-// once other work has ended.
-func (p *plan) reserve(s *track.Step, t *track.Task, placed map[string]int) {
+// once other work has ended. It returns false if there is none.
+func (p *plan) reserve(s *track.Step, t *track.Task, placed map[string]int) bool {
 	best := -1
 	need := s.Reservation()
 	for i, sl := range p.slots {
@@ -263,9 +266,11 @@
 			best = i
 		}
 	}
-	if best >= 0 {
-		p.slots = slices.Delete(p.slots, best, best+1)
+	if best < 0 {
+		return false
 	}
+	p.slots = slices.Delete(p.slots, best, best+1)
+	return true
 }
 
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -111,7 +111,7 @@
 		if slices.ContainsFunc(order.jobs, hasWaitingTasks) {
 			l.replanAt[s] = l.now + replanInterval
 		}
-		if slices.ContainsFunc(order.jobs, needsCapacity) {
+		if slices.ContainsFunc(order.jobs, l.needsCapacity) {
 			continue
 		}
 		l.moveSlow(s, members[s], policy, rare)
@@ -137,13 +137,25 @@
 	})
 }
 
-// needsCapacity reports whether tasks of a job would take capacity now. The other tasks of a poison job
-// wait for the outcome of the one that is tried.
-func needsCapacity(j *track.Job) bool {
-	if j.IsPoison() {
-		return !j.IsOver() && j.Probe() != nil
+// needsCapacity reports whether tasks of a job would take capacity now.
+func (l *Leader) needsCapacity(j *track.Job) bool {
+	return !j.IsOver() && slices.ContainsFunc(j.Open, func(o *track.Occurrence) bool { return slices.ContainsFunc(o.Steps, l.takesCapacity) })
+}
+
+// takesCapacity reports whether tasks of a step would take capacity now. Tasks that wait for the limit of their
+// account would not.
+func (l *Leader) takesCapacity(s *track.Step) bool {
+	return s.IsReady() && hasWaiting(s) && mayBeTried(s) && !l.isAtLimit(s)
+}
+
+// mayBeTried returns false for the steps of a poison job whose tasks wait for the outcome of the one that is tried.
+func mayBeTried(s *track.Step) bool {
+	j := s.Occ.Job
+	if !j.IsPoison() {
+		return true
 	}
-	return hasWaitingTasks(j)
+	t := j.Probe()
+	return t != nil && t.Step == s
 }
 
 // replan makes a round of placement due for services with waiting tasks that had none for a while.
