--- a/internal/jobs/elect/elect.go
+++ b/internal/jobs/elect/elect.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -145,6 +146,8 @@
 	Name, Addr string
 	// Rank is the rank in the order of claims.
 	Rank int
+	// Memory is the memory of its machine in MiB, 0 if it is not known.
+	Memory int64
 	// UpSince is the start of the current period of contact without a gap, and LastSeen the time of
 	// the last contact.
 	UpSince, LastSeen time.Duration
@@ -186,6 +189,25 @@
 	}), true
 }
 
+// successorMemoryTime is the age of the last contact up to which an entry counts as one that may lead next. An
+// entry that can't reach the leader may still claim; one that has ended for longer has no part in the election.
+const successorMemoryTime = 60 * time.Second
+
+// SmallestMemory returns the least memory in MiB of the entries that may lead next, 0 if there are none. The memory of those
+// that did not say it counts as unknown.
+func SmallestMemory(cs iter.Seq[Candidate], now time.Duration, unknown int64) int64 {
+	least := int64(0)
+	for c := range cs {
+		if now > c.LastSeen+successorMemoryTime {
+			continue
+		}
+		if m := cmp.Or(c.Memory, unknown); least == 0 || m < least {
+			least = m
+		}
+	}
+	return least
+}
+
 // CanAct reports whether a leader that sent its last successful renewal at sent may still act.
 func CanAct(sent, now time.Duration) bool { return now < sent+LeadershipTTL }
 
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -158,7 +158,7 @@
 	}
 	a.orders = orders.Start(ctx, a.client, a.clk, log)
 	rank := elect.Rank(settings.Cores)
-	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank}, a.onDigest)
+	a.elector = lead.Start(ctx, a.client, a.peerClient, a.clk, log, lead.Identity{Name: settings.Node, Addr: addr, Centre: settings.Centre, Rank: rank, Memory: settings.Memory}, a.onDigest)
 	var err error
 	if a.peerServer, err = relay.Serve(ctx, a.guard.Listener(guard.Entries, a.traffic.Listener(links.Entries, listeners[2])), (*peerHandler)(a), peers.WithLog(log), peers.WithMessageMarks(relay.ProxyStream)); err != nil {
 		cancel()
@@ -263,6 +263,7 @@
 				Client: a.client, Execs: a.execs, Settings: a.settings, Orders: a.orders, Clock: a.clk, Log: a.log,
 				Meters: a.meters, Guard: a.guard, LastRenewal: func() time.Duration { return a.elector.LastRenewalOf(elected.Token) },
 				HasSentResignation: func() bool { return a.elector.HasSentResignation(elected.Token) },
+				SmallestMemory:     func() int64 { return a.elector.SmallestMemory(guard.DefaultMemory) },
 			}, elected.Token)
 			a.setLeader(l)
 			a.onLeaderChange(true)
--- a/internal/serve/lead/elector.go
+++ b/internal/serve/lead/elector.go
@@ -61,6 +61,8 @@
 	Centre string
 	// Rank is 0 for the largest instances, which are preferred as leaders.
 	Rank int
+	// Memory is the memory of the machine in MiB, 0 if it is not known.
+	Memory int64
 }
 
 // Elector takes part in the election: it follows the current leader, claims when there is none, and
--- a/internal/serve/lead/handover.go
+++ b/internal/serve/lead/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"time"
 
@@ -43,7 +44,7 @@
 	if !ok && len(e.followers) >= maxFollowers {
 		e.forgetOldest()
 	}
-	c.Name, c.Addr, c.Rank, c.LastSeen = f.Name, f.Addr, f.Rank, now
+	c.Name, c.Addr, c.Rank, c.Memory, c.LastSeen = f.Name, f.Addr, f.Rank, f.Memory, now
 	e.followers[f.Name] = c
 }
 
@@ -70,6 +71,14 @@
 	return ok && e.clk.Now()-c.LastSeen <= within
 }
 
+// SmallestMemory returns the least memory in MiB of the entries that may lead next, with unknown for those that
+// did not say theirs, or 0 if no entry follows this one.
+func (e *Elector) SmallestMemory(unknown int64) int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return elect.SmallestMemory(maps.Values(e.followers), e.clk.Now(), unknown)
+}
+
 // FollowerCount returns the number of entries that follow this one.
 func (e *Elector) FollowerCount() int {
 	e.mu.Lock()
@@ -104,5 +113,6 @@
 	defer e.mu.Unlock()
 	return relay.Follower{
 		Name: e.id.Name, Addr: e.id.Addr, Centre: e.id.Centre, Version: math.MaxInt64, Rank: e.id.Rank, Leaving: e.resigning,
+		Memory: e.id.Memory,
 	}
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -65,6 +65,9 @@
 	// HasSentResignation reports whether a resignation was sent. It is nil for a leader that never
 	// resigns.
 	HasSentResignation func() bool
+	// SmallestMemory returns the least memory in MiB of the entries that may lead next, 0 if none is known. It is
+	// nil for a leader without successors.
+	SmallestMemory func() int64
 }
 
 // Leader is one term of leadership, from Start to Close.
--- a/internal/serve/relay/relay.go
+++ b/internal/serve/relay/relay.go
@@ -91,6 +91,8 @@
 	Centre string
 	// Leaving reports whether the entry is stopping.
 	Leaving bool
+	// Memory is the memory of the entry's machine in MiB, 0 if it is not known.
+	Memory int64
 }
 
 // Handler answers requests of other entries. A Handler of an entry that does not lead answers
@@ -146,6 +148,7 @@
 func (s *server) Digest(ctx context.Context, a *workpb.DigestAsk) (*workpb.DigestReply, error) {
 	d := s.handler.Digest(ctx, Follower{
 		Name: a.GetName(), Addr: a.GetAddr(), Version: a.GetVersion(), Rank: int(a.GetPlace()), Centre: a.GetZone(), Leaving: a.GetLeaving(),
+		Memory: int64(a.GetMemory()),
 	})
 	out := &workpb.DigestReply{
 		Leads: d.Leads, Token: d.Token, Age: uint32(d.LeaseAge.Milliseconds()), Config: d.Config, Addr: d.Addr,
@@ -244,6 +247,7 @@
 func (c *Client) Digest(ctx context.Context, addr string, f Follower) (Digest, error) {
 	r, err := c.rpc(ctx, addr).Digest(ctx, &workpb.DigestAsk{
 		Name: f.Name, Addr: f.Addr, Version: f.Version, Place: uint32(f.Rank), Zone: f.Centre, Leaving: f.Leaving,
+		Memory: uint32(min(max(f.Memory, 0), math.MaxUint32)),
 	})
 	if err != nil {
 		return Digest{}, Err.Wrap(err)
