--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -233,6 +233,10 @@
 	// executor has listed to this leader.
 	left, unlisted Left
 	evidence       evidence
+	// BodyBytes is the size of its submission, 0 if it is not known.
+	BodyBytes int
+	// parked is its stored form while its steps and tasks are not in memory, nil otherwise.
+	parked *parked
 }
 
 // State returns the state that callers may see.
--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -114,7 +114,7 @@
 func (j *Job) Left() Left { return j.left }
 
 // Unlisted returns, by client account, what the runs of earlier leaders need that executors may list yet:
-// those of unresolved tasks and of jobs that have ended.
+// those of unresolved tasks, of parked jobs and of jobs that have ended.
 func (tr *Tracker) Unlisted() map[string]Left {
 	out := map[string]Left{}
 	for _, j := range tr.active {
@@ -126,12 +126,15 @@
 	for _, j := range tr.leftBehind {
 		out[j.Account] = out[j.Account].Plus(j.unlisted)
 	}
+	tr.addParked(out)
 	return out
 }
 
-// ForgetLeft forgets the runs of ended jobs, once all executors have listed theirs or all former leases
+// ForgetLeft forgets the runs of ended and parked jobs, once all executors have listed theirs or all former leases
 // have expired.
-func (tr *Tracker) ForgetLeft() { tr.leftBehind = nil }
+func (tr *Tracker) ForgetLeft() { tr.leftBehind, tr.parkedListed = nil, true }
 
-// HasLeft reports whether runs of ended jobs may not be listed yet.
-func (tr *Tracker) HasLeft() bool { return len(tr.leftBehind) > 0 }
+// HasLeft reports whether runs of ended or parked jobs may not be listed yet.
+func (tr *Tracker) HasLeft() bool {
+	return len(tr.leftBehind) > 0 || !tr.parkedListed && len(tr.Parked()) > 0
+}
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -1,6 +1,7 @@
 package track
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -111,6 +112,14 @@
 // Load builds the tracker of a new leader. Tasks that an earlier leader may have started are
 // unresolved. It returns the IDs of jobs that can't be decoded.
 func (l *Loader) Load(base int, now, wall time.Duration, options ...Option) (*Tracker, []string) {
+	c := *l
+	c.jobs, c.progress = maps.Clone(l.jobs), maps.Clone(l.progress)
+	return c.LoadWithin(func(Size) bool { return true }, base, now, wall, options...)
+}
+
+// LoadWithin is Load for a leader that has no room for all jobs: others are parked. It releases what the loader has
+// and can be called once.
+func (l *Loader) LoadWithin(room Room, base int, now, wall time.Duration, options ...Option) (*Tracker, []string) {
 	tr := New(base, options...)
 	var bad []string
 	for id, e := range l.ended {
@@ -119,15 +128,26 @@
 		tr.jobs[id] = j
 		tr.loadLeft(j, e, wall)
 	}
-	for id, w := range l.jobs {
+	tr.decode = l.decode
+	for _, id := range l.order() {
+		w, progress := l.jobs[id], l.progress[id]
+		// Stored forms are released one by one, so that they are not held besides the tasks of all jobs.
+		delete(l.jobs, id)
+		delete(l.progress, id)
 		spec, err := l.decode(w.GetBody())
 		if err != nil {
 			bad = append(bad, id)
 			continue
 		}
+		// Occurrences of a scheduled job are opened by time.
+		if !room(sizeOf(&spec, len(w.GetBody()))) && !spec.Scheduled {
+			tr.park(id, w, &spec, progress, now)
+			continue
+		}
 		spec.Account = w.GetAccount()
 		j := tr.Accept(id, settingsOf(w), spec, millis(w.GetAccepted()), now)
-		tr.restoreJob(j, l.progress[id], wall)
+		j.BodyBytes = len(w.GetBody())
+		tr.restoreJob(j, progress, wall)
 	}
 	for id, c := range l.cancels {
 		// The job of a cancel may still be stored without a leader.
@@ -153,7 +173,7 @@
 		}
 		stored[id.occurrence][id] = m
 		partTasks = max(partTasks, id.tasks)
-		j.begun = j.begun || m.GetBegun() || len(m.GetServices()) == 0
+		j.begun = j.begun || showsBegun(m)
 		for _, s := range m.GetServices() {
 			if j.services == nil {
 				j.services = map[string]bool{}
@@ -184,6 +204,9 @@
 	tr.trim(j)
 }
 
+// showsBegun reports whether a stored part of the progress of a job shows that a task has started.
+func showsBegun(m *workpb.Mark) bool { return m.GetBegun() || len(m.GetServices()) == 0 }
+
 func (tr *Tracker) restoreOccurrence(o *Occurrence, stored progressParts, wall time.Duration) {
 	j := o.Job
 	for id, m := range stored {
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -28,6 +28,7 @@
 	// usage follows the runs.
 	usage Usage
 	leftState
+	parkedState
 }
 
 // Option changes a new tracker.
@@ -64,14 +65,9 @@
 	if j := tr.jobs[id]; j != nil {
 		return j
 	}
-	j := &Job{ID: id, Queue: settings.Name, Account: spec.Account, Spec: spec, Accepted: accepted, SeenAt: now, Settings: settings, storedProgress: map[progressID]struct{}{}}
-	j.layout = newProgressLayout(tr.recordBytes, spec.TaskCount(), j.maxFailures(), 0)
+	j := newJob(id, settings, spec.Account, accepted, now)
 	tr.jobs[id] = j
-	tr.active[id] = j
-	if !spec.Scheduled {
-		j.Open = append(j.Open, j.newOccurrence(0))
-		j.nextOccurrence = 1
-	}
+	tr.open(j, spec)
 	if at, ok := tr.earlyCancels[id]; ok {
 		delete(tr.earlyCancels, id)
 		tr.Cancel(id, at)
@@ -79,6 +75,21 @@
 	return j
 }
 
+func newJob(id string, settings model.Queue, account string, accepted, now time.Duration) *Job {
+	return &Job{ID: id, Queue: settings.Name, Account: account, Accepted: accepted, SeenAt: now, Settings: settings, storedProgress: map[progressID]struct{}{}}
+}
+
+// open makes a job active, and opens its only occurrence unless it is scheduled.
+func (tr *Tracker) open(j *Job, spec model.JobSpec) {
+	j.Spec = spec
+	j.layout = newProgressLayout(tr.recordBytes, spec.TaskCount(), j.maxFailures(), 0)
+	tr.active[j.ID] = j
+	if !spec.Scheduled {
+		j.Open = append(j.Open, j.newOccurrence(0))
+		j.nextOccurrence = 1
+	}
+}
+
 // maxOpenTasks bounds the tasks of the open occurrences of a job, except for a single occurrence. A
 // task takes some 200 bytes, and a job can have a million occurrences that are due at once.
 const maxOpenTasks = 20_000
@@ -153,6 +164,7 @@
 		tr.earlyCancels[id] = wall
 		return false
 	}
+	tr.Expand(id, wall) // its record says what its runs may need
 	tr.setFinal(j, model.Cancelled, wall)
 	return true
 }
@@ -444,5 +456,10 @@
 			out[j.Queue]++
 		}
 	}
+	for _, j := range tr.parked {
+		if j.parked != nil && !j.begun {
+			out[j.Queue]++
+		}
+	}
 	return out
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -308,6 +308,7 @@
 	if !l.isValid() {
 		return
 	}
+	l.onExpanded()
 	l.resolveFormerRuns()
 	l.plan()
 	l.pollDue()
@@ -320,6 +321,7 @@
 	}
 	l.returnQueued()
 	l.openDue()
+	l.expandParked()
 	l.planNewlyVisible()
 	l.replan()
 	l.tailTopics()
@@ -362,6 +364,7 @@
 	}
 	l.Meters.activeJobs.Update(float64(len(l.tracker.Active())))
 	l.Meters.pendingJobs.Update(float64(pending))
+	l.Meters.parkedJobs.Update(float64(len(l.tracker.Parked())))
 	l.Meters.startLimit.Update(float64(l.window.Size()))
 	l.forgetEnded()
 	l.purgeAdvice()
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -149,13 +149,26 @@
 // readNewest reads the newest record of each key in a partition, page by page, and retries a page
 // until the context ends. It returns the offset from which later records are to be read.
 func (l *Leader) readNewest(ctx context.Context, topic string, part int, visit func(platform.Record)) (int64, error) {
+	// Records of a fenced partition don't change, so that those before an error need not be read again, or held
+	// until the end of their page.
+	fenced := topic == Topic && part == leaderPart
 	from, after := int64(-1), ""
 	for {
 		var rs []platform.Record
 		var more bool
+		n := 0
 		err := l.retry(ctx, func(ctx context.Context) (err error) {
 			var end int64
-			rs, more, end, err = l.Client.Newest(ctx, topic, part, after, readStall)
+			rs = nil
+			more, end, err = l.Client.VisitNewest(ctx, topic, part, after, readStall, func(r platform.Record) {
+				n++
+				if !fenced {
+					rs = append(rs, r)
+					return
+				}
+				visit(r)
+				after = r.Key
+			})
 			if err == nil && from < 0 {
 				from = end
 			}
@@ -168,7 +181,7 @@
 			visit(r)
 			after = r.Key
 		}
-		if !more || len(rs) == 0 {
+		if !more || n == 0 {
 			return from, nil
 		}
 	}
@@ -180,7 +193,8 @@
 		return
 	}
 	base := int(l.token%attemptTokens) * attemptsPerToken
-	tr, bad := ev.loader.Load(base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes),
+	room := l.newRoom(ev.loader.Stored())
+	tr, bad := ev.loader.LoadWithin(room.take, base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes),
 		track.WithUsage(&l.quota.ledger), track.WithLoadTime(l.now-l.start))
 	for _, id := range bad {
 		l.Log.Error().Str("job", id).Msg("job can't be decoded")
@@ -204,6 +218,11 @@
 		l.recordArrival(j)
 	}
 	l.loadShares()
+	tr.TakeExpanded()
+	l.memory.recount(tr, l.now)
+	if n := len(tr.Parked()); n > 0 {
+		l.Log.Warn().Int("jobs", n).Int("expanded", len(tr.Active())).Int64("limit", room.limit).Msg("jobs are put off because their tasks exceed the memory for jobs")
+	}
 	l.reportCentreSizes()
 	l.ready, l.readyAt = true, l.now
 	if ev.heldAt > 0 {
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -12,8 +12,14 @@
 	// jobBytes, stepBytes and taskBytes are the memory of an accepted job without its steps, of a step without
 	// its tasks, and of a task with one run. TestJobMemoryEstimate compares them with the heap.
 	jobBytes, stepBytes, taskBytes = 2 << 10, 512, 272
-	// largeJobBytes is the estimate from which a job counts as large: some 900 tasks. Ordinary jobs have 8 to 64.
-	largeJobBytes = 256 << 10
+	// largeJobBytes is the estimate from which a job counts as large: some 220 tasks. Ordinary jobs have 8 to 64
+	// and take up to 27 KB.
+	largeJobBytes = 64 << 10
+	// parkedBytes is the memory of a parked job besides its submission.
+	parkedBytes = 1 << 10
+	// expandInterval is the time between attempts to expand parked jobs, and expandTime the time that one takes at
+	// most, besides the last job.
+	expandInterval, expandTime = 100 * time.Millisecond, 5 * time.Millisecond
 	// othersShare is the share of the limit that large jobs can't use.
 	othersShare = 0.25
 	// recountInterval is the least time between counts of what all jobs take.
@@ -46,10 +52,15 @@
 	perOccurrence map[*track.Job]int64
 	used          usage
 	countedAt     time.Duration
+	nextExpand    time.Duration // when parked jobs are expanded next
 }
 
-// usage is the memory that large jobs and others take, in bytes.
-type usage struct{ large, others int64 }
+// usage is the memory that large jobs and others take, and what all of them take in the form in which they are
+// stored, in bytes.
+type usage struct{ large, others, stored int64 }
+
+// storedBytes is the memory of a job in the form in which it is stored.
+func storedBytes(body int) int64 { return parkedBytes + int64(body) }
 
 func (u *usage) add(perOccurrence, bytes int64) {
 	if perOccurrence > largeJobBytes {
@@ -70,10 +81,20 @@
 	return alone || u.large+bytes <= limit-reserve && u.large+u.others+bytes <= limit
 }
 
+// fitsNext reports whether a job fits into the limit of the smallest entry that may lead next. That entry can
+// hold all jobs as they are stored, and the steps and tasks of the large ones, even if all of them have runs.
+func (u usage) fitsNext(bytes, stored, limit int64) bool {
+	if u.stored > 0 && u.stored+stored > limit {
+		return false
+	}
+	return bytes <= largeJobBytes || u.large == 0 || u.large+bytes <= limit-int64(othersShare*float64(limit))
+}
+
 // add adds an accepted job.
 func (m *jobMemory) add(j *track.Job) {
 	n := m.of(j)
 	m.used.add(n, n*int64(max(1, len(j.Open))))
+	m.used.stored += storedBytes(max(j.BodyBytes, j.Size().Payload))
 }
 
 // of returns the estimate of a job with one open occurrence.
@@ -83,20 +104,25 @@
 	}
 	n, ok := m.perOccurrence[j]
 	if !ok {
-		n = estimateBytes(len(j.Spec.Steps), j.Spec.TaskCount(), len(j.Spec.Payload))
+		s := j.Size()
+		n = estimateBytes(s.Steps, s.Tasks, s.Payload)
 		m.perOccurrence[j] = n
 	}
 	return n
 }
 
-// recount counts all active jobs, which may have ended or opened further occurrences.
-func (m *jobMemory) recount(active map[string]*track.Job, now time.Duration) {
+// recount counts all active jobs, which may have ended or opened further occurrences, and the parked ones with
+// the steps and tasks that they will have.
+func (m *jobMemory) recount(tr *track.Tracker, now time.Duration) {
 	m.used, m.countedAt = usage{}, now
-	for _, j := range active {
+	for _, j := range tr.Active() {
+		m.add(j)
+	}
+	for _, j := range tr.Parked() {
 		m.add(j)
 	}
 	for j := range m.perOccurrence {
-		if active[j.ID] != j {
+		if j.IsOver() {
 			delete(m.perOccurrence, j)
 		}
 	}
@@ -104,21 +130,107 @@
 
 // hasMemory reports whether a job of an estimated size can be accepted besides the active ones and those that
 // wait to be stored.
-func (l *Leader) hasMemory(bytes int64) bool {
-	limit := guard.NewLimits(l.Settings.Memory, l.Settings.MaxDescriptors).Jobs
+func (l *Leader) hasMemory(bytes int64, body int) bool {
+	limit := l.jobLimit()
+	next := limit
+	if l.SmallestMemory != nil {
+		if m := l.SmallestMemory(); m > 0 {
+			next = min(next, guard.NewLimits(m, 0).Jobs)
+		}
+	}
 	var waiting usage
-	for _, a := range l.store.accepts {
+	wait := func(a *submitRequest) {
 		waiting.add(a.bytes, a.bytes)
+		waiting.stored += storedBytes(len(a.Body))
+	}
+	for _, a := range l.store.accepts {
+		wait(a)
 	}
 	for _, a := range l.store.inFlight {
-		waiting.add(a.bytes, a.bytes)
+		wait(a)
 	}
 	fits := func() bool {
 		u := l.memory.used
-		return usage{u.large + waiting.large, u.others + waiting.others}.fits(bytes, limit)
+		u = usage{u.large + waiting.large, u.others + waiting.others, u.stored + waiting.stored}
+		return u.fits(bytes, limit) && u.fitsNext(bytes, storedBytes(body), next)
 	}
 	if l.now >= l.memory.countedAt+purgeInterval || !fits() && l.now >= l.memory.countedAt+recountInterval {
-		l.memory.recount(l.tracker.Active(), l.now)
+		l.memory.recount(l.tracker, l.now)
 	}
 	return fits()
 }
+
+// jobLimit returns the memory for accepted jobs.
+func (l *Leader) jobLimit() int64 {
+	return guard.NewLimits(l.Settings.Memory, l.Settings.MaxDescriptors).Jobs
+}
+
+// room is the memory in which jobs are expanded.
+type room struct {
+	// used is what all jobs take as they are, parked or expanded.
+	used, limit int64
+	// expanded is what those take that are not parked.
+	expanded usage
+}
+
+// newRoom returns the room for stored jobs, none of which is expanded.
+func (l *Leader) newRoom(jobs, bytes int) *room {
+	return &room{used: int64(jobs)*parkedBytes + int64(bytes), limit: l.jobLimit()}
+}
+
+// take reports whether a parked job can be expanded, and counts it then. A large one that is alone always can,
+// so that it ends.
+func (r *room) take(s track.Size) bool {
+	bytes := estimateBytes(s.Steps, s.Tasks, s.Payload)
+	more := bytes - storedBytes(s.Body)
+	fits := r.used+more <= r.limit
+	if reserve := int64(othersShare * float64(r.limit)); bytes > largeJobBytes {
+		alone := r.expanded.large == 0 && r.expanded.others <= reserve
+		fits = alone || fits && r.expanded.large+bytes <= r.limit-reserve
+	}
+	if fits {
+		r.used += more
+		r.expanded.add(bytes, bytes)
+	}
+	return fits
+}
+
+// expandParked expands the parked jobs that there is room for since others have ended.
+func (l *Leader) expandParked() {
+	jobs := l.tracker.Parked()
+	if len(jobs) == 0 || l.now < l.memory.nextExpand {
+		return
+	}
+	l.memory.nextExpand = l.now + expandInterval
+	r := l.newRoom(0, 0)
+	for _, j := range l.tracker.Active() {
+		n := l.memory.of(j)
+		r.expanded.add(n, n*int64(max(1, len(j.Open))))
+	}
+	r.used = r.expanded.large + r.expanded.others
+	for _, j := range jobs {
+		r.used += storedBytes(j.Size().Body)
+	}
+	end := l.Clock.Now() + expandTime
+	for _, j := range jobs {
+		if l.Clock.Now() >= end {
+			break
+		}
+		if r.take(j.Size()) {
+			l.tracker.Expand(j.ID, l.wall)
+		}
+	}
+}
+
+// onExpanded lets the tasks of expanded jobs start, once the runs of earlier leaders are known.
+func (l *Leader) onExpanded() {
+	for _, j := range l.tracker.TakeExpanded() {
+		if j.IsOver() {
+			continue
+		}
+		l.allResolved = false
+		l.countUnasked(j)
+		l.recordArrival(j)
+		l.planDue[l.queueOf(j).Service] = true
+	}
+}
--- a/internal/serve/leader/meters.go
+++ b/internal/serve/leader/meters.go
@@ -36,6 +36,7 @@
 	takeover      tally.Histogram
 	activeJobs    tally.Gauge
 	pendingJobs   tally.Gauge
+	parkedJobs    tally.Gauge
 	waveLeft      tally.Gauge
 	accounts      accountMeters
 }
@@ -52,7 +53,7 @@
 		quarantines: s.Counter("executors_aside"), slowMoves: s.Counter("runs_moved"), poison: s.Counter("jobs_poison"), suspects: s.Counter("executors_on_probation"), terms: s.Counter("leads"), limitLowered: s.Counter("start_limit_lowered"), startsHeld: s.Counter("starts_held"), startLimit: s.Gauge("start_limit"),
 		appendTime: s.Histogram("store_append_seconds", durationBuckets), jobWait: s.Histogram("job_wait_seconds", durationBuckets),
 		jobTime: s.Histogram("job_seconds", durationBuckets), takeover: s.Histogram("takeover_seconds", durationBuckets),
-		activeJobs: s.Gauge("jobs_active"), pendingJobs: s.Gauge("jobs_pending"), waveLeft: s.Gauge("wave_left"), accounts: newAccountMeters(s),
+		activeJobs: s.Gauge("jobs_active"), pendingJobs: s.Gauge("jobs_pending"), parkedJobs: s.Gauge("jobs_put_off"), waveLeft: s.Gauge("wave_left"), accounts: newAccountMeters(s),
 		refused: map[string]tally.Counter{}, rejected: map[string]tally.Counter{}, lost: map[string]tally.Counter{}, runEnds: map[model.Ending]tally.Counter{},
 		orders: map[string]tally.Counter{},
 	}
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -24,6 +24,7 @@
 }
 
 func (l *Leader) applyEnd(m *member, e model.End, adopts bool) {
+	l.tracker.Expand(e.Task.Job, l.wall)
 	if adopts {
 		l.tracker.OpenStarted(e.Task, l.wall)
 	}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -212,6 +212,7 @@
 	listed := map[*track.Run]bool{}
 	var orphaned []model.Run
 	for _, row := range ev.list.Running {
+		l.tracker.Expand(row.Task.Job, l.wall)
 		r := l.tracker.FindRun(m.Key, row.Task, row.Attempt)
 		if r == nil && adopts {
 			l.tracker.OpenStarted(row.Task, l.wall)
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -246,7 +246,7 @@
 		ev.answer(relay.Answer{Verdict: relay.Limited, Cause: ev.refusal})
 		return
 	}
-	if ev.unchecked || !l.hasMemory(ev.bytes) {
+	if ev.unchecked || !l.hasMemory(ev.bytes, len(ev.Body)) {
 		l.Meters.refuse("memory")
 		ev.answer(noMemoryAnswer)
 		return
@@ -301,6 +301,7 @@
 	}
 	spec.Account = ev.Account
 	j := l.tracker.Accept(ev.ID, ev.settings, spec, ev.accepted, l.now)
+	j.BodyBytes = len(ev.Body)
 	l.countStored(j, ev.excess)
 	l.memory.add(j)
 	l.Meters.accepted.Inc(1)
