--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -164,6 +164,7 @@
 	Settings  model.Queue
 	Accepted  time.Duration
 	Cancelled bool
+	work      *workpb.Work
 }
 
 // DecodeLeaderless decodes a record that an entry stored while it had no leader, and returns a zero
@@ -188,7 +189,7 @@
 			return LeaderlessRecord{}, ErrRecord.Wrap(err)
 		}
 		spec.Account = x.Work.GetAccount()
-		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted())}, nil
+		return LeaderlessRecord{ID: id, Spec: &spec, Settings: settingsOf(x.Work), Accepted: millis(x.Work.GetAccepted()), work: x.Work}, nil
 	case *workpb.Record_Cancel:
 		if !isCancel {
 			return LeaderlessRecord{}, errKind(key)
--- a/internal/jobs/track/parked.go
+++ b/internal/jobs/track/parked.go
@@ -113,6 +113,22 @@
 	tr.parked = append(tr.parked, j)
 }
 
+// AcceptLeaderless adds a job that an entry stored while it had no leader and returns it. It is parked if there is
+// no room for it.
+func (tr *Tracker) AcceptLeaderless(r LeaderlessRecord, room Room, now time.Duration) *Job {
+	if _, cancelled := tr.earlyCancels[r.ID]; tr.decode != nil && !cancelled && !r.Spec.Scheduled && tr.jobs[r.ID] == nil &&
+		!room(sizeOf(r.Spec, len(r.work.GetBody()))) {
+		tr.park(r.ID, r.work, r.Spec, nil, now)
+		return tr.jobs[r.ID]
+	}
+	j := tr.Accept(r.ID, r.Settings, *r.Spec, r.Accepted, now)
+	j.BodyBytes = len(r.work.GetBody())
+	return j
+}
+
+// IsParked reports whether the job is known without its steps and tasks, none of which can start yet.
+func (j *Job) IsParked() bool { return j.parked != nil }
+
 // Parked returns the parked jobs in the order in which they are to be expanded.
 func (tr *Tracker) Parked() []*Job {
 	tr.parked = slices.DeleteFunc(tr.parked, func(j *Job) bool { return j.parked == nil })
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -193,7 +193,7 @@
 		return
 	}
 	base := int(l.token%attemptTokens) * attemptsPerToken
-	room := l.newRoom(ev.loader.Stored())
+	room := l.loadRoom(ev.loader.Stored())
 	tr, bad := ev.loader.LoadWithin(room.take, base, l.now, l.wall, track.WithRecordBytes(l.Settings.Store.RecordBytes),
 		track.WithUsage(&l.quota.ledger), track.WithLoadTime(l.now-l.start))
 	for _, id := range bad {
@@ -218,8 +218,8 @@
 		l.recordArrival(j)
 	}
 	l.loadShares()
-	tr.TakeExpanded()
 	l.memory.recount(tr, l.now)
+	l.expandParked()
 	if n := len(tr.Parked()); n > 0 {
 		l.Log.Warn().Int("jobs", n).Int("expanded", len(tr.Active())).Int64("limit", room.limit).Msg("jobs are put off because their tasks exceed the memory for jobs")
 	}
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -34,6 +34,8 @@
 	return jobBytes + int64(steps)*stepBytes + int64(tasks)*taskBytes + int64(payload)
 }
 
+func sizeBytes(s track.Size) int64 { return estimateBytes(s.Steps, s.Tasks, s.Payload) }
+
 // bodyBytes estimates the memory of a job by the body of its submission, with the body itself.
 func bodyBytes(body []byte) int64 {
 	s, err := platform.SizeOfJob(body)
@@ -104,8 +106,7 @@
 	}
 	n, ok := m.perOccurrence[j]
 	if !ok {
-		s := j.Size()
-		n = estimateBytes(s.Steps, s.Tasks, s.Payload)
+		n = sizeBytes(j.Size())
 		m.perOccurrence[j] = n
 	}
 	return n
@@ -171,30 +172,36 @@
 	used, limit int64
 	// expanded is what those take that are not parked.
 	expanded usage
-}
-
-// newRoom returns the room for stored jobs, none of which is expanded.
-func (l *Leader) newRoom(jobs, bytes int) *room {
-	return &room{used: int64(jobs)*parkedBytes + int64(bytes), limit: l.jobLimit()}
+	// smallParked is the number of parked jobs that are not large. Large ones wait for them.
+	smallParked int
 }
 
 // take reports whether a parked job can be expanded, and counts it then. A large one that is alone always can,
 // so that it ends.
 func (r *room) take(s track.Size) bool {
-	bytes := estimateBytes(s.Steps, s.Tasks, s.Payload)
+	bytes := sizeBytes(s)
+	isLarge := bytes > largeJobBytes
 	more := bytes - storedBytes(s.Body)
 	fits := r.used+more <= r.limit
-	if reserve := int64(othersShare * float64(r.limit)); bytes > largeJobBytes {
+	if reserve := int64(othersShare * float64(r.limit)); isLarge {
 		alone := r.expanded.large == 0 && r.expanded.others <= reserve
-		fits = alone || fits && r.expanded.large+bytes <= r.limit-reserve
+		fits = r.smallParked == 0 && (alone || fits && r.expanded.large+bytes <= r.limit-reserve)
 	}
 	if fits {
 		r.used += more
 		r.expanded.add(bytes, bytes)
+		if !isLarge {
+			r.smallParked--
+		}
 	}
 	return fits
 }
 
+// loadRoom returns the room for stored jobs, none of which is expanded. Large ones are expanded after the load.
+func (l *Leader) loadRoom(jobs, bytes int) *room {
+	return &room{used: int64(jobs)*parkedBytes + int64(bytes), limit: l.jobLimit(), smallParked: jobs}
+}
+
 // expandParked expands the parked jobs that there is room for since others have ended.
 func (l *Leader) expandParked() {
 	jobs := l.tracker.Parked()
@@ -202,17 +209,25 @@
 		return
 	}
 	l.memory.nextExpand = l.now + expandInterval
-	r := l.newRoom(0, 0)
+	r := &room{limit: l.jobLimit()}
 	for _, j := range l.tracker.Active() {
 		n := l.memory.of(j)
 		r.expanded.add(n, n*int64(max(1, len(j.Open))))
 	}
 	r.used = r.expanded.large + r.expanded.others
+	var large []*track.Job
+	small := make([]*track.Job, 0, len(jobs))
 	for _, j := range jobs {
 		r.used += storedBytes(j.Size().Body)
+		if l.memory.of(j) > largeJobBytes {
+			large = append(large, j)
+		} else {
+			small = append(small, j)
+		}
 	}
+	r.smallParked = len(small)
 	end := l.Clock.Now() + expandTime
-	for _, j := range jobs {
+	for _, j := range append(small, large...) {
 		if l.Clock.Now() >= end {
 			break
 		}
@@ -224,13 +239,18 @@
 
 // onExpanded lets the tasks of expanded jobs start, once the runs of earlier leaders are known.
 func (l *Leader) onExpanded() {
+	n := 0
 	for _, j := range l.tracker.TakeExpanded() {
 		if j.IsOver() {
 			continue
 		}
+		n++
 		l.allResolved = false
 		l.countUnasked(j)
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
 	}
+	if n > 0 {
+		l.Log.Info().Int("jobs", n).Int("left", len(l.tracker.Parked())).Msg("jobs that were put off may start")
+	}
 }
--- /dev/null
+++ b/internal/serve/leader/successor_test.go
@@ -0,0 +1,141 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
+	"chervilgauge.example/chervilgauge/internal/jobs/track"
+	"chervilgauge.example/chervilgauge/internal/serve/guard"
+	"chervilgauge.example/chervilgauge/platform"
+	"chervilgauge.example/chervilgauge/platform/fake"
+)
+
+const (
+	largeMemory, smallMemory = 536, 184
+	tasksBody                = `{"phases":[{"count":100000,"cpu":10}]}`
+)
+
+var (
+	stepsBody    = `{"phases":[{"count":1}` + strings.Repeat(`,{"count":1}`, 19_999) + `]}`
+	ordinaryBody = `{"spec":"` + strings.Repeat("x", 3000) + `","phases":[{"count":8},{"count":32,"after":[0]},{"count":24,"after":[1]}]}`
+	paddedBody   = `{"phases":[{"count":1}]}` + strings.Repeat(" ", 60_000)
+)
+
+// fill has a leader with the largest memory accept jobs of each body until it refuses one, and returns a loader
+// with what it has stored, and the number of jobs.
+func fill(t *testing.T, bodies ...string) (*track.Loader, int) {
+	t.Helper()
+	l, _, _ := newTestLeader(t)
+	l.Settings.Memory = largeMemory
+	l.SmallestMemory = func() int64 { return smallMemory }
+	l.memory.countedAt = l.now
+	out, n := track.NewLoader(platform.DecodeJob), 0
+	for _, b := range bodies {
+		bytes := bodyBytes([]byte(b))
+		for l.hasMemory(bytes, len(b)) {
+			r := track.JobRecord(fmt.Sprintf("%016x", n), model.Queue{Name: "q", Service: "s"}, "", []byte(b), 0)
+			assert.NilError(t, out.Add(r.Key, r.Value))
+			l.memory.used.add(bytes, bytes)
+			l.memory.used.stored += storedBytes(len(b))
+			n++
+		}
+	}
+	return out, n
+}
+
+// loadSmall loads state into a leader with the least memory.
+func loadSmall(t *testing.T, from *track.Loader) (*Leader, *member) {
+	t.Helper()
+	l, m, _ := newTestLeader(t)
+	l.Settings.Memory, l.Clock, l.Execs = smallMemory, clock.NewFake(time.Unix(0, 0)), directExecutors{}
+	l.leaderless = map[string]leaderlessRecords{}
+	l.onLoaded(loaded{loader: from})
+	return l, m
+}
+
+// Guards against an entry that exceeds its memory once it takes over, by what a larger leader accepted: 134 MB of
+// jobs, where its limit is 36.7 MB.
+func TestSuccessorStaysWithinItsMemory(t *testing.T) {
+	limit := guard.NewLimits(smallMemory, 0).Jobs
+	for name, bodies := range map[string][]string{
+		"mix": {tasksBody, stepsBody, ordinaryBody}, "ordinary": {ordinaryBody}, "padded": {paddedBody},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := heap()
+			stored, n := fill(t, bodies...)
+			l, _ := loadSmall(t, stored)
+			stored = nil
+			took := heap() - before
+			t.Logf("%d jobs, %d expanded, heap %d KiB", n, len(l.tracker.Active()), took>>10)
+			assert.Assert(t, took <= limit*5/4)
+			assert.Equal(t, l.tracker.Len(), n)
+			assert.Assert(t, !l.hasMemory(limit/2, 1000) || name == "padded", "jobs that were put off count")
+			// Each job gets its turn as others end.
+			for end := 20 * n; len(l.tracker.Parked()) > 0; end-- {
+				assert.Assert(t, end > 0, "%d jobs left", len(l.tracker.Parked()))
+				for id := range l.tracker.Active() {
+					l.cancelJob(id)
+				}
+				l.now += expandInterval
+				l.expandParked()
+				for _, j := range l.tracker.TakeExpanded() {
+					assert.Assert(t, j.IsOver() || len(j.Open) == 1)
+				}
+			}
+			runtime.KeepAlive(l)
+		})
+	}
+}
+
+// Guards against a run of a job that was put off which is stopped as one that no job needs, or is started again.
+func TestListedRunOfAParkedJobIsAdopted(t *testing.T) {
+	stored, _ := fill(t, ordinaryBody)
+	l, m := loadSmall(t, stored)
+	j := l.tracker.Parked()[0]
+	ev := polled{m: m, sent: l.now}
+	ev.list.Running = []model.Run{{Task: model.TaskID{Job: j.ID}, Attempt: 1}}
+	l.reconcileRuns(m, ev, true)
+	assert.Assert(t, !j.IsParked() && len(l.tracker.RunsOn(m.Key)) == 1)
+	task := j.Open[0].Steps[0].Tasks[1]
+	assert.Assert(t, task.Unresolved && !task.IsWaiting(), "its other tasks wait for the other executors")
+}
+
+// Guards against ordinary jobs that are refused because of a small entry: 100 a second that wait for 50 s.
+func TestOrdinaryQueueIsAcceptedBesideASmallEntry(t *testing.T) {
+	stored, n := fill(t, ordinaryBody)
+	assert.Assert(t, stored != nil && n >= 50*100, "%d jobs", n)
+}
+
+// Guards against state that no entry can load: the store's page of 500 large submissions exceeds the size of an
+// answer.
+func TestPagesOfLargeSubmissionsAreLoaded(t *testing.T) {
+	w := fake.NewPlatform(nil)
+	t.Cleanup(w.Close)
+	l := newLinkedLeader(t, w, 1<<30)
+	for i := range 80 {
+		body := append([]byte(`{"phases":[{"count":1}]}`), make([]byte, 200_000)...)
+		for k := 24; k < len(body); k++ {
+			body[k] = ' '
+		}
+		for part, r := range []track.Record{
+			track.JobRecord(fmt.Sprintf("%016x", i), model.Queue{Name: "q"}, "", body, 0),
+			track.LeaderlessJobRecord(fmt.Sprintf("%016x", 1000+i), model.Queue{Name: "q"}, "", body, 0),
+		} {
+			w.Store.PutPartition(Topic, part, r.Key, r.Value)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	ev, ok := l.load(ctx).(loaded)
+	assert.Assert(t, ok)
+	assert.NilError(t, ev.err)
+	assert.Equal(t, ev.records, 160)
+}
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -170,8 +170,14 @@
 	}
 	switch {
 	case rec.Spec != nil && l.tracker.Job(rec.ID) == nil:
-		j := l.tracker.Accept(rec.ID, rec.Settings, *rec.Spec, rec.Accepted, l.now)
-		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Msg("leaderless job is accepted")
+		limit := l.jobLimit()
+		hasRoom := func(s track.Size) bool { return l.memory.used.large+l.memory.used.others+sizeBytes(s) <= limit }
+		j := l.tracker.AcceptLeaderless(rec, hasRoom, l.now)
+		l.memory.add(j)
+		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Bool("parked", j.IsParked()).Msg("leaderless job is accepted")
+		if j.IsParked() {
+			break
+		}
 		l.countUnasked(j)
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
