--- a/internal/serve/lead/elector_test.go
+++ b/internal/serve/lead/elector_test.go
@@ -269,3 +269,25 @@
 	assert.Equal(t, len(e.followers), maxFollowers)
 	assert.Assert(t, e.HasFollower("sound", time.Second))
 }
+
+// Guards against a leader that accepts more than the next one can hold: a smaller entry, one of an earlier version
+// that does not send its memory, or one that can't reach the leader for a while.
+func TestSmallestSuccessorIsKnown(t *testing.T) {
+	clk := clock.NewFake(time.Unix(0, 0))
+	e := newFollower(t, clk)
+	e.followers = map[string]elect.Candidate{}
+	assert.Equal(t, e.SmallestMemory(184), int64(0))
+	follower := &Elector{id: Identity{Name: "large", Memory: 536}}
+	e.RecordFollower(follower.asFollower())
+	assert.Equal(t, e.SmallestMemory(184), int64(536))
+	e.RecordFollower(relay.Follower{Name: "earlier version"})
+	assert.Equal(t, e.SmallestMemory(184), int64(184))
+	e.RecordFollower(relay.Follower{Name: "earlier version", Leaving: true})
+	e.RecordFollower(relay.Follower{Name: "small", Memory: 200})
+	clk.Advance(30 * time.Second)
+	e.RecordFollower(follower.asFollower())
+	assert.Equal(t, e.SmallestMemory(184), int64(200))
+	clk.Advance(50 * time.Second)
+	e.RecordFollower(follower.asFollower())
+	assert.Equal(t, e.SmallestMemory(184), int64(536))
+}
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -132,13 +132,7 @@
 // hasMemory reports whether a job of an estimated size can be accepted besides the active ones and those that
 // wait to be stored.
 func (l *Leader) hasMemory(bytes int64, body int) bool {
-	limit := l.jobLimit()
-	next := limit
-	if l.SmallestMemory != nil {
-		if m := l.SmallestMemory(); m > 0 {
-			next = min(next, guard.NewLimits(m, 0).Jobs)
-		}
-	}
+	limit, next := l.jobLimit(), l.nextLimit()
 	var waiting usage
 	wait := func(a *submitRequest) {
 		waiting.add(a.bytes, a.bytes)
@@ -166,6 +160,19 @@
 	return guard.NewLimits(l.Settings.Memory, l.Settings.MaxDescriptors).Jobs
 }
 
+// nextLimit returns the memory for accepted jobs of the smallest entry that may lead next. What entries say is not
+// authenticated, and can't lower it below that of the smallest instance.
+func (l *Leader) nextLimit() int64 {
+	if l.SmallestMemory == nil {
+		return l.jobLimit()
+	}
+	m := l.SmallestMemory()
+	if m == 0 {
+		return l.jobLimit()
+	}
+	return min(l.jobLimit(), guard.NewLimits(max(m, guard.DefaultMemory), 0).Jobs)
+}
+
 // room is the memory in which jobs are expanded.
 type room struct {
 	// used is what all jobs take as they are, parked or expanded.
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -114,6 +114,16 @@
 	assert.Assert(t, stored != nil && n >= 50*100, "%d jobs", n)
 }
 
+// Guards against a client that has the leader refuse ordinary jobs by polls as an entry with hardly any memory.
+func TestNextLimitHasALeastValue(t *testing.T) {
+	l, _, _ := newTestLeader(t)
+	l.Settings.Memory = largeMemory
+	for says, want := range map[int64]int64{0: largeMemory, 1: smallMemory, smallMemory: smallMemory, 284: 284, 9999: largeMemory} {
+		l.SmallestMemory = func() int64 { return says }
+		assert.Equal(t, l.nextLimit(), guard.NewLimits(want, 0).Jobs)
+	}
+}
+
 // Guards against state that no entry can load: the store's page of 500 large submissions exceeds the size of an
 // answer.
 func TestPagesOfLargeSubmissionsAreLoaded(t *testing.T) {
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"math"
+	"net"
 	"testing"
 	"time"
 
@@ -53,3 +55,28 @@
 		assert.Assert(t, !decodeDigest(&workpb.DigestReply{View: view}).HasView)
 	}
 }
+
+type followerRecorder struct {
+	Handler
+	got Follower
+}
+
+func (r *followerRecorder) Digest(_ context.Context, f Follower) Digest {
+	r.got = f
+	return Digest{}
+}
+
+// Guards against a leader that does not learn the memory of the entries that follow it.
+func TestPollsCarryTheMemory(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h := &followerRecorder{}
+	srv, err := Serve(context.Background(), lis, h)
+	assert.NilError(t, err)
+	c := NewClient()
+	_, err = c.Digest(context.Background(), lis.Addr().String(), Follower{Name: "small", Memory: 184})
+	assert.NilError(t, err)
+	assert.NilError(t, c.Close())
+	assert.NilError(t, srv.Close())
+	assert.Equal(t, h.got, Follower{Name: "small", Memory: 184})
+}
