--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -321,7 +321,7 @@
 	}
 	l.returnQueued()
 	l.openDue()
-	l.expandParked()
+	l.expandParked(expandTime)
 	l.planNewlyVisible()
 	l.replan()
 	l.tailTopics()
--- a/internal/serve/leader/load.go
+++ b/internal/serve/leader/load.go
@@ -219,7 +219,7 @@
 	}
 	l.loadShares()
 	l.memory.recount(tr, l.now)
-	l.expandParked()
+	l.expandParked(loadExpandTime)
 	if n := len(tr.Parked()); n > 0 {
 		l.Log.Warn().Int("jobs", n).Int("expanded", len(tr.Active())).Int64("limit", room.limit).Msg("jobs are put off because their tasks exceed the memory for jobs")
 	}
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -18,8 +18,8 @@
 	// parkedBytes is the memory of a parked job besides its submission.
 	parkedBytes = 1 << 10
 	// expandInterval is the time between attempts to expand parked jobs, and expandTime the time that one takes at
-	// most, besides the last job.
-	expandInterval, expandTime = 100 * time.Millisecond, 5 * time.Millisecond
+	// most, besides the last job. loadExpandTime is the same when the state was loaded: nothing can start before.
+	expandInterval, expandTime, loadExpandTime = 100 * time.Millisecond, 5 * time.Millisecond, 1 * time.Second
 	// othersShare is the share of the limit that large jobs can't use.
 	othersShare = 0.25
 	// recountInterval is the least time between counts of what all jobs take.
@@ -209,8 +209,8 @@
 	return &room{used: int64(jobs)*parkedBytes + int64(bytes), limit: l.jobLimit(), smallParked: jobs}
 }
 
-// expandParked expands the parked jobs that there is room for since others have ended.
-func (l *Leader) expandParked() {
+// expandParked expands the parked jobs that there is room for since others have ended, for a time.
+func (l *Leader) expandParked(limit time.Duration) {
 	jobs := l.tracker.Parked()
 	if len(jobs) == 0 || l.now < l.memory.nextExpand {
 		return
@@ -233,7 +233,7 @@
 		}
 	}
 	r.smallParked = len(small)
-	end := l.Clock.Now() + expandTime
+	end := l.Clock.Now() + limit
 	for _, j := range append(small, large...) {
 		if l.Clock.Now() >= end {
 			break
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -85,7 +85,7 @@
 					l.cancelJob(id)
 				}
 				l.now += expandInterval
-				l.expandParked()
+				l.expandParked(expandTime)
 				for _, j := range l.tracker.TakeExpanded() {
 					assert.Assert(t, j.IsOver() || len(j.Open) == 1)
 				}
