--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -183,16 +183,19 @@
 	smallParked int
 }
 
-// take reports whether a parked job can be expanded, and counts it then. A large one that is alone always can,
-// so that it ends.
+// take reports whether a parked job can be expanded, and counts it then. A large one that is alone always can, and
+// others while they take up to othersShare, so that jobs end even if their stored forms exceed the limit.
 func (r *room) take(s track.Size) bool {
 	bytes := sizeBytes(s)
 	isLarge := bytes > largeJobBytes
 	more := bytes - storedBytes(s.Body)
 	fits := r.used+more <= r.limit
-	if reserve := int64(othersShare * float64(r.limit)); isLarge {
+	reserve := int64(othersShare * float64(r.limit))
+	if isLarge {
 		alone := r.expanded.large == 0 && r.expanded.others <= reserve
 		fits = r.smallParked == 0 && (alone || fits && r.expanded.large+bytes <= r.limit-reserve)
+	} else {
+		fits = fits || r.expanded.others+bytes <= reserve
 	}
 	if fits {
 		r.used += more
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -30,12 +30,12 @@
 )
 
 // fill has a leader with the largest memory accept jobs of each body until it refuses one, and returns a loader
-// with what it has stored, and the number of jobs.
-func fill(t *testing.T, bodies ...string) (*track.Loader, int) {
+// with what it has stored, and the number of jobs. next is the memory of the smallest entry that it knows.
+func fill(t *testing.T, next int64, bodies ...string) (*track.Loader, int) {
 	t.Helper()
 	l, _, _ := newTestLeader(t)
 	l.Settings.Memory = largeMemory
-	l.SmallestMemory = func() int64 { return smallMemory }
+	l.SmallestMemory = func() int64 { return next }
 	l.memory.countedAt = l.now
 	out, n := track.NewLoader(platform.DecodeJob), 0
 	for _, b := range bodies {
@@ -61,6 +61,31 @@
 	return l, m
 }
 
+// endAll ends the expanded jobs again and again, until each job had its turn.
+func endAll(t *testing.T, l *Leader) {
+	t.Helper()
+	for end := 20 * l.tracker.Len(); len(l.tracker.Parked()) > 0; end-- {
+		assert.Assert(t, end > 0, "%d jobs left", len(l.tracker.Parked()))
+		for id := range l.tracker.Active() {
+			l.cancelJob(id)
+		}
+		l.now += expandInterval
+		l.expandParked(expandTime)
+		for _, j := range l.tracker.TakeExpanded() {
+			assert.Assert(t, j.IsOver() || len(j.Open) == 1)
+		}
+	}
+}
+
+// Guards against jobs that never start since their stored forms alone exceed the memory for jobs: the former leader
+// knew no smaller entry.
+func TestJobsStartBesideManyStoredForms(t *testing.T) {
+	stored, n := fill(t, 0, paddedBody)
+	l, _ := loadSmall(t, stored)
+	endAll(t, l)
+	assert.Equal(t, l.tracker.Len(), n)
+}
+
 // Guards against an entry that exceeds its memory once it takes over, by what a larger leader accepted: 134 MB of
 // jobs, where its limit is 36.7 MB.
 func TestSuccessorStaysWithinItsMemory(t *testing.T) {
@@ -70,7 +95,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := heap()
-			stored, n := fill(t, bodies...)
+			stored, n := fill(t, smallMemory, bodies...)
 			l, _ := loadSmall(t, stored)
 			stored = nil
 			took := heap() - before
@@ -78,18 +103,7 @@
 			assert.Assert(t, took <= limit*5/4)
 			assert.Equal(t, l.tracker.Len(), n)
 			assert.Assert(t, !l.hasMemory(limit/2, 1000) || name == "padded", "jobs that were put off count")
-			// Each job gets its turn as others end.
-			for end := 20 * n; len(l.tracker.Parked()) > 0; end-- {
-				assert.Assert(t, end > 0, "%d jobs left", len(l.tracker.Parked()))
-				for id := range l.tracker.Active() {
-					l.cancelJob(id)
-				}
-				l.now += expandInterval
-				l.expandParked(expandTime)
-				for _, j := range l.tracker.TakeExpanded() {
-					assert.Assert(t, j.IsOver() || len(j.Open) == 1)
-				}
-			}
+			endAll(t, l)
 			runtime.KeepAlive(l)
 		})
 	}
@@ -97,7 +111,7 @@
 
 // Guards against a run of a job that was put off which is stopped as one that no job needs, or is started again.
 func TestListedRunOfAParkedJobIsAdopted(t *testing.T) {
-	stored, _ := fill(t, ordinaryBody)
+	stored, _ := fill(t, smallMemory, ordinaryBody)
 	l, m := loadSmall(t, stored)
 	j := l.tracker.Parked()[0]
 	ev := polled{m: m, sent: l.now}
@@ -110,7 +124,7 @@
 
 // Guards against ordinary jobs that are refused because of a small entry: 100 a second that wait for 50 s.
 func TestOrdinaryQueueIsAcceptedBesideASmallEntry(t *testing.T) {
-	stored, n := fill(t, ordinaryBody)
+	stored, n := fill(t, smallMemory, ordinaryBody)
 	assert.Assert(t, stored != nil && n >= 50*100, "%d jobs", n)
 }
 
