--- a/internal/serve/agent/parked_test.go
+++ b/internal/serve/agent/parked_test.go
@@ -18,7 +18,9 @@
 func TestTakeoverByASmallerEntryLosesNothing(t *testing.T) {
 	const jobs, tasks = 100, 200
 	r := newRig(t, 1, map[string]int{"pool-a": 4, "pool-b": 1}, func(s *platform.Settings) { s.Memory = 536 })
-	r.platform.Plan = func(string, string) fake.RunPlan { return fake.RunPlan{Duration: 300 * time.Millisecond, Result: "done"} }
+	r.platform.Plan = func(string, string) fake.RunPlan {
+		return fake.RunPlan{Duration: 300 * time.Millisecond, Result: "done"}
+	}
 	body := fmt.Sprintf(`{"phases":[{"count":%d,"cpu":50,"mem_mb":1,"estimate_ms":300}]}`, tasks)
 	for i := range jobs {
 		status, _, _ := r.request(0, http.MethodPost, jobPath("a", i), body)
