--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -28,6 +28,7 @@
 	// usage follows the runs.
 	usage Usage
 	leftState
+	parkedState
 }
 
 // Option changes a new tracker.
@@ -58,42 +59,6 @@
 // Len returns the number of jobs, including ended ones that are not forgotten.
 func (tr *Tracker) Len() int { return len(tr.jobs) }
 
-// Accept adds a stored job and returns it. A job that is known already is returned unchanged.
-// accepted is in Unix time.
-func (tr *Tracker) Accept(id string, settings model.Queue, spec model.JobSpec, accepted, now time.Duration) *Job {
-	if j := tr.jobs[id]; j != nil {
-		return j
-	}
-	return tr.AcceptPrepared(tr.Prepare(id, settings, spec, accepted), now)
-}
-
-// Prepare returns a job for AcceptPrepared, which it does not add. Building 100,000 tasks takes milliseconds.
-// Unlike other methods it may be called by any goroutine at any time.
-func (tr *Tracker) Prepare(id string, settings model.Queue, spec model.JobSpec, accepted time.Duration) *Job {
-	j := &Job{ID: id, Queue: settings.Name, Account: spec.Account, Spec: spec, Accepted: accepted, Settings: settings, storedProgress: map[progressID]struct{}{}}
-	j.layout = newProgressLayout(tr.recordBytes, spec.TaskCount(), j.maxFailures(), 0)
-	if !spec.Scheduled {
-		j.Open = append(j.Open, j.newOccurrence(0))
-		j.nextOccurrence = 1
-	}
-	return j
-}
-
-// AcceptPrepared adds a stored job and returns it. If the job is known already, the known one is returned unchanged.
-func (tr *Tracker) AcceptPrepared(j *Job, now time.Duration) *Job {
-	if known := tr.jobs[j.ID]; known != nil {
-		return known
-	}
-	j.SeenAt = now
-	tr.jobs[j.ID] = j
-	tr.active[j.ID] = j
-	if at, ok := tr.earlyCancels[j.ID]; ok {
-		delete(tr.earlyCancels, j.ID)
-		tr.Cancel(j.ID, at)
-	}
-	return j
-}
-
 // maxOpenTasks bounds the tasks of the open occurrences of a job, except for a single occurrence. A
 // task takes some 200 bytes, and a job can have a million occurrences that are due at once.
 const maxOpenTasks = 20_000
@@ -168,6 +133,7 @@
 		tr.earlyCancels[id] = wall
 		return false
 	}
+	tr.Expand(id, wall) // its record says what its runs may need
 	tr.setFinal(j, model.Cancelled, wall)
 	return true
 }
@@ -459,5 +425,10 @@
 			out[j.Queue]++
 		}
 	}
+	for _, j := range tr.parked {
+		if j.parked != nil && !j.begun {
+			out[j.Queue]++
+		}
+	}
 	return out
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -65,6 +65,9 @@
 	// HasSentResignation reports whether a resignation was sent. It is nil for a leader that never
 	// resigns.
 	HasSentResignation func() bool
+	// SmallestMemory returns the least memory in MiB of the entries that may lead next, 0 if none is known. It is
+	// nil for a leader without successors.
+	SmallestMemory func() int64
 }
 
 // Leader is one term of leadership, from Start to Close.
@@ -313,6 +316,7 @@
 	if !l.isValid() {
 		return
 	}
+	l.onExpanded()
 	l.resolveFormerRuns()
 	l.plan()
 	l.pollDue()
@@ -326,6 +330,7 @@
 	l.applyWeights()
 	l.returnQueued()
 	l.openDue()
+	l.expandParked(expandTime)
 	l.planNewlyVisible()
 	l.replan()
 	l.tailTopics()
@@ -368,6 +373,7 @@
 	}
 	l.Meters.activeJobs.Update(float64(len(l.tracker.Active())))
 	l.Meters.pendingJobs.Update(float64(pending))
+	l.Meters.parkedJobs.Update(float64(len(l.tracker.Parked())))
 	l.Meters.startLimit.Update(float64(l.window.Size()))
 	l.forgetEnded()
 	l.purgeAdvice()
