--- a/internal/jobs/track/progress.go
+++ b/internal/jobs/track/progress.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 
@@ -181,14 +182,14 @@
 	return out
 }
 
-// taskAt returns the task at a position among all tasks, or nil if there is none.
+// taskAt returns the task at a position among all tasks, or nil if there is none. It is called for each task, and a
+// job can have 20,000 steps.
 func (o *Occurrence) taskAt(i int) *Task {
-	for _, s := range o.Steps {
-		if i < s.firstIndex+len(s.Tasks) {
-			return s.Tasks[i-s.firstIndex]
-		}
+	n := sort.Search(len(o.Steps), func(n int) bool { return i < o.Steps[n].firstIndex+len(o.Steps[n].Tasks) })
+	if n == len(o.Steps) {
+		return nil
 	}
-	return nil
+	return o.Steps[n].Tasks[i-o.Steps[n].firstIndex]
 }
 
 // applyProgress applies a stored part. Part 0 of an earlier version, or of a store with another limit, holds tasks
