track: the end of a parked job does not leave runs that all executors have listed

A parked job that is cancelled is expanded for its record, with all tasks unresolved. After ForgetLeft no run of an earlier leader is unlisted, but the record said that all its tasks may run, and the next leader counted them against the account's limit.

--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -68,6 +68,10 @@
 		return // nothing counts its runs
 	}
 	runs, unresolved := leftTasks(j)
+	if tr.parkedListed {
+		// Tasks of a job that was parked until now are unresolved, and no former run of them is left.
+		unresolved = Left{}
+	}
 	j.left, j.unlisted = runs.Plus(unresolved), unresolved
 	tr.addLeft(j)
 }
--- a/internal/jobs/track/parked_test.go
+++ b/internal/jobs/track/parked_test.go
@@ -68,3 +68,15 @@
 	tr.ReleaseUnresolved(func(*Job) bool { return true }, 0)
 	assert.Assert(t, !tasks[1].IsWaiting())
 }
+
+// Guards against an end whose record says that runs may be left, where all executors have listed theirs: the next
+// leader would count them against the limit of the account.
+func TestCancelledParkedJobLeavesNothingOnceRunsAreListed(t *testing.T) {
+	tr := loadParked(t)
+	assert.Assert(t, tr.Cancel("begun", time.Second))
+	assert.Assert(t, tr.Job("begun").Left() != Left{}, "its runs may be left")
+	tr.ForgetLeft()
+	assert.Assert(t, tr.Cancel("new", time.Second))
+	assert.Equal(t, tr.Job("new").Left(), Left{})
+	assert.Assert(t, !tr.HasLeft())
+}
