leader: memory is counted again before a leaderless job is put off

Only submissions had the memory of jobs counted again. A leader that got none, since all entries stored their jobs without it, put off each further job once those that it had read, ended ones included, exceeded its limit.

--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -155,6 +155,15 @@
 	return fits()
 }
 
+// hasRoom reports whether a job that an entry stored while it had no leader fits besides the others.
+func (l *Leader) hasRoom(bytes int64) bool {
+	fits := func() bool { return l.memory.used.large+l.memory.used.others+bytes <= l.jobLimit() }
+	if !fits() && l.now >= l.memory.countedAt+recountInterval {
+		l.memory.recount(l.tracker, l.now) // without submissions nothing else counts again
+	}
+	return fits()
+}
+
 // jobLimit returns the memory for accepted jobs.
 func (l *Leader) jobLimit() int64 {
 	return guard.NewLimits(l.Settings.Memory, l.Settings.MaxDescriptors).Jobs
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -163,3 +163,22 @@
 	assert.NilError(t, ev.err)
 	assert.Equal(t, ev.records, 160)
 }
+
+// addLeaderless has a leader read the record of a job that an entry stored while it had no leader.
+func addLeaderless(l *Leader, id, account, body string) *track.Job {
+	r := track.LeaderlessJobRecord(id, model.Queue{Name: "q", Service: "s"}, account, []byte(body), l.wall)
+	l.onLeaderless(leaderlessRead{records: []platform.Record{{Key: r.Key, Value: r.Value}}})
+	return l.tracker.Job(id)
+}
+
+// Guards against jobs that are put off although there is room: a leader that no submission reaches counted all jobs
+// that it had read, with those that had ended.
+func TestEndedJobsLeaveRoomForLeaderlessOnes(t *testing.T) {
+	l, _ := loadSmall(t, track.NewLoader(platform.DecodeJob))
+	for i := range 20 {
+		j := addLeaderless(l, fmt.Sprintf("%016x", i), "", tasksBody)
+		assert.Assert(t, !j.IsParked(), "job %d", i)
+		l.cancelJob(j.ID)
+		l.now += time.Second
+	}
+}
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -170,9 +170,7 @@
 	}
 	switch {
 	case rec.Spec != nil && l.tracker.Job(rec.ID) == nil:
-		limit := l.jobLimit()
-		hasRoom := func(s track.Size) bool { return l.memory.used.large+l.memory.used.others+sizeBytes(s) <= limit }
-		j := l.tracker.AcceptLeaderless(rec, hasRoom, l.now)
+		j := l.tracker.AcceptLeaderless(rec, func(s track.Size) bool { return l.hasRoom(sizeBytes(s)) }, l.now)
 		l.memory.add(j)
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Bool("parked", j.IsParked()).Msg("leaderless job is accepted")
 		if j.IsParked() {
