track: a leaderless job that is put off has no runs of earlier leaders

It was stored after the load, so that no earlier leader has started it. It counted against its account's limit, and once expanded its tasks waited until executors had listed their runs, unlike those of leaderless jobs that are not put off.

--- a/internal/jobs/track/parked.go
+++ b/internal/jobs/track/parked.go
@@ -23,6 +23,8 @@
 	size     Size
 	// need bounds what runs of an earlier leader may need.
 	need Left
+	// isNew is set for a job that was stored after the load: no earlier leader has started any of its tasks.
+	isNew bool
 }
 
 // parkedState is the state of a tracker for parked jobs. A parked job is known to callers, and none of its tasks
@@ -120,7 +122,9 @@
 	if _, cancelled := tr.earlyCancels[r.ID]; tr.decode != nil && !cancelled && !r.Spec.Scheduled && tr.jobs[r.ID] == nil &&
 		!room(sizeOf(r.Spec, len(r.work.GetBody()))) {
 		tr.park(r.ID, r.work, r.Spec, nil, now)
-		return tr.jobs[r.ID]
+		j := tr.jobs[r.ID]
+		j.parked.isNew, j.parked.need = true, Left{}
+		return j
 	}
 	j := tr.Accept(r.ID, r.Settings, *r.Spec, r.Accepted, now)
 	j.BodyBytes = len(r.work.GetBody())
@@ -152,7 +156,9 @@
 	spec.Account = j.Account
 	tr.build(j, spec)
 	tr.active[j.ID] = j
-	tr.restoreJob(j, p.progress, wall)
+	if !p.isNew {
+		tr.restoreJob(j, p.progress, wall)
+	}
 	tr.expanded = append(tr.expanded, j)
 }
 
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/guard"
@@ -182,3 +183,21 @@
 		l.now += time.Second
 	}
 }
+
+// Guards against a job that is put off and counts as one that an earlier leader may have started, although an entry has
+// stored it since the load: it counted against its account's limit, and waited for executors that can't run it.
+func TestLeaderlessJobThatIsPutOffHasNoFormerRuns(t *testing.T) {
+	l, m := loadSmall(t, track.NewLoader(platform.DecodeJob))
+	l.members[m.Key].Contact = execs.Uncontacted
+	addLeaderless(l, "first", "", tasksBody)
+	j := addLeaderless(l, "second", "a", tasksBody)
+	assert.Assert(t, j.IsParked())
+	assert.Equal(t, l.tracker.Unlisted()["a"], track.Left{})
+	l.cancelJob("first")
+	l.now += expandInterval
+	l.expandParked(expandTime)
+	l.onExpanded()
+	l.resolveFormerRuns()
+	assert.Assert(t, !j.IsParked() && !j.IsUnresolved())
+	assert.Assert(t, j.Open[0].Steps[0].Tasks[0].IsWaiting())
+}
