leader: parked jobs keep the tokens of their account

Their tokens were taken when they were expanded, for the time of their acceptance, after those of later submissions. All parked jobs of an account within its weight counted as excess, and went behind those of others while the pool was full.

--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -265,7 +265,9 @@
 		}
 		n++
 		l.allResolved = false
-		l.countUnasked(j)
+		if l.sharesApply(j.Account) {
+			l.countStored(j, j.Excess) // its token was taken when it was parked
+		}
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
 	}
--- a/internal/serve/leader/share.go
+++ b/internal/serve/leader/share.go
@@ -271,9 +271,9 @@
 	l.countStored(j, !l.shares.buckets.Take(j.Account, l.weightOf(j.Account), at))
 }
 
-// loadShares counts the jobs that this leader has loaded, in the order of their acceptance.
+// loadShares counts the jobs that this leader has loaded, parked ones included, in the order of their acceptance.
 func (l *Leader) loadShares() {
-	jobs := make([]*track.Job, 0, len(l.tracker.Active()))
+	jobs := slices.Clone(l.tracker.Parked())
 	for _, j := range l.tracker.Active() {
 		jobs = append(jobs, j)
 	}
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -201,3 +201,35 @@
 	assert.Assert(t, !j.IsParked() && !j.IsUnresolved())
 	assert.Assert(t, j.Open[0].Steps[0].Tasks[0].IsWaiting())
 }
+
+// Guards against jobs of an account within its weight that go behind others because they were put off: their tokens were
+// taken when they were expanded, from what the account had left after its later submissions.
+func TestPutOffJobsKeepTheirTokens(t *testing.T) {
+	l, _ := newSharedLeader(t, twoAccounts)
+	l.now = time.Minute
+	from := track.NewLoader(platform.DecodeJob)
+	for i := range 20 {
+		for account, at := range map[string]time.Duration{"small": l.wall - time.Duration(i)*time.Second, "large": l.wall} {
+			r := track.JobRecord(fmt.Sprintf("%s-%d", account, i), model.Queue{Name: "q", Service: "s"}, account, []byte(sharedBody), at)
+			assert.NilError(t, from.Add(r.Key, r.Value))
+		}
+	}
+	l.tracker, _ = from.LoadWithin(func(track.Size) bool { return false }, 0, l.now, l.wall)
+	l.loadShares()
+	for i := range 10 {
+		l.now, l.wall = l.now+time.Second, l.wall+time.Second
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+		assert.Assert(t, !l.tracker.Job(fmt.Sprint(i)).Excess)
+	}
+	for _, j := range l.tracker.Parked() {
+		l.tracker.Expand(j.ID, l.wall)
+	}
+	l.onExpanded()
+	excess := map[string]int{}
+	for _, j := range l.tracker.Active() {
+		if j.Excess {
+			excess[j.Account]++
+		}
+	}
+	assert.DeepEqual(t, excess, map[string]int{"large": 10})
+}
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -173,10 +173,10 @@
 		j := l.tracker.AcceptLeaderless(rec, func(s track.Size) bool { return l.hasRoom(sizeBytes(s)) }, l.now)
 		l.memory.add(j)
 		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Bool("parked", j.IsParked()).Msg("leaderless job is accepted")
+		l.countUnasked(j)
 		if j.IsParked() {
 			break
 		}
-		l.countUnasked(j)
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
 	case rec.Cancelled:
