--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -158,8 +158,9 @@
 // hasRoom reports whether a job that an entry stored while it had no leader fits besides the others.
 func (l *Leader) hasRoom(bytes int64) bool {
 	fits := func() bool { return l.memory.used.large+l.memory.used.others+bytes <= l.jobLimit() }
-	if !fits() && l.now >= l.memory.countedAt+recountInterval {
-		l.memory.recount(l.tracker, l.now) // without submissions nothing else counts again
+	// As in hasMemory: without submissions nothing else counts again.
+	if l.now >= l.memory.countedAt+purgeInterval || !fits() && l.now >= l.memory.countedAt+recountInterval {
+		l.memory.recount(l.tracker, l.now)
 	}
 	return fits()
 }
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -184,6 +184,16 @@
 	}
 }
 
+// Guards against ended jobs that a leader which no submission reaches keeps in memory for ever.
+func TestEndedLeaderlessJobsAreNotKept(t *testing.T) {
+	l, _ := loadSmall(t, track.NewLoader(platform.DecodeJob))
+	for i := range 20 {
+		l.cancelJob(addLeaderless(l, fmt.Sprintf("%016x", i), "", ordinaryBody).ID)
+		l.now += purgeInterval
+	}
+	assert.Assert(t, len(l.memory.perOccurrence) < 3, "%d jobs are kept", len(l.memory.perOccurrence))
+}
+
 // Guards against a job that is put off and counts as one that an earlier leader may have started, although an entry has
 // stored it since the load: it counted against its account's limit, and waited for executors that can't run it.
 func TestLeaderlessJobThatIsPutOffHasNoFormerRuns(t *testing.T) {
