--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -243,3 +243,21 @@
 	}
 	assert.DeepEqual(t, excess, map[string]int{"large": 10})
 }
+
+// Guards against a task that runs twice: a job was put off and is expanded while an executor that may run its tasks has
+// not answered, after the runs of all jobs that were not put off were known.
+func TestExpandedJobWaitsForUncontactedExecutors(t *testing.T) {
+	stored, _ := fill(t, smallMemory, ordinaryBody)
+	l, m := loadSmall(t, stored)
+	m.Contact, l.allResolved = execs.Uncontacted, true
+	j := l.tracker.Parked()[0]
+	l.tracker.Expand(j.ID, l.wall)
+	l.onExpanded()
+	l.resolveFormerRuns()
+	task := j.Open[0].Steps[0].Tasks[0]
+	assert.Assert(t, task.Unresolved && !l.allResolved)
+	m.Contact, m.adopted = execs.Live, true
+	l.applyEnds(m, []model.End{{Seq: 1, Task: task.ID, Attempt: 1, Ending: model.EndedDone}}, true)
+	l.resolveFormerRuns()
+	assert.Assert(t, task.Done && j.Open[0].Steps[0].Tasks[1].IsWaiting())
+}
