--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -155,6 +155,16 @@
 	return fits()
 }
 
+// hasRoom reports whether a job that an entry stored while it had no leader fits besides the others.
+func (l *Leader) hasRoom(bytes int64) bool {
+	fits := func() bool { return l.memory.used.large+l.memory.used.others+bytes <= l.jobLimit() }
+	// As in hasMemory: without submissions nothing else counts again.
+	if l.now >= l.memory.countedAt+purgeInterval || !fits() && l.now >= l.memory.countedAt+recountInterval {
+		l.memory.recount(l.tracker, l.now)
+	}
+	return fits()
+}
+
 // jobLimit returns the memory for accepted jobs.
 func (l *Leader) jobLimit() int64 {
 	return guard.NewLimits(l.Settings.Memory, l.Settings.MaxDescriptors).Jobs
@@ -256,7 +266,9 @@
 		}
 		n++
 		l.allResolved = false
-		l.countUnasked(j)
+		if l.sharesApply(j.Account) {
+			l.countStored(j, j.Excess) // its token was taken when it was parked
+		}
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
 	}
--- a/internal/serve/leader/successor_test.go
+++ b/internal/serve/leader/successor_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"chervilgauge.example/chervilgauge/internal/core/clock"
+	"chervilgauge.example/chervilgauge/internal/jobs/execs"
 	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/internal/serve/guard"
@@ -163,3 +164,100 @@
 	assert.NilError(t, ev.err)
 	assert.Equal(t, ev.records, 160)
 }
+
+// addLeaderless has a leader read the record of a job that an entry stored while it had no leader.
+func addLeaderless(l *Leader, id, account, body string) *track.Job {
+	r := track.LeaderlessJobRecord(id, model.Queue{Name: "q", Service: "s"}, account, []byte(body), l.wall)
+	l.onLeaderless(leaderlessRead{records: []platform.Record{{Key: r.Key, Value: r.Value}}})
+	return l.tracker.Job(id)
+}
+
+// Guards against jobs that are put off although there is room: a leader that no submission reaches counted all jobs
+// that it had read, with those that had ended.
+func TestEndedJobsLeaveRoomForLeaderlessOnes(t *testing.T) {
+	l, _ := loadSmall(t, track.NewLoader(platform.DecodeJob))
+	for i := range 20 {
+		j := addLeaderless(l, fmt.Sprintf("%016x", i), "", tasksBody)
+		assert.Assert(t, !j.IsParked(), "job %d", i)
+		l.cancelJob(j.ID)
+		l.now += time.Second
+	}
+}
+
+// Guards against ended jobs that a leader which no submission reaches keeps in memory for ever.
+func TestEndedLeaderlessJobsAreNotKept(t *testing.T) {
+	l, _ := loadSmall(t, track.NewLoader(platform.DecodeJob))
+	for i := range 20 {
+		l.cancelJob(addLeaderless(l, fmt.Sprintf("%016x", i), "", ordinaryBody).ID)
+		l.now += purgeInterval
+	}
+	assert.Assert(t, len(l.memory.perOccurrence) < 3, "%d jobs are kept", len(l.memory.perOccurrence))
+}
+
+// Guards against a job that is put off and counts as one that an earlier leader may have started, although an entry has
+// stored it since the load: it counted against its account's limit, and waited for executors that can't run it.
+func TestLeaderlessJobThatIsPutOffHasNoFormerRuns(t *testing.T) {
+	l, m := loadSmall(t, track.NewLoader(platform.DecodeJob))
+	l.members[m.Key].Contact = execs.Uncontacted
+	addLeaderless(l, "first", "", tasksBody)
+	j := addLeaderless(l, "second", "a", tasksBody)
+	assert.Assert(t, j.IsParked())
+	assert.Equal(t, l.tracker.Unlisted()["a"], track.Left{})
+	l.cancelJob("first")
+	l.now += expandInterval
+	l.expandParked(expandTime)
+	l.onExpanded()
+	l.resolveFormerRuns()
+	assert.Assert(t, !j.IsParked() && !j.IsUnresolved())
+	assert.Assert(t, j.Open[0].Steps[0].Tasks[0].IsWaiting())
+}
+
+// Guards against jobs of an account within its weight that go behind others because they were put off: their tokens were
+// taken when they were expanded, from what the account had left after its later submissions.
+func TestPutOffJobsKeepTheirTokens(t *testing.T) {
+	l, _ := newSharedLeader(t, twoAccounts)
+	l.now = time.Minute
+	from := track.NewLoader(platform.DecodeJob)
+	for i := range 20 {
+		for account, at := range map[string]time.Duration{"small": l.wall - time.Duration(i)*time.Second, "large": l.wall} {
+			r := track.JobRecord(fmt.Sprintf("%s-%d", account, i), model.Queue{Name: "q", Service: "s"}, account, []byte(sharedBody), at)
+			assert.NilError(t, from.Add(r.Key, r.Value))
+		}
+	}
+	l.tracker, _ = from.LoadWithin(func(track.Size) bool { return false }, 0, l.now, l.wall)
+	l.loadShares()
+	for i := range 10 {
+		l.now, l.wall = l.now+time.Second, l.wall+time.Second
+		assert.Assert(t, submitAs(l, "small", fmt.Sprint(i)) == nil)
+		assert.Assert(t, !l.tracker.Job(fmt.Sprint(i)).Excess)
+	}
+	for _, j := range l.tracker.Parked() {
+		l.tracker.Expand(j.ID, l.wall)
+	}
+	l.onExpanded()
+	excess := map[string]int{}
+	for _, j := range l.tracker.Active() {
+		if j.Excess {
+			excess[j.Account]++
+		}
+	}
+	assert.DeepEqual(t, excess, map[string]int{"large": 10})
+}
+
+// Guards against a task that runs twice: a job was put off and is expanded while an executor that may run its tasks has
+// not answered, after the runs of all jobs that were not put off were known.
+func TestExpandedJobWaitsForUncontactedExecutors(t *testing.T) {
+	stored, _ := fill(t, smallMemory, ordinaryBody)
+	l, m := loadSmall(t, stored)
+	m.Contact, l.allResolved = execs.Uncontacted, true
+	j := l.tracker.Parked()[0]
+	l.tracker.Expand(j.ID, l.wall)
+	l.onExpanded()
+	l.resolveFormerRuns()
+	task := j.Open[0].Steps[0].Tasks[0]
+	assert.Assert(t, task.Unresolved && !l.allResolved)
+	m.Contact, m.adopted = execs.Live, true
+	l.applyEnds(m, []model.End{{Seq: 1, Task: task.ID, Attempt: 1, Ending: model.EndedDone}}, true)
+	l.resolveFormerRuns()
+	assert.Assert(t, task.Done && j.Open[0].Steps[0].Tasks[1].IsWaiting())
+}
