leader: a silent executor's leases last as long as a start that an unnoticed next incarnation carried out

Since polls of a silent executor extend its leases for 5 s only, its runs are given up some 10.4 s after its last answer, or 5.5 s after a start on an idle one. If the executor had restarted unnoticed, the deadline of that start, and of each poll that arrived, was on the clock of the former incarnation and granted the longest lease (10 s): the run went on and its task was started again. An unanswered start, and each poll that may have arrived while a start may run on a next incarnation, count with the longest lease now. Once the executor is silent, such polls extend nothing.

The model check follows this, the bound of 5 s, and the longest lease after a clock that went back, which it lacked.

--- a/internal/proof/check/check.go
+++ b/internal/proof/check/check.go
@@ -9,7 +9,7 @@
 // Some decisions can't be called, since they are methods of the control goroutine of serve/leader or
 // of the elector in serve/lead. They are written out once more, each under the name of the function
 // that it follows: when an unanswered start is void and which runs are given up (reconcileRuns,
-// expireLeases, replaceIncarnation), which ends a poll acknowledges (ack), when the runs of earlier leaders are known (resolveFormerRuns,
+// expireLeases, extendLongest, pollFailed, replaceIncarnation), which ends a poll acknowledges (ack), when the runs of earlier leaders are known (resolveFormerRuns,
 // allContacted), which ends count as stored (flush, onAppended), and who leads (applyRecord,
 // isStillLeader). A change of one of them has to be made here as well.
 //
@@ -92,6 +92,7 @@
 	ackUnseen
 	ackUnconfirmed
 	countConfirmed
+	shortLeases
 )
 
 // Option changes a model.
@@ -155,6 +156,9 @@
 // WithoutCertainAcks makes a leader acknowledge ends although the executor may have restarted.
 func WithoutCertainAcks() Option { return func(m *Model) { m.mutation = ackUnseen } }
 
+// WithoutLongestLeases makes a leader ignore that an order on the clock of a former incarnation grants the longest lease.
+func WithoutLongestLeases() Option { return func(m *Model) { m.mutation = shortLeases } }
+
 // WithoutHeldAcks makes a leader acknowledge ends although the start of a run there is not confirmed.
 func WithoutHeldAcks() Option { return func(m *Model) { m.mutation = ackUnconfirmed } }
 
--- a/internal/proof/check/check_test.go
+++ b/internal/proof/check/check_test.go
@@ -200,3 +200,17 @@
 	assertKept(t, search(t, l, opts...))
 	assert.Equal(t, search(t, l, append(opts, WithoutCertainAcks())...).Breach, Twice)
 }
+
+// Guards against a second run of a task whose start an unnoticed next incarnation of its executor has carried out. That
+// and polls on the clock of the former one grant the longest lease, and a silent executor's leases end.
+func TestLeasesOfAnUnnoticedRestart(t *testing.T) {
+	opts := []Option{WithSize(1, 2, 1), WithIdle(200 * time.Second)}
+	list := []searchCase{{"answered start", Limits{Ticks: 4, Claims: 1, Starts: 2, Polls: 1, SlowPolls: 1, Crashes: 1}, nil}}
+	if *deep {
+		list = append(list, searchCase{"unanswered start", Limits{Ticks: 4, Claims: 1, Starts: 2, Polls: 1, SlowPolls: 1, SlowStarts: 1, Crashes: 1}, nil})
+	}
+	searchAll(t, list, opts...)
+	for _, c := range list {
+		assert.Equal(t, search(t, c.limits, append(opts, WithoutLongestLeases())...).Breach, Twice, c.name)
+	}
+}
--- a/internal/proof/check/leader.go
+++ b/internal/proof/check/leader.go
@@ -94,6 +94,13 @@
 	b.leaseEnd = max(b.leaseEnd, millis(elect.LeaseEnd(m.at(b.clockAt), duration(b.clock), deadline)))
 }
 
+// extendLongest follows Leader.extendLongest.
+func (m *Model) extendLongest(b *member, at tick) {
+	if m.mutation != shortLeases {
+		b.leaseEnd = max(b.leaseEnd, millis(elect.LeaseEnd(m.at(at), 0, maxLease)))
+	}
+}
+
 // canStart follows Leader.plan: an executor must accept tasks and be known to a successor.
 func (m *Model) canStart(e *entry, b *member, now tick) bool {
 	if m.mutation != startAfterClaims && !m.isSole(e, now) {
@@ -144,8 +151,12 @@
 				r.Phase, r.PhaseSince = track.Uncertain, m.at(s.now)
 			}
 			b.unanswered = b.unanswered || b.born == c.born
+			m.extendLongest(b, s.now)
 		case c.res == resultOK:
-			b.suspect = b.suspect || b.born == c.born && c.clock < c.least
+			if b.born == c.born && c.clock < c.least {
+				b.suspect = true
+				m.extendLongest(b, s.now)
+			}
 			tr.ConfirmRun(r, m.at(s.now))
 		default:
 			tr.RemoveRun(r)
@@ -181,7 +192,7 @@
 	}
 	c := call{kind: pollCall, by: uint8(i), exec: uint8(x), born: b.born, token: e.token, raises: b.raises, waiting: true, voids: b.unanswered, suspect: b.suspect, ack: ack, sent: s.now}
 	b.unanswered = false
-	if b.adopted {
+	if b.adopted && (b.contact == execs.Live || !c.voids && !b.suspect && m.at(s.now-b.clockAt) < elect.RunLease) {
 		deadline := m.deadline(b, s.now)
 		m.extend(b, deadline)
 		c.deadline = millis(deadline)
@@ -210,8 +221,11 @@
 }
 
 // pollFailed follows Leader.pollFailed.
-func pollFailed(b *member, c *call, answered bool) {
+func (m *Model) pollFailed(b *member, c *call, now tick, answered bool) {
 	b.unanswered = b.unanswered || c.voids
+	if !answered && c.deadline > 0 && (b.unanswered || b.suspect) {
+		m.extendLongest(b, now)
+	}
 	if !answered && b.contact == execs.Live {
 		b.contact = execs.Unresponsive
 	}
@@ -221,7 +235,7 @@
 func (m *Model) onPolled(s *state, e *entry, c *call) {
 	b := &e.members[c.exec]
 	if c.res != resultOK {
-		pollFailed(b, c, true)
+		m.pollFailed(b, c, s.now, true)
 		return
 	}
 	if c.answerBorn != b.born {
@@ -317,7 +331,7 @@
 	e.members[x] = newMember(born, s.now)
 	e.members[x].raises = raises
 	e.members[x].raises, e.members[x].unanswered = old.raises, true
-	e.members[x].leaseEnd = millis(elect.LeaseEnd(m.at(s.now), 0, maxLease))
+	m.extendLongest(&e.members[x], s.now)
 	m.update(s, e, func(tr *track.Tracker) {
 		for r := range tr.RunsOn(keyOf(uint8(x), old.born)) {
 			tr.RemoveRun(r)
@@ -341,6 +355,11 @@
 // expireLeases follows Leader.expireLeases.
 func (m *Model) expireLeases(s *state, e *entry, x int) bool {
 	b, now := &e.members[x], e.renewed
+	for i := range s.calls {
+		if c := &s.calls[i]; c.kind == startCall && c.waiting && &s.entries[c.by] == e && int(c.exec) == x && c.born == b.born {
+			m.extendLongest(b, c.sent)
+		}
+	}
 	if b.contact == execs.Live || b.contact == execs.Dead || b.leaseEnd == 0 || m.at(now) < duration(b.leaseEnd) {
 		return false
 	}
--- a/internal/proof/check/world.go
+++ b/internal/proof/check/world.go
@@ -221,7 +221,7 @@
 	case answered:
 		m.onPolled(s, e, c)
 	default:
-		pollFailed(b, c, false)
+		m.pollFailed(b, c, s.now, false)
 	}
 }
 
--- a/internal/serve/leader/executor.go
+++ b/internal/serve/leader/executor.go
@@ -23,7 +23,8 @@
 	pollRetryInterval = 150 * time.Millisecond
 	// silentExtension is how long after its last answer polls of a silent executor extend its leases. Each poll may
 	// arrive, so a run on an executor that is cut off would otherwise count as running for as long as it is. In a shorter
-	// outage no run ends that the executor does not end itself.
+	// outage no run ends that the executor does not end itself. Polls of a silent executor whose next incarnation
+	// may have carried out a start extend nothing: each might grant the longest lease there.
 	silentExtension = elect.RunLease
 	// maxPollDelay is how long a poll is delayed so that it can announce ends that are being
 	// stored.
@@ -115,6 +116,12 @@
 	m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(m.clockAt, m.clock, deadline))
 }
 
+// extendLongest records that an order that arrived at a time or before may have granted the longest lease: an
+// unnoticed next incarnation, whose clock starts at 0, takes a deadline on the clock of the former one for a late one.
+func (l *Leader) extendLongest(m *member, at time.Duration) {
+	m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(at, 0, l.Settings.Bounds.MaxLease))
+}
+
 // firstLease returns the longest time that leases on an executor may last after its first answer. A
 // start with a deadline on the clock of its former incarnation has granted up to the longest lease, if
 // it reached the executor soon after its start, when clocks begin at 0.
@@ -278,7 +285,7 @@
 	// Late orders to the former incarnation carry a lower fencing token than this.
 	next.fenceRaises, next.reportOffset = max(next.fenceRaises, old.fenceRaises+1), max(next.reportOffset, old.reportOffset)
 	// A deadline on the clock of the former incarnation grants up to the longest lease.
-	next.leaseEnd = max(next.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
+	l.extendLongest(next, l.now)
 	l.countLost(old)
 	for r := range l.tracker.RunsOn(old.Key) {
 		l.tracker.MoveRun(r, next.Key, l.now)
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -83,9 +83,11 @@
 	ev := polled{m: m, sent: l.now, voidsOrders: m.hasUnanswered, fence: elect.FencingToken(l.token, m.fenceRaises)}
 	m.hasUnanswered = false
 	var deadline time.Duration
-	if m.clockAt > 0 && m.adopted && (m.Contact == execs.Live || l.now < m.clockAt+silentExtension) {
+	mayExtend := m.Contact == execs.Live || !ev.voidsOrders && !m.mayHaveRestarted && l.now < m.clockAt+silentExtension
+	if m.clockAt > 0 && m.adopted && mayExtend {
 		deadline = m.deadline(l.now)
 		m.extend(deadline)
+		ev.extends = true
 	}
 	to := l.target(m, limit)
 	if acked > 0 {
@@ -124,6 +126,7 @@
 	sent        time.Duration
 	fence       uint64
 	voidsOrders bool
+	extends     bool // it has a deadline
 	ackedSeq    int64
 	list        platform.PollResult
 	err         error
@@ -196,6 +199,10 @@
 		}
 		return
 	}
+	if ev.extends && (m.hasUnanswered || m.mayHaveRestarted) {
+		// The next incarnation may have carried out a start, and the poll has extended its lease.
+		l.extendLongest(m, l.now)
+	}
 	m.pollFailures++
 	if m.Contact == execs.Live {
 		m.Contact = execs.Unresponsive
@@ -284,6 +291,15 @@
 		if m.Contact == execs.Live && m.leaseEnd == 0 || m.Contact == execs.Dead || l.LastRenewal() < m.leaseEnd || len(l.tracker.RunsOn(m.Key))+len(m.unconfirmed) == 0 {
 			continue
 		}
+		for r := range l.tracker.RunsOn(m.Key) {
+			if r.Phase == track.Starting {
+				// The leader was suspended, and has not handled the end of the call yet.
+				l.extendLongest(m, r.OrderedAt+startTimeout)
+			}
+		}
+		if l.LastRenewal() < m.leaseEnd {
+			continue
+		}
 		if m.Contact == execs.Live {
 			m.Contact = execs.Unresponsive // no poll was sent in time
 		} else {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -295,7 +295,7 @@
 			l.Log.Info().Str("executor", m.ID).Int64("born", m.StartMillis).Dur("clock", ev.clock).Dur("least", ev.least).Msg("clock of an executor went back")
 			m.mayHaveRestarted, m.restartSeenAt = true, l.now
 			// The deadline on the clock of the former incarnation granted up to the longest lease.
-			m.leaseEnd = max(m.leaseEnd, elect.LeaseEnd(l.now, 0, l.Settings.Bounds.MaxLease))
+			l.extendLongest(m, l.now)
 			m.due = l.now
 			l.queuePoll(m)
 		}
@@ -317,6 +317,8 @@
 			r.Phase, r.PhaseSince = track.Uncertain, l.now
 		}
 		m.hasUnanswered = true
+		// An unnoticed next incarnation may have carried it out.
+		l.extendLongest(m, l.now)
 		m.due = l.now
 		l.queuePoll(m)
 		return
