--- a/review/_stand3/client.go
+++ b/review/_stand3/client.go
@@ -124,7 +124,7 @@
 
 func (w *world) addEntry(store string) *entry {
 	e := &entry{w: w, name: fmt.Sprintf("frontend-z0-%d", len(w.entries)+1), ip: w.host()}
-	e.path = fmt.Sprintf("%s/%s.yaml", w.dir, e.name)
+	e.path = fmt.Sprintf("%s/%s.yaml", w.tmp, e.name)
 	must(os.WriteFile(e.path, []byte(w.settings(e, store)), 0o644))
 	w.entries = append(w.entries, e)
 	e.run()
@@ -134,8 +134,9 @@
 // run starts the process.
 func (e *entry) run() {
 	e.starts++
-	out, err := os.Create(fmt.Sprintf("%s/%s.%d.log", e.w.dir, e.name, e.starts))
+	out, err := os.Create(fmt.Sprintf("%s/%s.%d.log", e.w.tmp, e.name, e.starts))
 	must(err)
+	defer out.Close()
 	c := exec.Command("target/chervilgauge", "agent", "-metrics", fmt.Sprint(metrics))
 	c.Env = append(os.Environ(), "CHERVILGAUGE_SETTINGS="+e.path)
 	c.Stdout, c.Stderr = out, out
@@ -324,7 +325,7 @@
 	case "failed":
 		bad := false
 		for _, t := range j.tasks {
-			bad = bad || t.owner().notedFails >= w.opt.maxAttempts
+			bad = bad || t.failedEnds() >= w.opt.maxAttempts
 		}
 		if !bad {
 			w.violate("LOST", "%s is shown as failed without cause", j.id)
@@ -344,4 +345,7 @@
 		e.signal(syscall.SIGCONT)
 		e.kill()
 	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.tmp)
+	}
 }
