--- a/review/_stand3/client.go
+++ b/review/_stand3/client.go
@@ -144,7 +144,15 @@
 	must(c.Start())
 	e.cmd, e.done = c, make(chan struct{})
 	done := e.done
-	go func() { _ = c.Wait(); close(done) }()
+	go func() {
+		_ = c.Wait()
+		e.w.mu.Lock()
+		if !e.stoppedNow && !e.w.closing {
+			e.w.violate("Fault", "%s has ended by itself: %v", e.name, c.ProcessState)
+		}
+		e.w.mu.Unlock()
+		close(done)
+	}()
 }
 
 func (e *entry) signal(s syscall.Signal) { _ = e.cmd.Process.Signal(s) }
@@ -340,6 +348,9 @@
 
 // close ends all processes.
 func (w *world) close() {
+	w.mu.Lock()
+	w.closing = true
+	w.mu.Unlock()
 	close(w.quit)
 	for _, e := range w.entries {
 		e.signal(syscall.SIGCONT)
