--- a/review/_stand3/client.go
+++ b/review/_stand3/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -122,8 +123,25 @@
 		w.cloudAddr, store, w.cloudAddr)
 }
 
+// freeHost returns a loopback address on which all ports of an entry are free.
+func (w *world) freeHost() string {
+	for {
+		ip, free := w.host(), true
+		for _, port := range []int{frontPort, readyPort, peerPort, metrics} {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if free = err == nil; !free {
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return ip
+		}
+	}
+}
+
 func (w *world) addEntry(store string) *entry {
-	e := &entry{w: w, name: fmt.Sprintf("frontend-z0-%d", len(w.entries)+1), ip: w.host()}
+	e := &entry{w: w, name: fmt.Sprintf("frontend-z0-%d", len(w.entries)+1), ip: w.freeHost()}
 	e.path = fmt.Sprintf("%s/%s.yaml", w.tmp, e.name)
 	must(os.WriteFile(e.path, []byte(w.settings(e, store)), 0o644))
 	w.entries = append(w.entries, e)
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -26,7 +26,7 @@
 	os.Exit(play(os.Args[2], seed))
 }
 
-var cases = map[string]func(dir string, seed uint64) int{"explore": explore, "late-cancel": lateCancel, "schedules": schedules, "stall": stall, "avoid": avoid, "reserve": reserve}
+var cases = map[string]func(dir string, seed uint64) int{"explore": explore, "late-cancel": lateCancel, "schedules": schedules, "stall": stall, "avoid": avoid, "reserve": reserve, "budget": budget}
 
 var trouble = os.Getenv("TROUBLE") != "0"
 
--- a/review/_stand3/schedules.go
+++ b/review/_stand3/schedules.go
@@ -77,6 +77,7 @@
 func schedules(dir string, _ uint64) int {
 	w := newWorld(dir, defaults())
 	w.mu.Lock()
+	w.brief = true
 	w.addService("svca", 6, amount{8000, 16384, 2}, true)
 	w.queues = []*queue{{"ra", "a.example", "/qa/", "svca", 3, 0}}
 	w.putConfig()
--- a/review/_stand3/world.go
+++ b/review/_stand3/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -70,6 +71,8 @@
 
 	// exact is set if each subtask takes the work as it is.
 	exact bool
+	// allFail is set if all runs fail.
+	allFail bool
 	// wild is set for a submission of an unusual shape, whose end is not awaited.
 	wild bool
 
@@ -118,7 +121,12 @@
 
 func (t *task) failKey() string { return fmt.Sprintf("%d.%d.%d", t.occ, t.number, t.index) }
 
-func (t *task) failsLeft() int { return t.job.fails[t.failKey()] - t.job.failed[t.failKey()] }
+func (t *task) failsLeft() int {
+	if t.job.allFail {
+		return 1
+	}
+	return t.job.fails[t.failKey()] - t.job.failed[t.failKey()]
+}
 
 type queue struct {
 	name, host, prefix, service string
@@ -182,6 +190,8 @@
 	hosts    int
 	quit     chan struct{}
 	closing  bool
+	// brief leaves the acknowledgements of ends out of the record.
+	brief bool
 }
 
 func newWorld(dir string, opt options) *world {
@@ -194,7 +204,7 @@
 	}
 	w := &world{
 		opt: opt, dir: dir, tmp: tmp, log: f, began: time.Now(), store: fake.NewStore(), jobs: map[string]*job{}, machines: map[string]*machine{},
-		broken: map[string]int{}, tickets: map[string]time.Time{}, lastOrder: map[string]string{}, quit: make(chan struct{}), hosts: 10 + os.Getpid()%400*150,
+		broken: map[string]int{}, tickets: map[string]time.Time{}, lastOrder: map[string]string{}, quit: make(chan struct{}), hosts: rand.IntN(60_000),
 	}
 	w.storeAddr = w.listen(http.HandlerFunc(w.serveStore))
 	mux := http.NewServeMux()
@@ -412,6 +422,9 @@
 			}
 		}
 	}
+	if w.brief {
+		return
+	}
 	w.record("NOTED %s %d %s on %s seq %d", t.name, x.run.attempt, x.how, x.run.exec.id, x.seq)
 }
 
