leader: overdue schedules share the memory for jobs

Cause: the open occurrences of each job were bounded by 20,000 tasks, twice that in a load, and their sum by nothing. Each complete occurrence also left a record for ever, which each new leader held.

Change: open occurrences besides the first one of each job share a quarter of the memory for jobs; a load opens none, and one that an executor lists is opened by itself; complete occurrences are stored in blocks of 1,024, one bit each; jobs with occurrences can be put off like others.

Two tests changed with the behaviour: TestCompleteOccurrencesStayClosedAtTakeover expected occurrence 8 to be open beside 7, above the bound; it now expects what is stored of it to be kept until it is opened, by the next leader too. TestRunOfAnOccurrenceThatIsNotDueIsAdopted expected the occurrence before the listed one to be opened with it; it now expects it to be opened when it is due, once.

--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -21,8 +21,8 @@
 	Value []byte
 }
 
-// Keys: the job's ID holds the job and later its end, ID/K and ID/K/N/T the progress of occurrence K, ID! a
-// cancel, and ID~ a job that an entry stored while it had no leader. Such an entry does not know
+// Keys: the job's ID holds the job and later its end, ID/K and ID/K/N/T the progress of occurrence K, ID/complete/N
+// block N of the complete occurrences, ID! a cancel, and ID~ a job that an entry stored while it had no leader. Such an entry does not know
 // whether the job has ended, so its record must not replace the end.
 const (
 	progressSeparator = "/"
@@ -102,13 +102,20 @@
 // TakeChanges returns the changes that are not stored and starts a new batch.
 func (tr *Tracker) TakeChanges() Batch {
 	var out Batch
+	blocks := map[completeBlock]struct{}{}
+	var deletions []Record
 	for _, o := range tr.dirtyOcc {
 		if o.Job.IsOver() || len(o.dirtyParts) == 0 {
 			o.dirtyParts = nil
 			continue
 		}
 		_, withServices := o.dirtyParts[0]
-		out.Records = append(out.Records, o.takeProgress()...)
+		if o.Left == 0 {
+			blocks[completeBlock{o.Job, o.Number / blockSize}] = struct{}{}
+			deletions = append(deletions, o.dropProgress()...)
+		} else {
+			out.Records = append(out.Records, o.takeProgress()...)
+		}
 		if !withServices {
 			continue
 		}
@@ -118,6 +125,11 @@
 			}
 		}
 	}
+	for b := range blocks {
+		out.Records = append(out.Records, b.record())
+	}
+	// A batch may be stored in part: what is deleted has to be in a block before.
+	out.Records = append(out.Records, deletions...)
 	for _, j := range tr.dirtyEnd {
 		out.Records = append(out.Records, endRecord(j))
 		for id := range j.storedProgress {
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -206,13 +206,17 @@
 	SeenAt time.Duration
 	// Settings are the settings of its queue when it was accepted.
 	Settings model.Queue
-	// Open are the occurrences that are due and not complete.
+	// Open are the occurrences that are due and not complete, in order.
 	Open []*Occurrence
-	// nextOccurrence is the number of the first occurrence that is not due yet, and completed the
-	// number of occurrences that are complete.
+	// nextOccurrence is the number of the first occurrence that was not opened in turn, and complete are those
+	// that are complete.
 	nextOccurrence int
-	completed      int
-	begun          bool // any task has started
+	complete       occurrenceSet
+	// unopened bounds the occurrences besides the open ones that an earlier leader may have had open while the
+	// job is unresolved, and unopenedProgress is what is stored of occurrences that are not open yet.
+	unopened         int
+	unopenedProgress map[int]progressParts
+	begun            bool // any task has started
 	// state is the current state, if final, and visible the one that callers may see: a final state
 	// becomes visible once it is stored.
 	state   model.State
@@ -304,14 +308,13 @@
 
 // Task returns a task of an open occurrence, or nil if there is none.
 func (j *Job) Task(id model.TaskID) *Task {
-	for _, o := range j.Open {
-		if o.Number != id.Occurrence {
-			continue
-		}
-		if id.Step >= len(o.Steps) || id.Index >= len(o.Steps[id.Step].Tasks) {
-			return nil
-		}
-		return o.Steps[id.Step].Tasks[id.Index]
+	i, ok := j.findOpen(id.Occurrence)
+	if !ok {
+		return nil
+	}
+	o := j.Open[i]
+	if id.Step >= len(o.Steps) || id.Index >= len(o.Steps[id.Step].Tasks) {
+		return nil
 	}
-	return nil
+	return o.Steps[id.Step].Tasks[id.Index]
 }
--- a/internal/jobs/track/left.go
+++ b/internal/jobs/track/left.go
@@ -58,7 +58,7 @@
 			runs, unresolved = runs.Plus(leftBy(s, running)), unresolved.Plus(leftBy(s, unknown))
 		}
 	}
-	return runs, unresolved
+	return runs, unresolved.Plus(j.unopenedNeed())
 }
 
 // recordLeft records what runs of a job that ends may need. It is stored with the end: executors can list
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -114,7 +113,11 @@
 func (l *Loader) Load(base int, now, wall time.Duration, options ...Option) (*Tracker, []string) {
 	c := *l
 	c.jobs, c.progress = maps.Clone(l.jobs), maps.Clone(l.progress)
-	return c.LoadWithin(func(Size) bool { return true }, base, now, wall, options...)
+	tr, bad := c.LoadWithin(func(Size) bool { return true }, base, now, wall, options...)
+	for _, j := range tr.active {
+		tr.OpenDue(j, wall, nil)
+	}
+	return tr, bad
 }
 
 // LoadWithin is Load for a leader that has no room for all jobs: others are parked. It releases what the loader has
@@ -139,9 +142,8 @@
 			bad = append(bad, id)
 			continue
 		}
-		// Occurrences of a scheduled job are opened by time.
-		if !room(sizeOf(&spec, len(w.GetBody()))) && !spec.Scheduled {
-			tr.park(id, w, &spec, progress, now)
+		if !room(sizeOf(&spec, len(w.GetBody()))) {
+			tr.park(id, w, &spec, progress, now, wall)
 			continue
 		}
 		spec.Account = w.GetAccount()
@@ -159,20 +161,13 @@
 // progressParts are the stored parts of the progress of an occurrence.
 type progressParts map[progressID]*workpb.Mark
 
-// restoreJob opens the occurrences of a job that an earlier leader may have opened, applies the
-// stored progress and makes the remaining tasks unresolved.
+// restoreJob applies the stored progress of a job and makes the tasks that remain unresolved. Occurrences of a
+// scheduled job are opened by OpenDue and OpenStarted, as there is room for them.
 func (tr *Tracker) restoreJob(j *Job, progress map[progressID]*workpb.Mark, wall time.Duration) {
-	last, partTasks := -1, 0
+	partTasks := 0
 	stored := map[int]progressParts{}
 	for id, m := range progress {
-		if id.occurrence < j.Spec.Repeats {
-			last = max(last, id.occurrence)
-		}
-		if stored[id.occurrence] == nil {
-			stored[id.occurrence] = progressParts{}
-		}
-		stored[id.occurrence][id] = m
-		partTasks = max(partTasks, id.tasks)
+		j.storedProgress[id] = struct{}{}
 		j.begun = j.begun || showsBegun(m)
 		for _, s := range m.GetServices() {
 			if j.services == nil {
@@ -180,34 +175,64 @@
 			}
 			j.services[s] = true
 		}
+		if id.isBlock {
+			j.complete.addBytes(id.occurrence, m.GetDone(), j.Spec.Repeats)
+			continue
+		}
+		if stored[id.occurrence] == nil {
+			stored[id.occurrence] = progressParts{}
+		}
+		stored[id.occurrence][id] = m
+		partTasks = max(partTasks, id.tasks)
 	}
+	j.evidence.succeeded = j.complete.count > 0
 	j.layout = newProgressLayout(tr.recordBytes, j.Spec.TaskCount(), j.maxFailures(), partTasks)
 	j.unresolved, j.attemptBase = true, tr.attemptBase
-	for _, o := range slices.Clone(j.Open) {
-		tr.restoreOccurrence(o, stored[o.Number], wall)
+	for _, o := range j.Open {
+		tr.restoreOccurrence(o, stored[o.Number])
+		tr.closeIfComplete(o, wall)
 	}
-	// The stored progress may include occurrences that are not due yet by this entry's clock.
-	for !j.IsOver() && j.nextOccurrence <= last {
-		o := j.openNext()
-		if tr.restoreOccurrence(o, stored[o.Number], wall); o.Left == 0 {
-			tr.trim(j)
+	if !j.Spec.Scheduled || j.IsOver() {
+		return
+	}
+	for k, parts := range stored {
+		switch {
+		case k >= j.Spec.Repeats || j.complete.has(k):
+			delete(stored, k)
+		case parts.isComplete(j.Spec.TaskCount()):
+			// Earlier versions stored complete occurrences one by one.
+			j.evidence.succeeded = true
+			j.complete.add(k)
+			delete(stored, k)
+		}
+	}
+	j.unopenedProgress, j.unopened = stored, j.mayHaveOpened(wall)
+	if j.complete.count == j.Spec.Repeats {
+		tr.setFinal(j, model.Complete, wall)
+	}
+}
+
+// isComplete reports whether the stored parts show that all tasks of an occurrence are done.
+func (p progressParts) isComplete(tasks int) bool {
+	done := make([]byte, (tasks+7)/8)
+	for _, m := range p {
+		for i, v := range m.GetDone()[:min(len(m.GetDone()), len(done))] {
+			done[i] |= v
 		}
 	}
-	// An earlier leader may have opened further ones once others were complete, without having
-	// stored that.
-	tr.trim(j)
-	n := len(j.Open)
-	tr.openDue(j, wall, 2*maxOpenTasks)
-	for _, o := range j.Open[n:] {
-		tr.restoreOccurrence(o, nil, wall)
+	for i := range tasks {
+		if done[i/8]&(1<<(i%8)) == 0 {
+			return false
+		}
 	}
-	tr.trim(j)
+	return true
 }
 
 // showsBegun reports whether a stored part of the progress of a job shows that a task has started.
 func showsBegun(m *workpb.Mark) bool { return m.GetBegun() || len(m.GetServices()) == 0 }
 
-func (tr *Tracker) restoreOccurrence(o *Occurrence, stored progressParts, wall time.Duration) {
+// restoreOccurrence applies the stored progress of an open occurrence. Tasks that remain are unresolved.
+func (tr *Tracker) restoreOccurrence(o *Occurrence, stored progressParts) {
 	j := o.Job
 	for id, m := range stored {
 		tr.applyProgress(o, id, m)
@@ -224,7 +249,6 @@
 			t.Unresolved = !t.Done
 		}
 	}
-	tr.closeIfComplete(o, wall)
 }
 
 // AdoptRun adds a run that an executor lists and the tracker does not have. It returns nil for a
@@ -264,14 +288,22 @@
 		}
 		j.unresolved = false
 		for _, o := range j.Open {
-			for _, s := range o.Steps {
-				for _, t := range s.Tasks {
-					if t.Unresolved {
-						t.Unresolved = false
-						n++
-						tr.failIfExhausted(t, wall)
-					}
-				}
+			n += tr.releaseOccurrence(o, wall)
+		}
+	}
+	return n
+}
+
+// releaseOccurrence makes the unresolved tasks of an occurrence ready to start, and ends the job of a task that
+// has no attempts left. It returns the number of these tasks.
+func (tr *Tracker) releaseOccurrence(o *Occurrence, wall time.Duration) int {
+	n := 0
+	for _, s := range o.Steps {
+		for _, t := range s.Tasks {
+			if t.Unresolved {
+				t.Unresolved = false
+				n++
+				tr.failIfExhausted(t, wall)
 			}
 		}
 	}
--- a/internal/jobs/track/parked.go
+++ b/internal/jobs/track/parked.go
@@ -101,11 +101,12 @@
 }
 
 // park adds a loaded job without its steps and tasks.
-func (tr *Tracker) park(id string, w *workpb.Work, spec *model.JobSpec, progress map[progressID]*workpb.Mark, now time.Duration) {
-	p := &parked{work: w, progress: progress, size: sizeOf(spec, len(w.GetBody()))}
-	for i := range spec.Steps {
-		p.need = p.need.Plus(leftBy(&Step{Step: &spec.Steps[i]}, spec.Steps[i].Count))
+func (tr *Tracker) park(id string, w *workpb.Work, spec *model.JobSpec, progress map[progressID]*workpb.Mark, now, wall time.Duration) {
+	occurrences := 1
+	if spec.Scheduled {
+		occurrences = (&Job{Spec: *spec}).mayHaveOpened(wall)
 	}
+	p := &parked{work: w, progress: progress, size: sizeOf(spec, len(w.GetBody())), need: occurrenceNeed(spec, occurrences)}
 	j := newJob(id, settingsOf(w), w.GetAccount(), millis(w.GetAccepted()))
 	j.SeenAt = now
 	j.parked, j.BodyBytes = p, len(w.GetBody())
@@ -119,9 +120,9 @@
 // AcceptLeaderless adds a job that an entry stored while it had no leader and returns it. It is parked if there is
 // no room for it.
 func (tr *Tracker) AcceptLeaderless(r LeaderlessRecord, room Room, now time.Duration) *Job {
-	if _, cancelled := tr.earlyCancels[r.ID]; tr.decode != nil && !cancelled && !r.Spec.Scheduled && tr.jobs[r.ID] == nil &&
+	if _, cancelled := tr.earlyCancels[r.ID]; tr.decode != nil && !cancelled && tr.jobs[r.ID] == nil &&
 		!room(sizeOf(r.Spec, len(r.work.GetBody()))) {
-		tr.park(r.ID, r.work, r.Spec, nil, now)
+		tr.park(r.ID, r.work, r.Spec, nil, now, 0)
 		j := tr.jobs[r.ID]
 		j.parked.isNew, j.parked.need = true, Left{}
 		return j
--- a/internal/jobs/track/progress.go
+++ b/internal/jobs/track/progress.go
@@ -15,15 +15,23 @@
 // and checkpoints of its tasks in parts of equally many tasks, because one record for all of them could be larger
 // than the store accepts. Part 0 also holds which tasks are done, in one record, so that the members of a gang
 // are done together.
+//
+// The complete occurrences of a scheduled job are stored in blocks instead, and their own records deleted: a record
+// for each would let the memory of the next leader grow with the age of the schedule.
 type progressID struct {
+	// occurrence is the number of the block if isBlock is set.
 	occurrence, part int
 	// tasks is the number of tasks in a part, 0 for part 0.
-	tasks int
+	tasks   int
+	isBlock bool
 }
 
 // key returns the key of the record. That of part 0 has only the number of the occurrence, as in earlier
 // versions, which knew no other parts.
 func (p progressID) key(job string) string {
+	if p.isBlock {
+		return job + progressSeparator + blockPrefix + strconv.Itoa(p.occurrence)
+	}
 	key := job + progressSeparator + strconv.Itoa(p.occurrence)
 	if p.part > 0 {
 		key += progressSeparator + strconv.Itoa(p.part) + progressSeparator + strconv.Itoa(p.tasks)
@@ -31,12 +39,16 @@
 	return key
 }
 
-// maxPartNumber bounds the numbers of parts and their tasks, so that products of them don't overflow.
+// blockPrefix precedes the number of a block of complete occurrences in its key.
+const blockPrefix = "complete" + progressSeparator
+
+// maxPartNumber bounds the numbers of parts, their tasks and blocks, so that products of them don't overflow.
 const maxPartNumber = math.MaxInt32
 
 // parseProgressID parses the end of a key after the job's ID. It returns an ErrRecord.
 func parseProgressID(s string) (progressID, error) {
 	var numbers []int
+	s, isBlock := strings.CutPrefix(s, blockPrefix)
 	for text := range strings.SplitSeq(s, progressSeparator) {
 		n, err := strconv.Atoi(text)
 		if err != nil {
@@ -45,10 +57,14 @@
 		numbers = append(numbers, n)
 	}
 	switch {
+	case isBlock:
+		if len(numbers) == 1 && numbers[0] >= 0 && numbers[0] <= maxPartNumber {
+			return progressID{occurrence: numbers[0], isBlock: true}, nil
+		}
 	case len(numbers) == 1 && numbers[0] >= 0:
 		return progressID{occurrence: numbers[0]}, nil
 	case len(numbers) == 3 && numbers[0] >= 0 && min(numbers[1], numbers[2]) > 0 && max(numbers[1], numbers[2]) <= maxPartNumber:
-		return progressID{numbers[0], numbers[1], numbers[2]}, nil
+		return progressID{occurrence: numbers[0], part: numbers[1], tasks: numbers[2]}, nil
 	}
 	return progressID{}, errKind(s)
 }
@@ -94,7 +110,7 @@
 	if part == 0 {
 		return progressID{occurrence: o.Number}
 	}
-	return progressID{o.Number, part, o.Job.layout.tasks}
+	return progressID{occurrence: o.Number, part: part, tasks: o.Job.layout.tasks}
 }
 
 // parts returns the number of parts for a number of tasks.
@@ -116,20 +132,14 @@
 }
 
 // takeProgress returns the records of the changed parts of an occurrence. Part 0 comes after those that take over
-// what an earlier version stored in it, and before the deletion of the others once all tasks are done.
+// what an earlier version stored in it.
 func (o *Occurrence) takeProgress() []Record {
-	isComplete := o.Left == 0
-	if isComplete {
-		for part := range o.Job.layout.parts(o.Job.Spec.TaskCount()) {
-			o.dirtyParts[part] = struct{}{}
-		}
-	}
 	var out, deletions []Record
 	stored := o.Job.storedProgress
 	for _, part := range slices.Backward(slices.Sorted(maps.Keys(o.dirtyParts))) {
 		id := o.progressID(part)
 		m := o.progress(part)
-		if part == 0 || !isComplete && len(m.GetFailed())+len(m.GetSaved()) > 0 {
+		if part == 0 || len(m.GetFailed())+len(m.GetSaved()) > 0 {
 			stored[id] = struct{}{}
 			out = append(out, Record{id.key(o.Job.ID), encode(m)})
 		} else if _, ok := stored[id]; ok {
@@ -141,11 +151,40 @@
 	return append(out, deletions...)
 }
 
+// completeBlock identifies a block of complete occurrences of a job.
+type completeBlock struct {
+	job    *Job
+	number int
+}
+
+// record returns the record of a block, which replaces the records of its occurrences.
+func (b completeBlock) record() Record {
+	id := progressID{occurrence: b.number, isBlock: true}
+	b.job.storedProgress[id] = struct{}{}
+	return Record{id.key(b.job.ID), encode(&workpb.Mark{Done: b.job.complete.bytes(b.number), Services: b.job.sortedServices(), Begun: true})}
+}
+
+// dropProgress returns the deletions of what is stored of an occurrence.
+func (o *Occurrence) dropProgress() []Record {
+	o.dirtyParts = nil
+	var out []Record
+	for part := range o.Job.layout.parts(o.Job.Spec.TaskCount()) {
+		id := o.progressID(part)
+		if _, ok := o.Job.storedProgress[id]; ok {
+			delete(o.Job.storedProgress, id)
+			out = append(out, Record{id.key(o.Job.ID), nil})
+		}
+	}
+	return out
+}
+
+func (j *Job) sortedServices() []string { return slices.Sorted(maps.Keys(j.services)) }
+
 // progress returns a part of the progress.
 func (o *Occurrence) progress(part int) *workpb.Mark {
 	m := &workpb.Mark{}
 	if part == 0 {
-		m.Done, m.Services, m.Begun = o.doneBits(), slices.Sorted(maps.Keys(o.Job.services)), o.Job.begun
+		m.Done, m.Services, m.Begun = o.doneBits(), o.Job.sortedServices(), o.Job.begun
 	}
 	layout, saved := o.Job.layout, 0
 	for _, s := range o.Steps {
@@ -195,7 +234,6 @@
 // applyProgress applies a stored part. Part 0 of an earlier version, or of a store with another limit, holds tasks
 // of other parts, which are stored again where they belong.
 func (tr *Tracker) applyProgress(o *Occurrence, id progressID, m *workpb.Mark) {
-	o.Job.storedProgress[id] = struct{}{}
 	for i, bits := range m.GetDone() {
 		for b := range 8 {
 			if bits&(1<<b) == 0 {
--- a/internal/jobs/track/tracker.go
+++ b/internal/jobs/track/tracker.go
@@ -59,72 +59,6 @@
 // Len returns the number of jobs, including ended ones that are not forgotten.
 func (tr *Tracker) Len() int { return len(tr.jobs) }
 
-// maxOpenTasks bounds the tasks of the open occurrences of a job, except for a single occurrence. A
-// task takes some 200 bytes, and a job can have a million occurrences that are due at once.
-const maxOpenTasks = 20_000
-
-// OpenDue opens the occurrences of a job that are due at a wall-clock time and reports whether
-// there were any. While many are incomplete, later ones wait.
-func (tr *Tracker) OpenDue(j *Job, wall time.Duration) bool { return tr.openDue(j, wall, maxOpenTasks) }
-
-func (tr *Tracker) openDue(j *Job, wall time.Duration, maxTasks int) bool {
-	opened := false
-	for j.Spec.Scheduled && !j.IsOver() && j.nextOccurrence < j.Spec.Repeats && j.due(j.nextOccurrence) <= wall {
-		if j.isFull(maxTasks) {
-			// Occurrences whose completion was not stored when their last run ended are still open.
-			if tr.trim(j); j.isFull(maxTasks) {
-				break
-			}
-		}
-		j.openNext()
-		opened = true
-	}
-	return opened
-}
-
-// MaxClockLead is how far the clock of an earlier leader may have been ahead: each of two clocks can
-// be off by 5 s.
-const MaxClockLead = 10 * time.Second
-
-// OpenStarted opens the occurrences of a job up to that of a task that an earlier leader has
-// started. They may not be due yet at a wall-clock time of this process.
-func (tr *Tracker) OpenStarted(id model.TaskID, wall time.Duration) {
-	j := tr.jobs[id.Job]
-	if j == nil || !j.Spec.Scheduled || j.IsOver() || id.Occurrence >= j.Spec.Repeats || j.due(id.Occurrence) > wall+MaxClockLead {
-		return
-	}
-	for j.nextOccurrence <= id.Occurrence && !j.isFull(2*maxOpenTasks) {
-		j.openNext()
-	}
-}
-
-// isFull reports whether another open occurrence would exceed a number of tasks.
-func (j *Job) isFull(maxTasks int) bool {
-	return len(j.Open) > 0 && (len(j.Open)+1)*j.Spec.TaskCount() > maxTasks
-}
-
-// openNext opens the next occurrence and returns it. An earlier leader may have opened it as well.
-func (j *Job) openNext() *Occurrence {
-	o := j.newOccurrence(j.nextOccurrence)
-	for _, s := range o.Steps {
-		for _, t := range s.Tasks {
-			t.Attempt, t.Unresolved = j.attemptBase, j.unresolved
-		}
-	}
-	j.Open = append(j.Open, o)
-	j.nextOccurrence++
-	return o
-}
-
-// NextDue returns the Unix time at which the next occurrence of a job is due, or false if there is
-// none.
-func (j *Job) NextDue() (time.Duration, bool) {
-	if !j.Spec.Scheduled || j.IsOver() || j.nextOccurrence >= j.Spec.Repeats {
-		return 0, false
-	}
-	return j.due(j.nextOccurrence), true
-}
-
 // Cancel sets the final state of a job to cancelled, unless it is over. The caller stops its runs.
 // It returns false for an unknown job, whose cancel is kept until the job is accepted.
 func (tr *Tracker) Cancel(id string, wall time.Duration) bool {
@@ -158,7 +92,7 @@
 		busy := false
 		j.ForEachRun(func(*Run) { busy = true })
 		if !busy {
-			j.Open = nil
+			j.Open, j.unopenedProgress, j.complete = nil, nil, occurrenceSet{}
 			j.Spec = model.JobSpec{}
 		}
 		return
@@ -353,8 +287,10 @@
 	if o.Left > 0 || j.IsOver() {
 		return
 	}
-	j.completed++
-	if j.completed == j.Spec.Repeats {
+	if j.Spec.Scheduled {
+		j.complete.add(o.Number)
+	}
+	if !j.Spec.Scheduled || j.complete.count == j.Spec.Repeats {
 		tr.setFinal(j, model.Complete, wall)
 	}
 }
--- a/internal/serve/leader/leader.go
+++ b/internal/serve/leader/leader.go
@@ -344,15 +344,6 @@
 	l.purge()
 }
 
-// openDue opens the occurrences of repeated jobs whose start time has passed.
-func (l *Leader) openDue() {
-	for _, j := range l.tracker.Active() {
-		if l.tracker.OpenDue(j, l.wall) {
-			l.planDue[l.queueOf(j).Service] = true
-		}
-	}
-}
-
 // purgeInterval is the time between purges of ended jobs and executors, and between updates of
 // the gauges.
 const purgeInterval = 1 * time.Second
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -57,30 +57,33 @@
 	nextExpand    time.Duration // when parked jobs are expanded next
 }
 
-// usage is the memory that large jobs and others take, and what all of them take in the form in which they are
-// stored, in bytes.
-type usage struct{ large, others, stored int64 }
+// usage is the memory that large jobs and others take with one open occurrence, that of further open occurrences, and
+// what all jobs take in the form in which they are stored, in bytes.
+type usage struct{ large, others, backlog, stored int64 }
 
 // storedBytes is the memory of a job in the form in which it is stored.
 func storedBytes(body int) int64 { return parkedBytes + int64(body) }
 
-func (u *usage) add(perOccurrence, bytes int64) {
-	if perOccurrence > largeJobBytes {
+func (u *usage) add(bytes int64) {
+	if bytes > largeJobBytes {
 		u.large += bytes
 	} else {
 		u.others += bytes
 	}
 }
 
-// fits reports whether a job fits into a limit. Large jobs can't use othersShare of it, so that a few of them
-// don't keep all others out; a large one that is alone may exceed its part.
+// total returns the memory of all jobs as they are.
+func (u usage) total() int64 { return u.large + u.others + u.backlog }
+
+// fits reports whether a job fits into a limit. Large jobs and further occurrences can't use othersShare of it, so
+// that a few of them don't keep all others out; a large one that is alone may exceed its part.
 func (u usage) fits(bytes, limit int64) bool {
 	reserve := int64(othersShare * float64(limit))
 	if bytes <= largeJobBytes {
-		return u.others+bytes+min(u.large, limit-reserve) <= limit
+		return u.others+bytes+min(u.large+u.backlog, limit-reserve) <= limit
 	}
 	alone := u.large == 0 && u.others <= reserve
-	return alone || u.large+bytes <= limit-reserve && u.large+u.others+bytes <= limit
+	return alone || u.large+u.backlog+bytes <= limit-reserve && u.total()+bytes <= limit
 }
 
 // fitsNext reports whether a job fits into the limit of the smallest entry that may lead next. That entry can
@@ -94,8 +97,8 @@
 
 // add adds an accepted job.
 func (m *jobMemory) add(j *track.Job) {
-	n := m.of(j)
-	m.used.add(n, n*int64(max(1, len(j.Open))))
+	m.used.add(m.of(j))
+	m.used.backlog += backlogBytes(j)
 	m.used.stored += storedBytes(max(j.BodyBytes, j.Size().Payload))
 }
 
@@ -135,7 +138,7 @@
 	limit, next := l.jobLimit(), l.nextLimit()
 	var waiting usage
 	wait := func(a *submitRequest) {
-		waiting.add(a.bytes, a.bytes)
+		waiting.add(a.bytes)
 		waiting.stored += storedBytes(len(a.Body))
 	}
 	for _, a := range l.store.accepts {
@@ -146,7 +149,7 @@
 	}
 	fits := func() bool {
 		u := l.memory.used
-		u = usage{u.large + waiting.large, u.others + waiting.others, u.stored + waiting.stored}
+		u = usage{u.large + waiting.large, u.others + waiting.others, u.backlog, u.stored + waiting.stored}
 		return u.fits(bytes, limit) && u.fitsNext(bytes, storedBytes(body), next)
 	}
 	if l.now >= l.memory.countedAt+purgeInterval || !fits() && l.now >= l.memory.countedAt+recountInterval {
@@ -157,7 +160,7 @@
 
 // hasRoom reports whether a job that an entry stored while it had no leader fits besides the others.
 func (l *Leader) hasRoom(bytes int64) bool {
-	fits := func() bool { return l.memory.used.large+l.memory.used.others+bytes <= l.jobLimit() }
+	fits := func() bool { return l.memory.used.total()+bytes <= l.jobLimit() }
 	// As in hasMemory: without submissions nothing else counts again.
 	if l.now >= l.memory.countedAt+purgeInterval || !fits() && l.now >= l.memory.countedAt+recountInterval {
 		l.memory.recount(l.tracker, l.now)
@@ -209,7 +212,7 @@
 	}
 	if fits {
 		r.used += more
-		r.expanded.add(bytes, bytes)
+		r.expanded.add(bytes)
 		if !isLarge {
 			r.smallParked--
 		}
@@ -231,10 +234,10 @@
 	l.memory.nextExpand = l.now + expandInterval
 	r := &room{limit: l.jobLimit()}
 	for _, j := range l.tracker.Active() {
-		n := l.memory.of(j)
-		r.expanded.add(n, n*int64(max(1, len(j.Open))))
+		r.expanded.add(l.memory.of(j))
+		r.expanded.backlog += backlogBytes(j)
 	}
-	r.used = r.expanded.large + r.expanded.others
+	r.used = r.expanded.total()
 	var large []*track.Job
 	small := make([]*track.Job, 0, len(jobs))
 	for _, j := range jobs {
