leader: the cancel of an unknown job is stored

Cause: an entry's own record of the job is carried out seconds after the entry gave it up. The leader answered the cancel once it had read the entries' records, stored nothing, and accepted the job when it arrived.

Change: the leader stores the cancel before it answers, and cancels the job on arrival, also after a takeover.

TestStoredCancelIsKeptForItsJob checks ForgetCancels now, to which the forgetting of cancels was moved from ForgetEnded, and also that a cancel to keep is kept.

--- a/internal/jobs/track/bounds_test.go
+++ b/internal/jobs/track/bounds_test.go
@@ -144,7 +144,8 @@
 	j := tr.Accept("j", queue, steps(1), 0, 0)
 	assert.Assert(t, j.IsOver())
 	tr = d.load(t)
-	tr.ForgetEnded(2*time.Minute, func(string) bool { return false })
+	assert.Equal(t, len(tr.ForgetCancels(2*time.Minute, func(string) bool { return true })), 0)
+	assert.DeepEqual(t, tr.ForgetCancels(2*time.Minute, func(string) bool { return false }), []string{"j"})
 	assert.Equal(t, len(tr.earlyCancels), 0)
 }
 
--- a/internal/jobs/track/codec.go
+++ b/internal/jobs/track/codec.go
@@ -59,13 +59,16 @@
 
 // ForgetRecords returns the records that delete what the leader stored of an ended job.
 func ForgetRecords(id string) []Record {
-	return []Record{{id, nil}, {id + cancelSuffix, nil}}
+	return []Record{{id, nil}, ForgetCancelRecord(id)}
 }
 
+// ForgetCancelRecord returns the record that deletes a cancel.
+func ForgetCancelRecord(id string) Record { return Record{id + cancelSuffix, nil} }
+
 // ForgetLeaderlessRecords returns the records that delete what entries stored of a job while they
 // had no leader.
 func ForgetLeaderlessRecords(id string) []Record {
-	return []Record{{id + cancelSuffix, nil}, {id + leaderlessSuffix, nil}}
+	return []Record{ForgetCancelRecord(id), {id + leaderlessSuffix, nil}}
 }
 
 // JobID returns the ID of the job that a key belongs to.
--- a/internal/jobs/track/parked.go
+++ b/internal/jobs/track/parked.go
@@ -120,7 +120,7 @@
 // AcceptLeaderless adds a job that an entry stored while it had no leader and returns it. It is parked if there is
 // no room for it.
 func (tr *Tracker) AcceptLeaderless(r LeaderlessRecord, room Room, now time.Duration) *Job {
-	if _, cancelled := tr.earlyCancels[r.ID]; tr.decode != nil && !cancelled && tr.jobs[r.ID] == nil &&
+	if tr.decode != nil && !tr.HasEarlyCancel(r.ID) && tr.jobs[r.ID] == nil &&
 		!room(sizeOf(r.Spec, len(r.work.GetBody()))) {
 		tr.park(r.ID, r.work, r.Spec, nil, now, 0)
 		j := tr.jobs[r.ID]
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -24,6 +24,9 @@
 	othersShare = 0.25
 	// recountInterval is the least time between counts of what all jobs take.
 	recountInterval = 100 * time.Millisecond
+	// cancelShare is the share of the memory for jobs that cancels of unknown jobs take, and cancelBytes the memory
+	// of one. A client cancels what it has submitted, so that few of the jobs are unknown.
+	cancelShare, cancelBytes = 1.0 / 16, 160
 	// memoryRetry is the Retry-After time of a submission that the leader has no memory for. Jobs end
 	// within seconds, and their memory is counted again at each submission.
 	memoryRetry = 2 * time.Second
--- a/internal/serve/leader/purge.go
+++ b/internal/serve/leader/purge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
@@ -38,9 +39,20 @@
 	for _, id := range l.tracker.ForgetEnded(expired, l.hasLeaderless) {
 		l.store.pending = append(l.store.pending, track.ForgetRecords(id)...)
 	}
+	l.forgetCancels(expired)
 	l.purgeLeaderless(expired)
 }
 
+// forgetCancels forgets cancels of jobs that never came. Their submissions may be stored seconds after the cancel.
+func (l *Leader) forgetCancels(expired time.Duration) {
+	inFlight := func(id string) bool {
+		return slices.ContainsFunc(l.store.inFlightCancels, func(c *cancelRequest) bool { return c.id == id })
+	}
+	for _, id := range l.tracker.ForgetCancels(expired, inFlight) {
+		l.store.pending = append(l.store.pending, track.ForgetCancelRecord(id))
+	}
+}
+
 // leaderlessPurged is the outcome of deleting the leaderless records of jobs.
 type leaderlessPurged struct {
 	report
@@ -48,8 +60,8 @@
 	err error
 }
 
-// purgeLeaderless deletes the leaderless records of jobs that ended before a wall-clock time. The records
-// of their ends are deleted after them, or the next leader would treat the jobs as new ones.
+// purgeLeaderless deletes the leaderless records of jobs that ended before a wall-clock time, or whose cancel is
+// forgotten. The records of their ends are deleted after them, or the next leader would treat the jobs as new ones.
 func (l *Leader) purgeLeaderless(expired time.Duration) {
 	if l.purging {
 		return
@@ -57,12 +69,18 @@
 	var ids []string
 	var records [][]byte
 	for id, r := range l.leaderless {
-		if r.deleting || !l.tracker.HasEnded(id, expired) {
+		// The cancel of a job that never came is deleted alone: the job may be stored meanwhile.
+		neverCame := l.tracker.Job(id) == nil && !l.tracker.HasEarlyCancel(id)
+		if r.deleting || !neverCame && !l.tracker.HasEnded(id, expired) {
 			continue
 		}
 		l.leaderless[id] = leaderlessRecords{deleting: true}
 		ids = append(ids, id)
-		for _, e := range track.ForgetLeaderlessRecords(id) {
+		deletions := track.ForgetLeaderlessRecords(id)
+		if neverCame {
+			deletions = []track.Record{track.ForgetCancelRecord(id)}
+		}
+		for _, e := range deletions {
 			records = append(records, platform.KeyedRecord(e.Key, e.Value))
 		}
 		if len(ids) == maxPurgedJobs {
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -77,14 +77,6 @@
 
 func (*cancelRequest) isEvent() {}
 
-func (c *cancelRequest) answer(stored bool) {
-	if stored {
-		c.reply <- relay.Stored
-		return
-	}
-	c.reply <- relay.Unknown
-}
-
 type pendingRequest struct{ reply chan map[string]int }
 
 func (*pendingRequest) isEvent() {}
@@ -347,12 +339,16 @@
 			l.leaderlessTail.next = l.now
 			return
 		}
-		if l.knowsAllJobs() {
-			ev.reply <- relay.NotFound
-		} else {
+		if !l.knowsAllJobs() {
 			ev.reply <- relay.NotLeader
+			return
 		}
-		return
+		if float64((l.tracker.EarlyCancels()+len(l.store.cancels))*cancelBytes) > cancelShare*float64(l.nextLimit()) {
+			l.Meters.refuse("memory")
+			ev.reply <- relay.Refused
+			return
+		}
+		// The cancel is stored: an unanswered record of the job may still arrive seconds later.
 	}
 	if j != nil && j.State().IsFinal() {
 		ev.reply <- relay.Stored
@@ -371,10 +367,14 @@
 	return l.store.inFlight[id]
 }
 
-// onCancelStored cancels a job whose cancel was stored.
+// onCancelStored cancels a job whose cancel was stored. One that is not known is cancelled if it arrives later.
 func (l *Leader) onCancelStored(ev *cancelRequest) {
 	l.cancelJob(ev.id)
-	ev.answer(true)
+	if l.tracker.HasEarlyCancel(ev.id) {
+		ev.reply <- relay.NotFound
+		return
+	}
+	ev.reply <- relay.Stored
 }
 
 func (l *Leader) cancelJob(id string) {
--- a/internal/serve/leader/store.go
+++ b/internal/serve/leader/store.go
@@ -44,8 +44,9 @@
 	refused bool
 	// failed is set once an append failed permanently.
 	failed bool
-	// inFlight are the jobs in the append in flight, by id.
-	inFlight map[string]*submitRequest
+	// inFlight are the jobs in the append in flight, by id, and inFlightCancels the cancels in it.
+	inFlight        map[string]*submitRequest
+	inFlightCancels []*cancelRequest
 }
 
 // appended is the outcome of an append.
@@ -104,6 +105,7 @@
 	for _, a := range s.accepts {
 		s.inFlight[a.ID] = a
 	}
+	s.inFlightCancels = s.cancels
 	s.pending, s.accepts, s.cancels = nil, nil, nil
 	s.busy, s.firstSent = true, l.now
 	s.next = l.now + appendInterval
@@ -185,7 +187,7 @@
 
 func (l *Leader) onAppended(ev appended) {
 	s := &l.store
-	s.busy, s.refused, s.inFlight = false, false, nil
+	s.busy, s.refused, s.inFlight, s.inFlightCancels = false, false, nil, nil
 	if ev.err != nil {
 		l.Log.Warn().Err(ev.err).Int("records", ev.entries).Msg("append failed permanently")
 		// The ends in it are not stored: a poll that acknowledged them would make executors forget them.
@@ -242,7 +244,7 @@
 		a.answer(unknownAnswer)
 	}
 	for _, c := range ev.cancels {
-		c.answer(false)
+		c.reply <- relay.Unknown
 	}
 }
 
--- a/internal/serve/leader/tail.go
+++ b/internal/serve/leader/tail.go
@@ -172,10 +172,10 @@
 	case rec.Spec != nil && l.tracker.Job(rec.ID) == nil:
 		j := l.tracker.AcceptLeaderless(rec, func(s track.Size) bool { return l.hasRoom(sizeBytes(s)) }, l.now)
 		l.memory.add(j)
-		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Bool("parked", j.IsParked()).Msg("leaderless job is accepted")
+		l.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Dur("age", l.wall-rec.Accepted).Bool("parked", j.IsParked()).Bool("cancelled", j.IsOver()).Msg("leaderless job is accepted")
 		l.countUnasked(j)
-		if j.IsParked() {
-			break
+		if j.IsParked() || j.IsOver() {
+			break // a cancelled one is over
 		}
 		l.recordArrival(j)
 		l.planDue[l.queueOf(j).Service] = true
