assign: no executor is reserved behind work that takes long

Cause: a waiting long-running task reserves an executor where it fits once all other work has ended, however long that takes.

Change: it reserves one only if it fits once the runs have ended that are expected to end within 2 s, or within 10 s in a pool that is at least half in use. A run past its estimate is expected to take as long again as it has taken, so that missing and wrong estimates end a reservation as well.

Two tests changed, since executors behind work of a minute, or whose use no run explains, are not reserved any more: TestReservationsStayWithinTheLimit has runs of a second, TestTaskReservesNoExecutorThatItAvoids fills the executor with a run.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -151,8 +151,11 @@
 // Plan returns the tasks to start now, best first, for jobs of one service in the given order. It
 // returns limit tasks at most, or a single gang that has more members. A nil Allowance limits no
 // account.
-func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, allow Allowance, now time.Duration, limit int) []Start {
-	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), pool: execs.NewPool(members)}
+func Plan(jobs []*track.Job, members []*execs.Member, policy Policy, rarity Rarity, allow Allowance, now time.Duration, limit int, options ...Option) []Start {
+	p := plan{now: now, limit: limit, policy: policy, allow: orUnlimited(allow), members: members, pool: execs.NewPool(members)}
+	for _, o := range options {
+		o(&p)
+	}
 	for _, m := range members {
 		if m.CanAcceptTasks(now) {
 			p.slots = append(p.slots, &slot{m: m, free: m.Free(), room: m.Room(), rarity: rarity.Of(m.Labels)})
@@ -194,7 +197,11 @@
 	limit  int
 	policy Policy
 	allow  Allowance
-	slots  []*slot
+	// members are all executors, and maxWait is the result of patience, 0 until it is computed.
+	members []*execs.Member
+	maxWait time.Duration
+	freed   Freed
+	slots   []*slot
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
@@ -251,28 +258,6 @@
 	}
 }
 
-// reserve excludes an executor from the rest of the plan, so that a long-running task can start
-// there later. Otherwise smaller tasks of less urgent jobs would take each core that becomes free.
-// It chooses the executor with the most free capacity among those where the task may run and fits
-// once other work has ended. It returns false if there is none.
-func (p *plan) reserve(s *track.Step, t *track.Task, placed map[string]int) bool {
-	best := -1
-	need := s.Reservation()
-	for i, sl := range p.slots {
-		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) < Approved || p.mustAvoid(s, t, sl.m, placed) {
-			continue
-		}
-		if best < 0 || need.Share(sl.free) < need.Share(p.slots[best].free) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return false
-	}
-	p.slots = slices.Delete(p.slots, best, best+1)
-	return true
-}
-
 func (p *plan) placeTask(sl *slot, s *track.Step, t *track.Task, placed map[string]int, attempt int) {
 	sl.free = sl.free.Minus(s.Reservation())
 	if usesRoom(s, sl.m, placed) {
--- a/internal/serve/leader/schedule.go
+++ b/internal/serve/leader/schedule.go
@@ -10,6 +10,7 @@
 	"chervilgauge.example/chervilgauge/internal/jobs/assign"
 	"chervilgauge.example/chervilgauge/internal/jobs/elect"
 	"chervilgauge.example/chervilgauge/internal/jobs/execs"
+	"chervilgauge.example/chervilgauge/internal/jobs/model"
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 	"chervilgauge.example/chervilgauge/platform"
 )
@@ -94,7 +95,7 @@
 		}
 		limit := min(max(minStartLimit, len(members[s])), room)
 		starts := l.planWithin(s, func(allow assign.Allowance) []assign.Start {
-			return assign.Plan(l.startable(order.jobs, s), members[s], policy, rare, allow, l.now, limit)
+			return assign.Plan(l.startable(order.jobs, s), members[s], policy, rare, allow, l.now, limit, assign.WithFreed(l.freedWithin))
 		})
 		for _, st := range starts {
 			l.startRun(st)
@@ -379,6 +380,12 @@
 	return time.Duration(ratio.mean * float64(r.Task.Step.Estimate))
 }
 
+// freedWithin returns what is expected to become free on an executor within a time.
+func (l *Leader) freedWithin(m *execs.Member, within time.Duration) model.Amount {
+	x := l.members[m.Key]
+	return execs.Freed(l.tracker.RunsOn(m.Key), func(r *track.Run) time.Duration { return l.expectedRuntime(x, r) }, within, l.now)
+}
+
 // evacuate stops the long-running tasks on a draining executor, which would not end before it
 // leaves.
 func (l *Leader) evacuate(m *member) {
