assign: a failed task is not kept from idle executors without end

Cause: the task avoids that executor as long as another one can host it once all work there has ended, however long that takes. Executors on probation, and the bound on their runs, were avoided in the same way.

Change: placement records since when it keeps tasks of a step from executors with capacity. After 2 s, or 10 s in a pool that is at least half in use, they may start there if there is nowhere else. The last attempt waits as before.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -205,6 +205,8 @@
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
+	// held is set if a task of the step was kept away from an executor with capacity, and strict if it always is.
+	held, strict bool
 	// undo are the slots of the gang that is being placed.
 	undo []savedSlot
 	// pool is the division of the executors. bounded is set if the bounds of suspects apply to boundsOf, the
@@ -223,10 +225,16 @@
 
 // placeStep places the waiting tasks of a step while there is capacity.
 func (p *plan) placeStep(s *track.Step) {
+	p.held = false
 	if s.Gang {
 		p.placeGang(s)
-		return
+	} else {
+		p.placeTasks(s)
 	}
+	p.noteHeld(s)
+}
+
+func (p *plan) placeTasks(s *track.Step) {
 	var placed map[string]int
 	if s.MaxPerExecutor > 0 {
 		placed = runsByExecutor(s)
@@ -334,8 +342,9 @@
 
 // bestSlot returns the executor for a task, or nil if there is no capacity.
 func (p *plan) bestSlot(s *track.Step, t *track.Task, placed map[string]int) *slot {
-	var best *slot
-	var least float64
+	// held is the best executor that the task is kept away from.
+	var best, held *slot
+	var least, leastHeld float64
 	need := s.Reservation()
 	if !s.LongRunning && p.isUnfit(s, need) {
 		return nil
@@ -345,16 +354,17 @@
 		if !need.FitsIn(sl.free) {
 			continue
 		}
-		if sl.room <= 0 && usesRoom(s, sl.m, placed) && p.isBounded(s) {
-			isFull = true
-			continue
-		}
-		fitsAny = true
-		if !canHost(s, sl.m, placed) {
+		isPastBound := sl.room <= 0 && usesRoom(s, sl.m, placed) && p.isBounded(s)
+		isFull, fitsAny = isFull || isPastBound, fitsAny || !isPastBound
+		if !canHost(s, sl.m, placed) || p.policy(s, sl.m) != Startable {
 			continue
 		}
-		if p.policy(s, sl.m) != Startable || p.mustAvoid(s, t, sl.m, placed) || p.avoidsSuspect(s, t, sl.m, placed) {
-			continue
+		isAvoided := isPastBound || p.mustAvoid(s, t, sl.m, placed) || p.avoidsSuspect(s, t, sl.m, placed)
+		if isAvoided {
+			p.held = true
+			if !p.mayRelax(s, t, sl.m, isPastBound) {
+				continue
+			}
 		}
 		cost := sl.free.Minus(need).Share(sl.m.Capacity)
 		if s.LongRunning {
@@ -376,7 +386,10 @@
 			cost += rareLabelWeight * sl.rarity
 		}
 		cost += slownessWeight*max(sl.m.Slowness-1, 0) + p.suspectCost(s, sl.m)
-		if best == nil || cost < least {
+		switch {
+		case isAvoided && (held == nil || cost < leastHeld):
+			held, leastHeld = sl, cost
+		case !isAvoided && (best == nil || cost < least):
 			best, least = sl, cost
 		}
 	}
@@ -387,5 +400,8 @@
 	default:
 		p.unfit.add(need)
 	}
+	if best == nil {
+		return held
+	}
 	return best
 }
--- a/internal/jobs/assign/move.go
+++ b/internal/jobs/assign/move.go
@@ -41,7 +41,7 @@
 
 // bestSlotExcept returns the best slot for a task on another executor than one, or nil.
 func (p *plan) bestSlotExcept(executor string, t *track.Task, placed map[string]int) *slot {
-	others := plan{now: p.now, policy: p.policy, all: p.all}
+	others := plan{now: p.now, policy: p.policy, all: p.all, strict: true}
 	for _, sl := range p.slots {
 		if sl.m.Key != executor {
 			others.slots = append(others.slots, sl)
--- a/internal/jobs/assign/poison.go
+++ b/internal/jobs/assign/poison.go
@@ -9,8 +9,13 @@
 		return false
 	}
 	t := j.Probe()
+	if t == nil {
+		return true
+	}
+	p.held = false
+	defer p.noteHeld(t.Step)
 	switch {
-	case t == nil || p.now < t.NotBefore:
+	case p.now < t.NotBefore:
 	case t.Step.Gang:
 		p.placeGang(t.Step)
 	case p.allow.Fits(t.Step):
--- a/internal/jobs/assign/unfit.go
+++ b/internal/jobs/assign/unfit.go
@@ -28,5 +28,12 @@
 
 // isUnfit reports whether it is known that no executor has capacity for a step.
 func (p *plan) isUnfit(s *track.Step, need model.Amount) bool {
-	return p.unfit.anyFitsIn(need) || len(p.unfitBounded) > 0 && p.unfitBounded.anyFitsIn(need) && p.isBounded(s)
+	if p.unfit.anyFitsIn(need) {
+		return true
+	}
+	if len(p.unfitBounded) == 0 || !p.unfitBounded.anyFitsIn(need) || !p.isBounded(s) {
+		return false
+	}
+	p.held = true
+	return !p.isRelaxed(s)
 }
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -146,6 +146,9 @@
 	Left int
 	// Running is the number of runs of its tasks that may be on an executor.
 	Running int
+	// HeldSince is since when placement has kept its tasks away from executors with capacity, because they have
+	// failed there or the executors are on probation, 0 if it does not.
+	HeldSince time.Duration
 	// firstIndex is the position of its first task among all tasks of the occurrence.
 	firstIndex int
 	// GangAttempt is the attempt of the current run of a gang.
