execs: stalls are judged by the pace of progress, not by the estimate alone

Cause: a run counted as stalled after 1.3 s, or half of its estimated run time, without growth of its percent. Whole per cents of a run of 300 s take 3 s each. Each stop counted as a fault of the executor.

Change: the time without progress that a run may take follows from what 1% has taken in it, in runs of its step elsewhere, or since its job was accepted for a run of an earlier leader; while nothing is known it is 10 s without an estimate, and doubles with each stop of the task. A stop counts against an executor only if the run had made progress there, or progress elsewhere takes less time.

TestStalledRuns gives an estimate of a second where it gave none, and checks runs without one besides.

--- a/internal/jobs/execs/member_test.go
+++ b/internal/jobs/execs/member_test.go
@@ -39,10 +39,11 @@
 	for i, s := range j.Open[0].Steps {
 		r := tr.BeginRun(s.Tasks[0], "x", 0, 0)
 		tr.ConfirmRun(r, 0)
-		assert.Assert(t, !IsStalled(r, minStall, 0))
-		assert.Equal(t, IsStalled(r, minStall+1, 0), i == 0)
-		assert.Assert(t, !IsStalled(r, 5*time.Second, 20*time.Second))
+		assert.Assert(t, !IsStalled(r, minStall, time.Second, 0))
+		assert.Equal(t, IsStalled(r, minStall+1, time.Second, 0), i == 0)
+		assert.Equal(t, IsStalled(r, unknownStall+1, 0, 0), i == 0)
+		assert.Assert(t, !IsStalled(r, 5*time.Second, 20*time.Second, 0))
 		r.LastProgress = 4 * time.Second
-		assert.Assert(t, !IsStalled(r, 5*time.Second, 0))
+		assert.Assert(t, !IsStalled(r, 5*time.Second, time.Second, 0))
 	}
 }
--- a/internal/jobs/track/job.go
+++ b/internal/jobs/track/job.go
@@ -45,8 +45,12 @@
 	Metric int64
 	// Pace is the share of its full speed that it may use, in percent.
 	Pace int
-	// LastProgress is when Percent last grew.
+	// LastProgress is when Percent last grew, and PercentTime the longest time that 1% has taken so far, 0 if it has
+	// not grown.
 	LastProgress time.Duration
+	PercentTime  time.Duration
+	// Adopted is set for a run of an earlier leader.
+	Adopted bool
 	// rateFrom is when progress was first listed, and ratePercent that progress.
 	rateFrom     time.Duration
 	ratePercent  float64
@@ -80,10 +84,20 @@
 	LastFailure time.Duration
 	// NotBefore is the earliest time of the next start, after a refusal.
 	NotBefore time.Duration
+	// Stalls is how often this leader has stopped a run of it as stalled, and Stall the last one that no other run
+	// has shown to be the executor's fault.
+	Stalls int
+	Stall  Stall
 	// SlowMoves is how often it was moved by this leader because its run was slow.
 	SlowMoves int
 }
 
+// Stall is a run that was stopped after a time without progress.
+type Stall struct {
+	Executor string
+	Silent   time.Duration
+}
+
 // failure is a run that failed. It counts permanently once the executor was told that its end is
 // stored; until then it is void if the executor is lost.
 type failure struct {
@@ -146,6 +160,8 @@
 	Left int
 	// Running is the number of runs of its tasks that may be on an executor.
 	Running int
+	// paces are those of the last runs with progress, on two executors.
+	paces [2]pace
 	// HeldSince is since when placement has kept its tasks away from executors with capacity, because they have
 	// failed there or the executors are on probation, 0 if it does not.
 	HeldSince time.Duration
--- a/internal/jobs/track/load.go
+++ b/internal/jobs/track/load.go
@@ -271,7 +271,7 @@
 	tr.ConfirmRun(run, now)
 	// Before its progress: the checkpoint may be much older.
 	tr.ObserveCheckpoint(run, r.Checkpoint)
-	run.Percent, run.Metric = r.Percent, r.Metric
+	run.Percent, run.Metric, run.Adopted = r.Percent, r.Metric, true
 	if t.Step.Gang {
 		t.Step.GangAttempt = max(t.Step.GangAttempt, r.Attempt)
 	}
--- a/internal/jobs/track/rate.go
+++ b/internal/jobs/track/rate.go
@@ -2,9 +2,44 @@
 
 import "time"
 
+// pace is the pace of progress that the runs of a step have shown on an executor.
+type pace struct {
+	executor    string
+	percentTime time.Duration
+}
+
+// recordPace records that the progress of a run has grown to a number of per cents since LastProgress. Where these are
+// whole numbers, one of them can take up to as long as the others together.
+func (r *Run) recordPace(percent float64, now time.Duration) {
+	took := time.Duration(float64(now-r.LastProgress) / max(percent-r.Percent-1, 1))
+	r.PercentTime = max(r.PercentTime, took, 1)
+	p := &r.Task.Step.paces
+	if p[0].executor != r.Executor {
+		p[1] = p[0]
+	}
+	p[0] = pace{r.Executor, r.PercentTime}
+}
+
+// RecordDone records the pace of a run that has succeeded.
+func (r *Run) RecordDone(now time.Duration) { r.recordPace(100, now) }
+
+// PercentTimeExcept returns how long 1% of a task takes, as the runs of the step have shown last on other
+// executors than one, 0 if none has.
+func (s *Step) PercentTimeExcept(executor string) time.Duration {
+	for _, p := range s.paces {
+		if p.executor != executor {
+			return p.percentTime
+		}
+	}
+	return 0
+}
+
 // ObservePercent records the progress that an executor lists for a run.
 func (r *Run) ObservePercent(percent float64, now time.Duration) {
 	if percent > r.Percent {
+		if r.rateFrom > 0 || r.Checkpoint == "" {
+			r.recordPace(percent, now)
+		}
 		r.LastProgress = now
 		if r.rateFrom == 0 {
 			// A run that continues from a checkpoint begins with the progress that it had.
--- a/internal/serve/leader/outcome.go
+++ b/internal/serve/leader/outcome.go
@@ -118,6 +118,8 @@
 	switch e.Ending {
 	case model.EndedDone:
 		m.RecordSuccess(r.OrderedAt)
+		r.RecordDone(l.now)
+		l.settleStall(r)
 		ratio := l.runtimeRatios[m.Service]
 		if ratio == nil {
 			ratio = &runtimeRatio{mean: 1}
--- a/internal/serve/leader/poll.go
+++ b/internal/serve/leader/poll.go
@@ -238,6 +238,7 @@
 			l.confirmRun(r)
 		}
 		r.ObservePercent(row.Percent, l.now)
+		l.settleStall(r)
 		r.Metric, r.MissedLists = row.Metric, 0
 		l.tracker.ObserveCheckpoint(r, row.Checkpoint)
 		switch {
--- a/internal/serve/leader/simexec_test.go
+++ b/internal/serve/leader/simexec_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -184,7 +185,7 @@
 func (x *simExec) list(now time.Duration) platform.PollResult {
 	out := platform.PollResult{Clock: now - x.born, Born: int64(x.born/time.Millisecond) + 1, Ended: slices.Clone(x.ends)}
 	for _, r := range x.runs {
-		out.Running = append(out.Running, model.Run{Task: r.run, Attempt: r.attempt, Checkpoint: r.saved, Percent: r.percent, Metric: 1000})
+		out.Running = append(out.Running, model.Run{Task: r.run, Attempt: r.attempt, Checkpoint: r.saved, Percent: math.Floor(r.percent), Metric: 1000})
 	}
 	return out
 }
--- a/internal/serve/leader/stop.go
+++ b/internal/serve/leader/stop.go
@@ -78,13 +78,48 @@
 				l.sendStop(m, r.Task.ID, r.Attempt)
 			case r.Phase == track.Running && r.Task.Step.Occ.Job.IsOver():
 				l.stop(r, "job is over")
-			case execs.IsStalled(r, m.clockAt, l.expectedRuntime(m, r)):
-				r.Task.Avoid(m.Key)
-				l.recordFault(m, r.Task.Step.Occ.Job, "its runs stall")
-				l.stop(r, "run is stalled")
+			case execs.IsStalled(r, m.clockAt, l.expectedRuntime(m, r), l.ageOf(r)):
+				l.stopStalled(m, r)
 			default:
 				l.observeSlow(m, r)
 			}
 		}
 	}
 }
+
+// ageOf bounds the time since the task of a run could have started.
+func (l *Leader) ageOf(r *track.Run) time.Duration {
+	o := r.Task.Step.Occ
+	return max(l.wall-max(o.Job.Accepted, o.Due), 0) + track.MaxClockLead
+}
+
+// stopStalled stops a run without progress. Whether that is its executor's fault can be known later: a run of the task
+// elsewhere makes progress in less time.
+func (l *Leader) stopStalled(m *member, r *track.Run) {
+	t := r.Task
+	t.Avoid(m.Key)
+	t.Stalls++
+	t.Stall = track.Stall{}
+	if execs.IsStallEvident(r, m.clockAt) {
+		l.recordFault(m, t.Step.Occ.Job, stallCause)
+	} else {
+		t.Stall = track.Stall{Executor: m.Key, Silent: m.clockAt - r.LastProgress}
+	}
+	l.stop(r, "run is stalled")
+}
+
+// stallCause is the cause of a quarantine or probation because of stalled runs.
+const stallCause = "its runs stall"
+
+// settleStall records the fault of the executor on which a task was stalled, if another run has shown now that it
+// makes progress in less time elsewhere.
+func (l *Leader) settleStall(r *track.Run) {
+	stall := r.Task.Stall
+	if stall.Executor == "" || stall.Executor == r.Executor || r.PercentTime == 0 {
+		return
+	}
+	r.Task.Stall = track.Stall{}
+	if m := l.members[stall.Executor]; m != nil && execs.ShowsStall(r.PercentTime, stall.Silent) {
+		l.recordFault(m, r.Task.Step.Occ.Job, stallCause)
+	}
+}
