agent: a leader announces itself to entries that came after it

Callers saw: an entry that restarts while the store refuses it answers all calls with 503 as long as that lasts.

Cause: a leader read the registered entries once, at its takeover, and announced itself to these only. An entry that registers just after that read finds the leader through the store, and nobody calls it once it restarts without the store. A failed read was not repeated.

Change: the leader repeats a failed read, and announces itself also to entries that have polled it since it took over, while they don't poll it. Moved to announce.go.

Evidence: TestLeaderIsAnnouncedToEntriesThatCameLater fails without the change after 30 s; now it passes.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -287,15 +286,8 @@
 // entriesTopic holds the address, rank and data centre of each entry, by its name.
 const entriesTopic = "keyed.chervilgauge.entries"
 
-// announceTimeout bounds the announcement of a new leader to all entries, and each attempt to store
-// this entry's registration. registerPause is the time between these attempts.
-const (
-	announceTimeout = 800 * time.Millisecond
-	registerPause   = 500 * time.Millisecond
-	// reannounceInterval is the time between announcements to entries that have not polled the leader
-	// for that long. Polls are at most 2 s apart.
-	reannounceInterval = 3 * time.Second
-)
+// registerPause is the time between attempts to store this entry's registration.
+const registerPause = 500 * time.Millisecond
 
 // registration is an entry's record in entriesTopic.
 type registration struct {
@@ -339,60 +331,6 @@
 	}()
 }
 
-// announce announces the new leader to the other entries: the store may refuse requests of some of
-// them, such as the former leader. While this entry leads, it repeats this for entries that don't poll it:
-// one that restarts while the store refuses it learns of the leader in no other way. It runs in the
-// background because a call can take long, and Close waits for it.
-func (a *Agent) announce(ctx context.Context, elected lead.Leader) {
-	a.announcing.Add(1)
-	go func() {
-		defer a.announcing.Done()
-		call, cancel := context.WithTimeout(ctx, announceTimeout)
-		rs, _, _, err := a.client.Newest(call, entriesTopic, 0, "", announceTimeout)
-		if err != nil {
-			cancel()
-			a.log.Warn().Err(err).Msg("reading the registrations of entries failed")
-			return
-		}
-		peers := map[string]string{}
-		for _, r := range rs {
-			if r.Key == a.settings.Node || len(r.Value) == 0 {
-				continue
-			}
-			peer := decodeRegistration(r.Value)
-			a.execs.RecordPeer(r.Key, peer.addr, peer.centre, peer.rank)
-			peers[r.Key] = peer.addr
-		}
-		a.announceTo(call, elected, peers)
-		cancel()
-		for {
-			if clock.Pause(ctx, a.clk, reannounceInterval); ctx.Err() != nil || a.elector.Leader() != elected {
-				return
-			}
-			silent := maps.Clone(peers)
-			maps.DeleteFunc(silent, func(name, _ string) bool { return a.elector.HasFollower(name, reannounceInterval) })
-			call, cancel := context.WithTimeout(ctx, announceTimeout)
-			a.announceTo(call, elected, silent)
-			cancel()
-		}
-	}()
-}
-
-// announceTo announces a leader to entries, whose addresses are by name, and waits for their answers.
-func (a *Agent) announceTo(ctx context.Context, elected lead.Leader, peers map[string]string) {
-	var all sync.WaitGroup
-	for name, addr := range peers {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			if err := a.peerClient.Announce(ctx, addr, elected.Token, elected.Name, elected.Addr); err != nil {
-				a.log.Debug().Err(err).Str("peer", name).Msg("announcing the leader to an entry failed")
-			}
-		}()
-	}
-	all.Wait()
-}
-
 func (a *Agent) setLeader(l *leader.Leader) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/serve/agent/rig_test.go
+++ b/internal/serve/agent/rig_test.go
@@ -87,18 +87,7 @@
 			t.Log(out[max(0, len(out)-20000):])
 		}
 	})
-	ps := freePorts(t, 3*entries)
-	for i := range entries {
-		r.settings = append(r.settings, r.platform.Settings(fmt.Sprintf("entry-%d", i), ps[3*i], ps[3*i+1], ps[3*i+2]))
-		for _, f := range change {
-			f(&r.settings[i])
-		}
-		storeProxy := r.platform.NewStoreProxy()
-		r.settings[i].Store.Addr = storeProxy.Addr()
-		r.storeProxies = append(r.storeProxies, storeProxy)
-		r.fronts = append(r.fronts, fmt.Sprintf("127.0.0.1:%d", ps[3*i]))
-		r.entries = append(r.entries, nil)
-	}
+	r.addEntries(entries, change...)
 	r.configure("")
 	for i := range entries {
 		r.start(i)
@@ -110,6 +99,22 @@
 	return r
 }
 
+// addEntries adds entries that are not started.
+func (r *rig) addEntries(n int, change ...func(*platform.Settings)) {
+	r.t.Helper()
+	ps := freePorts(r.t, 3*n)
+	for i := range n {
+		set := r.platform.Settings(fmt.Sprintf("entry-%d", len(r.entries)), ps[3*i], ps[3*i+1], ps[3*i+2])
+		for _, f := range change {
+			f(&set)
+		}
+		storeProxy := r.platform.NewStoreProxy()
+		set.Store.Addr = storeProxy.Addr()
+		r.settings, r.storeProxies = append(r.settings, set), append(r.storeProxies, storeProxy)
+		r.fronts, r.entries = append(r.fronts, fmt.Sprintf("127.0.0.1:%d", ps[3*i])), append(r.entries, nil)
+	}
+}
+
 // configure writes a configuration with two queues, and a third one if extraPrefix is not empty.
 func (r *rig) configure(extraPrefix string) {
 	r.version++
--- a/internal/serve/lead/handover.go
+++ b/internal/serve/lead/handover.go
@@ -71,6 +71,19 @@
 	return ok && e.clk.Now()-c.LastSeen <= within
 }
 
+// FollowerAddrs returns the addresses of the entries that have polled this one since a time, by name.
+func (e *Elector) FollowerAddrs(since time.Duration) map[string]string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]string, len(e.followers))
+	for name, c := range e.followers {
+		if c.Addr != "" && c.LastSeen >= since {
+			out[name] = c.Addr
+		}
+	}
+	return out
+}
+
 // SmallestMemory returns the least memory in MiB of the entries that may lead next, with unknown for those that
 // did not say theirs, or 0 if no entry follows this one.
 func (e *Elector) SmallestMemory(unknown int64) int64 {
