leader: log lines for waiting occurrences and cancels of unknown jobs

Operators could not tell from the logs that due occurrences wait for memory, or why a job is cancelled on arrival. No behaviour changes.

--- a/internal/jobs/assign/assign.go
+++ b/internal/jobs/assign/assign.go
@@ -205,7 +205,8 @@
 	// all are the slots, including reserved ones.
 	all []*slot
 	out []Start
-	// held is set if a task of the step was kept away from an executor with capacity, and strict if it always is.
+	// held is set if a task of the step that is being placed was kept away from an executor with capacity. strict is
+	// set if tasks are kept away however long that lasts.
 	held, strict bool
 	// undo are the slots of the gang that is being placed.
 	undo []savedSlot
@@ -234,6 +235,7 @@
 	p.noteHeld(s)
 }
 
+// placeTasks places the waiting tasks of a step that is no gang, one by one.
 func (p *plan) placeTasks(s *track.Step) {
 	var placed map[string]int
 	if s.MaxPerExecutor > 0 {
--- a/internal/jobs/assign/reserve.go
+++ b/internal/jobs/assign/reserve.go
@@ -13,7 +13,7 @@
 	// idleWait and busyWait are how long capacity may be kept from a task that could use it at once, for the sake
 	// of a better placement, while less than halfUsed of the pool's cores are in use, and otherwise. Waiting work
 	// must not stand still for 3 s beside idle capacity.
-	idleWait, busyWait = 2000 * time.Millisecond, 10 * time.Second
+	idleWait, busyWait = 2 * time.Second, 10 * time.Second
 	halfUsed           = 0.5
 )
 
--- a/internal/serve/leader/backlog.go
+++ b/internal/serve/leader/backlog.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"time"
+
 	"chervilgauge.example/chervilgauge/internal/jobs/track"
 )
 
@@ -11,6 +13,8 @@
 	// occurrenceBytes and openStepBytes are the memory of a further open occurrence without its steps, and of one of
 	// its steps without its tasks. TestBacklogMemoryEstimate compares them with the heap.
 	occurrenceBytes, openStepBytes = 160, 224
+	// backlogLogInterval is the least time between log lines about occurrences that wait for memory.
+	backlogLogInterval = 10 * time.Second
 )
 
 // occurrenceSize returns the memory of each further open occurrence of a job.
@@ -44,7 +48,7 @@
 	if len(due) == 0 {
 		return
 	}
-	limit := int64(backlogShare * float64(l.nextLimit()))
+	limit, waits := int64(backlogShare*float64(l.nextLimit())), 0
 	for _, j := range due {
 		each, own := occurrenceSize(j.Size()), backlogBytes(j)
 		hasRoom := func() bool {
@@ -57,5 +61,12 @@
 		if l.tracker.OpenDue(j, l.wall, hasRoom) {
 			l.planDue[l.queueOf(j).Service] = true
 		}
+		if at, ok := j.NextDue(); ok && at <= l.wall {
+			waits++
+		}
+	}
+	if waits > 0 && l.now >= l.memory.nextBacklogLog {
+		l.memory.nextBacklogLog = l.now + backlogLogInterval
+		l.Log.Info().Int("jobs", waits).Int64("used", used).Int64("limit", limit).Msg("occurrences that are due wait for earlier ones")
 	}
 }
--- a/internal/serve/leader/memory.go
+++ b/internal/serve/leader/memory.go
@@ -58,6 +58,8 @@
 	used          usage
 	countedAt     time.Duration
 	nextExpand    time.Duration // when parked jobs are expanded next
+	// nextBacklogLog is when occurrences that wait are logged again.
+	nextBacklogLog time.Duration
 }
 
 // usage is the memory that large jobs and others take with one open occurrence, that of further open occurrences, and
--- a/internal/serve/leader/requests.go
+++ b/internal/serve/leader/requests.go
@@ -371,6 +371,7 @@
 func (l *Leader) onCancelStored(ev *cancelRequest) {
 	l.cancelJob(ev.id)
 	if l.tracker.HasEarlyCancel(ev.id) {
+		l.Log.Info().Str("job", ev.id).Msg("cancel of an unknown job is stored")
 		ev.reply <- relay.NotFound
 		return
 	}
